--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup run test lint format clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+run: setup  ## Start two availability zones and send a small load.
+	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/run-local
+
+test: setup  ## Run every test.
+	$(BIN)/python -m pytest -n 6 $(PYTEST_ARGS)
+
+lint: setup  ## Formatter, linter and types, as CI runs them.
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/bramleyturn/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for multi-stage model pipelines."""
--- /dev/null
+++ b/src/bramleyturn/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, replay, baselines and reports."""
--- /dev/null
+++ b/src/bramleyturn/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of what the platform publishes."""
--- /dev/null
+++ b/src/bramleyturn/programs/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each program."""
--- /dev/null
+++ b/src/bramleyturn/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Twisted sockets, timers and signals around the core."""
--- /dev/null
+++ b/src/bramleyturn/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that bramleyturn meets, and the fault proxy."""
