--- /dev/null
+++ b/src/bramleyturn/core/outcomes.py
@@ -0,0 +1,55 @@
+"""Describe how a request and its stages ended."""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+
+class OutcomeKind(StrEnum):
+    """Name how a request or stage ended.
+
+    ``ANSWERED``: the whole output is there. ``NOT_RUN``: no stage that may not be
+    repeated was started, so the request is safe to send again. ``FAILED``: it ran
+    and failed, finally. ``UNKNOWN``: it may have run.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class StageOutcome(NamedTuple):
+    """Hold how one stage ended and what all its attempts cost."""
+
+    name: str
+    kind: OutcomeKind
+    attempts: int
+    elapsed_ms: int
+    cost_micros: int
+
+
+class Outcome(NamedTuple):
+    """Hold the final result of a request.
+
+    ``output`` is any JSON value. ``retry_after_ms`` tells when a request that did
+    not run may be sent again. ``ask`` is the address that may learn more about an
+    unknown outcome, or empty.
+    """
+
+    kind: OutcomeKind
+    reason: str
+    output: Any = None
+    retry_after_ms: int | None = None
+    stages: tuple[StageOutcome, ...] = ()
+    cost_micros: int = 0
+    ask: str = ""
+
+
+def not_run(reason: str, retry_after_ms: int | None = None) -> Outcome:
+    """Return the outcome of a request that started nothing it may not repeat."""
+    return Outcome(OutcomeKind.NOT_RUN, reason, retry_after_ms=retry_after_ms)
+
+
+def unknown(reason: str, ask: str = "") -> Outcome:
+    """Return the outcome of a request that may have run."""
+    return Outcome(OutcomeKind.UNKNOWN, reason, ask=ask)
