Load, check and order configurations

A folder of INI files is merged in the order of its names; each value knows its file and line. One schema lists every setting with its type, bounds and default. All faults of a folder are reported together.

--- /dev/null
+++ b/src/bramleyturn/core/configuration.py
@@ -0,0 +1,175 @@
+"""Load a configuration from the files of one published revision."""
+
+from collections.abc import Iterator, Mapping
+from typing import Final, NamedTuple
+
+from bramleyturn.core.fault import Fault
+from bramleyturn.core.ini_folder import Folder, Section, merge_folder
+from bramleyturn.core.model import (
+    AdminSettings,
+    Configuration,
+    Limits,
+    PeerSettings,
+    Pipeline,
+    Pool,
+    Server,
+    Stage,
+    TicketSettings,
+    Workspace,
+)
+from bramleyturn.core.pipeline_order import Cycle, order_stages
+from bramleyturn.core.references import (
+    Sections,
+    SectionsByKind,
+    check_references,
+    stage_predecessors,
+    stage_section_name,
+)
+from bramleyturn.core.schema import ALL_PIPELINES, PUBLISHED, Key, SectionSchema
+from bramleyturn.core.section_values import ParsedSection, parse_sections
+
+MAX_FOLDER_CHARACTERS: Final = 8 * 1024 * 1024
+DEFAULT_SOURCE: Final = "default"
+HIDDEN_VALUE: Final = "(set, not shown)"
+
+
+class RefusedConfiguration(NamedTuple):
+    """Hold every fault of a revision that cannot be accepted."""
+
+    revision: int
+    faults: tuple[Fault, ...]
+
+
+class EffectiveValue(NamedTuple):
+    """Tell the value of one setting and where it comes from.
+
+    ``file`` is ``DEFAULT_SOURCE`` and ``line`` 0 for a default.
+    """
+
+    section: str
+    key: str
+    value: str
+    file: str
+    line: int
+
+
+def load_configuration(
+    revision: int, files: Mapping[str, str]
+) -> Configuration | RefusedConfiguration:
+    """Return the configuration in ``files``, or all of its faults.
+
+    The verdict depends on nothing but the content of the files.
+    """
+    size = sum(map(len, files.values()))
+    if size > MAX_FOLDER_CHARACTERS:
+        expected = f"at most {MAX_FOLDER_CHARACTERS} characters in all files"
+        fault = Fault("(all files)", 0, "", "", expected, str(size))
+        return RefusedConfiguration(revision, (fault,))
+    folder = merge_folder(files)
+    parsed = parse_sections(folder.sections, PUBLISHED)
+    faults = [*folder.faults, *parsed.faults, *check_references(parsed.by_kind)]
+    if faults:
+        return RefusedConfiguration(revision, tuple(sorted(faults)))
+    return _build(revision, parsed.by_kind)
+
+
+def explain(files: Mapping[str, str]) -> tuple[EffectiveValue, ...]:
+    """Return the value of each setting and where it comes from.
+
+    Faulty values are told as they stand. Secrets are hidden.
+    """
+    folder = merge_folder(files)
+    return tuple(
+        value
+        for schema in PUBLISHED
+        for section in _sections_of(folder, schema)
+        for value in _explain_section(section, schema)
+    )
+
+
+def _sections_of(folder: Folder, schema: SectionSchema) -> list[Section]:
+    """Return the sections of one kind; one without a name is always there."""
+    if not schema.named:
+        return [folder.sections.get(schema.kind, Section(schema.kind, "", 0, {}))]
+    prefix = schema.kind + " "
+    return [
+        section
+        for name, section in sorted(folder.sections.items())
+        if name.startswith(prefix)
+    ]
+
+
+def _explain_section(
+    section: Section, schema: SectionSchema
+) -> Iterator[EffectiveValue]:
+    """Yield the effective values of one section."""
+    for key in schema.keys:
+        value = section.values.get(key.name)
+        if value is not None:
+            shown = _show(key, value.text)
+            yield EffectiveValue(section.name, key.name, shown, value.file, value.line)
+        elif key.default is not None:
+            yield EffectiveValue(section.name, key.name, key.default, DEFAULT_SOURCE, 0)
+
+
+def _show(key: Key, text: str) -> str:
+    """Return the text of a value, unless it is a secret."""
+    return HIDDEN_VALUE if key.secret and text else text
+
+
+def _build(revision: int, by_kind: SectionsByKind) -> Configuration:
+    """Return the configuration that checked sections describe."""
+    pipelines = {
+        name: _build_pipeline(section, by_kind["stage"])
+        for name, section in by_kind["pipeline"].items()
+    }
+    return Configuration(
+        revision=revision,
+        pools={
+            name: Pool(name=name, **section.values)
+            for name, section in by_kind["pool"].items()
+        },
+        servers={
+            name: Server(name=name, **section.values)
+            for name, section in by_kind["server"].items()
+        },
+        pipelines=pipelines,
+        workspaces={
+            name: _build_workspace(section, tuple(pipelines))
+            for name, section in by_kind["workspace"].items()
+        },
+        limits=Limits(**by_kind["limits"][""].values),
+        tickets=TicketSettings(**by_kind["tickets"][""].values),
+        peers=PeerSettings(**by_kind["peers"][""].values),
+        admin=AdminSettings(**by_kind["admin"][""].values),
+    )
+
+
+def _build_pipeline(section: ParsedSection, stages: Sections) -> Pipeline:
+    """Return a pipeline with its stages in an order that respects ``after``."""
+    after = stage_predecessors(section, stages)
+    ordered = order_stages(section.values["stages"], after)
+    assert not isinstance(ordered, Cycle), "checked before"
+    return Pipeline(
+        name=section.name,
+        stages=tuple(
+            _build_stage(
+                name, after[name], stages[stage_section_name(section.name, name)]
+            )
+            for name in ordered
+        ),
+        deadline_ms=section.values["deadline_ms"],
+    )
+
+
+def _build_stage(name: str, after: tuple[str, ...], section: ParsedSection) -> Stage:
+    """Return one stage."""
+    return Stage(name=name, **{**section.values, "after": after})
+
+
+def _build_workspace(section: ParsedSection, pipelines: tuple[str, ...]) -> Workspace:
+    """Return a workspace with the names of all pipelines that it may use."""
+    allowed = section.values["pipelines"]
+    if allowed == (ALL_PIPELINES,):
+        allowed = pipelines
+    return Workspace(name=section.name, **{**section.values, "pipelines": allowed})
--- /dev/null
+++ b/src/bramleyturn/core/section_values.py
@@ -0,0 +1,122 @@
+"""Check the sections of a folder against the schema, each one by itself."""
+
+from collections.abc import Sequence
+from typing import Any, Final, NamedTuple
+
+from bramleyturn.core.fault import Fault, quote
+from bramleyturn.core.ini_folder import Section, Value
+from bramleyturn.core.schema import STAGE, Key, SectionSchema
+from bramleyturn.core.value_types import EXPECTED_NAME, WrongValue, is_name
+
+STAGE_SEPARATOR: Final = "."
+
+
+class ParsedSection(NamedTuple):
+    """Hold the parsed values of one section; faulty ones are left out."""
+
+    name: str
+    source: Section
+    values: dict[str, Any]
+
+
+class ParsedSections(NamedTuple):
+    """Hold the parsed sections by kind and name."""
+
+    by_kind: dict[str, dict[str, ParsedSection]]
+    faults: list[Fault]
+
+
+def parse_sections(
+    sections: dict[str, Section], schemas: Sequence[SectionSchema]
+) -> ParsedSections:
+    """Return the parsed sections, with the default of each key that is not set."""
+    by_kind: dict[str, dict[str, ParsedSection]] = {
+        schema.kind: {} for schema in schemas
+    }
+    by_name = {schema.kind: schema for schema in schemas}
+    faults: list[Fault] = []
+    for section in sections.values():
+        kind, _, name = section.name.partition(" ")
+        schema = by_name.get(kind)
+        expected = _expected_header(schema, name, schemas)
+        if schema is None or expected:
+            faults.append(section_fault(section, expected, quote(section.name)))
+            continue
+        by_kind[kind][name] = _parse_section(section, name, schema, faults)
+    for schema in schemas:
+        if not schema.named and not by_kind[schema.kind]:
+            absent = Section(schema.kind, "(no file)", 0, {})
+            parsed = _parse_section(absent, "", schema, faults)
+            by_kind[schema.kind][""] = parsed
+    return ParsedSections(by_kind, faults)
+
+
+def section_fault(section: Section, expected: str, found: str) -> Fault:
+    """Return a fault of a whole section."""
+    return Fault(section.file, section.line, section.name, "", expected, found)
+
+
+def key_fault(section: Section, key: str, expected: str, found: str) -> Fault:
+    """Return a fault of one key of a section, which may be at its default."""
+    value = section.values.get(key)
+    if value is None:
+        return Fault(section.file, section.line, section.name, key, expected, found)
+    return Fault(value.file, value.line, section.name, key, expected, found)
+
+
+def _expected_header(
+    schema: SectionSchema | None, name: str, schemas: Sequence[SectionSchema]
+) -> str:
+    """Return what was expected as the header, or nothing if it is sound."""
+    if schema is None:
+        return "a section " + ", ".join(map(_header, schemas))
+    if not schema.named:
+        return f"the section {_header(schema)} without a name" if name else ""
+    parts = name.split(STAGE_SEPARATOR) if schema.kind == STAGE.kind else [name]
+    part_count = schema.named.count(STAGE_SEPARATOR) + 1
+    if len(parts) == part_count and all(map(is_name, parts)):
+        return ""
+    return f"{_header(schema)}, {EXPECTED_NAME}"
+
+
+def _header(schema: SectionSchema) -> str:
+    """Return how the header of a section reads."""
+    return f"[{schema.kind} {schema.named}]" if schema.named else f"[{schema.kind}]"
+
+
+def _parse_section(
+    section: Section, name: str, schema: SectionSchema, faults: list[Fault]
+) -> ParsedSection:
+    """Return the parsed values of one section and add its faults to ``faults``."""
+    known = {key.name: key for key in schema.keys}
+    for key_name in section.values:
+        if key_name not in known:
+            expected = "one of the keys " + ", ".join(known)
+            faults.append(key_fault(section, key_name, expected, quote(key_name)))
+    values: dict[str, Any] = {}
+    for key in schema.keys:
+        parsed = _parse_key(key, section.values.get(key.name))
+        if isinstance(parsed, WrongValue):
+            found = _found(key, section.values.get(key.name))
+            faults.append(key_fault(section, key.name, parsed.expected, found))
+        else:
+            values[key.name] = parsed
+    return ParsedSection(name, section, values)
+
+
+def _parse_key(key: Key, value: Value | None) -> Any:
+    """Return the parsed value or default of a key, or ``WrongValue``."""
+    text = key.default if value is None else value.text
+    # No type of a required key accepts the empty text.
+    return key.type.parse(text or "")
+
+
+def _found(key: Key, value: Value | None) -> str:
+    """Return how to show a faulty value, without telling a secret."""
+    if value is None:
+        return "no such key"
+    if not value.text:
+        return "nothing"
+    if key.secret:
+        return f"{len(value.text)} characters (not shown)"
+    return quote(value.text)
