Decide by tickets who may dispatch what may not be repeated

The right to dispatch a request belongs to one incarnation of one process. All of it is pure.

Room is bounded where tickets are issued: a request refused for want of room to remember it could otherwise run later.

--- /dev/null
+++ b/src/bramleyturn/core/ticket_primary.py
@@ -0,0 +1,383 @@
+"""Decide, at the primary of a ticket, what may be dispatched.
+
+A record is immutable; each event returns its successor. Only ``may_dispatch`` says
+who may dispatch. Call it in the same turn of the loop as the write, and store the
+successor of ``record_dispatch`` in that turn.
+"""
+
+from collections import deque
+from enum import StrEnum
+from typing import NamedTuple
+
+from bramleyturn.core.outcomes import (
+    Outcome,
+    OutcomeKind,
+    StageOutcome,
+    not_run,
+    unknown,
+)
+from bramleyturn.core.ticket_messages import IntendedStage, Intent, OutcomeCopy
+from bramleyturn.core.tickets import ProcessRef, Ticket, TicketRef
+
+
+class StageState(StrEnum):
+    """Name how far a stage that may not be repeated has come."""
+
+    WAITING = "waiting"
+    ALLOWED = "allowed"
+    REFUSED = "refused"
+    DISPATCHED = "dispatched"
+    ENDED = "ended"
+
+
+class StageRecord(NamedTuple):
+    """Hold the state of one stage that may not be repeated."""
+
+    name: str
+    state: StageState
+    reason: str = ""
+    outcome: StageOutcome | None = None
+
+
+class TicketRecord(NamedTuple):
+    """Hold everything the primary knows of one ticket.
+
+    ``stages`` lists only stages that may not be repeated and were asked for.
+    """
+
+    ticket: Ticket
+    input_digest: str
+    stages: tuple[StageRecord, ...] = ()
+    outcome: Outcome | None = None
+
+
+class RefusedStage(StrEnum):
+    """Name why the primary does not run a stage."""
+
+    EXPIRED = "ticket_expired"
+    FINISHED = "request_finished"
+    INTENT_TIMEOUT = "backup_timeout"
+    BACKUP_GONE = "backup_gone"
+
+
+def may_dispatch(
+    record: TicketRecord, stage: str, incarnation: str, now_ms: int
+) -> bool:
+    """Tell whether this process may write ``stage`` to a backend server now.
+
+    This is the only rule of who may dispatch.
+    """
+    if record.ticket.primary.incarnation != incarnation:
+        return False
+    if now_ms >= record.ticket.expires_at_ms or record.outcome is not None:
+        return False
+    found = find_stage(record, stage)
+    return found is not None and found.state is StageState.ALLOWED
+
+
+def find_stage(record: TicketRecord, stage: str) -> StageRecord | None:
+    """Return the state of ``stage``, or nothing if it was never asked for."""
+    return next((found for found in record.stages if found.name == stage), None)
+
+
+def ask_stage(record: TicketRecord, stage: str, now_ms: int) -> TicketRecord:
+    """Return the record after the request came to ``stage``.
+
+    The stage then waits for the backup, is allowed at once when the ticket names
+    none, or is refused. A stage that was asked for before stays as it is.
+    """
+    if find_stage(record, stage) is not None:
+        return record
+    if record.outcome is not None:
+        return _with_stage(
+            record, StageRecord(stage, StageState.REFUSED, RefusedStage.FINISHED)
+        )
+    if now_ms >= record.ticket.expires_at_ms:
+        return _with_stage(
+            record, StageRecord(stage, StageState.REFUSED, RefusedStage.EXPIRED)
+        )
+    if record.ticket.backup is None:
+        return _with_stage(record, StageRecord(stage, StageState.ALLOWED))
+    return _with_stage(record, StageRecord(stage, StageState.WAITING))
+
+
+def acknowledge_stage(
+    record: TicketRecord, stage: str, backup_incarnation: str
+) -> TicketRecord:
+    """Return the record after the backup has recorded the intent.
+
+    An acknowledgement after a refusal, or of another incarnation, changes nothing.
+    """
+    backup = record.ticket.backup
+    found = find_stage(record, stage)
+    if found is None or found.state is not StageState.WAITING:
+        return record
+    if backup is None or backup.incarnation != backup_incarnation:
+        return record
+    return _with_stage(record, found._replace(state=StageState.ALLOWED))
+
+
+def refuse_stage(record: TicketRecord, stage: str, reason: str) -> TicketRecord:
+    """Return the record after ``stage`` was refused, for good.
+
+    For a refusal by the backup, a backup that is gone, a time-out, or an expiry
+    between acknowledgement and write. A stage that was dispatched stays so.
+    """
+    found = find_stage(record, stage) or StageRecord(stage, StageState.WAITING)
+    if found.state not in (StageState.WAITING, StageState.ALLOWED):
+        return record
+    return _with_stage(record, found._replace(state=StageState.REFUSED, reason=reason))
+
+
+def record_dispatch(record: TicketRecord, stage: str) -> TicketRecord:
+    """Return the record after the first byte of ``stage`` is about to be written."""
+    return _with_stage(record, StageRecord(stage, StageState.DISPATCHED))
+
+
+def withdraw_dispatch(record: TicketRecord, stage: str) -> TicketRecord:
+    """Return the record after a connection failed before any byte was written.
+
+    The stage may then be dispatched on another connection.
+    """
+    found = find_stage(record, stage)
+    if found is None or found.state is not StageState.DISPATCHED:
+        return record
+    return _with_stage(record, found._replace(state=StageState.ALLOWED))
+
+
+def end_stage(record: TicketRecord, outcome: StageOutcome) -> TicketRecord:
+    """Return the record after a dispatched stage ended with ``outcome``.
+
+    The kind is ``NOT_RUN`` only when the server itself said that it started nothing.
+    """
+    found = find_stage(record, outcome.name)
+    if found is None or found.state is not StageState.DISPATCHED:
+        return record
+    return _with_stage(record, found._replace(state=StageState.ENDED, outcome=outcome))
+
+
+def finish(record: TicketRecord, outcome: Outcome) -> TicketRecord:
+    """Return the record with its final outcome; the first one stands.
+
+    An outcome that claims too much is corrected: ``NOT_RUN`` after a stage ran, or
+    anything but ``UNKNOWN`` and ``ANSWERED`` while a stage has no known end.
+    """
+    if record.outcome is not None:
+        return record
+    kind = _true_kind(record, outcome.kind)
+    listed = {stage.name for stage in outcome.stages}
+    missing = tuple(
+        _stage_outcome(stage) for stage in record.stages if stage.name not in listed
+    )
+    final = outcome._replace(kind=kind, stages=outcome.stages + missing)
+    return record._replace(outcome=final)
+
+
+def intent_message(record: TicketRecord, intended: IntendedStage) -> Intent | None:
+    """Return the message that asks the backup, or nothing without a backup."""
+    ticket = record.ticket
+    if ticket.backup is None:
+        return None
+    ended = tuple(stage.outcome for stage in record.stages if stage.outcome)
+    return Intent(
+        ticket.ref,
+        ticket.backup.incarnation,
+        ticket.lifetime_ms,
+        record.input_digest,
+        intended,
+        ended,
+    )
+
+
+def copy_message(record: TicketRecord) -> OutcomeCopy | None:
+    """Return the message that copies the final outcome, if there is one to send."""
+    ticket = record.ticket
+    if ticket.backup is None or record.outcome is None:
+        return None
+    return OutcomeCopy(
+        ticket.ref,
+        ticket.backup.incarnation,
+        ticket.lifetime_ms,
+        record.input_digest,
+        record.outcome,
+    )
+
+
+def _with_stage(record: TicketRecord, stage: StageRecord) -> TicketRecord:
+    others = tuple(found for found in record.stages if found.name != stage.name)
+    return record._replace(stages=(*others, stage))
+
+
+def _true_kind(record: TicketRecord, claimed: OutcomeKind) -> OutcomeKind:
+    if claimed not in (OutcomeKind.NOT_RUN, OutcomeKind.FAILED):
+        return claimed
+    kinds = {_stage_outcome(stage).kind for stage in record.stages}
+    if OutcomeKind.UNKNOWN in kinds:
+        return OutcomeKind.UNKNOWN
+    if claimed is OutcomeKind.NOT_RUN and kinds - {OutcomeKind.NOT_RUN}:
+        return OutcomeKind.FAILED
+    return claimed
+
+
+def _stage_outcome(stage: StageRecord) -> StageOutcome:
+    if stage.outcome is not None:
+        return stage.outcome
+    if stage.state is StageState.DISPATCHED:
+        return StageOutcome(stage.name, OutcomeKind.UNKNOWN, 1, 0, 0)
+    return StageOutcome(stage.name, OutcomeKind.NOT_RUN, 0, 0, 0)
+
+
+class Started(NamedTuple):
+    """Tell that this copy of the request is the first: run it."""
+
+    record: TicketRecord
+
+
+class Joined(NamedTuple):
+    """Tell that the request is running already: wait for its outcome."""
+
+    record: TicketRecord
+
+
+class Kept(NamedTuple):
+    """Hand out the outcome of a request that is over."""
+
+    outcome: Outcome
+
+
+class TicketRefusal(StrEnum):
+    """Name why a ticket starts nothing at this process."""
+
+    EXPIRED = "ticket_expired"
+    FORGOTTEN = "ticket_forgotten"
+    NOT_PRIMARY = "not_primary"
+    OTHER_INCARNATION = "other_incarnation"
+    INPUT_DIFFERS = "input_differs"
+
+
+class TicketRefused(NamedTuple):
+    """Tell why a ticket starts nothing, and what that means for its request.
+
+    ``outcome`` is missing when another process has to be asked or the request
+    is in error.
+    """
+
+    reason: TicketRefusal
+    outcome: Outcome | None
+
+
+Received = Started | Joined | Kept | TicketRefused
+
+
+class TicketPrimary:
+    """Hold the tickets of this incarnation.
+
+    ``forgotten_through_ms`` is the latest expiry among forgotten records; a ticket
+    without a record that expires no later may have run.
+    """
+
+    def __init__(self, me: ProcessRef, max_issued: int) -> None:
+        self.me = me
+        self.max_issued = max_issued
+        self.last_number = 0
+        self.issued_until_ms: deque[int] = deque()
+        self.records: dict[int, TicketRecord] = {}
+        self.forgotten_through_ms = -1
+
+
+class NotIssued(NamedTuple):
+    """Tell that the primary remembers as many tickets as it may."""
+
+    retry_after_ms: int
+
+
+def issue_ticket(
+    primary: TicketPrimary,
+    workspace: str,
+    pipeline: str,
+    backup: ProcessRef | None,
+    now_ms: int,
+    lifetime_ms: int,
+    margin_ms: int,
+) -> Ticket | NotIssued:
+    """Return a new ticket of this process.
+
+    The number of tickets that may still be in use is bounded here, because a
+    request that was refused for want of room to remember it could run later.
+    """
+    issued = primary.issued_until_ms
+    while issued and issued[0] <= now_ms:
+        issued.popleft()
+    if len(issued) >= primary.max_issued:
+        return NotIssued(issued[0] - now_ms)
+    primary.last_number += 1
+    expires_at_ms = now_ms + lifetime_ms
+    issued.append(expires_at_ms + margin_ms)
+    return Ticket(
+        primary.last_number,
+        workspace,
+        pipeline,
+        primary.me,
+        backup,
+        expires_at_ms,
+        lifetime_ms,
+    )
+
+
+def receive_ticket(
+    primary: TicketPrimary, ticket: Ticket, input_digest: str, now_ms: int
+) -> Received:
+    """Return what to do with one copy of a request; the first one gets a record."""
+    if ticket.primary.address != primary.me.address:
+        return TicketRefused(TicketRefusal.NOT_PRIMARY, None)
+    if ticket.primary.incarnation != primary.me.incarnation:
+        return TicketRefused(TicketRefusal.OTHER_INCARNATION, None)
+    record = primary.records.get(ticket.number)
+    if record is not None:
+        return _receive_again(record, input_digest)
+    if ticket.expires_at_ms <= primary.forgotten_through_ms:
+        reason = TicketRefusal.FORGOTTEN
+        return TicketRefused(reason, unknown(reason))
+    if now_ms >= ticket.expires_at_ms:
+        reason = TicketRefusal.EXPIRED
+        return TicketRefused(reason, not_run(reason))
+    record = TicketRecord(ticket, input_digest)
+    primary.records[ticket.number] = record
+    return Started(record)
+
+
+def _receive_again(record: TicketRecord, input_digest: str) -> Received:
+    if record.input_digest != input_digest:
+        return TicketRefused(TicketRefusal.INPUT_DIFFERS, None)
+    if record.outcome is not None:
+        return Kept(record.outcome)
+    return Joined(record)
+
+
+def store_record(primary: TicketPrimary, record: TicketRecord) -> None:
+    """Replace the record of its ticket."""
+    primary.records[record.ticket.number] = record
+
+
+def find_record(primary: TicketPrimary, ticket: TicketRef) -> TicketRecord | None:
+    """Return the record of ``ticket`` if this process is its primary."""
+    if ticket.primary != primary.me:
+        return None
+    return primary.records.get(ticket.number)
+
+
+def forget_records(primary: TicketPrimary, now_ms: int, margin_ms: int) -> int:
+    """Forget finished records past expiry and margin; return how many."""
+    due: list[TicketRecord] = []
+    for record in primary.records.values():
+        if record.outcome is None:
+            continue
+        if now_ms < record.ticket.expires_at_ms + margin_ms:
+            break
+        due.append(record)
+    for record in due:
+        del primary.records[record.ticket.number]
+        primary.forgotten_through_ms = max(
+            primary.forgotten_through_ms, record.ticket.expires_at_ms
+        )
+    return len(due)
