--- /dev/null
+++ b/src/bramleyturn/core/hedging.py
@@ -0,0 +1,27 @@
+"""Decide when a slow attempt gets a second one beside it."""
+
+from typing import Final
+
+from bramleyturn.core.latency import StageLatencies, stage_percentile_ms
+from bramleyturn.core.model import Limits, Pipeline, Stage
+
+SHORT_STAGE_MS: Final = 1_000
+MIN_HEDGE_MS: Final = 5
+
+
+def hedge_after_ms(
+    latencies: StageLatencies, pipeline: Pipeline, stage: Stage, limits: Limits
+) -> int | None:
+    """Return how long an attempt runs before it is hedged, None for never.
+
+    Only stages that are idempotent, short, and allow it are hedged, after a high
+    percentile of their own latency.
+    """
+    if not stage.hedge or not stage.repeatable or limits.hedge_percentile <= 0:
+        return None
+    after_ms = stage_percentile_ms(
+        latencies, pipeline.name, stage.name, limits.hedge_percentile
+    )
+    if after_ms is None or after_ms > SHORT_STAGE_MS:
+        return None
+    return max(MIN_HEDGE_MS, after_ms)
--- /dev/null
+++ b/src/bramleyturn/core/prefix_cache.py
@@ -0,0 +1,63 @@
+"""Remember which servers are likely to hold a prompt prefix in their cache."""
+
+from bisect import bisect_right
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Final
+
+import xxhash
+
+MAX_PREFIXES: Final = 4_096
+SERVERS_PER_PREFIX: Final = 2
+POINTS_PER_SERVER: Final = 8
+
+
+class RecentPrefixes:
+    """Hold the servers that saw each prefix lately, the newest first."""
+
+    def __init__(self) -> None:
+        self.servers: OrderedDict[tuple[str, str], tuple[str, ...]] = OrderedDict()
+
+
+class HashRing:
+    """Hold the servers' points on a ring, which all processes compute alike."""
+
+    def __init__(self, names: Sequence[str]) -> None:
+        points = sorted(
+            (_point(f"{name}#{number}"), name)
+            for name in names
+            for number in range(POINTS_PER_SERVER)
+        )
+        self.points = [point for point, _ in points]
+        self.names = [name for _, name in points]
+
+
+def remember_prefix(
+    prefixes: RecentPrefixes, pool: str, prefix: str, server: str
+) -> None:
+    """Remember that the server saw the prefix just now."""
+    key = (pool, prefix)
+    known = prefixes.servers.get(key, ())
+    if not known or known[0] != server:
+        others = tuple(name for name in known if name != server)
+        prefixes.servers[key] = (server, *others)[:SERVERS_PER_PREFIX]
+    prefixes.servers.move_to_end(key)
+    if len(prefixes.servers) > MAX_PREFIXES:
+        prefixes.servers.popitem(last=False)
+
+
+def recent_servers(prefixes: RecentPrefixes, pool: str, prefix: str) -> tuple[str, ...]:
+    """Return the servers that saw the prefix lately, the newest first."""
+    return prefixes.servers.get((pool, prefix), ())
+
+
+def home_server(ring: HashRing, prefix: str) -> str | None:
+    """Return the server to which every process first sends the prefix."""
+    if not ring.points:
+        return None
+    index = bisect_right(ring.points, _point(prefix))
+    return ring.names[index % len(ring.names)]
+
+
+def _point(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/bramleyturn/core/routing.py
@@ -0,0 +1,393 @@
+"""Choose the backend server for an attempt."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from heapq import heappop, heappush
+from random import Random
+from typing import Final, NamedTuple
+
+from bramleyturn.core.model import Server
+from bramleyturn.core.outliers import (
+    eject,
+    end_ejection,
+    record_failure,
+    record_success,
+    should_eject,
+    slow_start_share,
+)
+from bramleyturn.core.prefix_cache import (
+    home_server,
+    recent_servers,
+    remember_prefix,
+)
+from bramleyturn.core.routing_table import (
+    Candidates,
+    PoolState,
+    RoutingTable,
+    ServerState,
+    apply_servers,
+    list_candidates,
+    routing_table,
+    server_back,
+    server_leaving,
+)
+from bramleyturn.core.server_load import (
+    LoadReport,
+    count_end,
+    count_start,
+    estimate_ms,
+    expected_ms,
+    learn_time,
+    take_report,
+)
+
+__all__ = [
+    "AttemptEnd",
+    "AttemptVerdict",
+    "Choice",
+    "ChoiceRequest",
+    "LoadReport",
+    "NoServer",
+    "NoServerReason",
+    "RoutingTable",
+    "apply_servers",
+    "attempt_ended",
+    "attempt_started",
+    "choose_server",
+    "load_reported",
+    "routing_table",
+    "server_back",
+    "server_leaving",
+]
+
+SAMPLES: Final = 3
+PROBES: Final = 8
+IDLE_PROBES: Final = 64
+WARM_SAVED_SHARE: Final = 0.3
+WARM_MAX_UTILISATION: Final = 1.0
+SPILL_UTILISATION: Final = 0.75
+OTHER_ZONE_FACTOR: Final = 1.1
+BUSY_MS: Final = 100
+IDLE_RETRY_MS: Final = 50
+NO_SERVER_RETRY_MS: Final = 1_000
+
+
+class AttemptVerdict(StrEnum):
+    """Name how an attempt ended, as far as its server is concerned."""
+
+    OK = "ok"
+    FAILED = "failed"
+    REFUSED = "refused"
+    CANCELLED = "cancelled"
+    LOST = "lost"
+
+
+class AttemptEnd(NamedTuple):
+    """State how an attempt ended and how long it took."""
+
+    verdict: AttemptVerdict
+    elapsed_ms: int
+    size_tokens: int
+
+
+class ChoiceRequest(NamedTuple):
+    """Ask for a server of a pool.
+
+    ``prefix`` identifies the start of the prompt and may be empty. ``alone`` asks
+    for a server on which this process has nothing in flight.
+    """
+
+    pool: str
+    size_tokens: int
+    prefix: str
+    excluded: frozenset[str]
+    alone: bool
+
+
+class Choice(NamedTuple):
+    """Name the server and why it was chosen."""
+
+    server: Server
+    reasons: tuple[str, ...]
+
+
+class NoServerReason(StrEnum):
+    """Name why no server can be chosen."""
+
+    UNKNOWN_POOL = "unknown_pool"
+    NONE_LIVE = "none_live"
+    ALL_EXCLUDED = "all_excluded"
+    ALL_BUSY = "all_busy"
+    NONE_IDLE = "none_idle"
+
+
+class NoServer(NamedTuple):
+    """State why no server can be chosen and when to ask again."""
+
+    reason: NoServerReason
+    retry_after_ms: int
+
+
+class Rating(NamedTuple):
+    """Hold one candidate with its estimated time and the reasons for it."""
+
+    score_ms: float
+    utilisation: float
+    state: ServerState
+    reasons: tuple[str, ...]
+
+
+def choose_server(
+    table: RoutingTable, request: ChoiceRequest, now_ms: int, random: Random
+) -> Choice | NoServer:
+    """Return the server with the least estimated finish among a few candidates.
+
+    The own zone goes first; the other zones are looked at when the own one has no
+    server for this request or its best one is nearly full. The cost doesn't depend
+    on the number of servers.
+    """
+    pool = table.pools.get(request.pool)
+    if pool is None:
+        return NoServer(NoServerReason.UNKNOWN_POOL, NO_SERVER_RETRY_MS)
+    _end_ejections(table, now_ms)
+    if request.alone:
+        return _choose_idle(pool, request, now_ms, random)
+    best = _best(table, pool, pool.own, request, now_ms, random)
+    if best is None or best.utilisation >= SPILL_UTILISATION:
+        other = _best(table, pool, pool.others, request, now_ms, random)
+        best = _better(best, other)
+    if best is None:
+        return _no_server(pool, request, now_ms)
+    return Choice(best.state.server, (_zone_reason(table, best), *best.reasons))
+
+
+def attempt_started(
+    table: RoutingTable,
+    server_name: str,
+    size_tokens: int,
+    prefix: str,
+    now_ms: int,
+    alone: bool = False,
+) -> None:
+    """Count an attempt as in flight.
+
+    One that runs ``alone`` keeps the server for itself, as far as this process is
+    concerned, until nothing is in flight there.
+    """
+    state = table.servers.get(server_name)
+    if state is None:
+        return
+    pool = table.pools[state.server.pool]
+    count_start(pool.load, state.load, size_tokens, now_ms)
+    state.held_alone = state.held_alone or alone
+    if prefix:
+        remember_prefix(table.prefixes, state.server.pool, prefix, server_name)
+
+
+def attempt_ended(
+    table: RoutingTable, server_name: str, end: AttemptEnd, now_ms: int
+) -> None:
+    """Count an attempt as ended and learn from how it ended."""
+    state = table.servers.get(server_name)
+    if state is None:
+        return
+    pool = table.pools[state.server.pool]
+    count_end(state.load, end.size_tokens, now_ms)
+    if state.load.in_flight == 0:
+        state.held_alone = False
+    if end.verdict is AttemptVerdict.OK:
+        record_success(state.outlier)
+        learn_time(pool.load, state.load, end.size_tokens, end.elapsed_ms, now_ms)
+    elif end.verdict is AttemptVerdict.REFUSED:
+        state.busy_until_ms = now_ms + BUSY_MS
+    elif end.verdict in (AttemptVerdict.FAILED, AttemptVerdict.LOST):
+        record_failure(state.outlier)
+        _eject_if_due(table, pool, state, now_ms)
+
+
+def load_reported(table: RoutingTable, report: LoadReport, now_ms: int) -> None:
+    """Take in a server's load report."""
+    state = table.servers.get(report.server)
+    if state is None:
+        return
+    take_report(table.pools[state.server.pool].load, state.load, report, now_ms)
+    if report.leaving:
+        server_leaving(table, report.server, now_ms)
+
+
+def _eject_if_due(
+    table: RoutingTable, pool: PoolState, state: ServerState, now_ms: int
+) -> None:
+    limits = table.limits
+    if limits is None:
+        return
+    if not should_eject(state.outlier, limits, pool.ejected, len(pool.members)):
+        return
+    until_ms = eject(state.outlier, limits, now_ms)
+    pool.ejected += 1
+    heappush(table.ejections, (until_ms, state.server.name))
+    list_candidates(table, pool)
+
+
+def _end_ejections(table: RoutingTable, now_ms: int) -> None:
+    while table.ejections and table.ejections[0][0] <= now_ms:
+        until_ms, name = heappop(table.ejections)
+        state = table.servers.get(name)
+        if state is None or state.outlier.ejected_until_ms != until_ms:
+            continue
+        pool = table.pools[state.server.pool]
+        end_ejection(state.outlier, now_ms)
+        pool.ejected -= 1
+        list_candidates(table, pool)
+
+
+def _best(
+    table: RoutingTable,
+    pool: PoolState,
+    candidates: Candidates,
+    request: ChoiceRequest,
+    now_ms: int,
+    random: Random,
+) -> Rating | None:
+    usual_ms = expected_ms(pool.load, request.size_tokens)
+    warm = recent_servers(table.prefixes, request.pool, request.prefix)
+    best: Rating | None = None
+    for state in _sample(table, candidates, request, warm, now_ms, random):
+        rating = _rate(table, pool, state, usual_ms, warm, now_ms)
+        if best is None or rating.score_ms < best.score_ms:
+            best = rating
+    return best
+
+
+def _sample(
+    table: RoutingTable,
+    candidates: Candidates,
+    request: ChoiceRequest,
+    warm: tuple[str, ...],
+    now_ms: int,
+    random: Random,
+) -> list[ServerState]:
+    states = candidates.states
+    if len(states) <= SAMPLES:
+        return [state for state in states if _takes(state, request, now_ms)]
+    sample = [
+        state
+        for state in _sample_by_index(states, random)
+        if _takes(state, request, now_ms)
+    ]
+    if request.prefix:
+        zone = states[0].server.zone
+        sample.extend(_warm_states(table, candidates, request, warm, now_ms, zone))
+    if not sample:
+        return _probe(states, request, now_ms, random)
+    return sample
+
+
+def _sample_by_index(
+    states: tuple[ServerState, ...], random: Random
+) -> Iterator[ServerState]:
+    count = len(states)
+    start = int(random.random() * count)
+    yield states[start]
+    step = 1 + int(random.random() * (count - 1))
+    yield states[(start + step) % count]
+    yield states[(start + 1 + int(random.random() * (count - 1))) % count]
+
+
+def _warm_states(
+    table: RoutingTable,
+    candidates: Candidates,
+    request: ChoiceRequest,
+    warm: tuple[str, ...],
+    now_ms: int,
+    zone: str,
+) -> Iterator[ServerState]:
+    home = home_server(candidates.ring, request.prefix)
+    names = warm if home is None or home in warm else (*warm, home)
+    own = zone == table.zone
+    for name in names:
+        state = table.servers.get(name)
+        if state is None or (state.server.zone == table.zone) is not own:
+            continue
+        if state.left_ms is not None or state.outlier.ejected_until_ms is not None:
+            continue
+        if _takes(state, request, now_ms):
+            yield state
+
+
+def _probe(
+    states: tuple[ServerState, ...],
+    request: ChoiceRequest,
+    now_ms: int,
+    random: Random,
+) -> list[ServerState]:
+    count = len(states)
+    start = int(random.random() * count)
+    probes = min(count, PROBES + len(request.excluded))
+    for offset in range(probes):
+        state = states[(start + offset) % count]
+        if _takes(state, request, now_ms):
+            return [state]
+    return []
+
+
+def _takes(state: ServerState, request: ChoiceRequest, now_ms: int) -> bool:
+    if state.held_alone or state.busy_until_ms > now_ms:
+        return False
+    return state.server.name not in request.excluded
+
+
+def _rate(
+    table: RoutingTable,
+    pool: PoolState,
+    state: ServerState,
+    usual_ms: float,
+    warm: tuple[str, ...],
+    now_ms: int,
+) -> Rating:
+    saved = WARM_SAVED_SHARE if state.server.name in warm else 0.0
+    score_ms, utilisation = estimate_ms(pool.load, state.load, usual_ms, saved, now_ms)
+    reasons: tuple[str, ...] = ("least_estimate",)
+    if saved and utilisation >= WARM_MAX_UTILISATION:
+        score_ms /= 1.0 - saved
+    elif saved:
+        reasons = ("warm_prefix",)
+    if state.outlier.fresh_since_ms is not None and table.limits is not None:
+        share = slow_start_share(state.outlier, table.limits, now_ms)
+        score_ms /= share
+    return Rating(score_ms, utilisation, state, reasons)
+
+
+def _better(own: Rating | None, other: Rating | None) -> Rating | None:
+    if own is None or other is None:
+        return own or other
+    return own if own.score_ms <= other.score_ms * OTHER_ZONE_FACTOR else other
+
+
+def _zone_reason(table: RoutingTable, rating: Rating) -> str:
+    return "own_zone" if rating.state.server.zone == table.zone else "other_zone"
+
+
+def _choose_idle(
+    pool: PoolState, request: ChoiceRequest, now_ms: int, random: Random
+) -> Choice | NoServer:
+    for reason, candidates in (("own_zone", pool.own), ("other_zone", pool.others)):
+        states = candidates.states
+        count = len(states)
+        start = int(random.random() * count)
+        for offset in range(min(count, IDLE_PROBES)):
+            state = states[(start + offset) % count]
+            if state.load.in_flight == 0 and _takes(state, request, now_ms):
+                return Choice(state.server, (reason, "alone"))
+    if not pool.own.states and not pool.others.states:
+        return NoServer(NoServerReason.NONE_LIVE, NO_SERVER_RETRY_MS)
+    return NoServer(NoServerReason.NONE_IDLE, IDLE_RETRY_MS)
+
+
+def _no_server(pool: PoolState, request: ChoiceRequest, now_ms: int) -> NoServer:
+    states = (*pool.own.states, *pool.others.states)
+    if not states:
+        return NoServer(NoServerReason.NONE_LIVE, NO_SERVER_RETRY_MS)
+    if all(state.server.name in request.excluded for state in states):
+        return NoServer(NoServerReason.ALL_EXCLUDED, NO_SERVER_RETRY_MS)
+    return NoServer(NoServerReason.ALL_BUSY, BUSY_MS)
--- /dev/null
+++ b/src/bramleyturn/core/routing_table.py
@@ -0,0 +1,155 @@
+"""Hold the backend servers that take work, by pool and availability zone."""
+
+from typing import NamedTuple
+
+from bramleyturn.core.model import Configuration, Limits, Server
+from bramleyturn.core.outliers import OutlierState, start_fresh
+from bramleyturn.core.prefix_cache import HashRing, RecentPrefixes
+from bramleyturn.core.server_load import PoolLoad, ServerLoad
+
+
+class ServerState:
+    """Hold what the process knows about one server."""
+
+    def __init__(self, server: Server, load: ServerLoad, outlier: OutlierState) -> None:
+        self.server = server
+        self.load = load
+        self.outlier = outlier
+        self.left_ms: int | None = None
+        self.busy_until_ms = 0
+        self.held_alone = False
+
+
+class Candidates(NamedTuple):
+    """List the servers that take work, with the ring over them."""
+
+    states: tuple[ServerState, ...]
+    ring: HashRing
+
+
+class PoolState:
+    """Hold a pool's servers, split into the own zone's and the others'."""
+
+    def __init__(self, load: PoolLoad) -> None:
+        self.load = load
+        self.members: dict[str, ServerState] = {}
+        self.ejected = 0
+        self.own = Candidates((), HashRing(()))
+        self.others = Candidates((), HashRing(()))
+
+
+class RoutingTable:
+    """Hold all pools and servers as seen from one zone."""
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.limits: Limits | None = None
+        self.pools: dict[str, PoolState] = {}
+        self.servers: dict[str, ServerState] = {}
+        self.prefixes = RecentPrefixes()
+        self.ejections: list[tuple[int, str]] = []
+
+
+def routing_table(zone: str) -> RoutingTable:
+    """Return an empty table for a process in ``zone``."""
+    return RoutingTable(zone)
+
+
+def apply_servers(
+    table: RoutingTable, configuration: Configuration, now_ms: int
+) -> None:
+    """Take over the servers of a configuration.
+
+    A server whose definition is unchanged keeps its state. Servers that join a
+    pool that is in use start slowly.
+    """
+    table.limits = configuration.limits
+    _apply_pools(table, configuration)
+    for name in table.servers.keys() - configuration.servers.keys():
+        _remove_server(table, name)
+    fresh = {name for name, pool in table.pools.items() if pool.members}
+    for name, server in configuration.servers.items():
+        known = table.servers.get(name)
+        if known is not None and known.server == server:
+            continue
+        if known is not None:
+            _remove_server(table, name)
+        since_ms = now_ms if server.pool in fresh else None
+        _add_server(table, server, since_ms)
+    for pool in table.pools.values():
+        list_candidates(table, pool)
+
+
+def server_leaving(table: RoutingTable, name: str, now_ms: int) -> None:
+    """Give the server no new work from now on."""
+    state = table.servers.get(name)
+    if state is None:
+        return
+    listed = state.left_ms is None
+    state.left_ms = now_ms if state.left_ms is None else max(state.left_ms, now_ms)
+    if listed:
+        list_candidates(table, table.pools[state.server.pool])
+
+
+def server_back(table: RoutingTable, name: str, shown_ms: int, now_ms: int) -> None:
+    """Give the server work again, as a fresh one.
+
+    ``shown_ms`` is the instant at which the list that shows it live was current; a
+    list from before the server left changes nothing.
+    """
+    state = table.servers.get(name)
+    if state is None or state.left_ms is None or shown_ms <= state.left_ms:
+        return
+    state.left_ms = None
+    start_fresh(state.outlier, now_ms)
+    list_candidates(table, table.pools[state.server.pool])
+
+
+def _apply_pools(table: RoutingTable, configuration: Configuration) -> None:
+    for name in table.pools.keys() - configuration.pools.keys():
+        for server in list(table.pools[name].members):
+            _remove_server(table, server)
+        del table.pools[name]
+    for name, pool in configuration.pools.items():
+        known = table.pools.get(name)
+        if known is None:
+            table.pools[name] = PoolState(PoolLoad(pool.concurrency_per_server))
+            continue
+        known.load.capacity = max(1, pool.concurrency_per_server)
+
+
+def _add_server(table: RoutingTable, server: Server, since_ms: int | None) -> None:
+    pool = table.pools.get(server.pool)
+    if pool is None:
+        return
+    load = ServerLoad(pool.load.capacity)
+    state = ServerState(server, load, OutlierState(since_ms))
+    table.servers[server.name] = state
+    pool.members[server.name] = state
+
+
+def _remove_server(table: RoutingTable, name: str) -> None:
+    state = table.servers.pop(name, None)
+    if state is None:
+        return
+    pool = table.pools[state.server.pool]
+    del pool.members[name]
+    if state.outlier.ejected_until_ms is not None:
+        pool.ejected -= 1
+
+
+def list_candidates(table: RoutingTable, pool: PoolState) -> None:
+    """List the pool's servers that take work again, after one came or went."""
+    taking = [
+        state
+        for _, state in sorted(pool.members.items())
+        if state.left_ms is None and state.outlier.ejected_until_ms is None
+    ]
+    own = tuple(state for state in taking if state.server.zone == table.zone)
+    others = tuple(state for state in taking if state.server.zone != table.zone)
+    pool.own = Candidates(own, _ring(own))
+    pool.others = Candidates(others, _ring(others))
+
+
+def _ring(states: tuple[ServerState, ...]) -> HashRing:
+    return HashRing([state.server.name for state in states])
--- /dev/null
+++ b/src/bramleyturn/core/server_load.py
@@ -0,0 +1,180 @@
+"""Estimate when a server would finish one more attempt."""
+
+from collections import deque
+from typing import Final, NamedTuple
+
+FIXED_TOKENS: Final = 32
+REPORT_HALF_LIFE_MS: Final = 2_000
+SLOWNESS_HALF_LIFE_MS: Final = 10_000
+HISTORY_LENGTH: Final = 64
+SLOWNESS_GAIN: Final = 0.2
+EXPECTED_GAIN: Final = 0.1
+MEAN_GAIN: Final = 0.05
+REPORT_GAIN: Final = 0.1
+MIN_SLOWNESS: Final = 0.25
+MAX_SLOWNESS: Final = 20.0
+DEFAULT_EXPECTED_MS: Final = 100.0
+
+
+class LoadReport(NamedTuple):
+    """State a server's load as it was ``age_ms`` milliseconds ago."""
+
+    server: str
+    running: int
+    queued: int
+    capacity: int
+    age_ms: int
+    leaving: bool
+
+
+class PoolLoad:
+    """Hold what is common to a pool: usual times by size, mean size, mean load."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = max(1, capacity)
+        self.mean_weight = float(FIXED_TOKENS)
+        self.mean_ms = 0.0
+        self.expected_ms: dict[int, float] = {}
+        self.mean_others = 0.0
+
+
+class ServerLoad:
+    """Hold one server's load: this process's own attempts and those of others."""
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = max(1, capacity)
+        self.in_flight = 0
+        self.in_flight_weight = 0
+        self.slowness = 1.0
+        self.slowness_ms = 0
+        self.others = 0.0
+        self.others_ms: int | None = None
+        self.history: deque[tuple[int, int]] = deque(maxlen=HISTORY_LENGTH)
+
+
+def size_weight(size_tokens: int) -> int:
+    """Return the work of an attempt: its tokens and a fixed part."""
+    return max(0, size_tokens) + FIXED_TOKENS
+
+
+def expected_ms(pool: PoolLoad, size_tokens: int) -> float:
+    """Return how long an attempt of this size usually takes in the pool."""
+    known_ms = pool.expected_ms.get(_size_class(size_tokens))
+    if known_ms is not None:
+        return known_ms
+    return pool.mean_ms or DEFAULT_EXPECTED_MS
+
+
+def count_start(
+    pool: PoolLoad, load: ServerLoad, size_tokens: int, now_ms: int
+) -> None:
+    """Count an attempt of this process as in flight."""
+    weight = size_weight(size_tokens)
+    load.in_flight += 1
+    load.in_flight_weight += weight
+    load.history.append((now_ms, load.in_flight))
+    pool.mean_weight += (weight - pool.mean_weight) * MEAN_GAIN
+
+
+def count_end(load: ServerLoad, size_tokens: int, now_ms: int) -> None:
+    """Count an attempt of this process as ended, however it ended."""
+    load.in_flight = max(0, load.in_flight - 1)
+    left = load.in_flight_weight - size_weight(size_tokens)
+    load.in_flight_weight = max(0, left) if load.in_flight else 0
+    load.history.append((now_ms, load.in_flight))
+
+
+def learn_time(
+    pool: PoolLoad, load: ServerLoad, size_tokens: int, elapsed_ms: int, now_ms: int
+) -> None:
+    """Learn from the time of an attempt that finished."""
+    usual_ms = expected_ms(pool, size_tokens)
+    known = bool(pool.mean_ms)
+    pool.mean_ms += (elapsed_ms - pool.mean_ms) * (MEAN_GAIN if known else 1.0)
+    size_class = _size_class(size_tokens)
+    class_ms = pool.expected_ms.get(size_class, float(elapsed_ms))
+    pool.expected_ms[size_class] = class_ms + (elapsed_ms - class_ms) * EXPECTED_GAIN
+    if not known:
+        return
+    ratio = elapsed_ms / max(1.0, usual_ms)
+    before = slowness(load, now_ms)
+    load.slowness = before + (ratio - before) * SLOWNESS_GAIN
+    load.slowness = min(max(load.slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+    load.slowness_ms = now_ms
+
+
+def slowness(load: ServerLoad, now_ms: int) -> float:
+    """Return how much slower than its pool the server is, 1 for as usual.
+
+    The value fades while nothing finishes there, so that a server that was slow
+    once is tried again.
+    """
+    if load.slowness == 1.0:
+        return 1.0
+    idle_ms = max(0, now_ms - load.slowness_ms)
+    return 1.0 + (load.slowness - 1.0) * _faded(idle_ms, SLOWNESS_HALF_LIFE_MS)
+
+
+def take_report(
+    pool: PoolLoad, load: ServerLoad, report: LoadReport, now_ms: int
+) -> None:
+    """Take in a report, less the attempts of this process that it counts."""
+    taken_ms = now_ms - max(0, report.age_ms)
+    if load.others_ms is not None and taken_ms < load.others_ms:
+        return
+    if report.capacity > 0:
+        load.capacity = report.capacity
+    own = _in_flight_at(load, taken_ms)
+    load.others = float(max(0, report.running + report.queued - own))
+    load.others_ms = taken_ms
+    pool.mean_others += (load.others - pool.mean_others) * REPORT_GAIN
+
+
+def others_in_flight(pool: PoolLoad, load: ServerLoad, now_ms: int) -> float:
+    """Return the estimated attempts of other processes on the server.
+
+    A report loses weight with its age in favour of the pool's mean.
+    """
+    if load.others_ms is None:
+        return pool.mean_others
+    weight = _faded(max(0, now_ms - load.others_ms), REPORT_HALF_LIFE_MS)
+    return pool.mean_others + (load.others - pool.mean_others) * weight
+
+
+def estimate_ms(
+    pool: PoolLoad,
+    load: ServerLoad,
+    usual_ms: float,
+    saved_share: float,
+    now_ms: int,
+) -> tuple[float, float]:
+    """Return the estimated time to finish one more attempt and the utilisation.
+
+    ``usual_ms`` is the pool's usual time for an attempt of this size, of which a
+    warm prefix saves ``saved_share``. A batch slows down as it fills; beyond the
+    capacity attempts wait for one another.
+    """
+    own = (load.in_flight + load.in_flight_weight / pool.mean_weight) / 2
+    busy = own + others_in_flight(pool, load, now_ms)
+    utilisation = busy / load.capacity
+    service_ms = usual_ms * (1.0 - saved_share) * (1.0 + utilisation)
+    waiting = max(0.0, busy + 1.0 - load.capacity) / load.capacity
+    wait_ms = waiting * (pool.mean_ms or usual_ms)
+    return (service_ms + wait_ms) * slowness(load, now_ms), utilisation
+
+
+def _size_class(size_tokens: int) -> int:
+    return max(0, size_tokens).bit_length()
+
+
+def _faded(passed_ms: int, half_life_ms: int) -> float:
+    return float(0.5 ** (passed_ms / half_life_ms))
+
+
+def _in_flight_at(load: ServerLoad, at_ms: int) -> int:
+    for changed_ms, in_flight in reversed(load.history):
+        if changed_ms <= at_ms:
+            return in_flight
+    if len(load.history) < HISTORY_LENGTH:
+        return 0
+    return load.history[0][1]
