--- a/src/bramleyturn/core/ini_folder.py
+++ b/src/bramleyturn/core/ini_folder.py
@@ -11,6 +11,7 @@
 HEADER: Final = re.compile(r"\[([^\[\]]+)\]")
 OPTION: Final = re.compile(r"([^\s=\[][^=]*?)\s*=")
 BYTE_ORDER_MARK: Final = "\ufeff"
+UNNAMED: Final = "(no name)"
 
 
 class Value(NamedTuple):
@@ -84,7 +85,8 @@
             scanned.section_lines.setdefault(header, number)
         elif key and not expected:
             scanned.key_lines[section, key] = number
-        continues = not expected and bool(key or (continues and line))
+        continued = continues and line and not header
+        continues = not expected and bool(key or continued)
         sound_line = "" if expected else line
         scanned.lines.append(f"[{header}]" if header else sound_line)
     return scanned
@@ -155,7 +157,7 @@
         # No header can spell an empty name, so that no section is special.
         default_section="",
     )
-    parser.read_file(scanned.lines, source=file)
+    parser.read_file(scanned.lines, source=file or UNNAMED)
     return [
         Section(
             name,
--- /dev/null
+++ b/tests/settings_cases.py
@@ -0,0 +1,27 @@
+"""Find the folders of settings that tests share."""
+
+from pathlib import Path
+from typing import Final
+
+from bramleyturn.runtime.settings_file import Unreadable, read_folder
+
+CASES: Final = Path(__file__).parent / "data" / "settings"
+SOUND: Final = CASES / "sound"
+EXPECTED: Final = "expected.txt"
+
+
+def faulty_cases() -> list[str]:
+    """Return the names of the cases that hold faults."""
+    return sorted(path.parent.name for path in CASES.glob(f"*/{EXPECTED}"))
+
+
+def read_case(folder: Path) -> dict[str, str]:
+    """Return the files of a case."""
+    files = read_folder(folder)
+    assert not isinstance(files, Unreadable), files
+    return files
+
+
+def read_faulty_case(case: str) -> dict[str, str]:
+    """Return the files of a faulty case together with the sound ones."""
+    return {**read_case(SOUND), **read_case(CASES / case)}
