--- /dev/null
+++ b/src/bramleyturn/core/actions.py
@@ -0,0 +1,138 @@
+"""Name everything that an entry process may ask its runtime to do."""
+
+from typing import Any, NamedTuple
+
+from bramleyturn.core.events import BackupAnswer, BackupMessage
+from bramleyturn.core.model import PoolKind, Server
+from bramleyturn.core.outcomes import Outcome
+from bramleyturn.core.ticket_messages import PrimaryAnswer
+from bramleyturn.core.tickets import ProcessRef
+
+
+class StartAttempt(NamedTuple):
+    """Send one stage of a request to a backend server.
+
+    Where ``needs_permission`` is true the runtime connects first, reports
+    ``ConnectionReady`` and writes only if ``PermitWrite`` follows in the same turn.
+    """
+
+    attempt_id: str
+    request_id: str
+    stage: str
+    server: Server
+    kind: PoolKind
+    model: str
+    input: Any
+    max_output_tokens: int
+    resume_offset: int
+    idempotency_key: str
+    timeout_ms: int
+    needs_permission: bool
+
+
+class PermitWrite(NamedTuple):
+    """Let an attempt that may not be repeated write to its connection now."""
+
+    attempt_id: str
+
+
+class CancelAttempt(NamedTuple):
+    """Stop an attempt, at the backend server too, and ignore what it still sends."""
+
+    attempt_id: str
+    server: Server
+
+
+class CancelOrphan(NamedTuple):
+    """Cancel work that an entry process left behind when it died."""
+
+    attempt_id: str
+    server: Server
+
+
+class Answer(NamedTuple):
+    """Give a waiting caller the outcome of its request."""
+
+    waiter: str
+    request_id: str
+    outcome: Outcome
+
+
+class TicketNeeded(NamedTuple):
+    """Tell a waiting caller that its request needs a ticket, and offer one."""
+
+    waiter: str
+    request_id: str
+    ticket: str
+    expires_in_ms: int
+
+
+class TicketRefused(NamedTuple):
+    """Tell a waiting caller that its ticket is not valid for its request."""
+
+    waiter: str
+    request_id: str
+    reason: str
+
+
+class ForwardAnswer(NamedTuple):
+    """Answer another entry process that forwarded a request with its ticket."""
+
+    waiter: str
+    request_id: str
+    answer: PrimaryAnswer
+
+
+class AnswerAsBackup(NamedTuple):
+    """Answer another entry process that asked this one as the backup of a ticket."""
+
+    reply_to: str
+    answer: BackupAnswer
+
+
+class ForwardedRequest(NamedTuple):
+    """Hold a request on its way to the primary of its ticket."""
+
+    workspace: str
+    pipeline: str
+    request_id: str
+    input: Any
+    input_bytes: int
+    left_ms: int
+    ticket: str
+
+
+class TellBackup(NamedTuple):
+    """Send a message to the backup of a ticket and report its answer.
+
+    ``about`` is the request or forward on whose behalf it is sent.
+    """
+
+    about: str
+    backup: ProcessRef
+    message: BackupMessage
+    timeout_ms: int
+
+
+class TellPrimary(NamedTuple):
+    """Forward a request with its ticket to its primary and report the answer."""
+
+    forward_id: str
+    primary: ProcessRef
+    message: ForwardedRequest
+    timeout_ms: int
+
+
+Action = (
+    StartAttempt
+    | PermitWrite
+    | ForwardAnswer
+    | AnswerAsBackup
+    | CancelOrphan
+    | CancelAttempt
+    | Answer
+    | TicketNeeded
+    | TicketRefused
+    | TellBackup
+    | TellPrimary
+)
--- /dev/null
+++ b/src/bramleyturn/core/entry_state.py
@@ -0,0 +1,124 @@
+"""Hold everything that one entry process knows."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+from bramleyturn.core.admission import Admission, admission
+from bramleyturn.core.cost import CostBook
+from bramleyturn.core.events import RequestArrived
+from bramleyturn.core.kept import KeptOutcomes, OutcomeKey
+from bramleyturn.core.latency import StageLatencies
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.peers import Peers
+from bramleyturn.core.poison import Suspects
+from bramleyturn.core.progress import Attempt, RunningRequest
+from bramleyturn.core.retry_budget import RetryBudget
+from bramleyturn.core.routing import RoutingTable, apply_servers, routing_table
+from bramleyturn.core.ticket_asker import Asking
+from bramleyturn.core.ticket_backup import TicketBackup
+from bramleyturn.core.ticket_primary import TicketPrimary
+from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.core.timeline import Timeline
+from bramleyturn.core.timers import Timers
+
+MAX_TICKETS: Final = 20_000
+MAX_PRIMARIES: Final = 40_000
+
+
+@dataclass(slots=True)
+class Counters:
+    """Count what an operator wants to see at a glance."""
+
+    answered: int = 0
+    not_run: int = 0
+    failed: int = 0
+    unknown: int = 0
+    late_answers_dropped: int = 0
+    wrong_answers_dropped: int = 0
+    retries: int = 0
+    hedges: int = 0
+    resumes: int = 0
+    messages_refused: int = 0
+
+
+@dataclass(slots=True)
+class Forward:
+    """Hold a request that waits for the primary of its ticket."""
+
+    forward_id: str
+    event: RequestArrived
+    asking: Asking
+    deadline_at_ms: int
+
+
+@dataclass(slots=True)
+class EntryState:
+    """Hold one entry process: its configuration, requests, attempts and knowledge."""
+
+    name: str
+    zone: str
+    me: ProcessRef
+    random: Random
+    configuration: Configuration
+    routing: RoutingTable
+    admission: Admission
+    latencies: StageLatencies
+    retry_budget: RetryBudget
+    costs: CostBook
+    suspects: Suspects
+    peers: Peers
+    primary_tickets: TicketPrimary
+    backup_tickets: TicketBackup
+    requests: dict[str, RunningRequest] = field(default_factory=dict)
+    running_by_id: dict[OutcomeKey, str] = field(default_factory=dict)
+    request_by_ticket: dict[int, str] = field(default_factory=dict)
+    request_by_waiter: dict[str, str] = field(default_factory=dict)
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    waiting_for_server: dict[str, dict[tuple[str, str], int]] = field(
+        default_factory=dict
+    )
+    forwards: dict[str, Forward] = field(default_factory=dict)
+    kept: KeptOutcomes = field(default_factory=KeptOutcomes)
+    timers: Timers = field(default_factory=Timers)
+    timeline: Timeline = field(default_factory=Timeline)
+    counters: Counters = field(default_factory=Counters)
+    next_number: int = 0
+    is_draining: bool = False
+
+
+def entry_state(
+    name: str,
+    zone: str,
+    me: ProcessRef,
+    configuration: Configuration,
+    random: Random,
+    now_ms: int,
+) -> EntryState:
+    """Return the state of an entry process that has just started."""
+    routing = routing_table(zone)
+    apply_servers(routing, configuration, now_ms)
+    return EntryState(
+        name=name,
+        zone=zone,
+        me=me,
+        random=random,
+        configuration=configuration,
+        routing=routing,
+        admission=admission(configuration.limits),
+        latencies=StageLatencies(),
+        retry_budget=RetryBudget(configuration.limits.retry_ratio_percent),
+        costs=CostBook(),
+        suspects=Suspects(),
+        peers=Peers(),
+        primary_tickets=TicketPrimary(me, MAX_TICKETS),
+        backup_tickets=TicketBackup(
+            me, MAX_TICKETS, MAX_PRIMARIES, configuration.tickets.margin_ms
+        ),
+    )
+
+
+def new_key(state: EntryState) -> str:
+    """Return a name that no other incarnation of any process uses."""
+    state.next_number += 1
+    return f"{state.me.incarnation}-{state.next_number}"
--- /dev/null
+++ b/src/bramleyturn/core/kept.py
@@ -0,0 +1,70 @@
+"""Keep finished outcomes for callers that come back for them."""
+
+from collections import OrderedDict
+from typing import Final, NamedTuple
+
+from bramleyturn.core.outcomes import Outcome
+
+MAX_KEPT_BYTES: Final = 64 * 1024 * 1024
+MAX_KEPT_OUTCOMES: Final = 50_000
+OVERHEAD_BYTES: Final = 1_024
+
+
+class OutcomeKey(NamedTuple):
+    """Name a request by its workspace and the caller's request id."""
+
+    workspace: str
+    request_id: str
+
+
+class KeptOutcome(NamedTuple):
+    """Hold an outcome until ``forget_at_ms``."""
+
+    outcome: Outcome
+    input_digest: bytes
+    size_bytes: int
+    forget_at_ms: int
+
+
+class KeptOutcomes:
+    """Hold outcomes, the oldest first, within a limit of bytes."""
+
+    def __init__(self, max_bytes: int = MAX_KEPT_BYTES) -> None:
+        self.by_key: OrderedDict[OutcomeKey, KeptOutcome] = OrderedDict()
+        self.size_bytes = 0
+        self.max_bytes = max_bytes
+
+
+def keep_outcome(kept: KeptOutcomes, key: OutcomeKey, outcome: KeptOutcome) -> None:
+    """Keep an outcome, dropping the oldest ones when the limit is reached."""
+    drop_outcome(kept, key)
+    kept.by_key[key] = outcome
+    kept.size_bytes += outcome.size_bytes
+    while kept.size_bytes > kept.max_bytes or len(kept.by_key) > MAX_KEPT_OUTCOMES:
+        drop_outcome(kept, next(iter(kept.by_key)))
+
+
+def find_outcome(
+    kept: KeptOutcomes, key: OutcomeKey, now_ms: int
+) -> KeptOutcome | None:
+    """Return a kept outcome that has not expired."""
+    found = kept.by_key.get(key)
+    if found is None or found.forget_at_ms <= now_ms:
+        return None
+    return found
+
+
+def forget_expired(kept: KeptOutcomes, now_ms: int) -> None:
+    """Drop the outcomes whose time has passed."""
+    while kept.by_key:
+        key, outcome = next(iter(kept.by_key.items()))
+        if outcome.forget_at_ms > now_ms:
+            return
+        drop_outcome(kept, key)
+
+
+def drop_outcome(kept: KeptOutcomes, key: OutcomeKey) -> None:
+    """Drop one outcome if it is kept."""
+    dropped = kept.by_key.pop(key, None)
+    if dropped is not None:
+        kept.size_bytes -= dropped.size_bytes
--- /dev/null
+++ b/src/bramleyturn/core/requests.py
@@ -0,0 +1,334 @@
+"""Carry a request from its arrival to its outcome."""
+
+import hashlib
+from typing import Final
+
+import orjson
+
+from bramleyturn.core.actions import Action, Answer
+from bramleyturn.core.admission import (
+    AdmissionRequest,
+    Queued,
+    Refused,
+    leave,
+    release,
+    request_admission,
+)
+from bramleyturn.core.attempts import cancel_attempts, may_try_again, schedule_retry
+from bramleyturn.core.entry_state import EntryState, new_key
+from bramleyturn.core.events import BreakReason, RequestArrived
+from bramleyturn.core.kept import KeptOutcome, OutcomeKey, find_outcome, keep_outcome
+from bramleyturn.core.latency import can_finish, stage_percentile_ms
+from bramleyturn.core.model import Pipeline, Workspace
+from bramleyturn.core.outcomes import Outcome, OutcomeKind, not_run
+from bramleyturn.core.permission import finish_ticket
+from bramleyturn.core.poison import Convicted, request_fingerprint, verdict
+from bramleyturn.core.progress import (
+    RunningRequest,
+    StageProgress,
+    StageState,
+    all_answered,
+    final_output,
+    new_stages,
+    overall_kind,
+    stage_outcomes,
+)
+from bramleyturn.core.stages import refused_reason, start_ready_stages
+from bramleyturn.core.timeline import EventKind, record
+from bramleyturn.core.timers import TimerKind, set_timer
+
+INPUT_DIGEST_BYTES: Final = 16
+TYPICAL_PERCENTILE: Final = 50
+DRAIN_RETRY_AFTER_MS: Final = 1_000
+DEADLINE_RETRY_AFTER_MS: Final = 1_000
+OUTCOME_OVERHEAD_BYTES: Final = 1_024
+
+
+def digest_input(pipeline: str, packed: bytes) -> bytes:
+    """Return a digest that tells one request's content from another's."""
+    return hashlib.blake2b(
+        packed, digest_size=INPUT_DIGEST_BYTES, person=pipeline.encode()[:16]
+    ).digest()
+
+
+def join_known_request(
+    state: EntryState, event: RequestArrived, digest: bytes, now_ms: int
+) -> list[Action] | None:
+    """Let a repeated request wait for the running one, or give it the kept outcome.
+
+    Returns None where the request id is new to this process.
+    """
+    key = OutcomeKey(event.workspace, event.request_id)
+    running_key = state.running_by_id.get(key)
+    if running_key is not None:
+        request = state.requests[running_key]
+        if request.input_digest != digest:
+            return [reused_id(event)]
+        request.waiters.add(event.waiter)
+        state.request_by_waiter[event.waiter] = running_key
+        return []
+    kept = find_outcome(state.kept, key, now_ms)
+    if kept is None or kept.outcome.kind is OutcomeKind.NOT_RUN:
+        return None
+    if kept.input_digest != digest:
+        return [reused_id(event)]
+    return [Answer(event.waiter, event.request_id, kept.outcome)]
+
+
+def reused_id(event: RequestArrived) -> Answer:
+    """Refuse a request whose id already belongs to another input."""
+    return Answer(event.waiter, event.request_id, not_run("request_id_reused"))
+
+
+def accept_request(
+    state: EntryState,
+    event: RequestArrived,
+    workspace: Workspace,
+    pipeline: Pipeline,
+    digest: bytes,
+    ticket_number: int | None,
+    now_ms: int,
+) -> list[Action]:
+    """Admit, queue or refuse a request that is new to this process."""
+    request = RunningRequest(
+        key=new_key(state),
+        request_id=event.request_id,
+        workspace=workspace,
+        pipeline=pipeline,
+        input=event.input,
+        input_digest=digest,
+        input_bytes=event.input_bytes,
+        arrived_ms=now_ms,
+        deadline_at_ms=now_ms + event.left_ms,
+        ticket_number=ticket_number,
+        waiters={event.waiter},
+        stages=new_stages(pipeline),
+    )
+    state.requests[request.key] = request
+    state.running_by_id[OutcomeKey(workspace.name, event.request_id)] = request.key
+    state.request_by_waiter[event.waiter] = request.key
+    record(
+        state.timeline,
+        EventKind.REQUEST_ARRIVED,
+        now_ms,
+        request_id=request.request_id,
+        detail=pipeline.name,
+        cause=event.waiter,
+    )
+    refusal = refuse_before_admission(state, request, now_ms)
+    if refusal is not None:
+        return end_request(state, request, refusal, now_ms)
+    return admit_request(state, request, now_ms)
+
+
+def refuse_before_admission(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> Outcome | None:
+    """Return why a request can't be taken, if it can't."""
+    if state.is_draining:
+        return not_run("shutting_down", DRAIN_RETRY_AFTER_MS)
+    packed = orjson.dumps(request.input)
+    for stage in request.pipeline.stages:
+        if stage.after:
+            continue
+        found = verdict(
+            state.suspects,
+            request_fingerprint(request.pipeline.name, stage.name, packed),
+            now_ms,
+        )
+        if isinstance(found, Convicted):
+            return Outcome(OutcomeKind.FAILED, "input_crashes_servers")
+    left_ms = request.deadline_at_ms - now_ms
+    if not can_finish(
+        state.latencies, request.pipeline, request.pipeline.stages, left_ms
+    ):
+        return not_run("deadline_too_short", DEADLINE_RETRY_AFTER_MS)
+    return None
+
+
+def admit_request(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> list[Action]:
+    """Ask admission for a place and start the request if it gets one at once."""
+    answer = request_admission(
+        state.admission,
+        AdmissionRequest(
+            key=request.key,
+            workspace=request.workspace,
+            deadline_at_ms=request.deadline_at_ms,
+            expected_ms=expected_ms(state, request.pipeline),
+        ),
+        now_ms,
+    )
+    if isinstance(answer, Refused):
+        refusal = not_run(str(answer.reason), answer.retry_after_ms)
+        return end_request(state, request, refusal, now_ms)
+    set_timer(
+        state.timers, request.deadline_at_ms, TimerKind.REQUEST_DEADLINE, request.key
+    )
+    if isinstance(answer, Queued):
+        record(
+            state.timeline,
+            EventKind.REQUEST_QUEUED,
+            now_ms,
+            request_id=request.request_id,
+        )
+        return []
+    return start_admitted(state, (request.key,), now_ms)
+
+
+def expected_ms(state: EntryState, pipeline: Pipeline) -> int:
+    """Return how long a typical request of a pipeline takes, zero if unknown."""
+    return sum(
+        stage_percentile_ms(
+            state.latencies, pipeline.name, stage.name, TYPICAL_PERCENTILE
+        )
+        or 0
+        for stage in pipeline.stages
+    )
+
+
+def start_admitted(
+    state: EntryState, keys: tuple[str, ...], now_ms: int
+) -> list[Action]:
+    """Start the requests that admission let in."""
+    actions: list[Action] = []
+    for key in keys:
+        request = state.requests.get(key)
+        if request is None:
+            continue
+        request.is_admitted = True
+        actions += go_on(state, request, now_ms)
+    return actions
+
+
+def go_on(state: EntryState, request: RunningRequest, now_ms: int) -> list[Action]:
+    """Start the stages that may start, or give up a request with a refused one."""
+    actions = start_ready_stages(state, request, now_ms)
+    for progress in request.stages.values():
+        if progress.state is not StageState.AWAITING_INTENT:
+            continue
+        reason = refused_reason(state, request, progress.stage.name)
+        if reason is not None:
+            return actions + give_up(state, request, reason, None, now_ms)
+    return actions
+
+
+def stage_answered(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> list[Action]:
+    """Go on with a request one of whose stages has answered."""
+    if all_answered(request):
+        outcome = Outcome(OutcomeKind.ANSWERED, "whole", output=final_output(request))
+        return end_request(state, request, outcome, now_ms)
+    return go_on(state, request, now_ms)
+
+
+def stage_broke(
+    state: EntryState,
+    request: RunningRequest,
+    progress: StageProgress,
+    reason: BreakReason,
+    retry_after_ms: int | None,
+    now_ms: int,
+) -> list[Action]:
+    """Try a broken stage again, or give the request up at once."""
+    if may_try_again(state, request, progress, reason, now_ms):
+        schedule_retry(state, request, progress, now_ms)
+        return []
+    return give_up(state, request, str(reason), retry_after_ms, now_ms)
+
+
+def give_up(
+    state: EntryState,
+    request: RunningRequest,
+    reason: str,
+    retry_after_ms: int | None,
+    now_ms: int,
+) -> list[Action]:
+    """End a request without an answer, with the outcome that its stages allow."""
+    kind = overall_kind(request)
+    if kind is OutcomeKind.NOT_RUN and retry_after_ms is None:
+        retry_after_ms = DEADLINE_RETRY_AFTER_MS
+    ask = state.me.address if kind is OutcomeKind.UNKNOWN else ""
+    outcome = Outcome(kind, reason, retry_after_ms=retry_after_ms, ask=ask)
+    return end_request(state, request, outcome, now_ms)
+
+
+def end_request(
+    state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
+) -> list[Action]:
+    """Give the outcome to every waiting caller, keep it and free what it held."""
+    actions: list[Action] = []
+    for progress in request.stages.values():
+        actions += cancel_attempts(state, progress, now_ms)
+        if progress.state is StageState.RUNNING:
+            progress.state = StageState.FAILED
+    outcome = outcome._replace(
+        stages=stage_outcomes(request, now_ms), cost_micros=request.cost_micros
+    )
+    outcome, copies = finish_ticket(state, request, outcome)
+    forget_running(state, request)
+    keep_request_outcome(state, request, outcome, now_ms)
+    count_outcome(state, outcome)
+    record(
+        state.timeline,
+        EventKind.REQUEST_ENDED,
+        now_ms,
+        request_id=request.request_id,
+        detail=f"{outcome.kind}: {outcome.reason}",
+        cause=request.key,
+    )
+    actions += [
+        Answer(waiter, request.request_id, outcome)
+        for waiter in sorted(request.waiters)
+    ]
+    actions += copies
+    admitted = free_place(state, request, now_ms)
+    return actions + start_admitted(state, admitted, now_ms)
+
+
+def free_place(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> tuple[str, ...]:
+    """Give back the request's place and return the requests now admitted."""
+    if request.is_admitted:
+        return release(state.admission, request.key, now_ms)
+    return leave(state.admission, request.key, now_ms)
+
+
+def forget_running(state: EntryState, request: RunningRequest) -> None:
+    """Remove a request from every table of running requests."""
+    del state.requests[request.key]
+    key = OutcomeKey(request.workspace.name, request.request_id)
+    if state.running_by_id.get(key) == request.key:
+        del state.running_by_id[key]
+    if request.ticket_number is not None:
+        state.request_by_ticket.pop(request.ticket_number, None)
+    for waiter in request.waiters:
+        state.request_by_waiter.pop(waiter, None)
+
+
+def keep_request_outcome(
+    state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
+) -> None:
+    """Keep an outcome for a caller that asks again."""
+    size_bytes = OUTCOME_OVERHEAD_BYTES
+    if outcome.output is not None:
+        size_bytes += len(orjson.dumps(outcome.output))
+    keep_outcome(
+        state.kept,
+        OutcomeKey(request.workspace.name, request.request_id),
+        KeptOutcome(
+            outcome=outcome,
+            input_digest=request.input_digest,
+            size_bytes=size_bytes,
+            forget_at_ms=now_ms + state.configuration.limits.kept_outcome_ms,
+        ),
+    )
+
+
+def count_outcome(state: EntryState, outcome: Outcome) -> None:
+    """Count an outcome by its kind."""
+    name = str(outcome.kind)
+    setattr(state.counters, name, getattr(state.counters, name) + 1)
--- /dev/null
+++ b/src/bramleyturn/platform/reader.py
@@ -0,0 +1,65 @@
+"""Read the platform's configuration service and instance list."""
+
+from typing import Any, Final
+
+from treq.client import HTTPClient
+
+from bramleyturn.platform.documents import (
+    ListedInstance,
+    PublishedFolder,
+    parse_folder,
+    parse_instances,
+)
+from bramleyturn.platform.errors import PlatformFailed, PlatformFailure
+from bramleyturn.runtime.errors import CallFailed
+from bramleyturn.runtime.http_client import JsonAnswer, call_json
+
+CALL_TIMEOUT_MS: Final = 2_000
+STATUS_OK: Final = 200
+STATUS_TOO_MANY: Final = 429
+
+
+async def read_folder(
+    client: HTTPClient, reactor: Any, url: str, after: int, wait_ms: int
+) -> PublishedFolder | PlatformFailed:
+    """Return the folder at ``url``, held back until it is newer than ``after``.
+
+    ``url`` is the configuration of the platform or of another watch.
+    """
+    answer = await call_json(
+        client,
+        reactor,
+        "GET",
+        f"{url}?after={after}&wait_ms={wait_ms}",
+        timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+    )
+    document = usable_document(answer)
+    if isinstance(document, PlatformFailed):
+        return document
+    return parse_folder(document)
+
+
+async def read_instances(
+    client: HTTPClient, reactor: Any, url: str
+) -> tuple[ListedInstance, ...] | PlatformFailed:
+    """Return the instance list at ``url``."""
+    answer = await call_json(client, reactor, "GET", url, timeout_ms=CALL_TIMEOUT_MS)
+    document = usable_document(answer)
+    if isinstance(document, PlatformFailed):
+        return document
+    return parse_instances(document)
+
+
+def usable_document(answer: JsonAnswer | CallFailed) -> Any:
+    """Return the document of a good answer, or a failure."""
+    if isinstance(answer, CallFailed):
+        return PlatformFailed(PlatformFailure.UNREACHABLE, answer.detail, None)
+    if answer.status == STATUS_TOO_MANY:
+        return PlatformFailed(
+            PlatformFailure.RATE_LIMITED, "too many reads", answer.retry_after_ms
+        )
+    if answer.status != STATUS_OK:
+        return PlatformFailed(
+            PlatformFailure.UNREACHABLE, f"status {answer.status}", None
+        )
+    return answer.document
--- /dev/null
+++ b/src/bramleyturn/platform/watch_api.py
@@ -0,0 +1,111 @@
+"""Serve what the watch of an instance knows to its local processes and peers."""
+
+from typing import Any, Final
+
+from klein import Klein
+
+from bramleyturn.core.fault import Fault
+from bramleyturn.core.intake import BadRequest
+from bramleyturn.core.revisions import Refused
+from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
+from bramleyturn.runtime.http_server import json_answer, problem
+from bramleyturn.runtime.timeline_api import timeline_api
+from bramleyturn.runtime.twisted_types import HttpRequest
+
+MAX_WAIT_MS: Final = 30_000
+
+
+def watch_api(loop: WatchLoop) -> Klein:
+    """Return the web application of a watch."""
+    app = Klein()
+    timeline_api(app, loop.name, loop.timeline, loop.clock)
+
+    @app.route("/v1/config", methods=["GET"])
+    async def config(request: HttpRequest) -> bytes:
+        after = number(request, b"after")
+        wait_ms = number(request, b"wait_ms")
+        if after is None or wait_ms is None:
+            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+            return problem(request, bad)
+        await wait_for_newer(loop, after, min(wait_ms, MAX_WAIT_MS))
+        return json_answer(request, config_document(loop, after))
+
+    @app.route("/v1/instances", methods=["GET"])
+    def instances(request: HttpRequest) -> bytes:
+        return json_answer(request, instances_document(loop))
+
+    @app.route("/v1/status", methods=["GET"])
+    def status(request: HttpRequest) -> bytes:
+        return json_answer(request, status_document(loop))
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(request: HttpRequest) -> bytes:
+        return json_answer(request, {"healthy": True})
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(request: HttpRequest) -> bytes:
+        is_ready = loop.revisions.in_force is not None
+        return json_answer(request, {"ready": is_ready}, 200 if is_ready else 503)
+
+    return app
+
+
+def number(request: HttpRequest, name: bytes) -> int | None:
+    """Return a whole number of the query, zero where it is absent."""
+    values = request.args.get(name, [b"0"])
+    return int(values[0]) if values[0].isdigit() else None
+
+
+def config_document(loop: WatchLoop, after: int) -> dict[str, Any]:
+    """Return the configuration in force, without its files if it is not newer."""
+    in_force = loop.revisions.in_force
+    is_newer = in_force is not None and loop.revisions.revision > after
+    return {
+        "revision": loop.revisions.revision,
+        "files": dict(in_force.files) if in_force is not None and is_newer else {},
+        "refused": [refused_document(refused) for refused in loop.revisions.refused],
+        "platform_age_ms": age_ms(loop, loop.platform_read_ms),
+    }
+
+
+def refused_document(refused: Refused) -> dict[str, Any]:
+    """Return a refused revision with its faults."""
+    return {
+        "revision": refused.revision,
+        "source": refused.source,
+        "fault_count": refused.fault_count,
+        "faults": [fault_document(fault) for fault in refused.faults],
+    }
+
+
+def fault_document(fault: Fault) -> dict[str, Any]:
+    """Return a fault with its place."""
+    return fault._asdict()
+
+
+def instances_document(loop: WatchLoop) -> dict[str, Any]:
+    """Return the platform's list as this watch last read it."""
+    return {
+        "instances": [instance._asdict() for instance in loop.instances],
+        "age_ms": age_ms(loop, loop.instances_read_ms),
+    }
+
+
+def status_document(loop: WatchLoop) -> dict[str, Any]:
+    """Return what an operator wants to know of a watch."""
+    in_force = loop.revisions.in_force
+    return {
+        "name": loop.name,
+        "role": "watch",
+        "revision": loop.revisions.revision,
+        "revision_source": in_force.source if in_force is not None else "",
+        "refused": [refused_document(refused) for refused in loop.revisions.refused],
+        "platform_age_ms": age_ms(loop, loop.platform_read_ms),
+        "instances_age_ms": age_ms(loop, loop.instances_read_ms),
+        "instances": len(loop.instances),
+    }
+
+
+def age_ms(loop: WatchLoop, read_ms: int | None) -> int | None:
+    """Return how long ago something was read, None if it never was."""
+    return None if read_ms is None else loop.clock.monotonic_ms() - read_ms
--- /dev/null
+++ b/src/bramleyturn/programs/entry.py
@@ -0,0 +1,210 @@
+"""Run an entry process."""
+
+import logging
+import secrets
+from dataclasses import dataclass
+from random import Random
+from typing import Annotated, Any, Final
+
+import cappa
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.entry import start
+from bramleyturn.core.entry_state import entry_state
+from bramleyturn.core.events import (
+    ConfigurationAccepted,
+    DrainOrdered,
+    ListedEntry,
+    ListedServer,
+    PeersListed,
+    ServersListed,
+)
+from bramleyturn.core.intake import access_table
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.process_settings import ProcessSettings
+from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.programs.start import read_settings, run
+from bramleyturn.runtime.callers_api import callers_api
+from bramleyturn.runtime.entry_loop import EntryLoop, feed
+from bramleyturn.runtime.entry_status import status_api
+from bramleyturn.runtime.http_client import http_client
+from bramleyturn.runtime.http_server import json_answer, listen, print_ready
+from bramleyturn.runtime.lifecycle import (
+    Ending,
+    Lifecycle,
+    new_lifecycle,
+    stop_on_signals,
+)
+from bramleyturn.runtime.load_reports import follow_load
+from bramleyturn.runtime.peer_client import Identity, PeerClient, say_hello
+from bramleyturn.runtime.peers_api import peers_api
+from bramleyturn.runtime.timeline_api import timeline_api
+from bramleyturn.runtime.twisted_types import HttpRequest
+from bramleyturn.runtime.watch_client import (
+    InstanceList,
+    follow_configuration,
+    follow_instances,
+)
+
+INCARNATION_BYTES: Final = 8
+HELLO_INTERVAL_S: Final = 0.5
+HELLO_PEERS: Final = 3
+DRAIN_CHECK_S: Final = 0.05
+LEAVE_DELAY_S: Final = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass
+class Entry:
+    """Serve callers: admit, route and answer the requests of one entry process.
+
+    Exit codes: 0 after SIGTERM, once nothing is in flight; 2 for a bad settings file.
+    """
+
+    settings: Annotated[str, cappa.Arg(help="The INI settings file of this process.")]
+
+    def __call__(self) -> None:
+        """Serve until the process is asked to stop."""
+        settings = read_settings(self.settings, required=("watch",))
+        serve(reactor, settings, system_clock())
+        run(reactor)
+
+
+def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> EntryLoop:
+    """Start an entry process that waits for its first configuration."""
+    app = Klein()
+    address = listen(reactor, app, settings.listen)
+    me = ProcessRef(settings.advertise or address, secrets.token_hex(INCARNATION_BYTES))
+    state = entry_state(
+        settings.name,
+        settings.zone,
+        me,
+        empty_configuration(),
+        Random(),
+        clock.monotonic_ms(),
+    )
+    start(state, clock.monotonic_ms())
+    peers = PeerClient(
+        reactor,
+        Identity(me, settings.name, settings.zone),
+        lambda: state.configuration.peers,
+        lambda: state.configuration.revision,
+    )
+    loop = EntryLoop(reactor, clock, state, peers)
+    lifecycle = new_lifecycle(
+        Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
+    )
+    add_routes(loop, app, lifecycle)
+    follow(loop, settings, lifecycle)
+    stop_on_signals(reactor, lifecycle.asked_to_stop)
+    print_ready(me.address)
+    return loop
+
+
+def empty_configuration() -> Configuration:
+    """Return the configuration of a process that has read none yet."""
+    loaded = load_configuration(0, {})
+    if isinstance(loaded, RefusedConfiguration):
+        raise AssertionError("the empty configuration must be valid")
+    return loaded
+
+
+def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle) -> None:
+    """Add every route of an entry process to ``app``."""
+    callers_api(loop, app)
+    peers_api(loop, app)
+    status_api(loop, app)
+    timeline_api(app, loop.state.name, loop.state.timeline, loop.clock)
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(request: HttpRequest) -> bytes:
+        return json_answer(request, {"healthy": True})
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(request: HttpRequest) -> bytes:
+        ready = lifecycle.is_ready()
+        return json_answer(request, {"ready": ready}, 200 if ready else 503)
+
+
+def follow(loop: EntryLoop, settings: ProcessSettings, lifecycle: Lifecycle) -> None:
+    """Start following the watch, the peers and the backend servers' load."""
+    client = http_client(loop.reactor)
+
+    def accept(configuration: Configuration) -> None:
+        loop.access = access_table(configuration)
+        feed(loop, ConfigurationAccepted(configuration))
+        lifecycle.configured()
+
+    for work in (
+        follow_configuration(client, loop.reactor, settings.watch, accept),
+        follow_instances(
+            client, loop.reactor, settings.watch, lambda found: take_list(loop, found)
+        ),
+        follow_load(loop),
+    ):
+        Deferred.fromCoroutine(work).addErrback(log_end)
+    LoopingCall(greet_peers, loop).start(HELLO_INTERVAL_S)
+
+
+def log_end(failure: Any) -> None:
+    """Log that something that should run for ever has ended."""
+    logger.error("a background loop ended", extra={"error": str(failure)})
+
+
+def take_list(loop: EntryLoop, found: InstanceList) -> None:
+    """Hand the platform's list to the core."""
+    servers = tuple(
+        ListedServer(instance.name, instance.state == "leaving")
+        for instance in found.instances
+        if instance.role == "server"
+    )
+    entries = tuple(
+        ListedEntry(
+            instance.name, instance.zone, instance.address, instance.state == "leaving"
+        )
+        for instance in found.instances
+        if instance.role == "entry"
+    )
+    feed(loop, ServersListed(servers, found.age_ms))
+    feed(loop, PeersListed(entries))
+
+
+def greet_peers(loop: EntryLoop) -> None:
+    """Ask a few other entry processes who they are."""
+    addresses = list(loop.state.peers.by_address)
+    chosen = loop.state.random.sample(addresses, min(HELLO_PEERS, len(addresses)))
+    for address in chosen:
+        Deferred.fromCoroutine(
+            say_hello(loop.peers, address, lambda event: feed(loop, event))
+        )
+
+
+def drain(loop: EntryLoop, lifecycle: Lifecycle) -> None:
+    """Take nothing new and end once nothing is in flight."""
+    feed(loop, DrainOrdered())
+    checking = LoopingCall(lambda: end_when_idle(loop, lifecycle, checking))
+    checking.start(DRAIN_CHECK_S)
+
+
+def end_when_idle(loop: EntryLoop, lifecycle: Lifecycle, checking: LoopingCall) -> None:
+    """End the process if no request and no waiting caller is left."""
+    if loop.state.requests or loop.state.forwards or loop.waiters:
+        return
+    checking.stop()
+    lifecycle.finished()
+
+
+def leave(loop: EntryLoop) -> None:
+    """Stop the loop after the last answers have been written."""
+    loop.reactor.callLater(LEAVE_DELAY_S, loop.reactor.stop)
+
+
+def main() -> None:
+    """Run the program."""
+    cappa.invoke(Entry)
--- /dev/null
+++ b/src/bramleyturn/programs/start.py
@@ -0,0 +1,37 @@
+"""Start a program: read its settings, set up logging, run its loop."""
+
+import sys
+from collections.abc import Collection
+from pathlib import Path
+from typing import Any, Final
+
+from bramleyturn.core.fault import describe_fault
+from bramleyturn.core.process_settings import (
+    ProcessSettings,
+    RefusedSettings,
+    parse_process_settings,
+)
+from bramleyturn.runtime.logs import start_logging
+
+EXIT_BAD_SETTINGS: Final = 2
+
+
+def read_settings(path: str, required: Collection[str]) -> ProcessSettings:
+    """Return the settings of a process, or end it with every fault on stderr."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"cannot read {path}: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = parse_process_settings(text, Path(path).name, required)
+    if isinstance(settings, RefusedSettings):
+        for fault in settings.faults:
+            print(describe_fault(fault), file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    start_logging(settings.name, settings.zone)
+    return settings
+
+
+def run(reactor: Any) -> None:
+    """Run the loop without signal handlers of the library's own."""
+    reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/src/bramleyturn/programs/watch.py
@@ -0,0 +1,57 @@
+"""Run the watch of an instance."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Annotated
+
+import cappa
+from twisted.internet import reactor
+
+from bramleyturn.core.clock import system_clock
+from bramleyturn.platform.watch_api import watch_api
+from bramleyturn.platform.watch_loop import WatchLoop, start_watching
+from bramleyturn.programs.start import read_settings, run
+from bramleyturn.runtime.http_client import http_client
+from bramleyturn.runtime.http_server import listen, print_ready
+from bramleyturn.runtime.lifecycle import stop_on_signals
+
+
+@dataclass
+class Watch:
+    """Read the platform's configuration and instance list for one instance.
+
+    Exit codes: 0 after SIGTERM, 2 for a bad settings file.
+    """
+
+    settings: Annotated[str, cappa.Arg(help="The INI settings file of this process.")]
+
+    def __call__(self) -> None:
+        """Serve until the process is asked to stop."""
+        settings = read_settings(self.settings, required=("platform",))
+        loop = WatchLoop(
+            reactor,
+            system_clock(),
+            http_client(reactor),
+            settings.name,
+            settings.platform,
+            Random(),
+        )
+        address = listen(reactor, watch_api(loop), settings.listen)
+        start_watching(loop)
+        stop_on_signals(reactor, lambda: stop(loop))
+        print_ready(settings.advertise or address)
+        run(reactor)
+
+
+def stop(loop: WatchLoop) -> None:
+    """Answer those who wait and end."""
+    loop.is_stopped = True
+    for waiter in loop.waiting:
+        waiter.callback(None)
+    loop.waiting = []
+    loop.reactor.callLater(0.05, loop.reactor.stop)
+
+
+def main() -> None:
+    """Run the program."""
+    cappa.invoke(Watch)
--- /dev/null
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -0,0 +1,320 @@
+"""Run attempts on backend servers and report what happens as events."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import orjson
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http import PotentialDataLoss
+
+from bramleyturn.core.actions import CancelAttempt, StartAttempt
+from bramleyturn.core.events import (
+    AttemptBroke,
+    BreakReason,
+    ConnectionReady,
+    Event,
+    OutputArrived,
+    StreamEnded,
+    TokensArrived,
+)
+from bramleyturn.core.model import PoolKind
+from bramleyturn.runtime.errors import CallFailed, CallFailure
+from bramleyturn.runtime.http_client import (
+    JSON_HEADERS,
+    call_json,
+    failure_of,
+    guarded_client,
+    header_text,
+    http_client,
+    retry_after_ms,
+)
+
+MAX_LINE_BYTES: Final = 1024 * 1024
+MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
+CANCEL_TIMEOUT_MS: Final = 1_000
+STATUS_OK: Final = 200
+STATUS_UNAVAILABLE: Final = 503
+
+Feed = Callable[[Event], None]
+
+_PATHS: Final = {PoolKind.ENGINE: "/v1/generate", PoolKind.PLAIN: "/v1/call"}
+_REASONS: Final = {
+    CallFailure.NOT_CONNECTED: BreakReason.NOT_CONNECTED,
+    CallFailure.LOST: BreakReason.LOST,
+    CallFailure.TIMED_OUT: BreakReason.TIMED_OUT,
+    CallFailure.BAD_ANSWER: BreakReason.WRONG_ANSWER,
+}
+
+
+class BackendClient:
+    """Hold the connections to backend servers and the attempts that use them."""
+
+    def __init__(self, reactor: Any, feed: Feed) -> None:
+        self.reactor = reactor
+        self.feed = feed
+        self.persistent = http_client(reactor)
+        self.permitted: set[str] = set()
+        self.calls: dict[str, Deferred[None]] = {}
+        self.readers: dict[str, LineReader] = {}
+
+
+def start_attempt(client: BackendClient, action: StartAttempt) -> None:
+    """Send an attempt. Its end is reported as an event."""
+    call = Deferred.fromCoroutine(run_attempt(client, action))
+    client.calls[action.attempt_id] = call
+    call.addBoth(lambda _result: client.calls.pop(action.attempt_id, None))
+
+
+def cancel_attempt(client: BackendClient, action: CancelAttempt) -> None:
+    """Close an attempt's connection and tell its backend server to stop."""
+    reader = client.readers.pop(action.attempt_id, None)
+    if reader is not None:
+        reader.stop()
+    call = client.calls.pop(action.attempt_id, None)
+    if call is not None:
+        call.cancel()
+    cancel_at_server(client, action.attempt_id, action.server.address)
+
+
+def cancel_at_server(client: BackendClient, attempt_id: str, address: str) -> None:
+    """Tell a backend server to stop an attempt, without waiting for its answer."""
+    Deferred.fromCoroutine(
+        call_json(
+            client.persistent,
+            client.reactor,
+            "DELETE",
+            f"http://{address}/v1/attempts/{attempt_id}",
+            timeout_ms=CANCEL_TIMEOUT_MS,
+        )
+    )
+
+
+async def run_attempt(client: BackendClient, action: StartAttempt) -> None:
+    """Send one attempt and feed every part of its answer to the core."""
+    try:
+        response = await connection_for(client, action).request(
+            "POST",
+            f"http://{action.server.address}{_PATHS.get(action.kind, '/v1/run')}",
+            data=orjson.dumps(request_document(action)),
+            headers={**JSON_HEADERS, "Bramleyturn-Attempt-Id": action.attempt_id},
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        reader = LineReader(client, action, response.code == STATUS_OK)
+        client.readers[action.attempt_id] = reader
+        response.deliverBody(reader)
+        body = await reader.whole_body
+    except CancelledError:
+        return
+    except Exception as error:
+        broke(client, action, failure_of(error))
+        return
+    if response.code != STATUS_OK:
+        refused(client, action, response, body)
+    elif action.kind is not PoolKind.ENGINE:
+        whole_answer(client, action, body)
+
+
+def connection_for(client: BackendClient, action: StartAttempt) -> HTTPClient:
+    """Return the connections to use for an attempt.
+
+    An attempt that may not be repeated gets a connection of its own, which asks the
+    core for permission once it is open. A kept connection may be closed by its
+    server just as a request is written, and then nobody knows whether it ran.
+    """
+    if not action.needs_permission:
+        return client.persistent
+    return guarded_client(
+        client.reactor, lambda: ask_permission(client, action.attempt_id)
+    )
+
+
+def ask_permission(client: BackendClient, attempt_id: str) -> bool:
+    """Ask the core whether an attempt may write to its open connection now."""
+    client.feed(ConnectionReady(attempt_id))
+    is_permitted = attempt_id in client.permitted
+    client.permitted.discard(attempt_id)
+    return is_permitted
+
+
+def request_document(action: StartAttempt) -> dict[str, Any]:
+    """Return the body of an attempt, as the kind of its pool expects it."""
+    document: dict[str, Any] = {
+        "attempt_id": action.attempt_id,
+        "input": action.input,
+    }
+    if action.kind is PoolKind.PLAIN:
+        return document | {"idempotency_key": action.idempotency_key}
+    document["model"] = action.model
+    if action.kind is PoolKind.ENGINE:
+        document["max_output_tokens"] = action.max_output_tokens
+        document["resume_offset"] = action.resume_offset
+        document["priority"] = 0
+    return document
+
+
+def broke(client: BackendClient, action: StartAttempt, failed: CallFailed) -> None:
+    """Report that an attempt ended without an answer."""
+    client.readers.pop(action.attempt_id, None)
+    client.feed(
+        AttemptBroke(
+            action.attempt_id, _REASONS[failed.failure], failed.detail, None, False
+        )
+    )
+
+
+def refused(
+    client: BackendClient, action: StartAttempt, response: Any, body: bytes
+) -> None:
+    """Report an error answer, and whether the backend server says it did not start."""
+    client.readers.pop(action.attempt_id, None)
+    document = parse_object(body)
+    not_started = (
+        response.code == STATUS_UNAVAILABLE and document.get("not_started") is True
+    )
+    client.feed(
+        AttemptBroke(
+            attempt_id=action.attempt_id,
+            reason=BreakReason.NOT_STARTED if not_started else BreakReason.ERROR_ANSWER,
+            detail=f"status {response.code}",
+            retry_after_ms=retry_after_ms(header_text(response, "Retry-After")),
+            leaving=document.get("state") == "leaving",
+        )
+    )
+
+
+def whole_answer(client: BackendClient, action: StartAttempt, body: bytes) -> None:
+    """Report the whole answer of a backend server other than an engine."""
+    client.readers.pop(action.attempt_id, None)
+    document = parse_object(body)
+    if "output" not in document:
+        failed = CallFailed(CallFailure.BAD_ANSWER, "no output in the answer")
+        broke(client, action, failed)
+        return
+    tokens = document.get("tokens", 0)
+    client.feed(
+        OutputArrived(
+            attempt_id=action.attempt_id,
+            echoed_id=str(document.get("attempt_id", "")),
+            output=document["output"],
+            tokens=tokens if isinstance(tokens, int) else 0,
+        )
+    )
+
+
+def parse_object(body: bytes) -> dict[str, Any]:
+    """Return a JSON object, empty where the body is none."""
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+class LineReader(Protocol):
+    """Read the body of an answer, an engine's line by line as it arrives."""
+
+    def __init__(
+        self, client: BackendClient, action: StartAttempt, is_answer: bool
+    ) -> None:
+        self.client = client
+        self.action = action
+        self.is_stream = is_answer and action.kind is PoolKind.ENGINE
+        self.buffer = bytearray()
+        self.has_ended = False
+        self.is_stopped = False
+        self.whole_body: Deferred[bytes] = Deferred()
+
+    def stop(self) -> None:
+        """Close the connection and report nothing more."""
+        self.is_stopped = True
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take in the next bytes of the body."""
+        if self.is_stopped:
+            return
+        self.buffer += data
+        if not self.is_stream:
+            self.check_size(MAX_OUTPUT_BYTES)
+            return
+        *lines, rest = bytes(self.buffer).split(b"\n")
+        self.buffer = bytearray(rest)
+        self.check_size(MAX_LINE_BYTES)
+        for line in lines:
+            self.take_line(line)
+
+    def check_size(self, most_bytes: int) -> None:
+        """Close the connection of an answer that grows beyond its limit."""
+        if len(self.buffer) > most_bytes:
+            self.report(BreakReason.WRONG_ANSWER, "the answer is too large")
+            self.stop()
+
+    def take_line(self, line: bytes) -> None:
+        """Report one line of an engine's stream."""
+        if self.is_stopped or self.has_ended or not line.strip():
+            return
+        event = stream_event(self.action.attempt_id, parse_object(line))
+        if event is None:
+            self.report(BreakReason.WRONG_ANSWER, "a line that is no part of a stream")
+            self.stop()
+            return
+        self.has_ended = isinstance(event, StreamEnded)
+        if self.has_ended:
+            self.client.readers.pop(self.action.attempt_id, None)
+        self.client.feed(event)
+
+    def report(self, reason: BreakReason, detail: str) -> None:
+        """Report that the attempt ended without a whole answer."""
+        self.has_ended = True
+        self.client.readers.pop(self.action.attempt_id, None)
+        self.client.feed(
+            AttemptBroke(self.action.attempt_id, reason, detail, None, False)
+        )
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Report a stream without its end mark, or hand over the whole body."""
+        if self.whole_body.called:
+            return
+        if self.is_stopped:
+            self.whole_body.cancel()
+            return
+        complete = reason.check(ResponseDone) is not None
+        if self.is_stream:
+            if not self.has_ended:
+                self.report_cut(reason, complete)
+            self.whole_body.callback(b"")
+            return
+        if complete:
+            self.whole_body.callback(bytes(self.buffer))
+        else:
+            self.whole_body.errback(reason)
+
+    def report_cut(self, reason: Failure, complete: bool) -> None:
+        """Report whether a stream was closed in order or its connection was lost."""
+        in_order = complete or reason.check(ConnectionDone, PotentialDataLoss)
+        cut = BreakReason.CUT if in_order else BreakReason.LOST
+        self.report(cut, "the stream has no end mark")
+
+
+def stream_event(
+    attempt_id: str, document: dict[str, Any]
+) -> TokensArrived | StreamEnded | None:
+    """Return the event that a line of a stream stands for, None for a wrong line."""
+    echoed_id = str(document.get("attempt_id", ""))
+    if document.get("end") is True and isinstance(document.get("total"), int):
+        return StreamEnded(attempt_id, echoed_id, document["total"])
+    offset = document.get("offset")
+    tokens = document.get("tokens")
+    if not isinstance(offset, int) or not isinstance(tokens, list):
+        return None
+    if offset < 0 or not all(isinstance(token, str) for token in tokens):
+        return None
+    return TokensArrived(attempt_id, echoed_id, offset, tuple(tokens))
--- /dev/null
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -0,0 +1,148 @@
+"""Drive the core of an entry process: feed it events and carry out its actions."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+from bramleyturn.core.actions import (
+    Action,
+    Answer,
+    AnswerAsBackup,
+    CancelAttempt,
+    CancelOrphan,
+    ForwardAnswer,
+    PermitWrite,
+    StartAttempt,
+    TellBackup,
+    TellPrimary,
+    TicketNeeded,
+    TicketRefused,
+)
+from bramleyturn.core.clock import Clock
+from bramleyturn.core.entry import next_wake_ms, step
+from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.events import BackupAnswer, Event, TimePassed
+from bramleyturn.core.intake import AccessTable, access_table
+from bramleyturn.runtime.backend_client import (
+    BackendClient,
+    cancel_at_server,
+    cancel_attempt,
+    start_attempt,
+)
+from bramleyturn.runtime.peer_client import PeerClient, tell_backup, tell_primary
+from bramleyturn.runtime.twisted_types import DelayedCall
+
+MS_PER_S: Final = 1_000
+
+WaiterAction = Answer | TicketNeeded | TicketRefused | ForwardAnswer
+Waiter = Callable[[WaiterAction], None]
+BackupReply = Callable[[BackupAnswer], None]
+
+logger = logging.getLogger(__name__)
+
+
+class EntryLoop:
+    """Hold the core's state, the clients that serve it and the waiting callers."""
+
+    def __init__(
+        self, reactor: Any, clock: Clock, state: EntryState, peers: PeerClient
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.state = state
+        self.access: AccessTable = access_table(state.configuration)
+        self.backends = BackendClient(reactor, lambda event: feed(self, event))
+        self.peers = peers
+        self.waiters: dict[str, Waiter] = {}
+        self.backup_replies: dict[str, BackupReply] = {}
+        self.next_waiter = 0
+        self.wake_call: DelayedCall | None = None
+        self.wake_at_ms: int | None = None
+
+
+def new_waiter(loop: EntryLoop, waiter: Waiter) -> str:
+    """Register a callback for the outcome of a request and return its name."""
+    loop.next_waiter += 1
+    name = f"w{loop.next_waiter}"
+    loop.waiters[name] = waiter
+    return name
+
+
+def new_backup_reply(loop: EntryLoop, reply: BackupReply) -> str:
+    """Register a callback for an answer as the backup of a ticket."""
+    loop.next_waiter += 1
+    name = f"b{loop.next_waiter}"
+    loop.backup_replies[name] = reply
+    return name
+
+
+def feed(loop: EntryLoop, event: Event) -> None:
+    """Hand an event to the core and carry out what it decides."""
+    for action in step(loop.state, event, loop.clock.monotonic_ms()):
+        perform(loop, action)
+    arrange_wake(loop)
+
+
+def perform(loop: EntryLoop, action: Action) -> None:
+    """Carry out one action."""
+    match action:
+        case StartAttempt():
+            log_attempt(loop, action)
+            start_attempt(loop.backends, action)
+        case CancelAttempt():
+            cancel_attempt(loop.backends, action)
+        case PermitWrite(attempt_id):
+            loop.backends.permitted.add(attempt_id)
+        case CancelOrphan(attempt_id, server):
+            cancel_at_server(loop.backends, attempt_id, server.address)
+        case Answer() | TicketNeeded() | TicketRefused() | ForwardAnswer():
+            answer_waiter(loop, action)
+        case AnswerAsBackup(reply_to, answer):
+            loop.backup_replies.pop(reply_to)(answer)
+        case TellBackup():
+            tell_backup(loop.peers, action, lambda event: feed(loop, event))
+        case TellPrimary():
+            tell_primary(loop.peers, action, lambda event: feed(loop, event))
+
+
+def answer_waiter(loop: EntryLoop, action: WaiterAction) -> None:
+    """Give a waiting caller its answer, if it still waits."""
+    waiter = loop.waiters.pop(action.waiter, None)
+    if waiter is not None:
+        waiter(action)
+
+
+def log_attempt(loop: EntryLoop, action: StartAttempt) -> None:
+    """Log that an attempt starts."""
+    logger.debug(
+        "attempt started",
+        extra={
+            "request_id": action.request_id,
+            "stage": action.stage,
+            "attempt_id": action.attempt_id,
+            "server": action.server.name,
+            "revision": loop.state.configuration.revision,
+        },
+    )
+
+
+def arrange_wake(loop: EntryLoop) -> None:
+    """Wake the core when its next timer is due."""
+    wake_at_ms = next_wake_ms(loop.state)
+    if wake_at_ms == loop.wake_at_ms and loop.wake_call is not None:
+        return
+    if loop.wake_call is not None and loop.wake_call.active():
+        loop.wake_call.cancel()
+    loop.wake_call = None
+    loop.wake_at_ms = wake_at_ms
+    if wake_at_ms is None:
+        return
+    wait_ms = max(0, wake_at_ms - loop.clock.monotonic_ms())
+    loop.wake_call = loop.reactor.callLater(wait_ms / MS_PER_S, wake, loop)
+
+
+def wake(loop: EntryLoop) -> None:
+    """Tell the core that its next timer may be due."""
+    loop.wake_call = None
+    loop.wake_at_ms = None
+    feed(loop, TimePassed())
--- /dev/null
+++ b/src/bramleyturn/runtime/http_client.py
@@ -0,0 +1,215 @@
+"""Call other processes over HTTP with JSON."""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import orjson
+import treq
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import (
+    ConnectError,
+    DNSLookupError,
+    TimeoutError,
+)
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.web._newclient import RequestNotSent
+from twisted.web.client import (
+    URI,
+    Agent,
+    HTTPConnectionPool,
+)
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+from bramleyturn.runtime.errors import CallFailed, CallFailure
+from bramleyturn.runtime.twisted_types import Reactor
+
+CONNECT_TIMEOUT_S: Final = 1.0
+IDLE_CONNECTION_S: Final = 10
+CONNECTIONS_PER_HOST: Final = 64
+MS_PER_S: Final = 1_000
+HeaderMap = dict[bytes | str, bytes | str]
+
+JSON_HEADERS: Final[HeaderMap] = {"Content-Type": "application/json"}
+
+
+class JsonAnswer(NamedTuple):
+    """Hold the answer to a call."""
+
+    status: int
+    document: Any
+    retry_after_ms: int | None
+
+
+class BytesAnswer(NamedTuple):
+    """Hold the answer to a call. Header names are in lower case."""
+
+    status: int
+    content: bytes
+    headers: dict[str, str]
+
+
+def http_client(reactor: Any, *, persistent: bool = True) -> HTTPClient:
+    """Return a client that never sends a request a second time by itself."""
+    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
+    pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+    agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+    return HTTPClient(agent)
+
+
+class PermissionRefusedError(ConnectError):
+    """Tell that a connection was opened, but nothing may be written to it."""
+
+
+@implementer(IStreamClientEndpoint)
+class GuardedEndpoint:
+    """Connect, and give the connection up unless ``may_write`` allows its use."""
+
+    def __init__(self, endpoint: Any, may_write: Callable[[], bool]) -> None:
+        self.endpoint = endpoint
+        self.may_write = may_write
+
+    def connect(self, protocolFactory: Any) -> Deferred[Any]:  # noqa: N803
+        """Connect; the caller writes in the turn in which this succeeds."""
+        connected: Deferred[Any] = self.endpoint.connect(protocolFactory)
+        return connected.addCallback(self.check)
+
+    def check(self, protocol: Any) -> Any:
+        """Return the connection, or close it and raise ``PermissionRefusedError``."""
+        if self.may_write():
+            return protocol
+        protocol.transport.loseConnection()
+        raise PermissionRefusedError
+
+
+@implementer(IAgentEndpointFactory)
+class GuardedEndpoints:
+    """Make endpoints that ask before anything is written."""
+
+    def __init__(self, reactor: Any, may_write: Callable[[], bool]) -> None:
+        self.reactor = reactor
+        self.may_write = may_write
+
+    def endpointForURI(self, uri: URI) -> GuardedEndpoint:  # noqa: N802
+        """Return the endpoint of an address given by its IP number."""
+        endpoint = TCP4ClientEndpoint(
+            self.reactor, uri.host.decode(), uri.port, timeout=CONNECT_TIMEOUT_S
+        )
+        return GuardedEndpoint(endpoint, self.may_write)
+
+
+def guarded_client(reactor: Any, may_write: Callable[[], bool]) -> HTTPClient:
+    """Return a client for one request that asks once its connection is open."""
+    pool = HTTPConnectionPool(reactor, persistent=False)
+    pool.retryAutomatically = False
+    endpoints = GuardedEndpoints(reactor, may_write)
+    return HTTPClient(Agent.usingEndpointFactory(reactor, endpoints, pool))
+
+
+async def call_bytes(
+    client: HTTPClient,
+    reactor: Reactor,
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: HeaderMap | None = None,
+    timeout_ms: int,
+) -> BytesAnswer | CallFailed:
+    """Send one request and return its answer, or how far the call came.
+
+    The whole call, body included, must end within ``timeout_ms``.
+    """
+    sent = Deferred.fromCoroutine(fetch(client, method, url, body, headers))
+    timer = reactor.callLater(timeout_ms / MS_PER_S, sent.cancel)
+    try:
+        return await sent
+    except CancelledError:
+        return CallFailed(CallFailure.TIMED_OUT, f"no answer in {timeout_ms} ms")
+    except Exception as error:
+        return failure_of(error)
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+async def fetch(
+    client: HTTPClient,
+    method: str,
+    url: str,
+    body: bytes | None,
+    headers: HeaderMap | None,
+) -> BytesAnswer:
+    """Send one request and read its answer to the end."""
+    all_headers = dict(headers or {})
+    if body is not None:
+        all_headers |= JSON_HEADERS
+    response = await client.request(
+        method, url, data=body, headers=all_headers, allow_redirects=False
+    )
+    return BytesAnswer(
+        status=response.code,
+        content=await treq.content(response),
+        headers={
+            name.decode().lower(): values[-1].decode("latin-1")
+            for name, values in response.headers.getAllRawHeaders()
+        },
+    )
+
+
+async def call_json(
+    client: HTTPClient,
+    reactor: Reactor,
+    method: str,
+    url: str,
+    *,
+    body: bytes | None = None,
+    headers: HeaderMap | None = None,
+    timeout_ms: int,
+) -> JsonAnswer | CallFailed:
+    """Send one request and return its JSON answer, or how far the call came."""
+    answer = await call_bytes(
+        client, reactor, method, url, body=body, headers=headers, timeout_ms=timeout_ms
+    )
+    if isinstance(answer, CallFailed):
+        return answer
+    try:
+        document = orjson.loads(answer.content) if answer.content else None
+    except orjson.JSONDecodeError as error:
+        return CallFailed(CallFailure.BAD_ANSWER, str(error))
+    return JsonAnswer(
+        status=answer.status,
+        document=document,
+        retry_after_ms=retry_after_ms(answer.headers.get("retry-after", "")),
+    )
+
+
+def header_text(response: Any, name: str) -> str:
+    """Return the last value of a response header, or an empty string."""
+    values = response.headers.getRawHeaders(name) or [""]
+    return str(values[-1])
+
+
+def retry_after_ms(text: str) -> int | None:
+    """Return the time that a ``Retry-After`` header in seconds stands for."""
+    try:
+        return max(0, int(float(text) * MS_PER_S))
+    except (ValueError, OverflowError):
+        return None
+
+
+def failure_of(error: Exception) -> CallFailed:
+    """Turn an exception of the HTTP library into a failure of ours.
+
+    Only an error raised before anything was written counts as not connected.
+    """
+    detail = f"{type(error).__name__}: {error}"
+    if isinstance(error, RequestNotSent | ConnectError | DNSLookupError):
+        return CallFailed(CallFailure.NOT_CONNECTED, detail)
+    if isinstance(error, TimeoutError):
+        return CallFailed(CallFailure.NOT_CONNECTED, detail)
+    return CallFailed(CallFailure.LOST, detail)
--- /dev/null
+++ b/src/bramleyturn/runtime/http_server.py
@@ -0,0 +1,76 @@
+"""Serve HTTP with JSON."""
+
+import sys
+from typing import Any, Final
+
+import orjson
+from klein import Klein
+from twisted.web.http import HTTPChannel
+from twisted.web.server import Site
+
+from bramleyturn.core.address import parse_address
+from bramleyturn.core.intake import BadRequest
+from bramleyturn.runtime.twisted_types import HttpRequest
+
+IDLE_TIMEOUT_S: Final = 30
+MS_PER_S: Final = 1_000
+PROBLEM_TYPE: Final = "application/problem+json"
+JSON_TYPE: Final = "application/json"
+
+
+def listen(reactor: Any, app: Klein, address: str, channel: Any = HTTPChannel) -> str:
+    """Serve ``app`` and return the address on which it listens.
+
+    Port 0 takes any free port.
+    """
+    site = Site(app.resource(), timeout=IDLE_TIMEOUT_S)
+    site.displayTracebacks = False
+    site.noisy = False
+    wanted = parse_address(address)
+    if wanted is None:
+        raise ValueError(f"no address: {address}")
+    port = reactor.listenTCP(wanted.port, site, interface=wanted.host)
+    bound = port.getHost()
+    return f"{bound.host}:{bound.port}"
+
+
+def print_ready(address: str, **more: Any) -> None:
+    """Tell whoever started this process that it listens, as one JSON line."""
+    line = orjson.dumps({"ready": True, "address": address} | more).decode()
+    print(line, flush=True)
+    sys.stdout.flush()
+
+
+def json_answer(request: HttpRequest, document: Any, status: int = 200) -> bytes:
+    """Return a JSON body and set the response's status and type."""
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", JSON_TYPE)
+    return orjson.dumps(document)
+
+
+def problem(request: HttpRequest, bad: BadRequest, **more: Any) -> bytes:
+    """Return a problem document as RFC 9457 describes it."""
+    request.setResponseCode(bad.status)
+    request.setHeader("Content-Type", PROBLEM_TYPE)
+    return orjson.dumps(
+        {
+            "type": "about:blank",
+            "title": bad.title,
+            "status": bad.status,
+            "detail": bad.detail,
+            "field": bad.field,
+        }
+        | more
+    )
+
+
+def set_retry_after(request: HttpRequest, retry_after_ms: int) -> None:
+    """Set ``Retry-After`` in whole seconds, rounded up."""
+    seconds = max(1, -(-retry_after_ms // MS_PER_S))
+    request.setHeader("Retry-After", str(seconds))
+
+
+def header(request: HttpRequest, name: str) -> str:
+    """Return a request header as text, empty where it is absent."""
+    value = request.getHeader(name)
+    return value if isinstance(value, str) else ""
--- /dev/null
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -0,0 +1,190 @@
+"""Serve the messages of other entry processes."""
+
+from typing import Any, Final
+
+from klein import Klein
+from twisted.internet.defer import Deferred, succeed
+
+from bramleyturn.core.actions import Answer, ForwardAnswer
+from bramleyturn.core.entry import StillRunning, kept_outcome
+from bramleyturn.core.events import (
+    BackupAsked,
+    BackupMessage,
+    PeerSeen,
+    RequestArrived,
+    WaiterGone,
+)
+from bramleyturn.core.intake import BadRequest
+from bramleyturn.core.outcome_json import outcome_document
+from bramleyturn.core.peer_message import (
+    MessageKind,
+    MessageRefused,
+    PeerMessage,
+    decode_message,
+    message_mac,
+)
+from bramleyturn.core.ticket_json import (
+    answer_document,
+    parse_intent,
+    parse_outcome_copy,
+    parse_revoke,
+)
+from bramleyturn.core.ticket_messages import (
+    InputDiffers,
+    PrimaryAnswer,
+    PrimaryFinished,
+    PrimaryRunning,
+)
+from bramleyturn.runtime.entry_loop import (
+    EntryLoop,
+    WaiterAction,
+    feed,
+    new_backup_reply,
+    new_waiter,
+)
+from bramleyturn.runtime.http_server import header, problem
+from bramleyturn.runtime.peer_client import (
+    MAC_HEADER,
+    MESSAGE_PATH,
+    message_keys,
+    signed_message,
+)
+from bramleyturn.runtime.twisted_types import HttpRequest
+
+PRIMARY_WAIT_S: Final = 1.0
+ASK_AGAIN_MS: Final = 10
+MAX_MESSAGE_BYTES: Final = 32 * 1024 * 1024
+
+_BACKUP_PARSERS: Final = {
+    MessageKind.INTENT: parse_intent,
+    MessageKind.REVOKE: parse_revoke,
+    MessageKind.OUTCOME: parse_outcome_copy,
+}
+
+
+def peers_api(loop: EntryLoop, app: Klein) -> None:
+    """Add the route of peers' messages to ``app``."""
+
+    @app.route(MESSAGE_PATH, methods=["POST"])
+    async def message(request: HttpRequest) -> bytes:
+        settings = loop.state.configuration.peers
+        received = decode_message(
+            request.content.read(), header(request, MAC_HEADER), message_keys(settings)
+        )
+        if isinstance(received, MessageRefused):
+            loop.state.counters.messages_refused += 1
+            bad = BadRequest(403, "Message refused", received.reason, MAC_HEADER)
+            return problem(request, bad)
+        note_sender(loop, received)
+        body = await answer_message(loop, received)
+        if body is None:
+            bad = BadRequest(400, "Bad message", "its body is malformed", "body")
+            return problem(request, bad)
+        packed = signed_message(loop.peers, received.kind, body)
+        request.setHeader(MAC_HEADER, message_mac(packed, settings.key))
+        return packed
+
+
+def note_sender(loop: EntryLoop, message: PeerMessage) -> None:
+    """Tell the core that a peer is alive."""
+    sender = message.sender
+    feed(
+        loop,
+        PeerSeen(
+            message.sender_name,
+            message.sender_zone,
+            sender.address,
+            sender.incarnation,
+        ),
+    )
+
+
+def answer_message(loop: EntryLoop, message: PeerMessage) -> Deferred[Any]:
+    """Return the body of the answer, None for a malformed message."""
+    match message.kind:
+        case MessageKind.HELLO:
+            return succeed({})
+        case MessageKind.RUN:
+            return run_forwarded(loop, message.body)
+        case MessageKind.LOOKUP:
+            return succeed(look_up_here(loop, message.body))
+    asked = _BACKUP_PARSERS[message.kind](message.body)
+    if asked is None:
+        return succeed(None)
+    return succeed(answer_as_backup(loop, asked))
+
+
+def answer_as_backup(loop: EntryLoop, message: BackupMessage) -> dict[str, Any]:
+    """Let the core answer as the backup of a ticket."""
+    answers: list[dict[str, Any]] = []
+    reply_to = new_backup_reply(
+        loop, lambda answer: answers.append(answer_document(answer))
+    )
+    feed(loop, BackupAsked(reply_to, message))
+    return answers[0]
+
+
+def run_forwarded(loop: EntryLoop, body: Any) -> Deferred[Any]:
+    """Run a forwarded request, or wait a while for the one that runs."""
+    answered: Deferred[Any] = Deferred()
+
+    def reply(action: WaiterAction) -> None:
+        if timer.active():
+            timer.cancel()
+        answered.callback(answer_document(primary_answer(action)))
+
+    def still_running() -> None:
+        loop.waiters.pop(waiter, None)
+        feed(loop, WaiterGone(waiter))
+        answered.callback(answer_document(PrimaryRunning(ASK_AGAIN_MS)))
+
+    waiter = new_waiter(loop, reply)
+    event = parse_forwarded(waiter, body)
+    if event is None:
+        loop.waiters.pop(waiter)
+        return succeed(None)
+    timer = loop.reactor.callLater(PRIMARY_WAIT_S, still_running)
+    feed(loop, event)
+    return answered
+
+
+def primary_answer(action: WaiterAction) -> PrimaryAnswer:
+    """Return what the outcome of a forwarded request is to its sender."""
+    if isinstance(action, ForwardAnswer):
+        return action.answer
+    if isinstance(action, Answer):
+        return PrimaryFinished(action.outcome)
+    return InputDiffers()
+
+
+def parse_forwarded(waiter: str, body: Any) -> RequestArrived | None:
+    """Return the forwarded request in a message, None if it is malformed."""
+    try:
+        return RequestArrived(
+            waiter=waiter,
+            workspace=str(body["workspace"]),
+            pipeline=str(body["pipeline"]),
+            request_id=str(body["request_id"]),
+            input=body["input"],
+            input_bytes=int(body["input_bytes"]),
+            left_ms=int(body["left_ms"]),
+            ticket=str(body["ticket"]),
+            is_forwarded=True,
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def look_up_here(loop: EntryLoop, body: Any) -> dict[str, Any] | None:
+    """Return what this process knows of a request of a workspace."""
+    try:
+        workspace, request_id = str(body["workspace"]), str(body["request_id"])
+    except (KeyError, TypeError):
+        return None
+    now_ms = loop.clock.monotonic_ms()
+    found = kept_outcome(loop.state, workspace, request_id, now_ms)
+    if found is None:
+        return {"state": "unknown"}
+    if isinstance(found, StillRunning):
+        return {"state": "running"}
+    return {"state": "ended", "outcome": outcome_document(request_id, found)}
--- /dev/null
+++ b/src/bramleyturn/runtime/request_lookup.py
@@ -0,0 +1,48 @@
+"""Find the outcome of a request that another entry process took."""
+
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred, DeferredList
+
+from bramleyturn.core.entry import StillRunning
+from bramleyturn.core.outcome_json import parse_outcome
+from bramleyturn.core.outcomes import Outcome
+from bramleyturn.core.peer_message import MessageKind, PeerMessage
+from bramleyturn.core.peers import answering_peers
+from bramleyturn.runtime.entry_loop import EntryLoop
+from bramleyturn.runtime.peer_client import tell
+
+LOOKUP_TIMEOUT_MS: Final = 1_000
+MAX_ASKED: Final = 32
+
+
+async def look_up_elsewhere(
+    loop: EntryLoop, workspace: str, request_id: str
+) -> Outcome | StillRunning | None:
+    """Ask other entry processes for a request, the own availability zone first."""
+    now_ms = loop.clock.monotonic_ms()
+    peers = answering_peers(loop.state.peers, now_ms)
+    peers.sort(key=lambda peer: peer.zone != loop.state.zone)
+    body = {"workspace": workspace, "request_id": request_id}
+    calls = [
+        Deferred.fromCoroutine(
+            tell(loop.peers, peer.address, MessageKind.LOOKUP, body, LOOKUP_TIMEOUT_MS)
+        )
+        for peer in peers[:MAX_ASKED]
+    ]
+    results: list[tuple[bool, Any]] = await DeferredList(calls, consumeErrors=True)
+    found = [parse_found(answer) for success, answer in results if success]
+    outcomes = [item for item in found if isinstance(item, Outcome)]
+    if outcomes:
+        return outcomes[0]
+    running = [item for item in found if isinstance(item, StillRunning)]
+    return running[0] if running else None
+
+
+def parse_found(answer: PeerMessage | None) -> Outcome | StillRunning | None:
+    """Return what a peer knows of a request."""
+    if answer is None or not isinstance(answer.body, dict):
+        return None
+    if answer.body.get("state") == "running":
+        return StillRunning()
+    return parse_outcome(answer.body.get("outcome"))
--- /dev/null
+++ b/src/bramleyturn/runtime/watch_client.py
@@ -0,0 +1,83 @@
+"""Follow what the watch of this instance knows."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+from treq.client import HTTPClient
+from twisted.internet.task import deferLater
+
+from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.model import Configuration
+from bramleyturn.platform.documents import ListedInstance, parse_instances
+from bramleyturn.platform.errors import PlatformFailed
+from bramleyturn.platform.reader import read_folder, usable_document
+from bramleyturn.runtime.http_client import call_json
+
+WAIT_MS: Final = 10_000
+RETRY_MS: Final = 200
+LIST_INTERVAL_MS: Final = 500
+LIST_TIMEOUT_MS: Final = 2_000
+MS_PER_S: Final = 1_000
+
+logger = logging.getLogger(__name__)
+
+
+class InstanceList(NamedTuple):
+    """Hold the platform's list, ``age_ms`` old."""
+
+    instances: tuple[ListedInstance, ...]
+    age_ms: int
+
+
+async def follow_configuration(
+    client: HTTPClient,
+    reactor: Any,
+    watch: str,
+    accept: Callable[[Configuration], None],
+) -> None:
+    """Call ``accept`` with each newer configuration that the watch has."""
+    revision = 0
+    while True:
+        read = await read_folder(
+            client, reactor, f"http://{watch}/v1/config", revision, WAIT_MS
+        )
+        if isinstance(read, PlatformFailed):
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
+            continue
+        if read.revision <= revision or not read.files:
+            continue
+        loaded = load_configuration(read.revision, read.files)
+        if isinstance(loaded, RefusedConfiguration):
+            logger.error(
+                "the watch holds a refused revision", extra={"revision": read.revision}
+            )
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
+            continue
+        revision = read.revision
+        logger.info("configuration in force", extra={"revision": revision})
+        accept(loaded)
+
+
+async def follow_instances(
+    client: HTTPClient,
+    reactor: Any,
+    watch: str,
+    accept: Callable[[InstanceList], None],
+) -> None:
+    """Call ``accept`` with the platform's list again and again."""
+    while True:
+        answer = await call_json(
+            client,
+            reactor,
+            "GET",
+            f"http://{watch}/v1/instances",
+            timeout_ms=LIST_TIMEOUT_MS,
+        )
+        document = usable_document(answer)
+        parsed = parse_instances(document)
+        if not isinstance(parsed, PlatformFailed) and isinstance(
+            document.get("age_ms"), int
+        ):
+            accept(InstanceList(parsed, document["age_ms"]))
+        await deferLater(reactor, LIST_INTERVAL_MS / MS_PER_S)
