--- a/src/bramleyturn/core/ini_folder.py
+++ b/src/bramleyturn/core/ini_folder.py
@@ -38,6 +38,14 @@
     faults: tuple[Fault, ...]
 
 
+class Line(NamedTuple):
+    """Hold a line without its comment, and the section or key that it names."""
+
+    text: str
+    header: str
+    key: str
+
+
 class ScannedFile(NamedTuple):
     """Hold the sound lines of one file and the line of each section and key."""
 
@@ -72,26 +80,35 @@
     section = ""
     continues = False
     for number, raw_line in enumerate(_split_lines(text), start=1):
-        line = COMMENT.sub("", raw_line).rstrip()
-        header = _section_in_line(line)
-        key = _key_in_line(line)
+        line = _parse_line(raw_line)
         expected = _fault_in_line(line, scanned, section, continues)
         # The settings below a faulty header still belong to its section.
-        section = header or section
+        section = line.header or section
         if expected:
-            fault = Fault(file, number, section, key, expected, _found_in_line(line))
+            found = _found_in_line(line)
+            fault = Fault(file, number, section, line.key, expected, found)
             scanned.faults.append(fault)
-        if header:
-            scanned.section_lines.setdefault(header, number)
-        elif key and not expected:
-            scanned.key_lines[section, key] = number
-        continued = continues and line and not header
-        continues = not expected and bool(key or continued)
-        sound_line = "" if expected else line
-        scanned.lines.append(f"[{header}]" if header else sound_line)
+        if line.header:
+            scanned.section_lines.setdefault(line.header, number)
+        elif line.key and not expected:
+            scanned.key_lines[section, line.key] = number
+        continued = continues and line.text and not line.header
+        continues = not expected and bool(line.key or continued)
+        sound_text = "" if expected else line.text
+        scanned.lines.append(f"[{line.header}]" if line.header else sound_text)
     return scanned
 
 
+def _parse_line(raw_line: str) -> Line:
+    """Return what a line opens or sets."""
+    text = COMMENT.sub("", raw_line).rstrip()
+    header = HEADER.fullmatch(text)
+    if header:
+        return Line(text, printable(" ".join(header[1].split())), "")
+    option = OPTION.match(text)
+    return Line(text, "", printable(option[1].lower()) if option else "")
+
+
 def _split_lines(text: str) -> list[str]:
     """Return the lines of ``text`` without their ends or a byte order mark."""
     return [
@@ -101,50 +118,35 @@
 
 
 def _fault_in_line(
-    line: str, scanned: ScannedFile, section: str, continues: bool
+    line: Line, scanned: ScannedFile, section: str, continues: bool
 ) -> str:
     """Return what was expected in place of ``line``, or nothing if it is sound."""
-    if not line:
+    if not line.text:
         return ""
-    if not line.replace("\t", " ").isprintable():
+    if not line.text.replace("\t", " ").isprintable():
         return "printable text"
-    if line[0].isspace():
+    if line.text[0].isspace():
         return "" if continues else "a line that starts in the first column"
-    header = _section_in_line(line)
-    if header:
-        known_line = scanned.section_lines.get(header)
+    if line.header:
+        known_line = scanned.section_lines.get(line.header)
         if known_line is None:
             return ""
         return f"each section once in a file (first in line {known_line})"
-    key = _key_in_line(line)
-    if not key:
+    if not line.key:
         return "'[section]' or 'key = value'"
     if not section:
         return "a '[section]' before the first key"
-    known_line = scanned.key_lines.get((section, key))
+    known_line = scanned.key_lines.get((section, line.key))
     if known_line is None:
         return ""
     return f"each key once in a section (first in line {known_line})"
 
 
-def _found_in_line(line: str) -> str:
+def _found_in_line(line: Line) -> str:
     """Return the first word of ``line`` only: the rest may hold a secret."""
-    if _section_in_line(line):
-        return quote(line)
-    key = _key_in_line(line)
-    return quote(f"{key} =") if key else quote(line.split()[0])
-
-
-def _section_in_line(line: str) -> str:
-    """Return the name of the section that ``line`` opens, if it opens one."""
-    matched = HEADER.fullmatch(line)
-    return printable(" ".join(matched[1].split())) if matched else ""
-
-
-def _key_in_line(line: str) -> str:
-    """Return the name of the key that ``line`` sets, if it sets one."""
-    matched = OPTION.match(line)
-    return printable(matched[1].lower()) if matched else ""
+    if line.header:
+        return quote(line.text)
+    return quote(f"{line.key} =") if line.key else quote(line.text.split()[0])
 
 
 def _read_sections(file: str, scanned: ScannedFile) -> list[Section]:
--- a/src/bramleyturn/core/settings_reference.py
+++ b/src/bramleyturn/core/settings_reference.py
@@ -7,7 +7,8 @@
 INTRODUCTION: Final = """\
 # Settings
 
-Written by `bramleyturn settings-reference`; change `core/schema.py`, not this page.
+Written by `bramleyturn settings-reference` from the `core/schema_*.py` modules: change
+those, not this page.
 
 The published configuration is a folder of INI files, merged in the order of their
 names. A later file may repeat a section and override single keys; within one file
