Add stand-ins for backend servers and the platform

One process hosts any number of encoders, retrievers, rerankers, engines, plain services and the platform, each at an address of its own, with a ledger of what truly ran and faults that are set at run time.

--- /dev/null
+++ b/src/bramleyturn/standin/behaviour.py
@@ -0,0 +1,96 @@
+"""Describe the faults that a stand-in can be told to show."""
+
+from typing import Any, Final, NamedTuple, get_type_hints
+
+
+class Behaviour(NamedTuple):
+    """Hold the faults of one backend server stand-in; the default shows none.
+
+    ``answer_faults_left`` limits the faults of answers (from ``truncate_answer``
+    on) to that many attempts; below 0 they stay.
+    """
+
+    slow_factor: float = 1.0
+    fail_percent: int = 0
+    fail_next: int = 0
+    refuse: bool = False
+    leaving: bool = False
+    hang: bool = False
+    crash_marker: str = ""
+    crash_server_only: bool = False
+    crash_down_ms: int = 0
+    resume_refused: bool = False
+    truncate_answer: bool = False
+    truncate_after_tokens: int = -1
+    drop_answer: bool = False
+    wrong_attempt_id: bool = False
+    duplicate_chunk: bool = False
+    wrong_resume_offset: int = 0
+    longer_than_announced: bool = False
+    answer_faults_left: int = -1
+
+
+class BadBehaviour(NamedTuple):
+    """Say why a change of behaviour was refused."""
+
+    reason: str
+
+
+HINTS: Final = get_type_hints(Behaviour)
+NO_ANSWER_FAULTS: Final[dict[str, Any]] = {
+    "truncate_answer": False,
+    "truncate_after_tokens": -1,
+    "drop_answer": False,
+    "wrong_attempt_id": False,
+    "duplicate_chunk": False,
+    "wrong_resume_offset": 0,
+    "longer_than_announced": False,
+    "answer_faults_left": -1,
+}
+
+
+def changed(behaviour: Behaviour, changes: Any) -> Behaviour | BadBehaviour:
+    """Return ``behaviour`` with ``changes``; ``{"reset": true}`` starts afresh."""
+    if not isinstance(changes, dict):
+        return BadBehaviour("expected an object")
+    changes = dict(changes)
+    if changes.pop("reset", False):
+        behaviour = Behaviour()
+    for name, value in changes.items():
+        if name not in HINTS:
+            return BadBehaviour(f"{name} is not a known fault")
+        if not _fits(value, HINTS[name]):
+            return BadBehaviour(f"{name}: expected {HINTS[name].__name__}")
+    if not 0 <= changes.get("fail_percent", 0) <= 100:
+        return BadBehaviour("fail_percent: expected 0 to 100")
+    if changes.get("slow_factor", 1) < 0:
+        return BadBehaviour("slow_factor: expected 0 or more")
+    return behaviour._replace(**changes)
+
+
+def answer_faults(behaviour: Behaviour) -> tuple[Behaviour, Behaviour]:
+    """Return the faults for one more attempt, and the behaviour after it."""
+    if behaviour.answer_faults_left < 0 or not _has_answer_faults(behaviour):
+        return behaviour, behaviour
+    cleared = behaviour._replace(**NO_ANSWER_FAULTS)
+    if behaviour.answer_faults_left == 0:
+        return cleared, cleared
+    left = behaviour.answer_faults_left - 1
+    after = behaviour._replace(answer_faults_left=left) if left else cleared
+    return behaviour, after
+
+
+def _has_answer_faults(behaviour: Behaviour) -> bool:
+    return any(
+        getattr(behaviour, name) != value
+        for name, value in NO_ANSWER_FAULTS.items()
+        if name != "answer_faults_left"
+    )
+
+
+def _fits(value: Any, wanted: type) -> bool:
+    if wanted is float:
+        return isinstance(value, int | float) and not isinstance(value, bool)
+    if wanted is int:
+        return isinstance(value, int) and not isinstance(value, bool)
+    return isinstance(value, wanted)
--- /dev/null
+++ b/src/bramleyturn/standin/engine.py
@@ -0,0 +1,169 @@
+"""Generate streams as a model engine does: prefill, then batches of tokens."""
+
+from collections.abc import Callable
+from typing import Any, Final, TypedDict
+
+import orjson
+from twisted.internet.base import DelayedCall
+
+from bramleyturn.standin.answers import engine_tokens
+from bramleyturn.standin.backend import (
+    BackendServer,
+    draws_failure,
+    drop,
+    end_job,
+    give,
+    later,
+)
+from bramleyturn.standin.jobs import Job, JobState
+from bramleyturn.standin.json_http import answer, set_header, write
+from bramleyturn.standin.prefix_cache import (
+    PrefixCache,
+    blocks_of,
+    cached_blocks,
+    store_blocks,
+)
+
+BLOCKS_PER_PREFILL_TIME: Final = 32
+CACHED_PREFILL_SAVED: Final = 0.8
+BATCH_SLOWDOWN: Final = 0.03
+
+
+class Order(TypedDict):
+    """Describe an order that was taken."""
+
+    order: str
+    model: str
+    version: str
+    role: str
+    fencing: int
+
+
+class Engine:
+    """Hold what an engine has beside its queue: the batch, the cache, orders."""
+
+    def __init__(self, cache: PrefixCache, model: str) -> None:
+        self.cache = cache
+        self.models = {model: ""}
+        self.role = "both"
+        self.fencing = 0
+        self.orders: list[Order] = []
+        self.batch: list[Job] = []
+        self.timer: DelayedCall | None = None
+
+
+def begin_stream(engine: Engine) -> Callable[[BackendServer, Job], None]:
+    """Return the function that begins a started stream on ``engine``."""
+
+    def begin(server: BackendServer, job: Job) -> None:
+        names = blocks_of(server.settings.model, job.value)
+        hits = cached_blocks(engine.cache, names)
+        engine.cache.hits += hits
+        engine.cache.misses += len(names) - hits
+        store_blocks(engine.cache, names, server.clock.monotonic_ms())
+        scale = max(1.0, len(names) / BLOCKS_PER_PREFILL_TIME)
+        saved = CACHED_PREFILL_SAVED * hits / max(1, len(names))
+        delay_ms = server.settings.service_ms * scale * (1 - saved)
+        later(server, job, delay_ms, lambda *_: _join_batch(engine, server, job))
+
+    return begin
+
+
+def prepare_stream(server: BackendServer, job: Job, max_output_tokens: int) -> bool:
+    """Work out the tokens of ``job``; tell whether it can resume where it asks."""
+    job.tokens = engine_tokens(server.settings.model, job.value, max_output_tokens)
+    job.sent_tokens = job.resume_offset
+    return job.resume_offset <= len(job.tokens)
+
+
+def _join_batch(engine: Engine, server: BackendServer, job: Job) -> None:
+    if draws_failure(server):
+        document = {"attempt_id": job.attempt_id, "error": "failed"}
+        end_job(server, job, "failed")
+        give(job, answer(job.request, 500, document))
+        return
+    if job.resume_offset and job.faults.wrong_resume_offset:
+        start = job.resume_offset + job.faults.wrong_resume_offset
+        job.sent_tokens = min(max(0, start), len(job.tokens))
+    set_header(job.request, b"content-type", b"application/x-ndjson")
+    engine.batch.append(job)
+    if engine.timer is None:
+        _schedule(engine, server)
+
+
+def _schedule(engine: Engine, server: BackendServer) -> None:
+    settings = server.settings
+    slowdown = 1 + BATCH_SLOWDOWN * (len(engine.batch) - 1)
+    step_ms = settings.token_ms * settings.chunk_tokens * slowdown
+    delay_s = step_ms * server.behaviour.slow_factor / 1000
+    engine.timer = server.reactor.callLater(delay_s, _step, engine, server)
+
+
+def _step(engine: Engine, server: BackendServer) -> None:
+    """Send the next chunk of every stream in the batch."""
+    engine.timer = None
+    for job in list(engine.batch):
+        if job.state == JobState.RUNNING:
+            _send_chunk(server, job)
+    engine.batch = [job for job in engine.batch if job.state == JobState.RUNNING]
+    if engine.batch:
+        _schedule(engine, server)
+
+
+def _send_chunk(server: BackendServer, job: Job) -> None:
+    faults = job.faults
+    end = min(job.sent_tokens + server.settings.chunk_tokens, len(job.tokens))
+    cut_at = job.resume_offset + faults.truncate_after_tokens
+    cut = faults.truncate_after_tokens >= 0 and end >= cut_at
+    if cut:
+        end = max(job.sent_tokens, cut_at)
+    _write_tokens(job, job.sent_tokens, job.tokens[job.sent_tokens : end])
+    if faults.duplicate_chunk:
+        _write_tokens(job, job.sent_tokens, job.tokens[job.sent_tokens : end])
+    job.sent_tokens = end
+    if cut or (faults.truncate_answer and end >= len(job.tokens) // 2):
+        end_job(server, job, "cut")
+        drop(job)
+    elif end == len(job.tokens):
+        _finish(server, job)
+
+
+def _finish(server: BackendServer, job: Job) -> None:
+    end_job(server, job, "finished")
+    if job.faults.drop_answer:
+        drop(job)
+        return
+    if job.faults.longer_than_announced:
+        _write_tokens(job, len(job.tokens), [" extra"])
+    end = {"attempt_id": _echoed_id(job), "end": True, "total": len(job.tokens)}
+    give(job, _line(end))
+
+
+def _write_tokens(job: Job, offset: int, tokens: list[str]) -> None:
+    if not tokens:
+        return
+    chunk = {"attempt_id": _echoed_id(job), "offset": offset, "tokens": tokens}
+    write(job.request, _line(chunk))
+
+
+def _echoed_id(job: Job) -> str:
+    return job.attempt_id + ("-other" if job.faults.wrong_attempt_id else "")
+
+
+def _line(document: Any) -> bytes:
+    return orjson.dumps(document) + b"\n"
+
+
+def take_order(engine: Engine, order: Order, checks_fencing: bool) -> bool:
+    """Carry out ``order``; tell whether its fencing number allowed it."""
+    if checks_fencing and order["fencing"] < engine.fencing:
+        return False
+    engine.fencing = max(engine.fencing, order["fencing"])
+    engine.orders.append(order)
+    if order["order"] == "unload":
+        engine.models.pop(order["model"], None)
+    elif order["order"] == "role":
+        engine.role = order["role"]
+    else:
+        engine.models[order["model"]] = order["version"]
+    return True
--- /dev/null
+++ b/src/bramleyturn/standin/ports.py
@@ -0,0 +1,34 @@
+"""Open and close listening ports."""
+
+from typing import Any, Final
+
+from twisted.internet.posixbase import PosixReactorBase
+from twisted.internet.tcp import Port
+
+from bramleyturn.standin.settings import Listen
+
+BACKLOG: Final = 1024
+
+
+def listen(reactor: PosixReactorBase, address: Listen, factory: Any) -> Port:
+    """Return a port that serves the protocol ``factory`` at ``address``."""
+    port = reactor.listenTCP(  # type: ignore[no-untyped-call]
+        address.port, factory, BACKLOG, address.host
+    )
+    assert isinstance(port, Port)
+    return port
+
+
+def stop_listening(port: Port) -> None:
+    """Refuse new connections to ``port``; those that are open stay."""
+    port.stopListening()  # type: ignore[no-untyped-call]
+
+
+def port_number(port: Port) -> int:
+    """Return the TCP port that ``port`` listens at."""
+    return int(port.getHost().port)  # type: ignore[no-untyped-call]
+
+
+def address_of(port: Port) -> str:
+    """Return where ``port`` listens, as IP:PORT."""
+    return f"{port.interface}:{port_number(port)}"
