--- a/src/bramleyturn/core/outliers.py
+++ b/src/bramleyturn/core/outliers.py
@@ -12,6 +12,13 @@
 class OutlierState:
     """Hold what one server's attempts showed of its health."""
 
+    __slots__ = (
+        "consecutive_failures",
+        "ejected_until_ms",
+        "ejections",
+        "fresh_since_ms",
+    )
+
     def __init__(self, fresh_since_ms: int | None) -> None:
         self.consecutive_failures = 0
         self.ejections = 0
@@ -84,7 +91,7 @@
     """Return the share of its normal load that the server may take, up to 1."""
     if state.fresh_since_ms is None:
         return 1.0
-    fresh_ms = now_ms - state.fresh_since_ms
+    fresh_ms = max(0, now_ms - state.fresh_since_ms)
     if fresh_ms >= limits.slow_start_ms:
         state.fresh_since_ms = None
         return 1.0
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -1,8 +1,8 @@
 """Choose the backend server for an attempt."""
 
-from collections.abc import Iterator
 from enum import StrEnum
 from heapq import heappop, heappush
+from math import inf
 from random import Random
 from typing import Final, NamedTuple
 
@@ -61,11 +61,13 @@
 ]
 
 SAMPLES: Final = 3
+RANDOM_SAMPLES: Final = 2
 PROBES: Final = 8
 IDLE_PROBES: Final = 64
-WARM_SAVED_SHARE: Final = 0.3
+WARM_FACTOR: Final = 0.7
 WARM_MAX_UTILISATION: Final = 1.0
 SPILL_UTILISATION: Final = 0.75
+SPILL_FACTOR: Final = 2.0
 OTHER_ZONE_FACTOR: Final = 1.1
 BUSY_MS: Final = 100
 IDLE_RETRY_MS: Final = 50
@@ -129,12 +131,12 @@
 
 
 class Rating(NamedTuple):
-    """Hold one candidate with its estimated time and the reasons for it."""
+    """Hold the best candidate with its estimated time and utilisation."""
 
     score_ms: float
     utilisation: float
+    usual_ms: float
     state: ServerState
-    reasons: tuple[str, ...]
 
 
 def choose_server(
@@ -143,8 +145,8 @@
     """Return the server with the least estimated finish among a few candidates.
 
     The own zone goes first; the other zones are looked at when the own one has no
-    server for this request or its best one is nearly full. The cost doesn't depend
-    on the number of servers.
+    server for this request, or its best one is nearly full or slow. The cost doesn't
+    depend on the number of servers.
     """
     pool = table.pools.get(request.pool)
     if pool is None:
@@ -153,12 +155,12 @@
     if request.alone:
         return _choose_idle(pool, request, now_ms, random)
     best = _best(table, pool, pool.own, request, now_ms, random)
-    if best is None or best.utilisation >= SPILL_UTILISATION:
+    if best is None or _spills(best):
         other = _best(table, pool, pool.others, request, now_ms, random)
         best = _better(best, other)
     if best is None:
         return _no_server(pool, request, now_ms)
-    return Choice(best.state.server, (_zone_reason(table, best), *best.reasons))
+    return Choice(best.state.server, _reasons(table, request, best))
 
 
 def attempt_started(
@@ -218,12 +220,9 @@
 def _eject_if_due(
     table: RoutingTable, pool: PoolState, state: ServerState, now_ms: int
 ) -> None:
-    limits = table.limits
-    if limits is None:
-        return
-    if not should_eject(state.outlier, limits, pool.ejected, len(pool.members)):
+    if not should_eject(state.outlier, table.limits, pool.ejected, len(pool.members)):
         return
-    until_ms = eject(state.outlier, limits, now_ms)
+    until_ms = eject(state.outlier, table.limits, now_ms)
     pool.ejected += 1
     heappush(table.ejections, (until_ms, state.server.name))
     list_candidates(table, pool)
@@ -252,15 +251,20 @@
     usual_ms = expected_ms(pool.load, request.size_tokens)
     warm = recent_servers(table.prefixes, request.pool, request.prefix)
     best: Rating | None = None
-    for state in _sample(table, candidates, request, warm, now_ms, random):
-        rating = _rate(table, pool, state, usual_ms, warm, now_ms)
-        if best is None or rating.score_ms < best.score_ms:
-            best = rating
+    best_ms = inf
+    for state in _sample(candidates, request, warm, now_ms, random):
+        score_ms, utilisation = estimate_ms(pool.load, state.load, usual_ms, now_ms)
+        if warm and utilisation < WARM_MAX_UTILISATION and state.server.name in warm:
+            score_ms *= WARM_FACTOR
+        if state.outlier.fresh_since_ms is not None:
+            score_ms /= slow_start_share(state.outlier, table.limits, now_ms)
+        if score_ms < best_ms:
+            best_ms = score_ms
+            best = Rating(score_ms, utilisation, usual_ms, state)
     return best
 
 
 def _sample(
-    table: RoutingTable,
     candidates: Candidates,
     request: ChoiceRequest,
     warm: tuple[str, ...],
@@ -270,49 +274,34 @@
     states = candidates.states
     if len(states) <= SAMPLES:
         return [state for state in states if _takes(state, request, now_ms)]
-    sample = [
-        state
-        for state in _sample_by_index(states, random)
-        if _takes(state, request, now_ms)
-    ]
+    picked = _pick(states, random)
     if request.prefix:
-        zone = states[0].server.zone
-        sample.extend(_warm_states(table, candidates, request, warm, now_ms, zone))
-    if not sample:
-        return _probe(states, request, now_ms, random)
-    return sample
+        picked = [
+            *_warm_states(candidates, request.prefix, warm),
+            *picked[:RANDOM_SAMPLES],
+        ]
+    sample = [state for state in picked if _takes(state, request, now_ms)]
+    return sample or _probe(states, request, now_ms, random)
 
 
-def _sample_by_index(
-    states: tuple[ServerState, ...], random: Random
-) -> Iterator[ServerState]:
+def _pick(states: tuple[ServerState, ...], random: Random) -> list[ServerState]:
+    # The fraction left by the first index chooses the distance to the others.
     count = len(states)
-    start = int(random.random() * count)
-    yield states[start]
-    step = 1 + int(random.random() * (count - 1))
-    yield states[(start + step) % count]
-    yield states[(start + 1 + int(random.random() * (count - 1))) % count]
+    position = random.random() * count
+    first = int(position)
+    step = 1 + int((position - first) * (count - 1))
+    second = (first + step) % count
+    return [states[first], states[second], states[(second + step) % count]]
 
 
 def _warm_states(
-    table: RoutingTable,
-    candidates: Candidates,
-    request: ChoiceRequest,
-    warm: tuple[str, ...],
-    now_ms: int,
-    zone: str,
-) -> Iterator[ServerState]:
-    home = home_server(candidates.ring, request.prefix)
-    names = warm if home is None or home in warm else (*warm, home)
-    own = zone == table.zone
-    for name in names:
-        state = table.servers.get(name)
-        if state is None or (state.server.zone == table.zone) is not own:
-            continue
-        if state.left_ms is not None or state.outlier.ejected_until_ms is not None:
-            continue
-        if _takes(state, request, now_ms):
-            yield state
+    candidates: Candidates, prefix: str, warm: tuple[str, ...]
+) -> list[ServerState]:
+    known = [candidates.by_name[name] for name in warm if name in candidates.by_name]
+    if known:
+        return known
+    home = home_server(candidates.ring, prefix)
+    return [candidates.by_name[home]] if home is not None else []
 
 
 def _probe(
@@ -337,25 +326,10 @@
     return state.server.name not in request.excluded
 
 
-def _rate(
-    table: RoutingTable,
-    pool: PoolState,
-    state: ServerState,
-    usual_ms: float,
-    warm: tuple[str, ...],
-    now_ms: int,
-) -> Rating:
-    saved = WARM_SAVED_SHARE if state.server.name in warm else 0.0
-    score_ms, utilisation = estimate_ms(pool.load, state.load, usual_ms, saved, now_ms)
-    reasons: tuple[str, ...] = ("least_estimate",)
-    if saved and utilisation >= WARM_MAX_UTILISATION:
-        score_ms /= 1.0 - saved
-    elif saved:
-        reasons = ("warm_prefix",)
-    if state.outlier.fresh_since_ms is not None and table.limits is not None:
-        share = slow_start_share(state.outlier, table.limits, now_ms)
-        score_ms /= share
-    return Rating(score_ms, utilisation, state, reasons)
+def _spills(best: Rating) -> bool:
+    if best.utilisation >= SPILL_UTILISATION:
+        return True
+    return best.score_ms >= SPILL_FACTOR * best.usual_ms
 
 
 def _better(own: Rating | None, other: Rating | None) -> Rating | None:
@@ -364,8 +338,15 @@
     return own if own.score_ms <= other.score_ms * OTHER_ZONE_FACTOR else other
 
 
-def _zone_reason(table: RoutingTable, rating: Rating) -> str:
-    return "own_zone" if rating.state.server.zone == table.zone else "other_zone"
+def _reasons(
+    table: RoutingTable, request: ChoiceRequest, rating: Rating
+) -> tuple[str, ...]:
+    server = rating.state.server
+    zone = "own_zone" if server.zone == table.zone else "other_zone"
+    warm = recent_servers(table.prefixes, request.pool, request.prefix)
+    if server.name in warm and rating.utilisation < WARM_MAX_UTILISATION:
+        return (zone, "warm_prefix")
+    return (zone, "least_estimate")
 
 
 def _choose_idle(
--- a/src/bramleyturn/core/routing_table.py
+++ b/src/bramleyturn/core/routing_table.py
@@ -1,16 +1,28 @@
 """Hold the backend servers that take work, by pool and availability zone."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from bramleyturn.core.model import Configuration, Limits, Server
 from bramleyturn.core.outliers import OutlierState, start_fresh
 from bramleyturn.core.prefix_cache import HashRing, RecentPrefixes
 from bramleyturn.core.server_load import PoolLoad, ServerLoad
 
+# In force only until the first configuration is applied.
+NO_LIMITS: Final = Limits(*(0 for _ in Limits._fields))
+
 
 class ServerState:
     """Hold what the process knows about one server."""
 
+    __slots__ = (
+        "busy_until_ms",
+        "held_alone",
+        "left_ms",
+        "load",
+        "outlier",
+        "server",
+    )
+
     def __init__(self, server: Server, load: ServerLoad, outlier: OutlierState) -> None:
         self.server = server
         self.load = load
@@ -24,6 +36,7 @@
     """List the servers that take work, with the ring over them."""
 
     states: tuple[ServerState, ...]
+    by_name: dict[str, ServerState]
     ring: HashRing
 
 
@@ -34,8 +47,8 @@
         self.load = load
         self.members: dict[str, ServerState] = {}
         self.ejected = 0
-        self.own = Candidates((), HashRing(()))
-        self.others = Candidates((), HashRing(()))
+        self.own = _candidates(())
+        self.others = _candidates(())
 
 
 class RoutingTable:
@@ -43,7 +56,7 @@
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
-        self.limits: Limits | None = None
+        self.limits = NO_LIMITS
         self.pools: dict[str, PoolState] = {}
         self.servers: dict[str, ServerState] = {}
         self.prefixes = RecentPrefixes()
@@ -147,9 +160,10 @@
     ]
     own = tuple(state for state in taking if state.server.zone == table.zone)
     others = tuple(state for state in taking if state.server.zone != table.zone)
-    pool.own = Candidates(own, _ring(own))
-    pool.others = Candidates(others, _ring(others))
+    pool.own = _candidates(own)
+    pool.others = _candidates(others)
 
 
-def _ring(states: tuple[ServerState, ...]) -> HashRing:
-    return HashRing([state.server.name for state in states])
+def _candidates(states: tuple[ServerState, ...]) -> Candidates:
+    by_name = {state.server.name: state for state in states}
+    return Candidates(states, by_name, HashRing(list(by_name)))
--- a/src/bramleyturn/core/server_load.py
+++ b/src/bramleyturn/core/server_load.py
@@ -7,6 +7,7 @@
 REPORT_HALF_LIFE_MS: Final = 2_000
 SLOWNESS_HALF_LIFE_MS: Final = 10_000
 HISTORY_LENGTH: Final = 64
+NEVER_MS: Final = -1_000_000_000
 SLOWNESS_GAIN: Final = 0.2
 EXPECTED_GAIN: Final = 0.1
 MEAN_GAIN: Final = 0.05
@@ -30,6 +31,14 @@
 class PoolLoad:
     """Hold what is common to a pool: usual times by size, mean size, mean load."""
 
+    __slots__ = (
+        "capacity",
+        "expected_ms",
+        "mean_ms",
+        "mean_others",
+        "mean_weight",
+    )
+
     def __init__(self, capacity: int) -> None:
         self.capacity = max(1, capacity)
         self.mean_weight = float(FIXED_TOKENS)
@@ -41,6 +50,17 @@
 class ServerLoad:
     """Hold one server's load: this process's own attempts and those of others."""
 
+    __slots__ = (
+        "capacity",
+        "history",
+        "in_flight",
+        "in_flight_weight",
+        "others",
+        "others_ms",
+        "slowness",
+        "slowness_ms",
+    )
+
     def __init__(self, capacity: int) -> None:
         self.capacity = max(1, capacity)
         self.in_flight = 0
@@ -48,7 +68,7 @@
         self.slowness = 1.0
         self.slowness_ms = 0
         self.others = 0.0
-        self.others_ms: int | None = None
+        self.others_ms = NEVER_MS
         self.history: deque[tuple[int, int]] = deque(maxlen=HISTORY_LENGTH)
 
 
@@ -111,8 +131,8 @@
     """
     if load.slowness == 1.0:
         return 1.0
-    idle_ms = max(0, now_ms - load.slowness_ms)
-    return 1.0 + (load.slowness - 1.0) * _faded(idle_ms, SLOWNESS_HALF_LIFE_MS)
+    fade: float = 0.5 ** ((now_ms - load.slowness_ms) / SLOWNESS_HALF_LIFE_MS)
+    return 1.0 + (load.slowness - 1.0) * fade
 
 
 def take_report(
@@ -120,7 +140,7 @@
 ) -> None:
     """Take in a report, less the attempts of this process that it counts."""
     taken_ms = now_ms - max(0, report.age_ms)
-    if load.others_ms is not None and taken_ms < load.others_ms:
+    if taken_ms < load.others_ms:
         return
     if report.capacity > 0:
         load.capacity = report.capacity
@@ -135,9 +155,7 @@
 
     A report loses weight with its age in favour of the pool's mean.
     """
-    if load.others_ms is None:
-        return pool.mean_others
-    weight = _faded(max(0, now_ms - load.others_ms), REPORT_HALF_LIFE_MS)
+    weight: float = 0.5 ** ((now_ms - load.others_ms) / REPORT_HALF_LIFE_MS)
     return pool.mean_others + (load.others - pool.mean_others) * weight
 
 
@@ -145,32 +163,27 @@
     pool: PoolLoad,
     load: ServerLoad,
     usual_ms: float,
-    saved_share: float,
     now_ms: int,
 ) -> tuple[float, float]:
     """Return the estimated time to finish one more attempt and the utilisation.
 
-    ``usual_ms`` is the pool's usual time for an attempt of this size, of which a
-    warm prefix saves ``saved_share``. A batch slows down as it fills; beyond the
-    capacity attempts wait for one another.
+    ``usual_ms`` is the pool's usual time for an attempt of this size. A batch slows
+    down as it fills; beyond the capacity attempts wait for one another.
     """
     own = (load.in_flight + load.in_flight_weight / pool.mean_weight) / 2
     busy = own + others_in_flight(pool, load, now_ms)
     utilisation = busy / load.capacity
-    service_ms = usual_ms * (1.0 - saved_share) * (1.0 + utilisation)
-    waiting = max(0.0, busy + 1.0 - load.capacity) / load.capacity
-    wait_ms = waiting * (pool.mean_ms or usual_ms)
-    return (service_ms + wait_ms) * slowness(load, now_ms), utilisation
+    finish_ms = usual_ms * (1.0 + utilisation)
+    waiting = busy + 1.0 - load.capacity
+    if waiting > 0.0:
+        finish_ms += waiting / load.capacity * (pool.mean_ms or usual_ms)
+    return finish_ms * slowness(load, now_ms), utilisation
 
 
 def _size_class(size_tokens: int) -> int:
     return max(0, size_tokens).bit_length()
 
 
-def _faded(passed_ms: int, half_life_ms: int) -> float:
-    return float(0.5 ** (passed_ms / half_life_ms))
-
-
 def _in_flight_at(load: ServerLoad, at_ms: int) -> int:
     for changed_ms, in_flight in reversed(load.history):
         if changed_ms <= at_ms:
