--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m pytest -n 6 $(PYTEST_ARGS)
 
 lint: setup  ## Formatter, linter and types, as CI runs them.
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests scripts
+	$(BIN)/ruff check src tests scripts
 	$(BIN)/mypy
 
 format: setup
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests scripts
+	$(BIN)/ruff check --fix src tests scripts
 
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/src/bramleyturn/bench/ledgers.py
@@ -0,0 +1,55 @@
+"""Read from the backend server stand-ins what truly ran."""
+
+from collections import Counter
+from typing import Final, NamedTuple
+
+import orjson
+from treq.client import HTTPClient
+from twisted.internet.interfaces import IReactorTime
+
+from bramleyturn.bench.http_calls import Broken, call
+from bramleyturn.bench.verdicts import RunKey
+from bramleyturn.core.model import Configuration, PoolKind, Server
+
+READ_TIMEOUT_MS: Final = 10_000
+HTTP_OK: Final = 200
+
+
+class UnreadLedger(NamedTuple):
+    """Tell which ledger could not be read, and why."""
+
+    server: str
+    reason: str
+
+
+async def read_runs(
+    client: HTTPClient, reactor: IReactorTime, configuration: Configuration
+) -> Counter[RunKey] | UnreadLedger:
+    """Return how often each call ran, over all servers of plain pools."""
+    runs: Counter[RunKey] = Counter()
+    for server in configuration.servers.values():
+        if configuration.pools[server.pool].kind is not PoolKind.PLAIN:
+            continue
+        ran = await _read_ledger(client, reactor, server)
+        if isinstance(ran, UnreadLedger):
+            return ran
+        runs.update(ran)
+    return runs
+
+
+async def _read_ledger(
+    client: HTTPClient, reactor: IReactorTime, server: Server
+) -> list[RunKey] | UnreadLedger:
+    response = await call(
+        client,
+        reactor,
+        "GET",
+        f"http://{server.address}/standin/ledger",
+        timeout_ms=READ_TIMEOUT_MS,
+    )
+    if isinstance(response, Broken):
+        return UnreadLedger(server.name, response.reason)
+    if response.status != HTTP_OK:
+        return UnreadLedger(server.name, f"status {response.status}")
+    entries = orjson.loads(response.body)["entries"]
+    return [RunKey(server.pool, entry["input_digest"]) for entry in entries]
