--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -31,6 +31,7 @@
 OPERATORS: Final = "operators"
 HTTP_TIMEOUT_S: Final = 10.0
 PLATFORM: Final = "platform"
+CONTROL: Final = "platform-control"
 
 
 class FleetPlan(NamedTuple):
@@ -69,7 +70,6 @@
         self.plan = plan
         self.processes = ProcessGroup(plan.folder / "logs")
         self.addresses: dict[str, str] = {}
-        self.control = ""
         self.servers: tuple[FleetServer, ...] = ()
         self.files: dict[str, str] = {}
         self.leaving: set[str] = set()
@@ -161,13 +161,17 @@
 def publish_files(fleet: Fleet) -> None:
     """Publish the folder of the fleet under the next revision."""
     _write_published(fleet)
-    put_json(f"http://{fleet.control}/standin/config", {"files": fleet.files})
+    put_json(
+        f"http://{fleet.addresses[CONTROL]}/standin/config", {"files": fleet.files}
+    )
 
 
 def publish_instances(fleet: Fleet) -> None:
     """Publish the instance list."""
     instances = [each._asdict() for each in fleet_instances(fleet)]
-    put_json(f"http://{fleet.control}/standin/instances", {"instances": instances})
+    put_json(
+        f"http://{fleet.addresses[CONTROL]}/standin/instances", {"instances": instances}
+    )
 
 
 def fleet_instances(fleet: Fleet) -> list[Instance]:
@@ -238,12 +242,12 @@
         text = standin_text(servers, ledgers, fleet.plan.standin_values)
         _start(fleet, process, "standin", text)
     for process in groups:
-        _keep_server_addresses(fleet, process)
+        _keep_addresses(fleet, process)
 
 
-def _keep_server_addresses(fleet: Fleet, process: str) -> None:
-    line = fleet.processes.wait_for_ready_line(process)
-    addresses = line["servers"]
+def _keep_addresses(fleet: Fleet, process: str) -> None:
+    """Keep the address of each stand-in that ``process`` hosts."""
+    addresses = fleet.processes.wait_for_ready_line(process)["addresses"]
     assert isinstance(addresses, dict)
     fleet.addresses.update(addresses)
 
@@ -251,9 +255,7 @@
 def _start_platform(fleet: Fleet) -> None:
     text = ini_text({"platform": {"listen": ANY_PORT, "control": ANY_PORT}})
     _start(fleet, PLATFORM, "standin", text)
-    line = fleet.processes.wait_for_ready_line(PLATFORM)
-    fleet.addresses[PLATFORM] = str(line["address"])
-    fleet.control = str(line["control"])
+    _keep_addresses(fleet, PLATFORM)
 
 
 def _start_instances(fleet: Fleet, role: str) -> None:
@@ -306,6 +308,5 @@
         "keys": {name: workspace_key(name) for name in WORKSPACES},
         "settings": str(fleet.plan.folder / "published"),
         "addresses": fleet.addresses,
-        "control": fleet.control,
     }
     description_path(fleet).write_text(json.dumps(document, indent=2), "utf-8")
