Connect the load tool to IP numbers without waiting for further addresses

A load against a closed port ended with a traceback: a time-out while connecting surfaces as ConnectingCancelledError, which was not among the broken connections. The time-out itself came from Agent's endpoint for host names, which waits 0.3 s for further addresses after a refusal.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -127,6 +127,19 @@
 
 def start_fleet(fleet: Fleet) -> None:
     """Start every process, publish what it needs, and wait until it is ready."""
+    start_standins(fleet)
+    _start_instances(fleet, "watch")
+    _start_instances(fleet, "entry")
+    if fleet.plan.admins:
+        _start_admins(fleet)
+    publish_instances(fleet)
+    write_description(fleet, fleet.entry_addresses())
+    for name in fleet.entry_names():
+        wait_for_entry(fleet, name)
+
+
+def start_standins(fleet: Fleet) -> None:
+    """Start the backend servers and the platform, and publish the configuration."""
     plan = fleet.plan
     fleet.files = {**read_folder(plan.settings), **plan.extra_files}
     fleet.servers = servers_in_zones(fleet.files, plan.zones)
@@ -134,14 +147,6 @@
     _start_platform(fleet)
     fleet.files[SERVERS_FILE] = published_servers_text(fleet.servers, fleet.addresses)
     publish_files(fleet)
-    _start_instances(fleet, "watch")
-    _start_instances(fleet, "entry")
-    if plan.admins:
-        _start_admins(fleet)
-    publish_instances(fleet)
-    _write_description(fleet)
-    for name in fleet.entry_names():
-        wait_for_entry(fleet, name)
 
 
 def wait_for_entry(fleet: Fleet, name: str) -> None:
@@ -302,9 +307,10 @@
         (folder / name).write_text(text, "utf-8")
 
 
-def _write_description(fleet: Fleet) -> None:
+def write_description(fleet: Fleet, entries: tuple[str, ...]) -> None:
+    """Write the file by which the load tool finds ``entries`` and the servers."""
     document = {
-        "entries": fleet.entry_addresses(),
+        "entries": entries,
         "keys": {name: workspace_key(name) for name in WORKSPACES},
         "settings": str(fleet.plan.folder / "published"),
         "addresses": fleet.addresses,
--- a/src/bramleyturn/bench/http_calls.py
+++ b/src/bramleyturn/bench/http_calls.py
@@ -6,17 +6,34 @@
 import treq
 from treq.client import HTTPClient
 from twisted.internet import defer, error
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed
+from twisted.web.client import (  # type: ignore[attr-defined]
+    URI,
+    Agent,
+    HTTPConnectionPool,
+    RequestGenerationFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
+    ResponseFailed,
+)
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 CONNECT_TIMEOUT_S: Final = 3.0
 MAX_CONNECTIONS_PER_HOST: Final = 256
 
 BROKEN: Final = (
     error.ConnectError,
+    error.ConnectingCancelledError,
     error.ConnectionClosed,
+    RequestGenerationFailed,
+    RequestNotSent,
+    RequestTransmissionFailed,
     ResponseFailed,
+    PotentialDataLoss,
     defer.CancelledError,
     defer.TimeoutError,
     error.TimeoutError,
@@ -37,13 +54,30 @@
     reason: str
 
 
+@implementer(IAgentEndpointFactory)
+class IpEndpoints:
+    """Connect to IP numbers.
+
+    Endpoints for host names wait for further addresses after a refused connection.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint:  # noqa: N802
+        """Return the endpoint of the IP number and port in ``uri``."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self.reactor, host, uri.port, CONNECT_TIMEOUT_S)
+
+
 def create_client(reactor: Any) -> HTTPClient:
     """Return a client with persistent connections."""
     pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_HOST
-    agent: Any = Agent(  # type: ignore[no-untyped-call]
-        reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool
+    endpoints = IpEndpoints(reactor)
+    agent: Any = Agent.usingEndpointFactory(  # type: ignore[no-untyped-call]
+        reactor, endpoints, pool=pool
     )
     return HTTPClient(agent)
 
