--- /dev/null
+++ b/tests/core/test_poison.py
@@ -0,0 +1,140 @@
+"""Tests of finding requests that crash servers."""
+
+import json
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyturn.core.poison import (
+    KEPT_MS,
+    MAX_CRASHES,
+    Clear,
+    Convicted,
+    CrashHint,
+    Suspects,
+    connection_lost,
+    export_hints,
+    import_hints,
+    request_fingerprint,
+    request_finished,
+    verdict,
+)
+
+CASES: Final[list[dict[str, Any]]] = json.loads(
+    (Path(__file__).parent / "data" / "verdicts.json").read_text()
+)
+
+
+def play(suspects: Suspects, events: list[list[Any]]) -> int:
+    """Apply the events and return the time of the last one."""
+    now_ms = 0
+    for kind, *values in events:
+        if kind == "expire":
+            now_ms += KEPT_MS
+            continue
+        now_ms = values[-1]
+        if kind == "lost":
+            connection_lost(suspects, *values)
+        elif kind == "finished":
+            request_finished(suspects, *values)
+        else:
+            hint = CrashHint(values[0], tuple(values[1]), values[2])
+            import_hints(suspects, [hint], now_ms)
+    return now_ms
+
+
+class TestVerdict:
+    @pytest.mark.parametrize("case", CASES, ids=lambda case: str(case["case"]))
+    def test_stated_case(self, case: dict[str, Any]) -> None:
+        suspects = Suspects()
+        now_ms = play(suspects, case["events"])
+        found = verdict(suspects, case["fingerprint"], now_ms)
+        assert type(found).__name__ == case["verdict"]
+
+    def test_conviction_ends(self) -> None:
+        suspects = Suspects()
+        connection_lost(suspects, "s1", ["p"], 0)
+        connection_lost(suspects, "s2", ["p"], 1_000)
+        found = verdict(suspects, "p", 1_000)
+        assert isinstance(found, Convicted)
+        assert found.servers == ("s1", "s2")
+        assert not isinstance(verdict(suspects, "p", found.until_ms), Convicted)
+
+
+class TestFingerprint:
+    def test_parts_do_not_run_together(self) -> None:
+        assert request_fingerprint("ab", "c", b"d") != request_fingerprint(
+            "a", "bc", b"d"
+        )
+
+
+class TestHints:
+    @settings(derandomize=True, max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["s1", "s2", "s3"]),
+                st.frozensets(st.sampled_from("abcd"), min_size=1),
+            ),
+            max_size=6,
+        ),
+        st.integers(0, 2**32),
+    )
+    def test_order_of_hints_changes_no_verdict(
+        self, crashes: list[tuple[str, frozenset[str]]], seed: int
+    ) -> None:
+        hints = [
+            CrashHint(server, tuple(sorted(names)), 10_000 * index)
+            for index, (server, names) in enumerate(crashes)
+        ]
+        in_order, shuffled = Suspects(), Suspects()
+        import_hints(in_order, hints, 100_000)
+        Random(seed).shuffle(hints)
+        import_hints(shuffled, hints + hints, 100_000)
+        for name in "abcd":
+            assert verdict(in_order, name, 100_000) == verdict(shuffled, name, 100_000)
+
+    def test_state_is_bounded(self) -> None:
+        suspects = Suspects()
+        for number in range(2 * MAX_CRASHES):
+            connection_lost(suspects, f"s{number}", [f"p{number}"], number * 10)
+        assert len(suspects.crashes) <= MAX_CRASHES
+        assert len(export_hints(suspects, 10_000)) <= MAX_CRASHES
+        last = 2 * MAX_CRASHES - 1
+        assert not isinstance(verdict(suspects, f"p{last}", 10_000), Clear)
+
+
+class TestCostOfOnePoisonRequest:
+    @pytest.mark.parametrize("seed", range(20))
+    def test_two_servers_and_innocents_are_answered(self, seed: int) -> None:
+        """Send one poison request again and again at random entries."""
+        random = Random(seed)
+        entries = [Suspects() for _ in range(20)]
+        crashed = 0
+        now_ms = 0
+        innocents: list[tuple[int, str]] = []
+        for number in range(30):
+            now_ms += 2_000
+            entry = random.randrange(len(entries))
+            found = verdict(entries[entry], "poison", now_ms)
+            if isinstance(found, Convicted):
+                continue
+            neighbours = [f"innocent-{number}-{index}" for index in range(5)]
+            if not isinstance(found, Clear):
+                neighbours = []
+            crashed += 1
+            connection_lost(
+                entries[entry], f"s{number}", ["poison", *neighbours], now_ms
+            )
+            innocents += [(entry, name) for name in neighbours]
+            hints = export_hints(entries[entry], now_ms)
+            for other in entries:
+                import_hints(other, hints, now_ms + 5)
+        assert crashed <= 2, f"seed {seed}"
+        assert innocents
+        for entry, name in innocents:
+            assert not isinstance(verdict(entries[entry], name, now_ms), Convicted)
