--- a/src/bramleyturn/bench/http_calls.py
+++ b/src/bramleyturn/bench/http_calls.py
@@ -72,13 +72,11 @@
 
 def create_client(reactor: Any) -> HTTPClient:
     """Return a client with persistent connections."""
-    pool = HTTPConnectionPool(reactor, persistent=True)  # type: ignore[no-untyped-call]
+    pool = HTTPConnectionPool(reactor, persistent=True)
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_HOST
     endpoints = IpEndpoints(reactor)
-    agent: Any = Agent.usingEndpointFactory(  # type: ignore[no-untyped-call]
-        reactor, endpoints, pool=pool
-    )
+    agent: Any = Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
     return HTTPClient(agent)
 
 
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -402,7 +402,7 @@
     return OutputArrived(
         attempt_id=event.attempt_id,
         echoed_id=event.echoed_id,
-        output=" ".join(progress.tokens),
+        output="".join(progress.tokens),
         tokens=event.total - attempt.resume_offset,
     )
 
--- a/src/bramleyturn/standin/json_http.py
+++ b/src/bramleyturn/standin/json_http.py
@@ -73,13 +73,13 @@
 
 def set_header(request: Request, name: bytes, value: bytes) -> None:
     """Set a header of the answer."""
-    request.setHeader(name, value)  # type: ignore[no-untyped-call]
+    request.setHeader(name, value)
 
 
 def write(request: Request, data: bytes) -> None:
     """Write a part of the answer, unless the caller is gone."""
     if connected(request):
-        request.write(data)  # type: ignore[no-untyped-call]
+        request.write(data)
 
 
 def bad_request(request: Request, reason: str) -> bytes:
@@ -109,4 +109,4 @@
 def hang_up(request: Request) -> None:
     """Close the caller's connection without ending the answer."""
     if connected(request):
-        request.loseConnection()  # type: ignore[no-untyped-call]
+        request.loseConnection()
--- a/src/bramleyturn/standin/ports.py
+++ b/src/bramleyturn/standin/ports.py
@@ -12,21 +12,19 @@
 
 def listen(reactor: PosixReactorBase, address: Listen, factory: Any) -> Port:
     """Return a port that serves the protocol ``factory`` at ``address``."""
-    port = reactor.listenTCP(  # type: ignore[no-untyped-call]
-        address.port, factory, BACKLOG, address.host
-    )
+    port = reactor.listenTCP(address.port, factory, BACKLOG, address.host)
     assert isinstance(port, Port)
     return port
 
 
 def stop_listening(port: Port) -> None:
     """Refuse new connections to ``port``; those that are open stay."""
-    port.stopListening()  # type: ignore[no-untyped-call]
+    port.stopListening()
 
 
 def port_number(port: Port) -> int:
     """Return the TCP port that ``port`` listens at."""
-    return int(port.getHost().port)  # type: ignore[no-untyped-call]
+    return int(port.getHost().port)
 
 
 def address_of(port: Port) -> str:
--- a/src/bramleyturn/standin/process.py
+++ b/src/bramleyturn/standin/process.py
@@ -37,7 +37,7 @@
     root = logging.getLogger()
     root.addHandler(handler)
     root.setLevel(logging.WARNING)
-    PythonLoggingObserver().start()  # type: ignore[no-untyped-call]
+    PythonLoggingObserver().start()
 
 
 def run(reactor: PosixReactorBase, host: Callable[[], dict[str, Any]]) -> None:
