--- /dev/null
+++ b/src/bramleyturn/core/arrivals.py
@@ -0,0 +1,193 @@
+"""Start a request that arrives, join it to a running one, or find where it belongs."""
+
+from typing import Final, NamedTuple
+
+import orjson
+
+from bramleyturn.core.actions import (
+    Action,
+    Answer,
+    ForwardAnswer,
+    TicketNeeded,
+    TicketRefused,
+)
+from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.events import RequestArrived
+from bramleyturn.core.forwarding import start_forward
+from bramleyturn.core.kept import OutcomeKey, find_outcome
+from bramleyturn.core.model import Pipeline, Workspace
+from bramleyturn.core.outcomes import Outcome, not_run
+from bramleyturn.core.peers import choose_backup
+from bramleyturn.core.requests import accept_request, digest_input, join_known_request
+from bramleyturn.core.ticket_messages import InputDiffers, PrimaryGone
+from bramleyturn.core.ticket_primary import (
+    Joined,
+    Kept,
+    NotIssued,
+    Started,
+    TicketRefusal,
+    receive_ticket,
+)
+from bramleyturn.core.ticket_primary import (
+    TicketRefused as RefusedTicket,
+)
+from bramleyturn.core.ticket_primary import (
+    issue_ticket as issue_from,
+)
+from bramleyturn.core.tickets import (
+    Ticket,
+    TicketRejected,
+    decode_ticket,
+    encode_ticket,
+)
+
+CHANGED_RETRY_AFTER_MS: Final = 1_000
+
+
+class IssuedTicket(NamedTuple):
+    """Hold the text of a new ticket."""
+
+    text: str
+    expires_in_ms: int
+
+
+class StillRunning(NamedTuple):
+    """Tell that a request has no outcome yet."""
+
+
+def request_arrived(
+    state: EntryState, event: RequestArrived, now_ms: int
+) -> list[Action]:
+    """Start a request, join it to a running one, or send it to its primary."""
+    workspace = state.configuration.workspaces.get(event.workspace)
+    pipeline = state.configuration.pipelines.get(event.pipeline)
+    if workspace is None or pipeline is None:
+        changed = not_run("configuration_changed", CHANGED_RETRY_AFTER_MS)
+        return [Answer(event.waiter, event.request_id, changed)]
+    digest = digest_input(pipeline.name, orjson.dumps(event.input))
+    if not pipeline.repeatable:
+        return ticketed_request(state, event, workspace, pipeline, digest, now_ms)
+    joined = join_known_request(state, event, digest, now_ms)
+    if joined is not None:
+        return joined
+    return accept_request(state, event, workspace, pipeline, digest, None, now_ms)
+
+
+def ticketed_request(
+    state: EntryState,
+    event: RequestArrived,
+    workspace: Workspace,
+    pipeline: Pipeline,
+    digest: bytes,
+    now_ms: int,
+) -> list[Action]:
+    """Run a request that may not be repeated if this process holds its ticket."""
+    if not event.ticket:
+        return [offer_ticket(state, event, now_ms)]
+    tickets = state.configuration.tickets
+    ticket = decode_ticket(
+        event.ticket, (tickets.key, tickets.previous_key), workspace.name, pipeline.name
+    )
+    if isinstance(ticket, TicketRejected):
+        return [TicketRefused(event.waiter, event.request_id, ticket.reason)]
+    received = receive_ticket(state.primary_tickets, ticket, digest.hex(), now_ms)
+    match received:
+        case Started():
+            actions = accept_request(
+                state, event, workspace, pipeline, digest, ticket.number, now_ms
+            )
+            note_running_ticket(state, event.waiter, ticket.number)
+            return actions
+        case Joined():
+            return join_ticket(state, event, ticket.number)
+        case Kept(outcome):
+            return [Answer(event.waiter, event.request_id, outcome)]
+    return refused_ticket(state, event, ticket, received, digest, now_ms)
+
+
+def offer_ticket(
+    state: EntryState, event: RequestArrived, now_ms: int
+) -> TicketNeeded | Answer:
+    """Return a ticket for a request that came without one."""
+    issued = issue_ticket(state, event.workspace, event.pipeline, now_ms)
+    if isinstance(issued, NotIssued):
+        refusal = not_run("too_many_tickets", issued.retry_after_ms)
+        return Answer(event.waiter, event.request_id, refusal)
+    return TicketNeeded(
+        event.waiter, event.request_id, issued.text, issued.expires_in_ms
+    )
+
+
+def note_running_ticket(state: EntryState, waiter: str, number: int) -> None:
+    """Remember which running request a ticket belongs to, if it still runs."""
+    key = state.request_by_waiter.get(waiter)
+    if key is not None:
+        state.request_by_ticket[number] = key
+
+
+def join_ticket(state: EntryState, event: RequestArrived, number: int) -> list[Action]:
+    """Let a later copy of a ticketed request wait for the running one."""
+    request = state.requests[state.request_by_ticket[number]]
+    request.waiters.add(event.waiter)
+    state.request_by_waiter[event.waiter] = request.key
+    return []
+
+
+def refused_ticket(
+    state: EntryState,
+    event: RequestArrived,
+    ticket: Ticket,
+    refused: RefusedTicket,
+    digest: bytes,
+    now_ms: int,
+) -> list[Action]:
+    """Answer for a ticket that starts nothing here, or ask where it belongs."""
+    if refused.outcome is not None:
+        return [Answer(event.waiter, event.request_id, refused.outcome)]
+    if refused.reason is TicketRefusal.INPUT_DIFFERS:
+        if event.is_forwarded:
+            return [ForwardAnswer(event.waiter, event.request_id, InputDiffers())]
+        return [TicketRefused(event.waiter, event.request_id, refused.reason)]
+    if event.is_forwarded:
+        gone = PrimaryGone(ticket.primary.incarnation)
+        return [ForwardAnswer(event.waiter, event.request_id, gone)]
+    return start_forward(state, event, ticket, digest.hex(), now_ms)
+
+
+def issue_ticket(
+    state: EntryState, workspace: str, pipeline: str, now_ms: int
+) -> IssuedTicket | NotIssued:
+    """Return a ticket that makes this process the primary of one request."""
+    settings = state.configuration.tickets
+    ticket = issue_from(
+        state.primary_tickets,
+        workspace,
+        pipeline,
+        choose_backup(state.peers, state.zone, now_ms, state.random),
+        now_ms,
+        settings.lifetime_ms,
+        settings.margin_ms,
+    )
+    if isinstance(ticket, NotIssued):
+        return ticket
+    return IssuedTicket(encode_ticket(ticket, settings.key), settings.lifetime_ms)
+
+
+def kept_outcome(
+    state: EntryState, workspace: str, request_id: str, now_ms: int
+) -> Outcome | StillRunning | None:
+    """Return what this process knows of a request of a workspace."""
+    key = OutcomeKey(workspace, request_id)
+    if key in state.running_by_id:
+        return StillRunning()
+    kept = find_outcome(state.kept, key, now_ms)
+    return kept.outcome if kept is not None else None
+
+
+def forget_waiter(state: EntryState, waiter: str) -> list[Action]:
+    """Let a request run on without a caller: its outcome can be collected later."""
+    key = state.request_by_waiter.pop(waiter, None)
+    request = state.requests.get(key) if key is not None else None
+    if request is not None:
+        request.waiters.discard(waiter)
+    return []
--- /dev/null
+++ b/src/bramleyturn/core/attempt_results.py
@@ -0,0 +1,215 @@
+"""Write down how attempts end."""
+
+from typing import Final
+
+from bramleyturn.core.actions import Action, CancelAttempt
+from bramleyturn.core.cost import Charge, attempt_cost_micros, charge
+from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.events import AttemptBroke, BreakReason, OutputArrived
+from bramleyturn.core.latency import record_stage
+from bramleyturn.core.permission import settle_stage, take_back_dispatch
+from bramleyturn.core.poison import connection_lost, request_finished
+from bramleyturn.core.progress import Attempt, RunningRequest, StageProgress, StageState
+from bramleyturn.core.routing import (
+    AttemptEnd,
+    AttemptVerdict,
+    attempt_ended,
+    server_leaving,
+)
+from bramleyturn.core.timeline import EventKind, record
+
+_VERDICTS: Final = {
+    BreakReason.NOT_CONNECTED: AttemptVerdict.LOST,
+    BreakReason.NOT_STARTED: AttemptVerdict.REFUSED,
+    BreakReason.ERROR_ANSWER: AttemptVerdict.FAILED,
+    BreakReason.LOST: AttemptVerdict.LOST,
+    BreakReason.CUT: AttemptVerdict.LOST,
+    BreakReason.WRONG_ANSWER: AttemptVerdict.FAILED,
+    BreakReason.TIMED_OUT: AttemptVerdict.FAILED,
+}
+_NOTHING_RAN: Final = frozenset({BreakReason.NOT_CONNECTED, BreakReason.NOT_STARTED})
+
+
+def end_attempt(
+    state: EntryState,
+    attempt: Attempt,
+    verdict_of_attempt: AttemptVerdict,
+    tokens: int,
+    now_ms: int,
+    *,
+    wasted: bool,
+) -> None:
+    """Take an attempt off the books and charge it."""
+    del state.attempts[attempt.attempt_id]
+    elapsed_ms = now_ms - attempt.started_ms
+    attempt_ended(
+        state.routing,
+        attempt.server.name,
+        AttemptEnd(verdict_of_attempt, elapsed_ms, attempt.size_tokens),
+        now_ms,
+    )
+    request = state.requests[attempt.request_key]
+    progress = request.stages[attempt.stage]
+    progress.attempt_ids.remove(attempt.attempt_id)
+    micros = attempt_cost_micros(attempt.pool, tokens)
+    progress.cost_micros += micros
+    request.cost_micros += micros
+    charge(
+        state.costs,
+        Charge(
+            request.workspace.name,
+            request.pipeline.name,
+            attempt.stage,
+            micros,
+            wasted,
+        ),
+    )
+    record(
+        state.timeline,
+        EventKind.ATTEMPT_ENDED,
+        now_ms,
+        request_id=request.request_id,
+        stage=attempt.stage,
+        attempt_id=attempt.attempt_id,
+        detail=str(verdict_of_attempt),
+        cause=attempt.attempt_id,
+    )
+
+
+def cancel_attempts(
+    state: EntryState, progress: StageProgress, now_ms: int
+) -> list[Action]:
+    """Cancel whatever of a stage still runs. What was sent is charged."""
+    actions: list[Action] = []
+    for attempt_id in tuple(progress.attempt_ids):
+        attempt = state.attempts[attempt_id]
+        actions.append(CancelAttempt(attempt_id, attempt.server))
+        end_attempt(
+            state,
+            attempt,
+            AttemptVerdict.CANCELLED,
+            len(progress.tokens) - attempt.resume_offset,
+            now_ms,
+            wasted=True,
+        )
+    return actions
+
+
+def output_arrived(
+    state: EntryState, event: OutputArrived, now_ms: int
+) -> tuple[RunningRequest, list[Action]] | AttemptBroke | None:
+    """Accept the output of a stage and cancel its other attempts."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        drop_late(state, event.attempt_id, now_ms)
+        return None
+    if event.echoed_id != event.attempt_id:
+        return wrong_answer(state, event.attempt_id, "another attempt's id")
+    request = state.requests[attempt.request_key]
+    progress = request.stages[attempt.stage]
+    end_attempt(state, attempt, AttemptVerdict.OK, event.tokens, now_ms, wasted=False)
+    actions = cancel_attempts(state, progress, now_ms)
+    progress.state = StageState.ANSWERED
+    progress.output = event.output
+    progress.ended_ms = now_ms
+    progress.outcome_is_certain = True
+    progress.tokens = []
+    request_finished(state.suspects, attempt.fingerprint, now_ms)
+    settle_stage(state, request, progress, now_ms)
+    record_stage(
+        state.latencies,
+        request.pipeline.name,
+        attempt.stage,
+        now_ms - progress.started_ms,
+    )
+    record(
+        state.timeline,
+        EventKind.STAGE_ENDED,
+        now_ms,
+        request_id=request.request_id,
+        stage=attempt.stage,
+        attempt_id=attempt.attempt_id,
+        cause=attempt.attempt_id,
+    )
+    return request, actions
+
+
+def attempt_broke(
+    state: EntryState, event: AttemptBroke, now_ms: int
+) -> tuple[RunningRequest, StageProgress] | None:
+    """Write down that an attempt ended without an answer.
+
+    Returns the stage it leaves without any running attempt, if it does.
+    """
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        drop_late(state, event.attempt_id, now_ms)
+        return None
+    request = state.requests[attempt.request_key]
+    progress = request.stages[attempt.stage]
+    if event.reason is BreakReason.LOST:
+        suspect_inputs(state, attempt, now_ms)
+    if event.leaving:
+        server_leaving(state.routing, attempt.server.name, now_ms)
+    received = max(0, len(progress.tokens) - attempt.resume_offset)
+    end_attempt(
+        state,
+        attempt,
+        _VERDICTS[event.reason],
+        received,
+        now_ms,
+        wasted=event.reason not in _NOTHING_RAN,
+    )
+    if event.reason is BreakReason.NOT_CONNECTED and attempt.is_written:
+        take_back_dispatch(state, request, attempt.stage)
+    if attempt.is_written:
+        settle_certainty(progress, event.reason)
+    if progress.attempt_ids:
+        return None
+    progress.ended_ms = now_ms
+    progress.state = StageState.FAILED
+    if event.reason is not BreakReason.NOT_CONNECTED:
+        settle_stage(state, request, progress, now_ms)
+    return request, progress
+
+
+def settle_certainty(progress: StageProgress, reason: BreakReason) -> None:
+    """Write down whether the stage may have run, as far as its last attempt tells.
+
+    An attempt that never reached its backend server, or was answered as not started,
+    did not run. An error answer is certain: the stage ran and failed.
+    """
+    if reason in _NOTHING_RAN:
+        progress.possible_runs -= 1
+        progress.outcome_is_certain = not progress.possible_runs
+        return
+    progress.outcome_is_certain = reason is BreakReason.ERROR_ANSWER
+
+
+def suspect_inputs(state: EntryState, attempt: Attempt, now_ms: int) -> None:
+    """Suspect every input that was on a backend server whose connection was lost."""
+    on_server = [
+        other.fingerprint
+        for other in state.attempts.values()
+        if other.server.name == attempt.server.name
+    ]
+    connection_lost(state.suspects, attempt.server.name, on_server, now_ms)
+
+
+def wrong_answer(state: EntryState, attempt_id: str, detail: str) -> AttemptBroke:
+    """Count a wrong answer and return the event that ends its attempt."""
+    state.counters.wrong_answers_dropped += 1
+    return AttemptBroke(attempt_id, BreakReason.WRONG_ANSWER, detail, None, False)
+
+
+def drop_late(state: EntryState, attempt_id: str, now_ms: int) -> None:
+    """Count an answer to an attempt that has already ended."""
+    state.counters.late_answers_dropped += 1
+    record(
+        state.timeline,
+        EventKind.ANSWER_DROPPED,
+        now_ms,
+        attempt_id=attempt_id,
+        detail="late",
+        cause=attempt_id,
+    )
--- /dev/null
+++ b/src/bramleyturn/core/news.py
@@ -0,0 +1,41 @@
+"""Take in news of the configuration and of the backend servers."""
+
+from bramleyturn.core.actions import Action
+from bramleyturn.core.admission import update_limits
+from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.events import ServersListed
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.routing import apply_servers, server_back, server_leaving
+from bramleyturn.core.timeline import EventKind, record
+
+
+def accept_configuration(
+    state: EntryState, configuration: Configuration, now_ms: int
+) -> list[Action]:
+    """Put a newer configuration in force. Older ones change nothing."""
+    if configuration.revision <= state.configuration.revision:
+        return []
+    state.configuration = configuration
+    apply_servers(state.routing, configuration, now_ms)
+    update_limits(state.admission, configuration)
+    record(
+        state.timeline,
+        EventKind.CONFIGURATION_IN_FORCE,
+        now_ms,
+        detail=f"revision {configuration.revision}",
+        cause=f"revision-{configuration.revision}",
+    )
+    return []
+
+
+def take_server_list(state: EntryState, event: ServersListed, now_ms: int) -> None:
+    """Take in which backend servers are leaving and which are not.
+
+    Absence from the list says nothing: the list lags.
+    """
+    for server in event.servers:
+        if server.leaving:
+            server_leaving(state.routing, server.name, now_ms)
+        else:
+            shown_ms = now_ms - event.age_ms
+            server_back(state.routing, server.name, shown_ms, now_ms)
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -14,7 +14,7 @@
     release,
     request_admission,
 )
-from bramleyturn.core.attempts import cancel_attempts, may_try_again, schedule_retry
+from bramleyturn.core.attempt_results import cancel_attempts
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
 from bramleyturn.core.kept import KeptOutcome, OutcomeKey, find_outcome, keep_outcome
@@ -33,6 +33,7 @@
     overall_kind,
     stage_outcomes,
 )
+from bramleyturn.core.retries import may_try_again, schedule_retry
 from bramleyturn.core.stages import refused_reason, start_ready_stages
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
--- a/src/bramleyturn/core/stages.py
+++ b/src/bramleyturn/core/stages.py
@@ -5,11 +5,7 @@
 import orjson
 
 from bramleyturn.core.actions import Action
-from bramleyturn.core.attempts import (
-    size_of_stage,
-    start_attempt,
-    wait_for_server,
-)
+from bramleyturn.core.attempts import size_of_stage, start_attempt, wait_for_server
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.permission import ask_permission, is_allowed, ticket_record
 from bramleyturn.core.progress import (
--- a/src/bramleyturn/runtime/callers_api.py
+++ b/src/bramleyturn/runtime/callers_api.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from bramleyturn.core.actions import Answer, TicketNeeded, TicketRefused
-from bramleyturn.core.entry import issue_ticket, kept_outcome
+from bramleyturn.core.arrivals import issue_ticket, kept_outcome
 from bramleyturn.core.entry_state import new_key
 from bramleyturn.core.events import RequestArrived, WaiterGone
 from bramleyturn.core.intake import (
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bramleyturn.core.actions import Answer, ForwardAnswer
-from bramleyturn.core.entry import StillRunning, kept_outcome
+from bramleyturn.core.arrivals import StillRunning, kept_outcome
 from bramleyturn.core.events import (
     BackupAsked,
     BackupMessage,
--- a/src/bramleyturn/runtime/request_lookup.py
+++ b/src/bramleyturn/runtime/request_lookup.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred, DeferredList
 
-from bramleyturn.core.entry import StillRunning
+from bramleyturn.core.arrivals import StillRunning
 from bramleyturn.core.outcome_json import parse_outcome
 from bramleyturn.core.outcomes import Outcome
 from bramleyturn.core.peer_message import MessageKind, PeerMessage
