Search all interleavings of the ticket protocol

The search drives the core's own functions. Messages are never taken from the network, so loss, delay, repetition and reordering are covered, and a caller may send any number of copies. Clocks of primary and backup may stop apart from each other.

--- a/src/bramleyturn/core/ticket_asker.py
+++ b/src/bramleyturn/core/ticket_asker.py
@@ -45,11 +45,13 @@
 class Asking(NamedTuple):
     """Hold what an entry knows while it asks for one request.
 
+    ``stages`` names the stages of the pipeline that may not be repeated.
     ``primary_gone`` tells that another incarnation answers at the primary's address.
     """
 
     ticket: Ticket
     input_digest: str
+    stages: tuple[str, ...]
     primary_gone: bool = False
 
 
@@ -86,10 +88,12 @@
 AskStep = AskPrimary | AskBackup | AskLater | Verdict | WrongInput
 
 
-def start_asking(ticket: Ticket, input_digest: str, me: ProcessRef) -> Asking:
+def start_asking(
+    ticket: Ticket, input_digest: str, stages: tuple[str, ...], me: ProcessRef
+) -> Asking:
     """Return the state of an entry that holds a request it is not the primary of."""
     restarted = ticket.primary.address == me.address
-    return Asking(ticket, input_digest, primary_gone=restarted)
+    return Asking(ticket, input_digest, stages, primary_gone=restarted)
 
 
 def resume_asking(asking: Asking) -> AskStep:
@@ -162,13 +166,23 @@
         return asking, AskLater(ASK_AGAIN_MS)
     ended = {stage.name for stage in answer.ended}
     lost = tuple(item for item in answer.intended if item.stage not in ended)
-    stages = answer.ended + tuple(_lost_stage(item) for item in lost)
     outcome = unknown(AskReason.INTENT_RECORDED, _where_to_ask(asking))
-    return asking, Verdict(outcome._replace(stages=stages), cancel=lost)
-
-
-def _lost_stage(intended: IntendedStage) -> StageOutcome:
-    return StageOutcome(intended.stage, OutcomeKind.UNKNOWN, 1, 0, 0)
+    outcome = outcome._replace(stages=_stage_outcomes(asking, answer))
+    return asking, Verdict(outcome, cancel=lost)
+
+
+def _stage_outcomes(
+    asking: Asking, answer: IntentsRecorded
+) -> tuple[StageOutcome, ...]:
+    """Return how each stage ended; one that can't start any more did not run."""
+    known = {stage.name: stage for stage in answer.ended}
+    for item in answer.intended:
+        lost = StageOutcome(item.stage, OutcomeKind.UNKNOWN, 1, 0, 0)
+        known.setdefault(item.stage, lost)
+    rest = OutcomeKind.NOT_RUN if answer.closed else OutcomeKind.UNKNOWN
+    for name in asking.stages:
+        known.setdefault(name, StageOutcome(name, rest, 0, 0, 0))
+    return tuple(known.values())
 
 
 def _where_to_ask(asking: Asking) -> str:
--- a/src/bramleyturn/core/ticket_messages.py
+++ b/src/bramleyturn/core/ticket_messages.py
@@ -148,9 +148,7 @@
 
 
 class PrimaryGone(NamedTuple):
-    """Tell that the incarnation that was asked for no longer runs here."""
-
-    incarnation: str
+    """Tell that the incarnation that was asked for does not run here."""
 
 
 class InputDiffers(NamedTuple):
--- a/src/bramleyturn/core/ticket_primary.py
+++ b/src/bramleyturn/core/ticket_primary.py
@@ -16,7 +16,16 @@
     not_run,
     unknown,
 )
-from bramleyturn.core.ticket_messages import IntendedStage, Intent, OutcomeCopy
+from bramleyturn.core.ticket_messages import (
+    InputDiffers,
+    IntendedStage,
+    Intent,
+    OutcomeCopy,
+    PrimaryAnswer,
+    PrimaryFinished,
+    PrimaryGone,
+    PrimaryRunning,
+)
 from bramleyturn.core.tickets import ProcessRef, Ticket, TicketRef
 
 
@@ -89,16 +98,14 @@
     if find_stage(record, stage) is not None:
         return record
     if record.outcome is not None:
-        return _with_stage(
-            record, StageRecord(stage, StageState.REFUSED, RefusedStage.FINISHED)
-        )
+        refused = StageRecord(stage, StageState.REFUSED, RefusedStage.FINISHED)
+        return _with_stage(record, refused)
     if now_ms >= record.ticket.expires_at_ms:
-        return _with_stage(
-            record, StageRecord(stage, StageState.REFUSED, RefusedStage.EXPIRED)
-        )
-    if record.ticket.backup is None:
-        return _with_stage(record, StageRecord(stage, StageState.ALLOWED))
-    return _with_stage(record, StageRecord(stage, StageState.WAITING))
+        refused = StageRecord(stage, StageState.REFUSED, RefusedStage.EXPIRED)
+        return _with_stage(record, refused)
+    backed = record.ticket.backup is not None
+    state = StageState.WAITING if backed else StageState.ALLOWED
+    return _with_stage(record, StageRecord(stage, state))
 
 
 def acknowledge_stage(
@@ -354,6 +361,19 @@
     return Joined(record)
 
 
+def answer_entry(received: Received, ask_again_ms: int) -> PrimaryAnswer:
+    """Return what to tell the entry that forwarded a copy of a request."""
+    if isinstance(received, Started | Joined):
+        return PrimaryRunning(ask_again_ms)
+    if isinstance(received, Kept):
+        return PrimaryFinished(received.outcome)
+    if received.outcome is not None:
+        return PrimaryFinished(received.outcome)
+    if received.reason is TicketRefusal.INPUT_DIFFERS:
+        return InputDiffers()
+    return PrimaryGone()
+
+
 def store_record(primary: TicketPrimary, record: TicketRecord) -> None:
     """Replace the record of its ticket."""
     primary.records[record.ticket.number] = record
--- /dev/null
+++ b/tests/proofs/test_at_most_once_model.py
@@ -0,0 +1,41 @@
+"""Proof by exhaustive search: at most once, and ``not_run`` is true."""
+
+import pytest
+
+from bramleyturn.bench.ticket_check import SearchTooLargeError, describe, search
+from bramleyturn.bench.ticket_world import Bounds
+from bramleyturn.core.outcomes import OutcomeKind
+from tests.proofs.ticket_variants import VARIANTS
+
+ALL_BOUNDS = {
+    "one stage": Bounds(),
+    "two stages": Bounds(stages=("order", "charge")),
+    "two restarts of each": Bounds(primary_restarts=2, backup_restarts=2),
+    "no backup": Bounds(with_backup=False),
+    "two stages, no backup": Bounds(stages=("order", "charge"), with_backup=False),
+}
+
+
+class TestProtocol:
+    @pytest.mark.parametrize("name", ALL_BOUNDS)
+    def test_keeps_its_promises(self, name: str) -> None:
+        bounds = ALL_BOUNDS[name]
+        found = search(bounds)
+        print(f"{name}: {describe(found)}")
+        assert not found.violation, found.trace
+        assert found.most_runs == len(bounds.stages)
+        assert {OutcomeKind.ANSWERED, OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN} <= (
+            found.told
+        )
+
+    def test_a_search_that_is_cut_off_is_no_proof(self) -> None:
+        with pytest.raises(SearchTooLargeError):
+            search(Bounds(), max_states=10)
+
+
+class TestBrokenVariants:
+    @pytest.mark.parametrize("name", VARIANTS)
+    def test_is_caught(self, name: str) -> None:
+        found = search(Bounds(), VARIANTS[name])
+        print(f"{name}: {describe(found)}")
+        assert found.violation
