Let replaced processes of the ticket model wake again

A process that another one replaced under its address used to end with that. A frozen one may wake, so it now stays in the search.

--- a/src/bramleyturn/bench/ticket_check.py
+++ b/src/bramleyturn/bench/ticket_check.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Annotated, Final, NamedTuple
 
@@ -20,6 +21,7 @@
 from bramleyturn.core.outcomes import OutcomeKind
 
 DEFAULT_STAGES: Final = "order"
+DEFAULT_MAX_STATES: Final = 5_000_000
 
 
 class Search(NamedTuple):
@@ -38,7 +40,10 @@
 
 
 def search(
-    bounds: Bounds, protocol: Protocol | None = None, max_states: int = 5_000_000
+    bounds: Bounds,
+    protocol: Protocol | None = None,
+    max_states: int = DEFAULT_MAX_STATES,
+    broken_promise: Callable[[World, Bounds], str] = violation,
 ) -> Search:
     """Return the result of a breadth-first search that ends at a broken promise.
 
@@ -59,7 +64,7 @@
                 continue
             parents[step.world] = (world, step.name)
             most_runs = max(most_runs, sum(step.world.runs))
-            broken = violation(step.world, bounds)
+            broken = broken_promise(step.world, bounds)
             if broken:
                 trace = _trace(parents, step.world)
                 return Search(
@@ -101,7 +106,7 @@
     ticks: Annotated[int, cappa.Arg(long=True)] = 3
     stages: Annotated[str, cappa.Arg(long=True)] = DEFAULT_STAGES
     no_backup: Annotated[bool, cappa.Arg(long=True)] = False
-    max_states: Annotated[int, cappa.Arg(long=True)] = 5_000_000
+    max_states: Annotated[int, cappa.Arg(long=True)] = DEFAULT_MAX_STATES
 
     def __call__(self) -> None:
         """Print the result; exit with code 1 when a promise is broken."""
--- a/src/bramleyturn/bench/ticket_model.py
+++ b/src/bramleyturn/bench/ticket_model.py
@@ -2,7 +2,8 @@
 
 Every transition calls the core's own functions. Messages are never taken from the
 network: each may be delivered at any time, again, in any order, or not at all. A
-frozen process is one that takes no transition; its clock may stop meanwhile.
+frozen process is one that takes no transition; its clock may stop meanwhile, and
+another may answer in its place before it wakes.
 
 The caller sends any number of copies to any entry from the start on. An entry that
 is not the primary only ever adds messages and answers its caller, and nothing takes
@@ -50,8 +51,27 @@
 ) -> Iterator[Transition]:
     """Yield every step that can follow."""
     yield from _environment_steps(world, bounds)
-    yield from _primary_steps(world, bounds, protocol)
-    yield from _backup_steps(world, bounds, protocol)
+    for primary in world.primaries:
+        others = tuple(other for other in world.primaries if other != primary)
+        turned = world._replace(primaries=(primary, *others))
+        yield from map(_sorted, _primary_steps(turned, bounds, protocol))
+    for backup in world.backups:
+        rest = tuple(other for other in world.backups if other != backup)
+        turned = world._replace(backups=(backup, *rest))
+        yield from map(_sorted, _backup_steps(turned, bounds, protocol))
+
+
+def _sorted(step: Transition) -> Transition:
+    """Return the transition with processes in the order of their incarnations."""
+    world = step.world._replace(
+        primaries=tuple(sorted(step.world.primaries, key=_incarnation)),
+        backups=tuple(sorted(step.world.backups, key=_incarnation)),
+    )
+    return step._replace(world=world)
+
+
+def _incarnation(process: PrimaryState | BackupState) -> int:
+    return process.incarnation
 
 
 def _asking(bounds: Bounds, primary_gone: bool) -> asker.Asking:
@@ -115,33 +135,38 @@
 
 
 def _environment_steps(world: World, bounds: Bounds) -> Iterator[Transition]:
-    primary, backup = world.primary, world.backup
-    primary_ticks = primary.now_ms < bounds.ticks
-    backup_ticks = backup.now_ms < bounds.ticks
-    primary_later = primary._replace(now_ms=primary.now_ms + 1)
-    backup_later = backup._replace(now_ms=backup.now_ms + 1)
-    if primary_ticks and backup_ticks:
-        both = world._replace(primary=primary_later, backup=backup_later)
-        yield Transition("time passes", both)
-    if primary_ticks:
-        yield Transition(
-            "time passes, backup's clock stopped",
-            world._replace(primary=primary_later),
-        )
-    if backup_ticks:
-        yield Transition(
-            "time passes, primary's clock stopped", world._replace(backup=backup_later)
+    yield from _clock_steps(world, bounds)
+    last_primary, last_backup = world.primaries[-1], world.backups[-1]
+    if last_primary.incarnation < bounds.primary_restarts:
+        primary = PrimaryState(
+            last_primary.incarnation + 1, last_primary.now_ms, None, -1
         )
-    if primary.incarnation < bounds.primary_restarts:
-        restarted = PrimaryState(primary.incarnation + 1, primary.now_ms, None, -1)
-        yield Transition("primary restarts", world._replace(primary=restarted))
-    if backup.incarnation < bounds.backup_restarts:
-        again = BackupState(backup.incarnation + 1, backup.now_ms, None, 0)
-        yield Transition("backup restarts", world._replace(backup=again))
+        primaries_then = (*world.primaries, primary)
+        yield Transition("primary replaced", world._replace(primaries=primaries_then))
+    if last_backup.incarnation < bounds.backup_restarts:
+        backup = BackupState(last_backup.incarnation + 1, last_backup.now_ms, None, 0)
+        backups_then = (*world.backups, backup)
+        yield Transition("backup replaced", world._replace(backups=backups_then))
     if not world.messages:
         yield _entry_starts(world, bounds)
 
 
+def _clock_steps(world: World, bounds: Bounds) -> Iterator[Transition]:
+    primary_ticks = world.primary.now_ms < bounds.ticks
+    backup_ticks = world.backup.now_ms < bounds.ticks
+    primary_later = world._replace(
+        primaries=tuple(p._replace(now_ms=p.now_ms + 1) for p in world.primaries)
+    )
+    backups_then = tuple(b._replace(now_ms=b.now_ms + 1) for b in world.backups)
+    if primary_ticks and backup_ticks:
+        yield Transition("time passes", primary_later._replace(backups=backups_then))
+    if primary_ticks:
+        yield Transition("time passes, backup's clock stopped", primary_later)
+    if backup_ticks:
+        later = world._replace(backups=backups_then)
+        yield Transition("time passes, primary's clock stopped", later)
+
+
 def _backup_steps(
     world: World, bounds: Bounds, protocol: Protocol
 ) -> Iterator[Transition]:
@@ -154,7 +179,7 @@
     state = world.backup
     backup = _thaw_backup(state, ticket)
     if protocol.forget_backup_records(backup, state.now_ms):
-        after = world._replace(backup=_freeze_backup(backup, state, ticket))
+        after = _with_backup(world, backup, ticket)
         yield Transition("backup forgets", after)
 
 
@@ -169,15 +194,15 @@
     backup = _thaw_backup(state, ticket)
     if isinstance(message, Revoke):
         answer = protocol.revoke(backup, message, state.now_ms)
-        after = world._replace(backup=_freeze_backup(backup, state, ticket))
+        after = _with_backup(world, backup, ticket)
         return _entry_hears_backup(name, after, bounds, answer)
     messages: frozenset[Message] = world.messages
     if isinstance(message, Intent):
         messages |= {protocol.record_intent(backup, message, state.now_ms)}
     else:
         backups.record_outcome(backup, message, state.now_ms)
-    frozen = _freeze_backup(backup, state, ticket)
-    return Transition(name, world._replace(backup=frozen, messages=messages))
+    after = _with_backup(world, backup, ticket)
+    return Transition(name, after._replace(messages=messages))
 
 
 def _thaw_backup(state: BackupState, ticket: Ticket) -> TicketBackup:
@@ -190,13 +215,12 @@
     return backup
 
 
-def _freeze_backup(
-    backup: TicketBackup, state: BackupState, ticket: Ticket
-) -> BackupState:
-    return state._replace(
+def _with_backup(world: World, backup: TicketBackup, ticket: Ticket) -> World:
+    state = world.backup._replace(
         record=backup.records.get(ticket.ref),
         forgotten=backup.forgotten.get(ticket.primary, 0),
     )
+    return world._replace(backups=(state, *world.backups[1:]))
 
 
 def _primary_steps(
@@ -210,7 +234,7 @@
         yield from _stage_steps(world, record, bounds, protocol)
     primary = _thaw_primary(world.primary)
     if protocol.forget_records(primary, world.primary.now_ms, MARGIN_MS):
-        yield Transition("primary forgets", _freeze_primary(world, primary))
+        yield Transition("primary forgets", _with_primary(world, primary))
 
 
 def _primary_gets(world: World, bounds: Bounds, protocol: Protocol) -> Transition:
@@ -219,7 +243,7 @@
     received = protocol.receive_ticket(
         primary, ticket_of(bounds), DIGEST, world.primary.now_ms
     )
-    after = _freeze_primary(world, primary)
+    after = _with_primary(world, primary)
     if isinstance(received, primaries.Started):
         after = _ask_stage(after, received.record, bounds.stages[0], protocol)
     answer = primaries.answer_entry(received, ask_again_ms=1)
@@ -235,18 +259,18 @@
     return primary
 
 
-def _freeze_primary(world: World, primary: TicketPrimary) -> World:
+def _with_primary(world: World, primary: TicketPrimary) -> World:
     record = next(iter(primary.records.values()), None)
     state = world.primary._replace(
         record=record, forgotten_through_ms=primary.forgotten_through_ms
     )
-    return world._replace(primary=state)
+    return world._replace(primaries=(state, *world.primaries[1:]))
 
 
 def _store(world: World, record: TicketRecord, protocol: Protocol) -> World:
     primary = _thaw_primary(world.primary)
     protocol.store_record(primary, record)
-    return _freeze_primary(world, primary)
+    return _with_primary(world, primary)
 
 
 def _ask_stage(
--- a/src/bramleyturn/bench/ticket_world.py
+++ b/src/bramleyturn/bench/ticket_world.py
@@ -63,7 +63,7 @@
 
 
 class PrimaryState(NamedTuple):
-    """Hold the process at the primary's address."""
+    """Hold one process that runs, or once ran, at the primary's address."""
 
     incarnation: int
     now_ms: int
@@ -72,7 +72,7 @@
 
 
 class BackupState(NamedTuple):
-    """Hold the process at the backup's address."""
+    """Hold one process that runs, or once ran, at the backup's address."""
 
     incarnation: int
     now_ms: int
@@ -83,17 +83,29 @@
 class World(NamedTuple):
     """Hold one state of the whole.
 
+    A process that was replaced stays in ``primaries`` or ``backups``: it may be
+    dead, or frozen and still to wake. The first one takes the next step.
     ``messages`` are all that were ever sent to the primary and the backup. ``runs``
     counts dispatches of each stage. ``declared`` names what callers were told did
     not run: a stage, or ``""`` for the whole request.
     """
 
-    primary: PrimaryState
-    backup: BackupState
+    primaries: tuple[PrimaryState, ...]
+    backups: tuple[BackupState, ...]
     messages: frozenset[Message]
     runs: tuple[int, ...]
     declared: frozenset[str]
 
+    @property
+    def primary(self) -> PrimaryState:
+        """Return the process at the primary's address that takes the next step."""
+        return self.primaries[0]
+
+    @property
+    def backup(self) -> BackupState:
+        """Return the process at the backup's address that takes the next step."""
+        return self.backups[0]
+
 
 class Transition(NamedTuple):
     """Name a step and the state after it; ``told`` are outcomes given to callers."""
@@ -113,21 +125,31 @@
 def first_world(bounds: Bounds) -> World:
     """Return the state after the ticket was issued."""
     return World(
-        PrimaryState(0, 0, None, -1),
-        BackupState(0, 0, None, 0),
+        (PrimaryState(0, 0, None, -1),),
+        (BackupState(0, 0, None, 0),),
         frozenset(),
         (0,) * len(bounds.stages),
         frozenset(),
     )
 
 
-def violation(world: World, bounds: Bounds) -> str:
-    """Return which promise is broken, or an empty text."""
+def repeated_run(world: World, bounds: Bounds) -> str:
+    """Return how at-most-once is broken, or an empty text."""
     if any(count > 1 for count in world.runs):
         return "a stage was dispatched twice"
+    return ""
+
+
+def false_refusal(world: World, bounds: Bounds) -> str:
+    """Return how a caller was told wrongly that work did not run, or an empty text."""
     if "" in world.declared and any(world.runs):
         return "a request declared as not run was dispatched"
     for name, count in zip(bounds.stages, world.runs, strict=True):
         if count and name in world.declared:
             return "a stage declared as not run was dispatched"
     return ""
+
+
+def violation(world: World, bounds: Bounds) -> str:
+    """Return which promise is broken, or an empty text."""
+    return repeated_run(world, bounds) or false_refusal(world, bounds)
--- a/tests/proofs/test_at_most_once_model.py
+++ b/tests/proofs/test_at_most_once_model.py
@@ -3,9 +3,13 @@
 import pytest
 
 from bramleyturn.bench.ticket_check import SearchTooLargeError, describe, search
-from bramleyturn.bench.ticket_world import Bounds
+from bramleyturn.bench.ticket_world import Bounds, repeated_run
 from bramleyturn.core.outcomes import OutcomeKind
-from tests.proofs.ticket_variants import VARIANTS
+from tests.proofs.ticket_variants import (
+    REPEATING_VARIANTS,
+    TWO_STAGE_VARIANTS,
+    VARIANTS,
+)
 
 ALL_BOUNDS = {
     "one stage": Bounds(),
@@ -39,3 +43,17 @@
         found = search(Bounds(), VARIANTS[name])
         print(f"{name}: {describe(found)}")
         assert found.violation
+
+    @pytest.mark.parametrize("name", REPEATING_VARIANTS)
+    def test_a_second_run_is_caught(self, name: str) -> None:
+        found = search(Bounds(), VARIANTS[name], broken_promise=repeated_run)
+        print(f"{name}: {describe(found)}")
+        assert found.violation
+
+    @pytest.mark.parametrize("name", TWO_STAGE_VARIANTS)
+    def test_is_caught_between_stages(self, name: str) -> None:
+        bounds = Bounds(stages=("order", "charge"))
+        assert not search(Bounds(), TWO_STAGE_VARIANTS[name]).violation
+        found = search(bounds, TWO_STAGE_VARIANTS[name])
+        print(f"{name}: {describe(found)}")
+        assert found.violation
--- a/tests/proofs/ticket_variants.py
+++ b/tests/proofs/ticket_variants.py
@@ -115,6 +115,16 @@
     return primaries.receive_ticket(primary, renewed, input_digest, now_ms)
 
 
+def _revoke_without_closing(
+    backup: TicketBackup, message: Revoke, now_ms: int
+) -> RevokeAnswer:
+    known = backup.records.get(message.ticket)
+    answer = backups.revoke(backup, message, now_ms)
+    if known is not None:
+        backup.records[message.ticket] = known
+    return answer
+
+
 VARIANTS: dict[str, Protocol] = {
     "no revocation": Protocol(revoke=_revoke_without_record),
     "no incarnation of the primary": Protocol(
@@ -143,3 +153,13 @@
         forget_records=_forget_without_trace,
     ),
 }
+
+REPEATING_VARIANTS: tuple[str, ...] = (
+    "no incarnation of the primary",
+    "primary forgets before expiry",
+    "expiry renewed and forgotten",
+)
+
+TWO_STAGE_VARIANTS: dict[str, Protocol] = {
+    "later stages not closed": Protocol(revoke=_revoke_without_closing),
+}
