--- a/src/bramleyturn/core/prefix_cache.py
+++ b/src/bramleyturn/core/prefix_cache.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_right
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Container, Iterable
 from typing import Final
 
 import xxhash
@@ -10,6 +10,7 @@
 MAX_PREFIXES: Final = 4_096
 SERVERS_PER_PREFIX: Final = 2
 POINTS_PER_SERVER: Final = 8
+POINTS_TRIED: Final = 16
 
 
 class RecentPrefixes:
@@ -22,7 +23,7 @@
 class HashRing:
     """Hold the servers' points on a ring, which all processes compute alike."""
 
-    def __init__(self, names: Sequence[str]) -> None:
+    def __init__(self, names: Iterable[str]) -> None:
         points = sorted(
             (_point(f"{name}#{number}"), name)
             for name in names
@@ -51,12 +52,18 @@
     return prefixes.servers.get((pool, prefix), ())
 
 
-def home_server(ring: HashRing, prefix: str) -> str | None:
-    """Return the server to which every process first sends the prefix."""
-    if not ring.points:
-        return None
-    index = bisect_right(ring.points, _point(prefix))
-    return ring.names[index % len(ring.names)]
+def home_server(ring: HashRing, prefix: str, live: Container[str]) -> str | None:
+    """Return the live server to which every process first sends the prefix.
+
+    Only the next few points of the ring are looked at; None if none is live.
+    """
+    start = bisect_right(ring.points, _point(prefix))
+    count = len(ring.names)
+    for offset in range(min(count, POINTS_TRIED)):
+        name = ring.names[(start + offset) % count]
+        if name in live:
+            return name
+    return None
 
 
 def _point(text: str) -> int:
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -300,7 +300,7 @@
     known = [candidates.by_name[name] for name in warm if name in candidates.by_name]
     if known:
         return known
-    home = home_server(candidates.ring, prefix)
+    home = home_server(candidates.ring, prefix, candidates.by_name)
     return [candidates.by_name[home]] if home is not None else []
 
 
--- a/src/bramleyturn/core/routing_table.py
+++ b/src/bramleyturn/core/routing_table.py
@@ -33,7 +33,7 @@
 
 
 class Candidates(NamedTuple):
-    """List the servers that take work, with the ring over them."""
+    """List the servers that take work, and the ring over all that are configured."""
 
     states: tuple[ServerState, ...]
     by_name: dict[str, ServerState]
@@ -47,8 +47,8 @@
         self.load = load
         self.members: dict[str, ServerState] = {}
         self.ejected = 0
-        self.own = _candidates(())
-        self.others = _candidates(())
+        self.own = _candidates((), HashRing(()))
+        self.others = _candidates((), HashRing(()))
 
 
 class RoutingTable:
@@ -90,6 +90,7 @@
         since_ms = now_ms if server.pool in fresh else None
         _add_server(table, server, since_ms)
     for pool in table.pools.values():
+        _place_on_rings(table, pool)
         list_candidates(table, pool)
 
 
@@ -160,10 +161,17 @@
     ]
     own = tuple(state for state in taking if state.server.zone == table.zone)
     others = tuple(state for state in taking if state.server.zone != table.zone)
-    pool.own = _candidates(own)
-    pool.others = _candidates(others)
+    pool.own = _candidates(own, pool.own.ring)
+    pool.others = _candidates(others, pool.others.ring)
 
 
-def _candidates(states: tuple[ServerState, ...]) -> Candidates:
-    by_name = {state.server.name: state for state in states}
-    return Candidates(states, by_name, HashRing(list(by_name)))
+def _candidates(states: tuple[ServerState, ...], ring: HashRing) -> Candidates:
+    return Candidates(states, {state.server.name: state for state in states}, ring)
+
+
+def _place_on_rings(table: RoutingTable, pool: PoolState) -> None:
+    own = frozenset(
+        name for name, state in pool.members.items() if state.server.zone == table.zone
+    )
+    pool.own = pool.own._replace(ring=HashRing(own))
+    pool.others = pool.others._replace(ring=HashRing(pool.members.keys() - own))
