--- /dev/null
+++ b/tests/core/test_cost.py
@@ -0,0 +1,61 @@
+"""Tests of prices and the cost book."""
+
+from typing import Final
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyturn.core.cost import (
+    MAX_ROWS,
+    OTHER_WORKSPACES,
+    Charge,
+    CostBook,
+    CostRow,
+    attempt_cost_micros,
+    charge,
+    cost_rows,
+)
+from tests.core.policy_data import configuration
+
+POOL: Final = configuration().pools["drafting"]
+
+
+class TestAttemptCost:
+    @pytest.mark.parametrize(
+        ("tokens", "micros"), [(0, 5), (1, 6), (1_000, 605), (1_500, 905), (-3, 5)]
+    )
+    def test_rounds_up(self, tokens: int, micros: int) -> None:
+        assert attempt_cost_micros(POOL, tokens) == micros
+
+
+class TestCostBook:
+    def test_sums_by_stage_and_keeps_waste_apart(self) -> None:
+        book = CostBook()
+        for micros, wasted in ((10, False), (4, True)):
+            charge(book, Charge("lessons", "draft", "generate", micros, wasted))
+        charge(book, Charge("lessons", "draft", "encode", 1, False))
+        assert cost_rows(book) == (
+            CostRow("lessons", "draft", "encode", 1, 1, 0, 0),
+            CostRow("lessons", "draft", "generate", 2, 14, 1, 4),
+        )
+
+    def test_no_money_goes_missing_when_full(self) -> None:
+        book = CostBook()
+        for number in range(MAX_ROWS + 100):
+            charge(book, Charge(f"w{number}", "draft", "generate", 2, False))
+        rows = cost_rows(book)
+        assert sum(row.micros for row in rows) == 2 * (MAX_ROWS + 100)
+        assert len(rows) == MAX_ROWS + 1
+        assert rows[0].workspace == OTHER_WORKSPACES
+
+    @settings(derandomize=True, max_examples=30)
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 99))))
+    def test_the_sum_is_the_sum_of_the_charges(
+        self, items: list[tuple[str, int]]
+    ) -> None:
+        book = CostBook()
+        for name, micros in items:
+            charge(book, Charge(name, "draft", "encode", micros, False))
+        total = sum(micros for _, micros in items)
+        assert sum(row.micros for row in cost_rows(book)) == total
