--- a/src/bramleyturn/standin/json_http.py
+++ b/src/bramleyturn/standin/json_http.py
@@ -63,12 +63,14 @@
 
 
 def answer(request: Request, status: int, document: Any) -> bytes:
-    """Set the status and type of an answer and return its body."""
+    """Set the status, type and length of an answer and return its body."""
     request.setResponseCode(status)
     set_header(request, b"content-type", b"application/json")
     if status == 503:
         set_header(request, b"retry-after", RETRY_AFTER_S)
-    return orjson.dumps(document)
+    body = orjson.dumps(document)
+    set_header(request, b"content-length", str(len(body)).encode())
+    return body
 
 
 def set_header(request: Request, name: bytes, value: bytes) -> None:
--- a/src/bramleyturn/standin/ledger.py
+++ b/src/bramleyturn/standin/ledger.py
@@ -40,12 +40,16 @@
     """Return the ledger kept at ``path``, or one in memory for an empty path."""
     if not path:
         return Ledger([], None)
-    return Ledger(_read_entries(Path(path)), Path(path).open("ab"))
+    entries = _read_entries(Path(path))
+    file = Path(path).open("ab")  # noqa: SIM115, it stays open with the ledger
+    # A former process may have died within a line.
+    file.write(b"\n" if entries else b"")
+    return Ledger(entries, file)
 
 
 def record_start(ledger: Ledger, entry: LedgerEntry) -> LedgerEntry:
     """Add ``entry`` under the next number and return it."""
-    entry["number"] = len(ledger.entries)
+    entry["number"] = ledger.entries[-1]["number"] + 1 if ledger.entries else 0
     ledger.entries.append(entry)
     _write(ledger, entry)
     return entry
--- a/src/bramleyturn/standin/service.py
+++ b/src/bramleyturn/standin/service.py
@@ -18,7 +18,7 @@
     submit,
 )
 from bramleyturn.standin.jobs import Job
-from bramleyturn.standin.json_http import answer, not_started, set_header, write
+from bramleyturn.standin.json_http import answer, not_started, write
 
 WORDS_PER_SERVICE_TIME: Final = 256
 EXTRA_BYTES: Final = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
@@ -57,14 +57,12 @@
         _write_part(job, body)
         return
     if faults.longer_than_announced:
-        set_header(job.request, b"content-length", str(len(body)).encode())
         body += EXTRA_BYTES
     give(job, body)
 
 
 def _write_part(job: Job, body: bytes) -> None:
-    """Announce the whole body, write half of it and close the connection."""
-    set_header(job.request, b"content-length", str(len(body)).encode())
+    """Write half of the announced body and close the connection."""
     write(job.request, body[: len(body) // 2])
     drop(job)
 
