--- a/scripts/local_run.py
+++ b/scripts/local_run.py
@@ -36,7 +36,10 @@
         entries_per_zone=options.entries,
         admins=options.admins,
     )
-    print(f"Starting {options.zones} availability zones; logs in {folder}/logs")
+    print(
+        f"Starting {options.zones} availability zones; logs in {folder}/logs",
+        flush=True,
+    )
     with Fleet(plan) as fleet:
         if options.keep:
             return _keep(fleet)
--- a/src/bramleyturn/bench/load_report.py
+++ b/src/bramleyturn/bench/load_report.py
@@ -11,6 +11,7 @@
 LOWEST_MS: Final = 1
 HIGHEST_MS: Final = 600_000
 SIGNIFICANT_DIGITS: Final = 3
+MAX_FAULTS_SHOWN: Final = 20
 PERCENTILES: Final = (50, 90, 99)
 
 
@@ -91,7 +92,7 @@
     if summary["reasons"]:
         sections.append(_reason_lines(summary["reasons"]))
     if summary["faults"]:
-        sections.append("Faults\n" + "\n".join(summary["faults"]))
+        sections.append(_fault_lines(summary["faults"]))
     else:
         sections.append("No answer was lost, doubled, cut or crossed.")
     return "\n\n".join(sections)
@@ -251,6 +252,13 @@
     )
 
 
+def _fault_lines(faults: list[str]) -> str:
+    shown = faults[:MAX_FAULTS_SHOWN]
+    hidden = len(faults) - len(shown)
+    more = [f"... and {hidden} more"] if hidden else []
+    return "\n".join([f"Faults: {len(faults)}", *shown, *more])
+
+
 def _table(heads: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> str:
     widths = [max(map(len, column)) for column in zip(heads, *rows, strict=True)]
     return "\n".join(
--- a/tests/bench/test_load_report.py
+++ b/tests/bench/test_load_report.py
@@ -46,6 +46,15 @@
         assert "roster-signup request 0: doubled: stages [0]" in text
         assert "roster-signup not_run: no capacity" in text
 
+    def test_long_list_of_faults_is_cut_short_but_counted(self) -> None:
+        requests = [finished(number, ANSWERED) for number in range(30)]
+        verdicts = [
+            Verdict(number, "roster-signup", Fault.CUT, "") for number in range(30)
+        ]
+        summary = summarise(requests, verdicts)
+        assert len(summary["faults"]) == 30
+        assert format_summary(summary).endswith("... and 10 more")
+
     def test_load_without_requests(self) -> None:
         text = format_summary(summarise([], ()))
         assert "No answer was lost" in text
