Send a broken request again at every entry, not at every second one

The load tool took the next entry for each question and for each send in turn. With four entries, one request alone asked two of them and sent to the other two only; with those two gone it was reported lost while two entries were live. A question and the send after it now go to the same entry.

--- a/src/bramleyturn/bench/caller.py
+++ b/src/bramleyturn/bench/caller.py
@@ -116,24 +116,24 @@
         if ticket is None:
             return Reply(Outcome.NOT_RUN, None, "no ticket to be had", {}, 0)
         headers["Bramleyturn-Ticket"] = ticket
-    reason = NO_OUTCOME
-    while _left_ms(caller, sending) > 0:
-        reply = await _post(caller, sending, headers, trial_input)
-        if isinstance(reply, Reply):
-            return reply
-        reason = reply.reason
-        kept = await _ask(caller, sending, request_id)
+    reply = await _post(caller, sending, caller.next_entry(), headers, trial_input)
+    while isinstance(reply, NoReply) and _left_ms(caller, sending) > PAUSE_MS:
+        await _pause(caller, PAUSE_MS)
+        entry = caller.next_entry()
+        kept = await _ask(caller, sending, entry, request_id)
         if kept is not None:
             return kept
-        await _pause(caller, PAUSE_MS)
-    return await _ask_until_grace_ends(caller, sending, request_id, reason)
+        reply = await _post(caller, sending, entry, headers, trial_input)
+    if isinstance(reply, Reply):
+        return reply
+    return await _ask_until_grace_ends(caller, sending, request_id, reply.reason)
 
 
 async def _ask_until_grace_ends(
     caller: Caller, sending: Sending, request_id: str, reason: str
 ) -> Reply:
     while _left_ms(caller, sending) > -GRACE_MS:
-        kept = await _ask(caller, sending, request_id)
+        kept = await _ask(caller, sending, caller.next_entry(), request_id)
         if kept is not None:
             return kept
         await _pause(caller, PAUSE_MS * 4)
@@ -143,6 +143,7 @@
 async def _post(
     caller: Caller,
     sending: Sending,
+    entry: str,
     headers: dict[str, str],
     trial_input: dict[str, Any],
 ) -> Reply | NoReply:
@@ -151,7 +152,7 @@
         caller.client,
         caller.reactor,
         "POST",
-        f"http://{caller.next_entry()}/v1/pipelines/{sending.request.pipeline}/requests",
+        f"http://{entry}/v1/pipelines/{sending.request.pipeline}/requests",
         headers={**headers, "Bramleyturn-Deadline-Ms": str(left_ms)},
         document={"input": trial_input},
         timeout_ms=left_ms + GRACE_MS,
@@ -161,13 +162,15 @@
     return parse_reply(response.status, response.body)
 
 
-async def _ask(caller: Caller, sending: Sending, request_id: str) -> Reply | None:
-    """Return the kept outcome, or ``None`` where this entry has none."""
+async def _ask(
+    caller: Caller, sending: Sending, entry: str, request_id: str
+) -> Reply | None:
+    """Return the kept outcome, or ``None`` where ``entry`` has none."""
     response = await call(
         caller.client,
         caller.reactor,
         "GET",
-        f"http://{caller.next_entry()}/v1/requests/{request_id}",
+        f"http://{entry}/v1/requests/{request_id}",
         headers=sending.headers,
         timeout_ms=ASK_TIMEOUT_MS,
     )
--- a/tests/bench/test_caller.py
+++ b/tests/bench/test_caller.py
@@ -20,6 +20,7 @@
 
 SIGNUP = PlannedRequest(0, 0, "roster-signup", "rosters", {"child": "Ada"})
 DRAFT = PlannedRequest(1, 0, "lesson-draft", "lessons", {"curriculum": "Psalm"})
+ENTRIES = ("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
 TICK_S = 0.05
 MAX_TICKS = 1000
 
@@ -36,9 +37,15 @@
 class ScriptedEntries:
     """Answer the calls of the load tool from lists; tickets are numbered."""
 
-    def __init__(self, posts: list[object], kept: list[object] | None = None) -> None:
+    def __init__(
+        self,
+        posts: list[object],
+        kept: list[object] | None = None,
+        gone: tuple[str, ...] = (),
+    ) -> None:
         self.posts = posts
         self.kept = kept or []
+        self.gone = gone
         self.calls: list[Call] = []
         self.tickets = 0
 
@@ -47,6 +54,8 @@
     ) -> Response | Broken:
         """Return the next scripted response."""
         self.calls.append(Call(method, url, more["headers"]))
+        if url.split("/")[2] in self.gone:
+            return BROKEN
         if url.endswith("/v1/tickets"):
             self.tickets += 1
             return _response(200, {"ticket": f"ticket-{self.tickets}"})
@@ -78,11 +87,11 @@
 
 
 def targets() -> Targets:
-    """Return a fleet of two entries."""
+    """Return a fleet of four entries."""
     configuration = read_configuration(LAKESHORE)
     assert not isinstance(configuration, BadTargets)
     keys = {"rosters": "key-1", "lessons": "key-2"}
-    return Targets(("127.0.0.1:1", "127.0.0.1:2"), keys, configuration)
+    return Targets(ENTRIES, keys, configuration)
 
 
 @pytest.fixture
@@ -138,6 +147,12 @@
         assert [each.method for each in entries.calls] == ["POST", "GET"]
         assert entries.calls[0].url.split("/")[2] != entries.calls[1].url.split("/")[2]
 
+    @pytest.mark.parametrize("live", range(len(ENTRIES)))
+    def test_one_live_entry_is_enough(self, send: Send, live: int) -> None:
+        gone = tuple(address for address in ENTRIES if address != ENTRIES[live])
+        finished = send(ScriptedEntries([answered(DRAFT)], gone=gone), DRAFT)
+        assert finished.outcome is Outcome.ANSWERED
+
     def test_request_without_outcome_is_lost(self, send: Send) -> None:
         finished = send(ScriptedEntries([BROKEN] * MAX_TICKS), DRAFT)
         assert finished.outcome is Outcome.LOST
