Pass the unrepeatable stages of a pipeline to the asking entry

Cause: the ticket core now names every such stage in an unknown outcome. Change: the forwarding entry passes the stages and a gone primary names no incarnation.

--- a/src/bramleyturn/core/arrivals.py
+++ b/src/bramleyturn/core/arrivals.py
@@ -102,7 +102,7 @@
             return join_ticket(state, event, ticket.number)
         case Kept(outcome):
             return [Answer(event.waiter, event.request_id, outcome)]
-    return refused_ticket(state, event, ticket, received, digest, now_ms)
+    return refused_ticket(state, event, ticket, pipeline, received, digest, now_ms)
 
 
 def offer_ticket(
@@ -137,6 +137,7 @@
     state: EntryState,
     event: RequestArrived,
     ticket: Ticket,
+    pipeline: Pipeline,
     refused: RefusedTicket,
     digest: bytes,
     now_ms: int,
@@ -149,9 +150,9 @@
             return [ForwardAnswer(event.waiter, event.request_id, InputDiffers())]
         return [TicketRefused(event.waiter, event.request_id, refused.reason)]
     if event.is_forwarded:
-        gone = PrimaryGone(ticket.primary.incarnation)
+        gone = PrimaryGone()
         return [ForwardAnswer(event.waiter, event.request_id, gone)]
-    return start_forward(state, event, ticket, digest.hex(), now_ms)
+    return start_forward(state, event, ticket, pipeline, digest.hex(), now_ms)
 
 
 def issue_ticket(
--- a/src/bramleyturn/core/forwarding.py
+++ b/src/bramleyturn/core/forwarding.py
@@ -14,6 +14,7 @@
 )
 from bramleyturn.core.entry_state import EntryState, Forward, new_key
 from bramleyturn.core.events import BackupAnswer, RequestArrived
+from bramleyturn.core.model import Pipeline
 from bramleyturn.core.ticket_asker import (
     AskBackup,
     Asking,
@@ -47,13 +48,19 @@
 
 
 def start_forward(
-    state: EntryState, event: RequestArrived, ticket: Ticket, digest: str, now_ms: int
+    state: EntryState,
+    event: RequestArrived,
+    ticket: Ticket,
+    pipeline: Pipeline,
+    digest: str,
+    now_ms: int,
 ) -> list[Action]:
     """Send a request on to the primary of its ticket."""
+    stages = tuple(stage.name for stage in pipeline.stages if not stage.repeatable)
     forward = Forward(
         forward_id=new_key(state),
         event=event,
-        asking=start_asking(ticket, digest, state.me),
+        asking=start_asking(ticket, digest, stages, state.me),
         deadline_at_ms=now_ms + event.left_ms,
     )
     state.forwards[forward.forward_id] = forward
--- a/src/bramleyturn/core/ticket_json.py
+++ b/src/bramleyturn/core/ticket_json.py
@@ -190,7 +190,7 @@
     "PrimaryFinished": lambda found: PrimaryFinished(
         required_outcome(found["outcome"])
     ),
-    "PrimaryGone": lambda found: PrimaryGone(str(found["incarnation"])),
+    "PrimaryGone": lambda _found: PrimaryGone(),
     "InputDiffers": lambda _found: InputDiffers(),
 }
 
