Test the entry core step by step in virtual time

Cause: only the load over processes exercised the core. Change: a small driver plays the backend servers, backup and primary; 30 cases on streams, retries, duplicates, tickets, intents, pauses and forwarding.

--- /dev/null
+++ b/tests/core/entry_world.py
@@ -0,0 +1,213 @@
+"""Drive one entry process's core in virtual time, its servers played by the test."""
+
+from random import Random
+from typing import Any
+
+from bramleyturn.core.actions import Action, Answer, StartAttempt
+from bramleyturn.core.configuration import load_configuration
+from bramleyturn.core.entry import next_wake_ms, start, step
+from bramleyturn.core.entry_state import EntryState, entry_state
+from bramleyturn.core.events import (
+    ConnectionReady,
+    Event,
+    OutputArrived,
+    PeerSeen,
+    RequestArrived,
+    StreamEnded,
+    TimePassed,
+    TokensArrived,
+)
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.tickets import ProcessRef
+
+FOLDER = {
+    "10.ini": """
+[pool encoders]
+kind = encoder
+model = e
+price_micros_per_call = 10
+[pool drafting]
+kind = engine
+model = d
+price_micros_per_1k_tokens = 1000
+[pool roster]
+kind = plain
+price_micros_per_call = 100
+[server encoder-1]
+pool = encoders
+zone = duluth
+address = 127.0.0.1:9001
+[server encoder-2]
+pool = encoders
+zone = duluth
+address = 127.0.0.1:9002
+[server drafting-1]
+pool = drafting
+zone = duluth
+address = 127.0.0.1:9003
+[server drafting-2]
+pool = drafting
+zone = duluth
+address = 127.0.0.1:9004
+[server roster-1]
+pool = roster
+zone = duluth
+address = 127.0.0.1:9005
+[server roster-2]
+pool = roster
+zone = duluth
+address = 127.0.0.1:9006
+[pipeline draft]
+stages = encode, generate
+deadline_ms = 5000
+[stage draft.encode]
+pool = encoders
+repeatable = yes
+timeout_ms = 1000
+[stage draft.generate]
+pool = drafting
+repeatable = yes
+timeout_ms = 4000
+max_output_tokens = 64
+[pipeline signup]
+stages = enrol
+deadline_ms = 2000
+[stage signup.enrol]
+pool = roster
+repeatable = no
+timeout_ms = 1000
+[pipeline order]
+stages = charge, print
+deadline_ms = 2000
+[stage order.charge]
+pool = roster
+repeatable = no
+timeout_ms = 1000
+[stage order.print]
+pool = roster
+repeatable = no
+timeout_ms = 1000
+[workspace lessons]
+key_sha256 = aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+pipelines = *
+[workspace rosters]
+key_sha256 = bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb
+pipelines = *
+[tickets]
+key = a-key-of-sixteen-characters
+lifetime_ms = 60000
+[peers]
+key = another-key-of-sixteen-characters
+"""
+}
+BACKUP = ProcessRef("127.0.0.1:7002", "backup-incarnation")
+
+
+def configuration(files: dict[str, str] | None = None) -> Configuration:
+    loaded = load_configuration(1, files or FOLDER)
+    assert isinstance(loaded, Configuration), loaded
+    return loaded
+
+
+class World:
+    """Hold one entry process and the time, and collect its actions."""
+
+    def __init__(self, *, with_backup: bool = False, seed: int = 1) -> None:
+        self.now_ms = 1_000
+        self.state: EntryState = entry_state(
+            "entry-1",
+            "duluth",
+            ProcessRef("127.0.0.1:7001", "incarnation-1"),
+            configuration(),
+            Random(seed),
+            self.now_ms,
+        )
+        start(self.state, self.now_ms)
+        self.actions: list[Action] = []
+        if with_backup:
+            self.feed(PeerSeen("entry-2", "toledo", BACKUP.address, BACKUP.incarnation))
+
+    def feed(self, event: Event) -> list[Action]:
+        """Hand the core an event and return its actions."""
+        actions = step(self.state, event, self.now_ms)
+        self.actions += actions
+        return actions
+
+    def advance(self, by_ms: int) -> list[Action]:
+        """Let time pass, with every timer at its own time."""
+        until_ms = self.now_ms + by_ms
+        actions: list[Action] = []
+        while (wake_ms := next_wake_ms(self.state)) is not None and wake_ms <= until_ms:
+            self.now_ms = max(self.now_ms, wake_ms)
+            actions += self.feed(TimePassed())
+        self.now_ms = until_ms
+        return actions
+
+    def freeze(self, for_ms: int) -> None:
+        """Let time pass without running anything."""
+        self.now_ms += for_ms
+
+    def send(
+        self,
+        pipeline: str,
+        *,
+        input_: Any = "text",
+        request_id: str = "r1",
+        workspace: str = "lessons",
+        ticket: str = "",
+        waiter: str = "w1",
+        left_ms: int = 2_000,
+        is_forwarded: bool = False,
+    ) -> list[Action]:
+        """Let a caller send a request."""
+        return self.feed(
+            RequestArrived(
+                waiter,
+                workspace,
+                pipeline,
+                request_id,
+                input_,
+                100,
+                left_ms,
+                ticket,
+                is_forwarded,
+            )
+        )
+
+    def output(self, attempt: StartAttempt, output: Any = "out") -> list[Action]:
+        """Let a backend server answer an attempt."""
+        return self.feed(
+            OutputArrived(attempt.attempt_id, attempt.attempt_id, output, 0)
+        )
+
+    def tokens(self, attempt: StartAttempt, offset: int, *tokens: str) -> list[Action]:
+        """Let an engine send a part of its stream."""
+        return self.feed(
+            TokensArrived(attempt.attempt_id, attempt.attempt_id, offset, tokens)
+        )
+
+    def end(self, attempt: StartAttempt, total: int) -> list[Action]:
+        """Let an engine send its end mark."""
+        return self.feed(StreamEnded(attempt.attempt_id, attempt.attempt_id, total))
+
+    def connect(self, attempt: StartAttempt) -> list[Action]:
+        """Let the connection of an attempt that may not be repeated open."""
+        return self.feed(ConnectionReady(attempt.attempt_id))
+
+
+def started(actions: list[Action]) -> StartAttempt:
+    """Return the one attempt that the actions start."""
+    attempts = [action for action in actions if isinstance(action, StartAttempt)]
+    assert len(attempts) == 1, actions
+    return attempts[0]
+
+
+def answer(actions: list[Action]) -> Answer:
+    """Return the one answer among the actions."""
+    (found,) = answers(actions)
+    return found
+
+
+def answers(actions: list[Action]) -> list[Answer]:
+    """Return the answers among the actions."""
+    return [action for action in actions if isinstance(action, Answer)]
--- /dev/null
+++ b/tests/core/test_entry.py
@@ -0,0 +1,342 @@
+"""Tests of an entry process's decisions, step by step in virtual time."""
+
+from typing import Any
+
+import pytest
+
+from bramleyturn.core.actions import (
+    CancelAttempt,
+    ForwardAnswer,
+    PermitWrite,
+    StartAttempt,
+    TellBackup,
+    TellPrimary,
+    TicketNeeded,
+    TicketRefused,
+)
+from bramleyturn.core.arrivals import IssuedTicket, issue_ticket, kept_outcome
+from bramleyturn.core.events import (
+    AttemptBroke,
+    BackupAnswered,
+    BackupSilent,
+    BreakReason,
+    DrainOrdered,
+    OutputArrived,
+    PrimarySilent,
+    WaiterGone,
+)
+from bramleyturn.core.outcomes import Outcome, OutcomeKind
+from bramleyturn.core.ticket_messages import (
+    Intent,
+    IntentAcknowledged,
+    IntentRefused,
+    PrimaryGone,
+    RefusalReason,
+    Revoke,
+    Revoked,
+)
+from tests.core.entry_world import World, answer, answers, started
+
+
+def broke(
+    attempt: StartAttempt, reason: BreakReason = BreakReason.LOST
+) -> AttemptBroke:
+    return AttemptBroke(attempt.attempt_id, reason, "", None, False)
+
+
+def ticket_of(world: World, pipeline: str = "signup") -> str:
+    issued = issue_ticket(world.state, "lessons", pipeline, world.now_ms)
+    assert isinstance(issued, IssuedTicket)
+    return issued.text
+
+
+def intent_of(actions: list[Any]) -> tuple[TellBackup, Intent]:
+    told = [action for action in actions if isinstance(action, TellBackup)]
+    assert len(told) == 1
+    message = told[0].message
+    assert isinstance(message, Intent)
+    return told[0], message
+
+
+def acknowledge(world: World, actions: list[Any]) -> list[Any]:
+    told, intent = intent_of(actions)
+    acknowledged = IntentAcknowledged(
+        intent.ticket, intent.backup_incarnation, intent.intended.stage
+    )
+    return world.feed(BackupAnswered(told.about, intent, acknowledged))
+
+
+class TestRepeatableRequest:
+    def test_runs_its_stages_in_order_and_answers_whole(self) -> None:
+        world = World()
+        encode = started(world.send("draft"))
+        generate = started(world.output(encode, "vector"))
+        assert generate.input == "vector"
+        world.tokens(generate, 0, "a", "b")
+        world.tokens(generate, 2, "c")
+        result = answer(world.end(generate, 3)).outcome
+        assert (result.kind, result.output) == (OutcomeKind.ANSWERED, "abc")
+        assert [stage.name for stage in result.stages] == ["encode", "generate"]
+
+    def test_runs_a_failed_stage_alone_again_on_another_server(self) -> None:
+        world = World()
+        encode = started(world.send("draft"))
+        generate = started(world.output(encode))
+        world.feed(broke(generate))
+        again = started(world.advance(500))
+        assert again.stage == "generate"
+        assert again.server != generate.server
+
+    def test_resumes_a_cut_stream_at_the_offset_it_holds(self) -> None:
+        world = World()
+        generate = started(world.output(started(world.send("draft"))))
+        world.tokens(generate, 0, "a", "b")
+        world.feed(broke(generate, BreakReason.CUT))
+        again = started(world.advance(500))
+        assert again.resume_offset == 2
+        world.tokens(again, 2, "c")
+        assert answer(world.end(again, 3)).outcome.output == "abc"
+
+    def test_accepts_a_repeated_part_that_agrees(self) -> None:
+        world = World()
+        generate = started(world.output(started(world.send("draft"))))
+        world.tokens(generate, 0, "a", "b")
+        world.tokens(generate, 1, "b", "c")
+        assert answer(world.end(generate, 3)).outcome.output == "abc"
+
+    @pytest.mark.parametrize("offset", [1, 5])
+    def test_cancels_a_stream_that_contradicts_or_leaves_a_gap(
+        self, offset: int
+    ) -> None:
+        world = World()
+        generate = started(world.output(started(world.send("draft"))))
+        world.tokens(generate, 0, "a", "b")
+        actions = world.tokens(generate, offset, "x", "y")
+        assert CancelAttempt(generate.attempt_id, generate.server) in actions
+        assert world.state.counters.wrong_answers_dropped == 1
+
+    def test_starts_again_after_more_tokens_than_announced(self) -> None:
+        world = World()
+        generate = started(world.output(started(world.send("draft"))))
+        world.tokens(generate, 0, "a", "b", "c")
+        assert not [a for a in world.end(generate, 2) if isinstance(a, StartAttempt)]
+        assert started(world.advance(500)).resume_offset == 0
+
+    def test_drops_an_answer_with_another_id(self) -> None:
+        world = World()
+        encode = started(world.send("draft"))
+        world.feed(OutputArrived(encode.attempt_id, "other", "stolen", 0))
+        assert world.state.counters.wrong_answers_dropped == 1
+        assert started(world.advance(500)).stage == "encode"
+
+    def test_drops_an_answer_that_comes_after_the_outcome(self) -> None:
+        world = World()
+        encode = started(world.send("draft", left_ms=900))
+        result = answer(world.advance(900)).outcome
+        assert result.kind is OutcomeKind.FAILED
+        assert world.output(encode) == []
+        assert world.state.counters.late_answers_dropped == 1
+
+    def test_keeps_equal_ids_of_two_workspaces_apart(self) -> None:
+        world = World()
+        first = started(world.send("draft", waiter="w1"))
+        second = started(world.send("draft", workspace="rosters", waiter="w2"))
+        assert first.attempt_id != second.attempt_id
+        generate = started(world.output(second, "second"))
+        world.tokens(generate, 0, "s")
+        ended = answer(world.end(generate, 1))
+        assert ended.waiter == "w2"
+        assert kept_outcome(world.state, "lessons", "r1", world.now_ms) is not None
+        assert not isinstance(
+            kept_outcome(world.state, "lessons", "r1", world.now_ms), Outcome
+        )
+
+    def test_joins_a_repeated_request_to_the_running_one(self) -> None:
+        world = World()
+        encode = started(world.send("draft", waiter="w1"))
+        assert world.send("draft", waiter="w2") == []
+        generate = started(world.output(encode))
+        world.tokens(generate, 0, "a")
+        ended = answers(world.end(generate, 1))
+        assert [found.waiter for found in ended] == ["w1", "w2"]
+
+    def test_refuses_a_used_id_with_another_input(self) -> None:
+        world = World()
+        world.send("draft", waiter="w1")
+        refused = answer(world.send("draft", input_="other", waiter="w2"))
+        assert refused.outcome.reason == "request_id_reused"
+
+    def test_keeps_the_outcome_of_a_caller_that_went_away(self) -> None:
+        world = World()
+        encode = started(world.send("draft"))
+        world.feed(WaiterGone("w1"))
+        generate = started(world.output(encode))
+        world.tokens(generate, 0, "a")
+        world.end(generate, 1)
+        kept = kept_outcome(world.state, "lessons", "r1", world.now_ms)
+        assert isinstance(kept, Outcome)
+        assert kept.output == "a"
+
+    def test_says_not_run_when_no_server_was_reached(self) -> None:
+        world = World()
+        attempt = started(world.send("draft", left_ms=400))
+        for _ in range(10):
+            world.feed(broke(attempt, BreakReason.NOT_CONNECTED))
+            actions = world.advance(100)
+            starts = [a for a in actions if isinstance(a, StartAttempt)]
+            if not starts:
+                break
+            attempt = starts[0]
+        ended = answers(world.actions)[0].outcome
+        assert ended.kind is OutcomeKind.NOT_RUN
+        assert ended.retry_after_ms is not None
+
+    def test_refuses_at_once_while_draining(self) -> None:
+        world = World()
+        world.feed(DrainOrdered())
+        refused = answer(world.send("draft")).outcome
+        assert (refused.kind, refused.reason) == (OutcomeKind.NOT_RUN, "shutting_down")
+        assert refused.retry_after_ms is not None
+
+
+class TestUnrepeatableRequest:
+    def test_is_offered_a_ticket_and_starts_nothing(self) -> None:
+        world = World()
+        (offered,) = world.send("signup")
+        assert isinstance(offered, TicketNeeded)
+        assert not world.state.requests
+
+    def test_writes_only_after_the_backup_recorded_the_intent(self) -> None:
+        world = World(with_backup=True)
+        actions = world.send("signup", ticket=ticket_of(world))
+        assert not [a for a in actions if isinstance(a, StartAttempt)]
+        enrol = started(acknowledge(world, actions))
+        assert enrol.needs_permission
+        assert world.connect(enrol) == [PermitWrite(enrol.attempt_id)]
+        assert answer(world.output(enrol)).outcome.kind is OutcomeKind.ANSWERED
+
+    def test_names_the_server_on_which_it_runs_in_the_intent(self) -> None:
+        world = World(with_backup=True)
+        actions = world.send("signup", ticket=ticket_of(world))
+        _, intent = intent_of(actions)
+        enrol = started(acknowledge(world, actions))
+        assert intent.intended.server == enrol.server.name
+        assert intent.intended.attempt_id == enrol.attempt_id
+
+    def test_is_never_sent_again_once_written(self) -> None:
+        world = World()
+        enrol = started(world.send("signup", ticket=ticket_of(world)))
+        world.connect(enrol)
+        result = answer(world.feed(broke(enrol))).outcome
+        assert result.kind is OutcomeKind.UNKNOWN
+        assert not world.advance(5_000)
+
+    def test_connects_elsewhere_when_nothing_was_written(self) -> None:
+        world = World()
+        enrol = started(world.send("signup", ticket=ticket_of(world)))
+        world.feed(broke(enrol, BreakReason.NOT_CONNECTED))
+        again = started(world.advance(500))
+        assert again.server != enrol.server
+        assert world.connect(again) == [PermitWrite(again.attempt_id)]
+
+    def test_does_not_write_after_the_deadline_passed_in_a_pause(self) -> None:
+        world = World()
+        enrol = started(world.send("signup", ticket=ticket_of(world)))
+        world.freeze(10_000)
+        actions = world.connect(enrol)
+        assert not [a for a in actions if isinstance(a, PermitWrite)]
+        assert answer(actions).outcome.kind is OutcomeKind.NOT_RUN
+
+    def test_does_not_write_after_the_ticket_expired_in_a_pause(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        enrol = started(world.send("signup", ticket=ticket, left_ms=90_000))
+        world.freeze(61_000)
+        actions = world.connect(enrol)
+        assert not [a for a in actions if isinstance(a, PermitWrite)]
+
+    def test_gives_later_copies_the_outcome_of_the_first(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        enrol = started(world.send("signup", ticket=ticket, waiter="w1"))
+        assert world.send("signup", ticket=ticket, waiter="w2") == []
+        world.connect(enrol)
+        world.output(enrol, "enrolled")
+        third = answer(world.send("signup", ticket=ticket, waiter="w3"))
+        assert third.outcome.output == "enrolled"
+
+    def test_refuses_a_ticket_of_another_workspace(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        (refused,) = world.send("signup", ticket=ticket, workspace="rosters")
+        assert isinstance(refused, TicketRefused)
+
+    def test_is_not_run_when_the_backup_refuses(self) -> None:
+        world = World(with_backup=True)
+        told, intent = intent_of(world.send("signup", ticket=ticket_of(world)))
+        refusal = IntentRefused(
+            intent.ticket, intent.backup_incarnation, "enrol", RefusalReason.REVOKED
+        )
+        result = answer(world.feed(BackupAnswered(told.about, intent, refusal)))
+        assert result.outcome.kind is OutcomeKind.NOT_RUN
+
+    def test_ignores_an_acknowledgement_after_it_gave_up(self) -> None:
+        world = World(with_backup=True)
+        actions = world.send("signup", ticket=ticket_of(world))
+        told, intent = intent_of(actions)
+        result = answer(world.feed(BackupSilent(told.about, intent)))
+        assert result.outcome.kind is OutcomeKind.NOT_RUN
+        assert acknowledge(world, actions) == []
+
+    def test_reports_each_stage_when_the_second_is_refused(self) -> None:
+        world = World(with_backup=True)
+        actions = world.send("order", ticket=ticket_of(world, "order"))
+        charge = started(acknowledge(world, actions))
+        world.connect(charge)
+        told, intent = intent_of(world.output(charge))
+        assert [stage.name for stage in intent.ended] == ["charge"]
+        result = answer(world.feed(BackupSilent(told.about, intent))).outcome
+        assert result.kind is OutcomeKind.FAILED
+        kinds = {stage.name: stage.kind for stage in result.stages}
+        assert kinds == {
+            "charge": OutcomeKind.ANSWERED,
+            "print": OutcomeKind.NOT_RUN,
+        }
+
+
+class TestForwardedRequest:
+    def ticket_of_another(self, world: World) -> str:
+        other = World(with_backup=True)
+        other.state.me = other.state.me._replace(address="127.0.0.1:7009")
+        other.state.primary_tickets.me = other.state.me
+        return ticket_of(other)
+
+    def test_goes_to_the_primary_and_then_to_the_backup(self) -> None:
+        world = World()
+        (told,) = world.send("signup", ticket=self.ticket_of_another(world))
+        assert isinstance(told, TellPrimary)
+        (revoking,) = world.feed(PrimarySilent(told.forward_id))
+        assert isinstance(revoking, TellBackup)
+        assert isinstance(revoking.message, Revoke)
+        revoked = Revoked(revoking.message.ticket)
+        result = answer(
+            world.feed(BackupAnswered(revoking.about, revoking.message, revoked))
+        )
+        assert result.outcome.kind is OutcomeKind.NOT_RUN
+
+    def test_is_unknown_when_nobody_answers(self) -> None:
+        world = World()
+        (told,) = world.send("signup", ticket=self.ticket_of_another(world))
+        assert isinstance(told, TellPrimary)
+        (revoking,) = world.feed(PrimarySilent(told.forward_id))
+        assert isinstance(revoking, TellBackup)
+        result = answer(world.feed(BackupSilent(revoking.about, revoking.message)))
+        assert result.outcome.kind is OutcomeKind.UNKNOWN
+
+    def test_is_told_that_the_primary_is_gone_by_its_successor(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        world.state.me = world.state.me._replace(incarnation="incarnation-2")
+        world.state.primary_tickets.me = world.state.me
+        (told,) = world.send("signup", ticket=ticket, is_forwarded=True)
+        assert told == ForwardAnswer("w1", "r1", PrimaryGone())
