Bound what one connection may cost before its request is complete

Cause: a body was read whole, to the library's temporary file, before its size was checked, and a caller that trickled bytes kept its connection for ever. Change: announced and chunked bodies are refused while they arrive (413), a request must be complete within 30 s, headers and connections are limited.

--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -15,7 +15,7 @@
 from bramleyturn.core.clock import Clock, system_clock
 from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
 from bramleyturn.core.entry import start
-from bramleyturn.core.entry_state import entry_state
+from bramleyturn.core.entry_state import EntryState, entry_state
 from bramleyturn.core.events import (
     ConfigurationAccepted,
     DrainOrdered,
@@ -41,8 +41,13 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
-from bramleyturn.runtime.peer_client import Identity, PeerClient, say_hello
-from bramleyturn.runtime.peers_api import peers_api
+from bramleyturn.runtime.peer_client import (
+    MESSAGE_PATH,
+    Identity,
+    PeerClient,
+    say_hello,
+)
+from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
 from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
@@ -79,13 +84,16 @@
 def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> EntryLoop:
     """Start an entry process that waits for its first configuration."""
     app = Klein()
-    address = listen(reactor, app, settings.listen)
+    configuration = empty_configuration()
+    address = listen(
+        reactor, app, settings.listen, lambda path: body_limit(state, path)
+    )
     me = ProcessRef(settings.advertise or address, secrets.token_hex(INCARNATION_BYTES))
     state = entry_state(
         settings.name,
         settings.zone,
         me,
-        empty_configuration(),
+        configuration,
         Random(),
         clock.monotonic_ms(),
     )
@@ -107,6 +115,16 @@
     return loop
 
 
+def body_limit(state: EntryState, path: bytes) -> int:
+    """Return the largest body in bytes that is read for a path.
+
+    A message between entry processes may carry a whole outcome.
+    """
+    if path.startswith(MESSAGE_PATH.encode()):
+        return MAX_MESSAGE_BYTES
+    return state.configuration.limits.max_body_bytes
+
+
 def empty_configuration() -> Configuration:
     """Return the configuration of a process that has read none yet."""
     loaded = load_configuration(0, {})
--- /dev/null
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -0,0 +1,139 @@
+"""Bound what one connection may cost before its request is complete."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import orjson
+from twisted.web import http, server
+from twisted.web.resource import Resource
+from zope.interface import provider
+
+IDLE_TIMEOUT_S: Final = 30
+WHOLE_REQUEST_S: Final = 30
+LINGER_S: Final = 1
+MAX_CONNECTIONS: Final = 4_096
+MAX_HEADERS: Final = 64
+STATUS_TOO_LARGE: Final = 413
+TOO_LARGE_BODY: Final = orjson.dumps(
+    {
+        "type": "about:blank",
+        "title": "Body too large",
+        "status": STATUS_TOO_LARGE,
+        "detail": "the body is larger than this service takes",
+        "field": "body",
+    }
+)
+
+# The library's classes carry no types.
+_Request: Any = server.Request
+_Channel: Any = http.HTTPChannel
+_Site: Any = server.Site
+_request_factory: Any = vars(http)["INonQueuedRequestFactory"]
+
+BodyLimit = Callable[[bytes], int]
+
+
+@provider(_request_factory)
+class BoundedRequest(_Request):  # type: ignore[misc]
+    """Read a request and refuse a body that grows beyond its limit."""
+
+    received_bytes = 0
+    most_bytes = 0
+    is_refused = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse a body whose announced length is too large."""
+        self.most_bytes = self.channel.site.body_limit(self.channel._path)
+        if length is not None and length > self.most_bytes:
+            self.refuse()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Take in a part of the body while it stays within the limit."""
+        if self.is_refused:
+            return
+        self.received_bytes += len(data)
+        if self.received_bytes > self.most_bytes:
+            self.refuse()
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
+        """Handle a complete request, unless it has been refused."""
+        if not self.is_refused:
+            super().requestReceived(command, path, version)
+
+    def refuse(self) -> None:
+        """Answer that the body is too large and close the connection."""
+        self.is_refused = True
+        transport: Any = self.channel.transport
+        head = (
+            f"HTTP/1.1 {STATUS_TOO_LARGE} Body too large\r\n"
+            "Content-Type: application/problem+json\r\n"
+            f"Content-Length: {len(TOO_LARGE_BODY)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        transport.write(head.encode() + TOO_LARGE_BODY)
+        # Closing while the rest of the body still arrives would reset the connection
+        # before the caller has read the answer.
+        self.channel.callLater(LINGER_S, transport.loseConnection)
+
+
+class BoundedChannel(_Channel):  # type: ignore[misc]
+    """Read requests and close a connection that takes too long to send one."""
+
+    maxHeaders = MAX_HEADERS  # noqa: N815
+    _whole_request: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count a new connection and refuse it where there are too many."""
+        super().connectionMade()
+        self.factory.connections += 1
+        if self.factory.connections > MAX_CONNECTIONS:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take in bytes; the first ones of a request start its time."""
+        if self._whole_request is None and not self._handlingRequest:
+            self._whole_request = self.callLater(WHOLE_REQUEST_S, self._too_slow)
+        super().dataReceived(data)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Count a connection as closed."""
+        self.factory.connections -= 1
+        self._request_complete()
+        super().connectionLost(reason)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Note that a request is complete."""
+        self._request_complete()
+        super().allContentReceived()
+
+    def _request_complete(self) -> None:
+        if self._whole_request is not None and self._whole_request.active():
+            self._whole_request.cancel()
+        self._whole_request = None
+
+    def _too_slow(self) -> None:
+        self._whole_request = None
+        self.forceAbortClient()
+
+
+class BoundedSite(_Site):  # type: ignore[misc]
+    """Serve a resource to connections that each stay within their limits.
+
+    ``body_limit`` gives the largest body in bytes for a path.
+    """
+
+    def __init__(self, resource: Resource, body_limit: BodyLimit) -> None:
+        super().__init__(resource, timeout=IDLE_TIMEOUT_S)
+        self.connections = 0
+        self.body_limit = body_limit
+        self.displayTracebacks = False
+        self.noisy = False
+        self.requestFactory = BoundedRequest
+        self.protocol = BoundedChannel
+
+    def log(self, request: Any) -> None:
+        """Write no access log: requests stand on the time line."""
--- a/src/bramleyturn/runtime/http_server.py
+++ b/src/bramleyturn/runtime/http_server.py
@@ -5,27 +5,30 @@
 
 import orjson
 from klein import Klein
-from twisted.web.http import HTTPChannel
-from twisted.web.server import Site
 
 from bramleyturn.core.address import parse_address
 from bramleyturn.core.intake import BadRequest
+from bramleyturn.runtime.bounded_http import BodyLimit, BoundedSite
 from bramleyturn.runtime.twisted_types import HttpRequest
 
-IDLE_TIMEOUT_S: Final = 30
+MAX_BODY_BYTES: Final = 64 * 1024
 MS_PER_S: Final = 1_000
 PROBLEM_TYPE: Final = "application/problem+json"
 JSON_TYPE: Final = "application/json"
 
 
-def listen(reactor: Any, app: Klein, address: str, channel: Any = HTTPChannel) -> str:
+def listen(
+    reactor: Any,
+    app: Klein,
+    address: str,
+    body_limit: BodyLimit = lambda _path: MAX_BODY_BYTES,
+) -> str:
     """Serve ``app`` and return the address on which it listens.
 
-    Port 0 takes any free port.
+    Port 0 takes any free port. A request whose body is above ``body_limit`` of its
+    path is refused while it arrives.
     """
-    site = Site(app.resource(), timeout=IDLE_TIMEOUT_S)
-    site.displayTracebacks = False
-    site.noisy = False
+    site = BoundedSite(app.resource(), body_limit)
     wanted = parse_address(address)
     if wanted is None:
         raise ValueError(f"no address: {address}")
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -53,7 +53,7 @@
 
 PRIMARY_WAIT_S: Final = 1.0
 ASK_AGAIN_MS: Final = 10
-MAX_MESSAGE_BYTES: Final = 32 * 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
 
 _BACKUP_PARSERS: Final = {
     MessageKind.INTENT: parse_intent,
--- /dev/null
+++ b/tests/runtime/test_bounded_http.py
@@ -0,0 +1,145 @@
+"""Tests of the limits of one connection, without sockets."""
+
+import json
+from typing import Any
+
+import pytest
+from klein import Klein
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from bramleyturn.runtime.bounded_http import (
+    IDLE_TIMEOUT_S,
+    MAX_CONNECTIONS,
+    MAX_HEADERS,
+    WHOLE_REQUEST_S,
+    BoundedSite,
+)
+
+LIMIT_BYTES = 100
+
+
+class Connection:
+    """Hold one connection to a site that counts what reaches its handler."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.handled: list[bytes] = []
+        app = Klein()
+
+        @app.route("/", methods=["POST"])
+        def handle(request: Any) -> bytes:
+            self.handled.append(request.content.read())
+            return b"done"
+
+        self.site = BoundedSite(app.resource(), lambda _path: LIMIT_BYTES)
+        self.site.reactor = self.clock
+        self.transport = StringTransport()
+        self.channel = self.site.buildProtocol(None)
+        self.channel.makeConnection(self.transport)
+
+    def send(self, data: bytes) -> bytes:
+        """Send bytes and return everything answered so far."""
+        self.channel.dataReceived(data)
+        return bytes(self.transport.value())
+
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether the server closed the connection."""
+        return self.transport.disconnecting or self.transport.disconnected
+
+
+def head(*headers: str) -> bytes:
+    lines = ["POST / HTTP/1.1", "Host: x", *headers, "", ""]
+    return "\r\n".join(lines).encode()
+
+
+class TestBody:
+    def test_within_the_limit_is_handled(self) -> None:
+        connection = Connection()
+        answer = connection.send(head("Content-Length: 2") + b"ab")
+        assert connection.handled == [b"ab"]
+        assert b"200 OK" in answer
+
+    def test_announced_above_the_limit_is_refused_before_it_is_sent(self) -> None:
+        connection = Connection()
+        answer = connection.send(head(f"Content-Length: {LIMIT_BYTES + 1}"))
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        problem = json.loads(answer.partition(b"\r\n\r\n")[2])
+        assert (problem["status"], problem["field"]) == (413, "body")
+
+    def test_in_chunks_above_the_limit_is_refused(self) -> None:
+        connection = Connection()
+        connection.send(head("Transfer-Encoding: chunked"))
+        chunk = b"40\r\n" + b"x" * 64 + b"\r\n"
+        connection.send(chunk)
+        answer = connection.send(chunk + b"0\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert connection.handled == []
+
+    def test_refused_closes_the_connection(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 1000"))
+        connection.clock.advance(2)
+        assert connection.is_closed
+
+
+class TestHeaders:
+    def test_too_many_are_refused(self) -> None:
+        connection = Connection()
+        flood = [f"X-{number}: 1" for number in range(MAX_HEADERS + 1)]
+        answer = connection.send(head(*flood))
+        assert b"400 Bad Request" in answer
+        assert connection.handled == []
+
+    def test_too_long_are_refused(self) -> None:
+        connection = Connection()
+        answer = connection.send(head("X-Long: " + "x" * 20_000))
+        assert b"400 Bad Request" in answer or connection.is_closed
+        assert connection.handled == []
+
+
+class TestSlowCaller:
+    def test_that_trickles_a_request_is_cut_off(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 50"))
+        for _ in range(WHOLE_REQUEST_S):
+            connection.send(b"x")
+            connection.clock.advance(1)
+        assert connection.is_closed
+        assert connection.handled == []
+
+    def test_that_sends_nothing_is_cut_off(self) -> None:
+        connection = Connection()
+        connection.clock.advance(IDLE_TIMEOUT_S + 1)
+        assert connection.is_closed
+
+    def test_that_pauses_between_requests_is_served(self) -> None:
+        connection = Connection()
+        for _ in range(3):
+            connection.send(head("Content-Length: 1") + b"x")
+            connection.clock.advance(IDLE_TIMEOUT_S - 1)
+        assert len(connection.handled) == 3
+        assert not connection.is_closed
+
+
+class TestConnections:
+    def test_above_the_limit_are_closed(self) -> None:
+        connection = Connection()
+        connection.site.connections = MAX_CONNECTIONS
+        transport = StringTransport()
+        connection.site.buildProtocol(None).makeConnection(transport)
+        assert transport.disconnecting
+
+    @pytest.mark.parametrize("count", [1, 3])
+    def test_are_counted_until_they_close(self, count: int) -> None:
+        connection = Connection()
+        channels = []
+        for _ in range(count):
+            channel = connection.site.buildProtocol(None)
+            channel.makeConnection(StringTransport())
+            channels.append(channel)
+        assert connection.site.connections == 1 + count
+        for channel in channels:
+            channel.connectionLost(None)
+        assert connection.site.connections == 1
