--- a/tests/standin/test_answers.py
+++ b/tests/standin/test_answers.py
@@ -4,14 +4,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bramleyturn.core.model import PoolKind
+from bramleyturn.core.model import PoolKind, Stage
 from bramleyturn.standin.answers import (
     engine_tokens,
     expected_output,
     stage_input,
     words_of,
 )
-from tests.standin.pipelines import LESSON_STAGES
 
 TEXTS = st.text(max_size=40)
 
@@ -61,10 +60,12 @@
 
 
 class TestStageInput:
-    def test_is_the_output_before_or_an_object_of_several(self) -> None:
-        encode, generate = LESSON_STAGES[0], LESSON_STAGES[-1]
-        joined = generate._replace(after=("encode", "rerank"))
-        outputs = {"encode": 1, "rerank": 2}
-        assert stage_input(encode, "text", {}) == "text"
-        assert stage_input(generate, "text", outputs) == 2
-        assert stage_input(joined, "text", outputs) == {"encode": 1, "rerank": 2}
+    @pytest.mark.parametrize(
+        ("after", "expected"),
+        [((), "text"), (("b",), 2), (("a", "b"), {"a": 1, "b": 2})],
+    )
+    def test_is_the_output_before_or_an_object_of_several(
+        self, after: tuple[str, ...], expected: object
+    ) -> None:
+        stage = Stage("c", "pool", after, True, 1000, 32, False)
+        assert stage_input(stage, "text", {"a": 1, "b": 2}) == expected
