--- a/src/bramleyturn/core/routing_table.py
+++ b/src/bramleyturn/core/routing_table.py
@@ -1,16 +1,28 @@
 """Hold the backend servers that take work, by pool and availability zone."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from bramleyturn.core.model import Configuration, Limits, Server
 from bramleyturn.core.outliers import OutlierState, start_fresh
 from bramleyturn.core.prefix_cache import HashRing, RecentPrefixes
 from bramleyturn.core.server_load import PoolLoad, ServerLoad
 
+# In force only until the first configuration is applied.
+NO_LIMITS: Final = Limits(*(0 for _ in Limits._fields))
+
 
 class ServerState:
     """Hold what the process knows about one server."""
 
+    __slots__ = (
+        "busy_until_ms",
+        "held_alone",
+        "left_ms",
+        "load",
+        "outlier",
+        "server",
+    )
+
     def __init__(self, server: Server, load: ServerLoad, outlier: OutlierState) -> None:
         self.server = server
         self.load = load
@@ -21,9 +33,10 @@
 
 
 class Candidates(NamedTuple):
-    """List the servers that take work, with the ring over them."""
+    """List the servers that take work, and the ring over all that are configured."""
 
     states: tuple[ServerState, ...]
+    by_name: dict[str, ServerState]
     ring: HashRing
 
 
@@ -34,8 +47,8 @@
         self.load = load
         self.members: dict[str, ServerState] = {}
         self.ejected = 0
-        self.own = Candidates((), HashRing(()))
-        self.others = Candidates((), HashRing(()))
+        self.own = _candidates((), HashRing(()))
+        self.others = _candidates((), HashRing(()))
 
 
 class RoutingTable:
@@ -43,7 +56,7 @@
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
-        self.limits: Limits | None = None
+        self.limits = NO_LIMITS
         self.pools: dict[str, PoolState] = {}
         self.servers: dict[str, ServerState] = {}
         self.prefixes = RecentPrefixes()
@@ -77,6 +90,7 @@
         since_ms = now_ms if server.pool in fresh else None
         _add_server(table, server, since_ms)
     for pool in table.pools.values():
+        _place_on_rings(table, pool)
         list_candidates(table, pool)
 
 
@@ -147,9 +161,17 @@
     ]
     own = tuple(state for state in taking if state.server.zone == table.zone)
     others = tuple(state for state in taking if state.server.zone != table.zone)
-    pool.own = Candidates(own, _ring(own))
-    pool.others = Candidates(others, _ring(others))
+    pool.own = _candidates(own, pool.own.ring)
+    pool.others = _candidates(others, pool.others.ring)
+
+
+def _candidates(states: tuple[ServerState, ...], ring: HashRing) -> Candidates:
+    return Candidates(states, {state.server.name: state for state in states}, ring)
 
 
-def _ring(states: tuple[ServerState, ...]) -> HashRing:
-    return HashRing([state.server.name for state in states])
+def _place_on_rings(table: RoutingTable, pool: PoolState) -> None:
+    own = frozenset(
+        name for name, state in pool.members.items() if state.server.zone == table.zone
+    )
+    pool.own = pool.own._replace(ring=HashRing(own))
+    pool.others = pool.others._replace(ring=HashRing(pool.members.keys() - own))
