--- a/src/bramleyturn/standin/answers.py
+++ b/src/bramleyturn/standin/answers.py
@@ -11,7 +11,7 @@
 import orjson
 import xxhash
 
-from bramleyturn.core.model import Configuration, PoolKind, Stage
+from bramleyturn.core.model import PoolKind, Stage
 
 WORDS_KEPT: Final = 256
 VECTOR_VALUES: Final = 8
@@ -60,24 +60,6 @@
     return {"receipt": digest("plain", value)}
 
 
-def expected_pipeline_output(
-    configuration: Configuration, pipeline: str, value: Any
-) -> Any:
-    """Return the output of the last stage of ``pipeline`` for the input ``value``."""
-    outputs: dict[str, Any] = {}
-    output = value
-    for stage in configuration.pipelines[pipeline].stages:
-        pool = configuration.pools[stage.pool]
-        output = expected_output(
-            pool.kind,
-            pool.model,
-            stage_input(stage, value, outputs),
-            stage.max_output_tokens,
-        )
-        outputs[stage.name] = output
-    return output
-
-
 def stage_input(stage: Stage, value: Any, outputs: dict[str, Any]) -> Any:
     """Return what ``stage`` gets, given the pipeline's input and earlier outputs."""
     if not stage.after:
