--- /dev/null
+++ b/scripts/measure_overhead.py
@@ -0,0 +1,164 @@
+"""Measure what an entry process adds, beside a bare forwarder, in one run.
+
+Run as ``python -m scripts.measure_overhead`` from the root of the project.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from scripts.fleet import Fleet, FleetPlan, workspace_key
+from scripts.process_group import ProcessGroup
+
+INPUT: Final = "The Lord is my shepherd; I shall not want. " * 8
+LOOKUP: Final = """
+[pipeline lookup]
+stages = encode
+deadline_ms = 8000
+
+[stage lookup.encode]
+pool = encoders
+after = none
+repeatable = yes
+timeout_ms = 5000
+hedge = no
+
+[pool encoders]
+concurrency_per_server = 512
+
+[workspace lessons]
+pipelines = *
+rate_per_s = 100000
+burst = 100000
+concurrency = 1000
+"""
+FLOODS: Final = 2
+CONNECTIONS: Final = 16
+
+
+class Target(NamedTuple):
+    """Describe one way to reach the backend server."""
+
+    name: str
+    url: str
+    body: dict[str, object]
+    headers: dict[str, str]
+
+
+def main() -> int:
+    """Print throughput and latency of each way, and the ratios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--out", type=Path)
+    options = parser.parse_args()
+    folder = Path(tempfile.mkdtemp(prefix="bramleyturn-overhead-"))
+    plan = FleetPlan(
+        folder,
+        zones=("duluth",),
+        entries_per_zone=1,
+        separate_servers=True,
+        extra_files={"90-lookup.ini": LOOKUP},
+        standin_values={"service_ms": "0", "concurrency": "1024"},
+    )
+    with Fleet(plan) as fleet:
+        others = ProcessGroup(folder / "others")
+        try:
+            rounds = [
+                measure(folder, targets(fleet, others, number), options.seconds)
+                for number in range(options.rounds)
+            ]
+        finally:
+            others.end_all()
+    text = json.dumps({"seconds": options.seconds, "rounds": rounds}, indent=2)
+    if options.out:
+        options.out.write_text(text, "utf-8")
+    print_table(rounds)
+    return 0
+
+
+def targets(fleet: Fleet, others: ProcessGroup, number: int) -> list[Target]:
+    """Return the three ways to reach an encoder."""
+    encoder = next(each for each in fleet.servers if each.pool == "encoders")
+    server = fleet.addresses[encoder.name]
+    name = f"forwarder-{number}"
+    module = "bramleyturn.bench.forwarder"
+    others.start(name, [sys.executable, "-m", module, server])
+    forwarder = others.wait_for_address(name)
+    entry = fleet.entry_addresses()[0]
+    call = {"attempt_id": "a", "model": encoder.model, "input": INPUT}
+    key = workspace_key("lessons")
+    return [
+        Target("direct", f"http://{server}/v1/run", call, {}),
+        Target("forwarder", f"http://{forwarder}/v1/run", call, {}),
+        Target(
+            "entry",
+            f"http://{entry}/v1/pipelines/lookup/requests",
+            {"input": INPUT},
+            {"Authorization": f"Bearer {key}"},
+        ),
+    ]
+
+
+def measure(
+    folder: Path, ways: list[Target], seconds: float
+) -> dict[str, dict[str, float]]:
+    """Return throughput at saturation and latency at half of the entry's."""
+    found = {way.name: flood(folder, way, seconds, 0.0) for way in ways}
+    half = found["entry"]["per_s"] / 2
+    for way in ways:
+        at_half = flood(folder, way, seconds, half)
+        found[way.name] |= {
+            "half_load_per_s": at_half["per_s"],
+            "half_load_p50_ms": at_half["p50_ms"],
+            "half_load_p99_ms": at_half["p99_ms"],
+        }
+    return found
+
+
+def flood(folder: Path, way: Target, seconds: float, rate: float) -> dict[str, float]:
+    """Return the figures of several sending processes together."""
+    body, headers = folder / f"{way.name}.body", folder / f"{way.name}.headers"
+    body.write_text(json.dumps(way.body), "utf-8")
+    headers.write_text(json.dumps(way.headers), "utf-8")
+    command = [
+        *(sys.executable, "-m", "bramleyturn.bench.flood", way.url),
+        *(str(body), str(headers), "--seconds", str(seconds)),
+        *("--connections", str(CONNECTIONS), "--rate", str(rate / FLOODS)),
+    ]
+    senders = [
+        subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        for _ in range(FLOODS)
+    ]
+    results = [json.loads(sender.communicate()[0]) for sender in senders]
+    return {
+        "per_s": sum(result["per_s"] for result in results),
+        "failed": sum(result["failed"] for result in results),
+        "p50_ms": max(result["p50_ms"] for result in results),
+        "p99_ms": max(result["p99_ms"] for result in results),
+    }
+
+
+def print_table(rounds: list[dict[str, dict[str, float]]]) -> None:
+    """Print each round, and the ratios to the forwarder."""
+    for number, found in enumerate(rounds, 1):
+        print(f"round {number}")
+        for name, row in found.items():
+            cells = "  ".join(f"{key} {value:g}" for key, value in row.items())
+            print(f"  {name:10} {cells}")
+        entry, bare, direct = found["entry"], found["forwarder"], found["direct"]
+        added_entry = entry["half_load_p99_ms"] - direct["half_load_p99_ms"]
+        added_bare = bare["half_load_p99_ms"] - direct["half_load_p99_ms"]
+        print(
+            f"  entry/forwarder: throughput {entry['per_s'] / bare['per_s']:.2f}, "
+            f"p99 added at half load {added_entry:.1f} ms to {added_bare:.1f} ms "
+            f"= {added_entry / added_bare:.2f}"
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -51,13 +51,30 @@
     headers: dict[str, str]
 
 
-def http_client(reactor: Any, *, persistent: bool = True) -> HTTPClient:
+@implementer(IAgentEndpointFactory)
+class IpEndpoints:
+    """Make endpoints for addresses given by their IP numbers.
+
+    The library's own ones resolve names, and after a refused connection they wait
+    for further addresses.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self.reactor = reactor
+
+    def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
+        """Return the endpoint of the IP number and port in ``uri``."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self.reactor, host, uri.port, CONNECT_TIMEOUT_S)
+
+
+def http_client(reactor: Any) -> HTTPClient:
     """Return a client that never sends a request a second time by itself."""
-    pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool = HTTPConnectionPool(reactor, persistent=True)
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
     pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-    agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+    agent: Any = Agent.usingEndpointFactory(reactor, IpEndpoints(reactor), pool)
     return HTTPClient(agent)
 
 
@@ -91,15 +108,12 @@
     """Make endpoints that ask before anything is written."""
 
     def __init__(self, reactor: Any, may_write: Callable[[], bool]) -> None:
-        self.reactor = reactor
+        self.endpoints = IpEndpoints(reactor)
         self.may_write = may_write
 
     def endpointForURI(self, uri: URI) -> GuardedEndpoint:  # noqa: N802
-        """Return the endpoint of an address given by its IP number."""
-        endpoint = TCP4ClientEndpoint(
-            self.reactor, uri.host.decode(), uri.port, timeout=CONNECT_TIMEOUT_S
-        )
-        return GuardedEndpoint(endpoint, self.may_write)
+        """Return the endpoint of the IP number and port in ``uri``."""
+        return GuardedEndpoint(self.endpoints.endpointForURI(uri), self.may_write)
 
 
 def guarded_client(reactor: Any, may_write: Callable[[], bool]) -> HTTPClient:
