--- a/src/bramleyturn/bench/ticket_check.py
+++ b/src/bramleyturn/bench/ticket_check.py
@@ -23,6 +23,8 @@
 DEFAULT_STAGES: Final = "order"
 DEFAULT_MAX_STATES: Final = 5_000_000
 
+Parents = dict[World, tuple[World, str] | None]
+
 
 class Search(NamedTuple):
     """Hold what a search found. ``trace`` leads to the first broken promise."""
@@ -51,10 +53,10 @@
     """
     functions = protocol or Protocol()
     first = first_world(bounds)
-    parents: dict[World, tuple[World, str] | None] = {first: None}
+    parents: Parents = {first: None}
     queue = deque([first])
     told: set[OutcomeKind] = set()
-    steps = most_runs = 0
+    steps = 0
     while queue:
         world = queue.popleft()
         for step in transitions(world, bounds, functions):
@@ -63,22 +65,24 @@
             if step.world in parents:
                 continue
             parents[step.world] = (world, step.name)
-            most_runs = max(most_runs, sum(step.world.runs))
             broken = broken_promise(step.world, bounds)
             if broken:
-                trace = _trace(parents, step.world)
-                return Search(
-                    len(parents), steps, frozenset(told), most_runs, broken, trace
-                )
-            if len(parents) > max_states:
-                raise SearchTooLargeError(f"more than {max_states} states")
+                return _found(parents, steps, told, broken, step.world)
             queue.append(step.world)
-    return Search(len(parents), steps, frozenset(told), most_runs, "", ())
+        if len(parents) > max_states:
+            raise SearchTooLargeError(f"more than {max_states} states")
+    return _found(parents, steps, told, "", first)
+
+
+def _found(
+    parents: Parents, steps: int, told: set[OutcomeKind], broken: str, last: World
+) -> Search:
+    most_runs = max(sum(world.runs) for world in parents)
+    trace = _trace(parents, last)
+    return Search(len(parents), steps, frozenset(told), most_runs, broken, trace)
 
 
-def _trace(
-    parents: dict[World, tuple[World, str] | None], last: World
-) -> tuple[str, ...]:
+def _trace(parents: Parents, last: World) -> tuple[str, ...]:
     names: list[str] = []
     found = parents[last]
     while found is not None:
@@ -106,6 +110,7 @@
     ticks: Annotated[int, cappa.Arg(long=True)] = 3
     stages: Annotated[str, cappa.Arg(long=True)] = DEFAULT_STAGES
     no_backup: Annotated[bool, cappa.Arg(long=True)] = False
+    parallel: Annotated[bool, cappa.Arg(long=True)] = False
     max_states: Annotated[int, cappa.Arg(long=True)] = DEFAULT_MAX_STATES
 
     def __call__(self) -> None:
@@ -116,6 +121,7 @@
             ticks=self.ticks,
             stages=tuple(self.stages.split(",")),
             with_backup=not self.no_backup,
+            parallel=self.parallel,
         )
         found = search(bounds, max_states=self.max_states)
         print(describe(found))
--- a/src/bramleyturn/bench/ticket_model.py
+++ b/src/bramleyturn/bench/ticket_model.py
@@ -245,7 +245,7 @@
     )
     after = _with_primary(world, primary)
     if isinstance(received, primaries.Started):
-        after = _ask_stage(after, received.record, bounds.stages[0], protocol)
+        after = _start(after, received.record, bounds, protocol)
     answer = primaries.answer_entry(received, ask_again_ms=1)
     return _entry_hears_primary("primary gets a copy", after, bounds, answer)
 
@@ -273,6 +273,16 @@
     return _with_primary(world, primary)
 
 
+def _start(
+    world: World, record: TicketRecord, bounds: Bounds, protocol: Protocol
+) -> World:
+    first_stages = bounds.stages if bounds.parallel else bounds.stages[:1]
+    for stage in first_stages:
+        world = _ask_stage(world, record, stage, protocol)
+        record = world.primary.record or record
+    return world
+
+
 def _ask_stage(
     world: World, record: TicketRecord, stage: str, protocol: Protocol
 ) -> World:
@@ -353,8 +363,11 @@
 ) -> Transition:
     outcome = StageOutcome(stage, OutcomeKind.ANSWERED, 1, 0, 0)
     record = primaries.end_stage(record, outcome)
-    following = bounds.stages[bounds.stages.index(stage) + 1 :]
+    asked = {found.name for found in record.stages}
+    following = [name for name in bounds.stages if name not in asked]
     if following:
         after = _ask_stage(world, record, following[0], protocol)
         return Transition(f"{stage} ends", after)
+    if any(found.outcome is None for found in record.stages):
+        return Transition(f"{stage} ends", _store(world, record, protocol))
     return _finish(world, record, Outcome(OutcomeKind.ANSWERED, ""), protocol)
--- a/src/bramleyturn/bench/ticket_world.py
+++ b/src/bramleyturn/bench/ticket_world.py
@@ -53,13 +53,17 @@
 
 
 class Bounds(NamedTuple):
-    """Bound the search. A clock stops at ``ticks``."""
+    """Bound the search. A clock stops at ``ticks``.
+
+    The stages run one after the other, or all at once when ``parallel``.
+    """
 
     primary_restarts: int = 1
     backup_restarts: int = 1
     ticks: int = 3
     stages: tuple[str, ...] = ("order",)
     with_backup: bool = True
+    parallel: bool = False
 
 
 class PrimaryState(NamedTuple):
--- a/src/bramleyturn/core/ticket_primary.py
+++ b/src/bramleyturn/core/ticket_primary.py
@@ -365,8 +365,6 @@
     """Return what to tell the entry that forwarded a copy of a request."""
     if isinstance(received, Started | Joined):
         return PrimaryRunning(ask_again_ms)
-    if isinstance(received, Kept):
-        return PrimaryFinished(received.outcome)
     if received.outcome is not None:
         return PrimaryFinished(received.outcome)
     if received.reason is TicketRefusal.INPUT_DIFFERS:
@@ -388,16 +386,15 @@
 
 def forget_records(primary: TicketPrimary, now_ms: int, margin_ms: int) -> int:
     """Forget finished records past expiry and margin; return how many."""
-    due: list[TicketRecord] = []
+    due: list[Ticket] = []
     for record in primary.records.values():
         if record.outcome is None:
             continue
         if now_ms < record.ticket.expires_at_ms + margin_ms:
             break
-        due.append(record)
-    for record in due:
-        del primary.records[record.ticket.number]
-        primary.forgotten_through_ms = max(
-            primary.forgotten_through_ms, record.ticket.expires_at_ms
-        )
+        due.append(record.ticket)
+    for ticket in due:
+        del primary.records[ticket.number]
+    latest_ms = max((ticket.expires_at_ms for ticket in due), default=-1)
+    primary.forgotten_through_ms = max(primary.forgotten_through_ms, latest_ms)
     return len(due)
--- a/tests/proofs/test_at_most_once_model.py
+++ b/tests/proofs/test_at_most_once_model.py
@@ -14,6 +14,9 @@
 ALL_BOUNDS = {
     "one stage": Bounds(),
     "two stages": Bounds(stages=("order", "charge")),
+    "two parallel stages": Bounds(
+        stages=("order", "charge"), ticks=2, backup_restarts=0, parallel=True
+    ),
     "two restarts of each": Bounds(primary_restarts=2, backup_restarts=2),
     "no backup": Bounds(with_backup=False),
     "two stages, no backup": Bounds(stages=("order", "charge"), with_backup=False),
