--- a/scripts/process_group.py
+++ b/scripts/process_group.py
@@ -67,9 +67,9 @@
         """Send a signal to one process, by its id."""
         self.started[name].popen.send_signal(signal_number)
 
-    def wait_for_end(self, name: str) -> int:
+    def wait_for_end(self, name: str, limit_s: float = STOP_LIMIT_S) -> int:
         """Return the exit code of ``name`` once it has ended."""
-        return self.started[name].popen.wait(timeout=STOP_LIMIT_S)
+        return self.started[name].popen.wait(timeout=limit_s)
 
     def end(self, name: str) -> int:
         """Stop one process, by force where it does not stop by itself."""
