--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bramleyturn.core.actions import Answer, ForwardAnswer
-from bramleyturn.core.entry import StillRunning, kept_outcome
+from bramleyturn.core.arrivals import StillRunning, kept_outcome
 from bramleyturn.core.events import (
     BackupAsked,
     BackupMessage,
@@ -53,7 +53,7 @@
 
 PRIMARY_WAIT_S: Final = 1.0
 ASK_AGAIN_MS: Final = 10
-MAX_MESSAGE_BYTES: Final = 32 * 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
 
 _BACKUP_PARSERS: Final = {
     MessageKind.INTENT: parse_intent,
