Weigh the first attempts of a pool by their own size

The mean size of attempts started at the fixed part alone, so that the first large attempt of a pool counted as many: one of 5,000 tokens outweighed a report of three running ones. The mean now starts at the first attempt.

--- a/src/bramleyturn/core/server_load.py
+++ b/src/bramleyturn/core/server_load.py
@@ -41,7 +41,7 @@
 
     def __init__(self, capacity: int) -> None:
         self.capacity = max(1, capacity)
-        self.mean_weight = float(FIXED_TOKENS)
+        self.mean_weight = 0.0
         self.mean_ms = 0.0
         self.expected_ms: dict[int, float] = {}
         self.mean_others = 0.0
@@ -93,7 +93,8 @@
     load.in_flight += 1
     load.in_flight_weight += weight
     load.history.append((now_ms, load.in_flight))
-    pool.mean_weight += (weight - pool.mean_weight) * MEAN_GAIN
+    gain = MEAN_GAIN if pool.mean_weight else 1.0
+    pool.mean_weight += (weight - pool.mean_weight) * gain
 
 
 def count_end(load: ServerLoad, size_tokens: int, now_ms: int) -> None:
@@ -170,7 +171,9 @@
     ``usual_ms`` is the pool's usual time for an attempt of this size. A batch slows
     down as it fills; beyond the capacity attempts wait for one another.
     """
-    own = (load.in_flight + load.in_flight_weight / pool.mean_weight) / 2
+    own = float(load.in_flight)
+    if own:
+        own = (own + load.in_flight_weight / pool.mean_weight) / 2
     busy = own + others_in_flight(pool, load, now_ms)
     utilisation = busy / load.capacity
     finish_ms = usual_ms * (1.0 + utilisation)
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -132,9 +132,8 @@
         table = table_of(zone_servers(2))
         for _ in range(4):
             attempt_started(table, "duluth-0", SIZE_TOKENS, "", 0)
-            attempt_started(table, "duluth-1", SIZE_TOKENS, "", 0)
         load_reported(table, LoadReport("duluth-0", 4, 0, 8, 0, False), 100)
-        load_reported(table, LoadReport("duluth-1", 5, 0, 8, 0, False), 100)
+        load_reported(table, LoadReport("duluth-1", 6, 0, 8, 0, False), 100)
         assert set(choices(table, now_ms=100)) == {"duluth-0"}
 
     def test_attempts_after_a_lagging_report_count_as_well(self) -> None:
@@ -145,6 +144,12 @@
         load_reported(table, LoadReport("duluth-1", 4, 0, 8, 600, False), 1_000)
         assert set(choices(table, now_ms=1_000)) == {"duluth-1"}
 
+    def test_a_first_large_attempt_counts_as_one(self) -> None:
+        table = table_of(zone_servers(2))
+        attempt_started(table, "duluth-0", 5_000, "", 0)
+        load_reported(table, LoadReport("duluth-1", 3, 0, 8, 0, False), 0)
+        assert set(choices(table)) == {"duluth-0"}
+
     def test_an_old_report_fades(self) -> None:
         table = table_of(zone_servers(2))
         load_reported(table, LoadReport("duluth-0", 8, 8, 8, 0, False), 0)
