--- a/src/bramleyturn/core/server_load.py
+++ b/src/bramleyturn/core/server_load.py
@@ -4,11 +4,14 @@
 from typing import Final, NamedTuple
 
 FIXED_TOKENS: Final = 32
-REPORT_HALF_LIFE_MS: Final = 2_000
+REPORT_HALF_LIFE_SHARE: Final = 0.25
+REPORT_HALF_LIVES: Final = 5.0
+MIN_REPORT_HALF_LIFE_MS: Final = 20.0
+MAX_REPORT_HALF_LIFE_MS: Final = 2_000.0
 SLOWNESS_HALF_LIFE_MS: Final = 10_000
 HISTORY_LENGTH: Final = 64
 NEVER_MS: Final = -1_000_000_000
-SLOWNESS_GAIN: Final = 0.2
+SLOWNESS_GAIN: Final = 0.05
 EXPECTED_GAIN: Final = 0.1
 MEAN_GAIN: Final = 0.05
 REPORT_GAIN: Final = 0.1
@@ -34,6 +37,7 @@
     __slots__ = (
         "capacity",
         "expected_ms",
+        "half_life_ms",
         "mean_ms",
         "mean_others",
         "mean_weight",
@@ -43,6 +47,7 @@
         self.capacity = max(1, capacity)
         self.mean_weight = 0.0
         self.mean_ms = 0.0
+        self.half_life_ms = MAX_REPORT_HALF_LIFE_MS
         self.expected_ms: dict[int, float] = {}
         self.mean_others = 0.0
 
@@ -112,6 +117,10 @@
     usual_ms = expected_ms(pool, size_tokens)
     known = bool(pool.mean_ms)
     pool.mean_ms += (elapsed_ms - pool.mean_ms) * (MEAN_GAIN if known else 1.0)
+    half_life_ms = pool.mean_ms * REPORT_HALF_LIFE_SHARE
+    pool.half_life_ms = min(
+        max(half_life_ms, MIN_REPORT_HALF_LIFE_MS), MAX_REPORT_HALF_LIFE_MS
+    )
     size_class = _size_class(size_tokens)
     class_ms = pool.expected_ms.get(size_class, float(elapsed_ms))
     pool.expected_ms[size_class] = class_ms + (elapsed_ms - class_ms) * EXPECTED_GAIN
@@ -154,9 +163,14 @@
 def others_in_flight(pool: PoolLoad, load: ServerLoad, now_ms: int) -> float:
     """Return the estimated attempts of other processes on the server.
 
-    A report loses weight with its age in favour of the pool's mean.
+    A report loses weight with its age in favour of the pool's mean, and does so
+    within a part of the usual service time: by then the attempts it counted ended,
+    and many processes that follow the same old report would crowd its server.
     """
-    weight: float = 0.5 ** ((now_ms - load.others_ms) / REPORT_HALF_LIFE_MS)
+    half_lives = (now_ms - load.others_ms) / pool.half_life_ms
+    if half_lives > REPORT_HALF_LIVES:
+        return pool.mean_others
+    weight: float = 0.5**half_lives
     return pool.mean_others + (load.others - pool.mean_others) * weight
 
 
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import pytest
 from hypothesis import given, settings
@@ -29,6 +29,7 @@
     server_back,
     server_leaving,
 )
+from bramleyturn.core.server_load import estimate_ms
 from tests.core.policy_data import LIMITS, configuration, server
 
 REQUEST: Final = ChoiceRequest("drafting", 100, "", frozenset(), False)
@@ -157,6 +158,15 @@
         assert set(choices(table)) == {"duluth-1"}
         assert set(choices(table, now_ms=60_000)) == {"duluth-0"}
 
+    def test_a_report_older_than_a_run_crowds_no_server(self) -> None:
+        table = table_of(zone_servers(4))
+        for number in range(4):
+            run(table, f"duluth-{number}", AttemptVerdict.OK, 100, 100)
+            running = 4 if number else 0
+            report = LoadReport(f"duluth-{number}", running, 0, 8, 1_000, False)
+            load_reported(table, report, 1_500)
+        assert choices(table, now_ms=1_500)["duluth-0"] < 100
+
     def test_a_report_from_before_another_changes_nothing(self) -> None:
         table = table_of(zone_servers(2))
         load_reported(table, LoadReport("duluth-0", 6, 0, 8, 100, False), 1_000)
@@ -185,6 +195,25 @@
         assert max(in_flight) <= 8
 
 
+class TestCost:
+    @pytest.mark.parametrize("prefix", ["", "unit-3"])
+    @pytest.mark.parametrize("count", [8, 26, 1_300])
+    def test_rates_as_few_servers_of_many(
+        self, count: int, prefix: str, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rated = 0
+
+        def counted(*arguments: Any) -> tuple[float, float]:
+            nonlocal rated
+            rated += 1
+            return estimate_ms(*arguments)
+
+        monkeypatch.setattr("bramleyturn.core.routing.estimate_ms", counted)
+        request = REQUEST._replace(prefix=prefix)
+        choices(table_of(zone_servers(count)), request, count=100)
+        assert 200 <= rated <= 400
+
+
 class TestPrefixes:
     WARM: Final = REQUEST._replace(prefix="unit-3")
 
