--- /dev/null
+++ b/src/bramleyturn/core/ini_folder.py
@@ -0,0 +1,174 @@
+"""Merge a folder of INI files, remembering where each value comes from."""
+
+import configparser
+import re
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from bramleyturn.core.fault import Fault, printable, quote
+
+COMMENT: Final = re.compile(r"(?:^|\s)[;#].*$")
+HEADER: Final = re.compile(r"\[([^\[\]]+)\]")
+OPTION: Final = re.compile(r"([^\s=\[][^=]*?)\s*=")
+BYTE_ORDER_MARK: Final = "\ufeff"
+UNNAMED: Final = "(no name)"
+
+
+class Value(NamedTuple):
+    """Hold the text of one setting and the place it comes from."""
+
+    text: str
+    file: str
+    line: int
+
+
+class Section(NamedTuple):
+    """Hold the merged settings of one section and where it first stands."""
+
+    name: str
+    file: str
+    line: int
+    values: dict[str, Value]
+
+
+class Folder(NamedTuple):
+    """Hold the merged sections of a folder, and the faults of its syntax."""
+
+    sections: dict[str, Section]
+    faults: tuple[Fault, ...]
+
+
+class Line(NamedTuple):
+    """Hold a line without its comment, and the section or key that it names."""
+
+    text: str
+    header: str
+    key: str
+
+
+class ScannedFile(NamedTuple):
+    """Hold the sound lines of one file and the line of each section and key."""
+
+    lines: list[str]
+    section_lines: dict[str, int]
+    key_lines: dict[tuple[str, str], int]
+    faults: list[Fault]
+
+
+def merge_folder(files: Mapping[str, str]) -> Folder:
+    """Return the sections of ``files`` merged in the order of their names.
+
+    A later file may repeat a section and override single keys; within one file
+    a repeated section or key is a fault. Names of keys ignore case. Faulty lines
+    are left out, so that the rest can still be checked.
+    """
+    sections: dict[str, Section] = {}
+    faults: list[Fault] = []
+    for name in sorted(files):
+        file = printable(name)
+        scanned = scan_file(file, files[name])
+        faults += scanned.faults
+        for section in _read_sections(file, scanned):
+            known = sections.setdefault(section.name, section)
+            known.values.update(section.values)
+    return Folder(sections, tuple(faults))
+
+
+def scan_file(file: str, text: str) -> ScannedFile:
+    """Return the sound lines of ``text``, with each faulty line left blank."""
+    scanned = ScannedFile([], {}, {}, [])
+    section = ""
+    continues = False
+    for number, raw_line in enumerate(_split_lines(text), start=1):
+        line = _parse_line(raw_line)
+        expected = _fault_in_line(line, scanned, section, continues)
+        # The settings below a faulty header still belong to its section.
+        section = line.header or section
+        if expected:
+            found = _found_in_line(line)
+            fault = Fault(file, number, section, line.key, expected, found)
+            scanned.faults.append(fault)
+        if line.header:
+            scanned.section_lines.setdefault(line.header, number)
+        elif line.key and not expected:
+            scanned.key_lines[section, line.key] = number
+        continued = continues and line.text and not line.header
+        continues = not expected and bool(line.key or continued)
+        sound_text = "" if expected else line.text
+        scanned.lines.append(f"[{line.header}]" if line.header else sound_text)
+    return scanned
+
+
+def _parse_line(raw_line: str) -> Line:
+    """Return what a line opens or sets."""
+    text = COMMENT.sub("", raw_line).rstrip()
+    header = HEADER.fullmatch(text)
+    if header:
+        return Line(text, printable(" ".join(header[1].split())), "")
+    option = OPTION.match(text)
+    return Line(text, "", printable(option[1].lower()) if option else "")
+
+
+def _split_lines(text: str) -> list[str]:
+    """Return the lines of ``text`` without their ends or a byte order mark."""
+    return [
+        line.removesuffix("\r")
+        for line in text.removeprefix(BYTE_ORDER_MARK).split("\n")
+    ]
+
+
+def _fault_in_line(
+    line: Line, scanned: ScannedFile, section: str, continues: bool
+) -> str:
+    """Return what was expected in place of ``line``, or nothing if it is sound."""
+    if not line.text:
+        return ""
+    if not line.text.replace("\t", " ").isprintable():
+        return "printable text"
+    if line.text[0].isspace():
+        return "" if continues else "a line that starts in the first column"
+    if line.header:
+        known_line = scanned.section_lines.get(line.header)
+        if known_line is None:
+            return ""
+        return f"each section once in a file (first in line {known_line})"
+    if not line.key:
+        return "'[section]' or 'key = value'"
+    if not section:
+        return "a '[section]' before the first key"
+    known_line = scanned.key_lines.get((section, line.key))
+    if known_line is None:
+        return ""
+    return f"each key once in a section (first in line {known_line})"
+
+
+def _found_in_line(line: Line) -> str:
+    """Return the first word of ``line`` only: the rest may hold a secret."""
+    if line.header:
+        return quote(line.text)
+    return quote(f"{line.key} =") if line.key else quote(line.text.split()[0])
+
+
+def _read_sections(file: str, scanned: ScannedFile) -> list[Section]:
+    """Return the sections of one scanned file."""
+    parser = configparser.RawConfigParser(
+        delimiters=("=",),
+        comment_prefixes=(),
+        strict=False,
+        empty_lines_in_values=False,
+        # No header can spell an empty name, so that no section is special.
+        default_section="",
+    )
+    parser.read_file(scanned.lines, source=file or UNNAMED)
+    return [
+        Section(
+            name,
+            file,
+            scanned.section_lines[name],
+            {
+                key: Value(text, file, scanned.key_lines[name, key])
+                for key, text in parser.items(name)
+            },
+        )
+        for name in parser.sections()
+    ]
