--- a/scripts/measure_overhead.py
+++ b/scripts/measure_overhead.py
@@ -90,7 +90,11 @@
     others.start(name, [sys.executable, "-m", module, server])
     forwarder = others.wait_for_address(name)
     entry = fleet.entry_addresses()[0]
-    call = {"attempt_id": "a", "model": encoder.model, "input": INPUT}
+    call: dict[str, object] = {
+        "attempt_id": "ATTEMPT",
+        "model": encoder.model,
+        "input": INPUT,
+    }
     key = workspace_key("lessons")
     return [
         Target("direct", f"http://{server}/v1/run", call, {}),
--- a/src/bramleyturn/bench/flood.py
+++ b/src/bramleyturn/bench/flood.py
@@ -1,5 +1,6 @@
 """Send one request again and again, and report throughput and latency."""
 
+import secrets
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, Final, NamedTuple
@@ -21,10 +22,12 @@
 TIMEOUT_MS: Final = 30_000
 STATUS_OK: Final = 200
 US_PER_MS: Final = 1_000
+ATTEMPT_MARK: Final = b"ATTEMPT"
+RUN: Final = secrets.token_hex(4).encode()
 
 
 class Shot(NamedTuple):
-    """Hold the request to send."""
+    """Hold the request to send. ``ATTEMPT`` in its body becomes a new id each time."""
 
     url: str
     body: bytes
@@ -35,6 +38,7 @@
     """Count answers and their latencies."""
 
     def __init__(self) -> None:
+        self.sent = 0
         self.answered = 0
         self.failed = 0
         self.latencies_us = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_FIGURES)
@@ -114,12 +118,13 @@
 async def send_once(loop: Any, client: HTTPClient, shot: Shot, tally: Tally) -> None:
     """Send one request and count its answer."""
     start_s = loop.seconds()
+    tally.sent += 1
     answer = await call_bytes(
         client,
         loop,
         "POST",
         shot.url,
-        body=shot.body,
+        body=shot.body.replace(ATTEMPT_MARK, b"%s-%d" % (RUN, tally.sent)),
         headers=shot.headers,
         timeout_ms=TIMEOUT_MS,
     )
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -6,7 +6,7 @@
 import orjson
 from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectingCancelledError, ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
@@ -109,7 +109,7 @@
         client.readers[action.attempt_id] = reader
         response.deliverBody(reader)
         body = await reader.whole_body
-    except CancelledError:
+    except (CancelledError, ConnectingCancelledError):
         return
     except Exception as error:
         broke(client, action, failure_of(error))
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -10,6 +10,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
+    ConnectingCancelledError,
     DNSLookupError,
     TimeoutError,
 )
@@ -142,7 +143,7 @@
     timer = reactor.callLater(timeout_ms / MS_PER_S, sent.cancel)
     try:
         return await sent
-    except CancelledError:
+    except (CancelledError, ConnectingCancelledError):
         return CallFailed(CallFailure.TIMED_OUT, f"no answer in {timeout_ms} ms")
     except Exception as error:
         return failure_of(error)
