Keep full garbage collections short

Ruled out: the forget timer (runs 1/s, pauses came with load) and the HTTP client (same pauses under a profile). Change: what exists when the first configuration is in force is exempt, and outcomes are kept as JSON bytes.

--- a/src/bramleyturn/core/arrivals.py
+++ b/src/bramleyturn/core/arrivals.py
@@ -14,7 +14,7 @@
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import RequestArrived
 from bramleyturn.core.forwarding import start_forward
-from bramleyturn.core.kept import OutcomeKey, find_outcome
+from bramleyturn.core.kept import OutcomeKey, find_outcome, unpack_outcome
 from bramleyturn.core.model import Pipeline, Workspace
 from bramleyturn.core.outcomes import Outcome, not_run
 from bramleyturn.core.peers import choose_backup
@@ -182,7 +182,7 @@
     if key in state.running_by_id:
         return StillRunning()
     kept = find_outcome(state.kept, key, now_ms)
-    return kept.outcome if kept is not None else None
+    return unpack_outcome(kept) if kept is not None else None
 
 
 def forget_waiter(state: EntryState, waiter: str) -> list[Action]:
--- a/src/bramleyturn/core/kept.py
+++ b/src/bramleyturn/core/kept.py
@@ -3,7 +3,10 @@
 from collections import OrderedDict
 from typing import Final, NamedTuple
 
-from bramleyturn.core.outcomes import Outcome
+import orjson
+
+from bramleyturn.core.outcome_json import outcome_document, parse_outcome
+from bramleyturn.core.outcomes import Outcome, OutcomeKind
 
 MAX_KEPT_BYTES: Final = 64 * 1024 * 1024
 MAX_KEPT_OUTCOMES: Final = 50_000
@@ -18,11 +21,15 @@
 
 
 class KeptOutcome(NamedTuple):
-    """Hold an outcome until ``forget_at_ms``."""
+    """Hold an outcome as JSON until ``forget_at_ms``.
+
+    Objects that live long make every full garbage collection longer, and bytes are
+    nothing that the collector has to look at.
+    """
 
-    outcome: Outcome
+    packed: bytes
+    kind: OutcomeKind
     input_digest: bytes
-    size_bytes: int
     forget_at_ms: int
 
 
@@ -35,15 +42,36 @@
         self.max_bytes = max_bytes
 
 
+def pack_outcome(
+    outcome: Outcome, input_digest: bytes, forget_at_ms: int
+) -> KeptOutcome:
+    """Return an outcome in the form in which it is kept."""
+    packed = orjson.dumps(outcome_document("", outcome))
+    return KeptOutcome(packed, outcome.kind, input_digest, forget_at_ms)
+
+
+def unpack_outcome(kept: KeptOutcome) -> Outcome:
+    """Return the outcome that is kept."""
+    outcome = parse_outcome(orjson.loads(kept.packed))
+    if outcome is None:
+        raise AssertionError("a kept outcome must be readable")
+    return outcome
+
+
 def keep_outcome(kept: KeptOutcomes, key: OutcomeKey, outcome: KeptOutcome) -> None:
     """Keep an outcome, dropping the oldest ones when the limit is reached."""
     drop_outcome(kept, key)
     kept.by_key[key] = outcome
-    kept.size_bytes += outcome.size_bytes
+    kept.size_bytes += size_bytes(outcome)
     while kept.size_bytes > kept.max_bytes or len(kept.by_key) > MAX_KEPT_OUTCOMES:
         drop_outcome(kept, next(iter(kept.by_key)))
 
 
+def size_bytes(outcome: KeptOutcome) -> int:
+    """Return about how much memory a kept outcome takes."""
+    return len(outcome.packed) + OVERHEAD_BYTES
+
+
 def find_outcome(
     kept: KeptOutcomes, key: OutcomeKey, now_ms: int
 ) -> KeptOutcome | None:
@@ -67,4 +95,4 @@
     """Drop one outcome if it is kept."""
     dropped = kept.by_key.pop(key, None)
     if dropped is not None:
-        kept.size_bytes -= dropped.size_bytes
+        kept.size_bytes -= size_bytes(dropped)
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -17,7 +17,13 @@
 from bramleyturn.core.attempt_results import cancel_attempts
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
-from bramleyturn.core.kept import KeptOutcome, OutcomeKey, find_outcome, keep_outcome
+from bramleyturn.core.kept import (
+    OutcomeKey,
+    find_outcome,
+    keep_outcome,
+    pack_outcome,
+    unpack_outcome,
+)
 from bramleyturn.core.latency import can_finish, stage_percentile_ms
 from bramleyturn.core.model import Pipeline, Workspace
 from bramleyturn.core.outcomes import Outcome, OutcomeKind, not_run
@@ -42,7 +48,6 @@
 TYPICAL_PERCENTILE: Final = 50
 DRAIN_RETRY_AFTER_MS: Final = 1_000
 DEADLINE_RETRY_AFTER_MS: Final = 1_000
-OUTCOME_OVERHEAD_BYTES: Final = 1_024
 
 
 def digest_input(pipeline: str, packed: bytes) -> bytes:
@@ -69,11 +74,11 @@
         state.request_by_waiter[event.waiter] = running_key
         return []
     kept = find_outcome(state.kept, key, now_ms)
-    if kept is None or kept.outcome.kind is OutcomeKind.NOT_RUN:
+    if kept is None or kept.kind is OutcomeKind.NOT_RUN:
         return None
     if kept.input_digest != digest:
         return [reused_id(event)]
-    return [Answer(event.waiter, event.request_id, kept.outcome)]
+    return [Answer(event.waiter, event.request_id, unpack_outcome(kept))]
 
 
 def reused_id(event: RequestArrived) -> Answer:
@@ -314,18 +319,11 @@
     state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
 ) -> None:
     """Keep an outcome for a caller that asks again."""
-    size_bytes = OUTCOME_OVERHEAD_BYTES
-    if outcome.output is not None:
-        size_bytes += len(orjson.dumps(outcome.output))
+    forget_at_ms = now_ms + state.configuration.limits.kept_outcome_ms
     keep_outcome(
         state.kept,
         OutcomeKey(request.workspace.name, request.request_id),
-        KeptOutcome(
-            outcome=outcome,
-            input_digest=request.input_digest,
-            size_bytes=size_bytes,
-            forget_at_ms=now_ms + state.configuration.limits.kept_outcome_ms,
-        ),
+        pack_outcome(outcome, request.input_digest, forget_at_ms),
     )
 
 
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -41,6 +41,7 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
+from bramleyturn.runtime.memory import freeze_start_up_objects
 from bramleyturn.runtime.peer_client import (
     MESSAGE_PATH,
     Identity,
@@ -157,6 +158,8 @@
     def accept(configuration: Configuration) -> None:
         loop.access = access_table(configuration)
         feed(loop, ConfigurationAccepted(configuration))
+        if not lifecycle.is_ready():
+            freeze_start_up_objects()
         lifecycle.configured()
 
     for work in (
