Keep the operators' routes to those who hold the operators' key

Status, cost and time line of an entry process were open to every caller, and a watch gave the whole configuration, keys included, to whoever asked. Operators now show their key, watches sign with the [peers] key, and processes of the same instance come over loopback. An entry lists its running and kept requests and takes an order to drain.

--- /dev/null
+++ b/src/bramleyturn/core/operator_access.py
@@ -0,0 +1,72 @@
+"""Check who may see what only operators and processes of the fleet may see."""
+
+import hashlib
+import hmac
+import ipaddress
+from collections.abc import Sequence
+from typing import Final
+
+from bramleyturn.core.intake import (
+    BadRequest,
+    bearer_key,
+    key_digest,
+    matches_digest,
+)
+from bramleyturn.core.model import AdminSettings
+
+MAC_BYTES: Final = 16
+_PERSON: Final = b"watch"
+
+
+def check_operator(admin: AdminSettings, authorization: str) -> BadRequest | None:
+    """Return why a caller is refused, None if it holds the operators' key.
+
+    Without a digest in the settings everybody is refused.
+    """
+    key = bearer_key(authorization)
+    if isinstance(key, BadRequest):
+        return key
+    if not admin.key_sha256:
+        return BadRequest(
+            401,
+            "No operators' key",
+            "[admin] key_sha256 is empty or no configuration is in force yet",
+            "Authorization",
+        )
+    digest = key_digest(key)
+    if matches_digest(digest, admin.key_sha256, admin.previous_key_sha256):
+        return None
+    return BadRequest(
+        401, "Unknown key", "this is not the operators' key", "Authorization"
+    )
+
+
+def is_loopback(host: str) -> bool:
+    """Tell whether a peer's IP number belongs to this machine's loopback."""
+    try:
+        address = ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    mapped = getattr(address, "ipv4_mapped", None)
+    return bool((mapped or address).is_loopback)
+
+
+def target_mac(target: str, key: str) -> str:
+    """Return the keyed MAC of what one watch asks another for."""
+    hashed_key = hashlib.blake2b(key.encode()).digest()
+    return hashlib.blake2b(
+        target.encode(), digest_size=MAC_BYTES, key=hashed_key, person=_PERSON
+    ).hexdigest()
+
+
+def is_signed(target: str, mac: str, keys: Sequence[str]) -> bool:
+    """Tell whether ``mac`` was made for ``target`` with one of ``keys``.
+
+    An empty key signs nothing.
+    """
+    matches = [
+        hmac.compare_digest(mac.encode(), target_mac(target, key).encode())
+        for key in keys
+        if key
+    ]
+    return any(matches)
--- a/src/bramleyturn/platform/reader.py
+++ b/src/bramleyturn/platform/reader.py
@@ -4,6 +4,7 @@
 
 from treq.client import HTTPClient
 
+from bramleyturn.core.operator_access import target_mac
 from bramleyturn.platform.documents import (
     ListedInstance,
     PublishedFolder,
@@ -15,22 +16,32 @@
 from bramleyturn.runtime.http_client import JsonAnswer, call_json
 
 CALL_TIMEOUT_MS: Final = 2_000
+TARGET_MAC_HEADER: Final = "Bramleyturn-Mac"
 STATUS_OK: Final = 200
 STATUS_TOO_MANY: Final = 429
 
 
 async def read_folder(
-    client: HTTPClient, reactor: Any, url: str, after: int, wait_ms: int
+    client: HTTPClient,
+    reactor: Any,
+    url: str,
+    after: int,
+    wait_ms: int,
+    key: str = "",
 ) -> PublishedFolder | PlatformFailed:
     """Return the folder at ``url``, held back until it is newer than ``after``.
 
-    ``url`` is the configuration of the platform or of another watch.
+    ``url`` is the configuration of the platform or of another watch, which wants
+    the question signed with the `[peers]` key.
     """
+    query = f"?after={after}&wait_ms={wait_ms}"
+    target = "/" + url.split("/", 3)[3] + query
     answer = await call_json(
         client,
         reactor,
         "GET",
-        f"{url}?after={after}&wait_ms={wait_ms}",
+        f"{url}{query}",
+        headers={TARGET_MAC_HEADER: target_mac(target, key)} if key else None,
         timeout_ms=wait_ms + CALL_TIMEOUT_MS,
     )
     document = usable_document(answer)
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -6,22 +6,33 @@
 
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.intake import BadRequest
+from bramleyturn.core.operator_access import is_loopback, is_signed
 from bramleyturn.core.revisions import Refused
+from bramleyturn.platform.reader import TARGET_MAC_HEADER
 from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
-from bramleyturn.runtime.http_server import json_answer, problem
-from bramleyturn.runtime.timeline_api import timeline_api
+from bramleyturn.runtime.http_server import header, json_answer, problem
+from bramleyturn.runtime.operator_access import refuse_others, unauthorized
+from bramleyturn.runtime.timeline_api import after_argument, timeline_document
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 MAX_WAIT_MS: Final = 30_000
+NO_KEY_YET: Final = BadRequest(
+    401,
+    "No key yet",
+    "without a configuration this watch answers to its own instance only",
+    "Authorization",
+)
 
 
 def watch_api(loop: WatchLoop) -> Klein:
     """Return the web application of a watch."""
     app = Klein()
-    timeline_api(app, loop.name, loop.timeline, loop.clock)
 
     @app.route("/v1/config", methods=["GET"])
     async def config(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
         after = number(request, b"after")
         wait_ms = number(request, b"wait_ms")
         if after is None or wait_ms is None:
@@ -32,12 +43,28 @@
 
     @app.route("/v1/instances", methods=["GET"])
     def instances(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
         return json_answer(request, instances_document(loop))
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
         return json_answer(request, status_document(loop))
 
+    @app.route("/v1/timeline", methods=["GET"])
+    def events(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
+        document = timeline_document(
+            loop.name, loop.timeline, loop.clock, after_argument(request)
+        )
+        return json_answer(request, document)
+
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
         return json_answer(request, {"healthy": True})
@@ -50,6 +77,26 @@
     return app
 
 
+def refuse_strangers(loop: WatchLoop, request: HttpRequest) -> bytes | None:
+    """Return the refusal of a caller that may not see what a watch knows, else None.
+
+    Processes of the same instance come over loopback and need no key: a watch
+    without a configuration has none to check theirs with. Everybody else shows the
+    operators' key, or signs with the `[peers]` key as another watch does.
+    """
+    if is_loopback(str(request.getClientAddress().host)):
+        return None
+    in_force = loop.revisions.in_force
+    if in_force is None:
+        return unauthorized(request, NO_KEY_YET)
+    peers = in_force.configuration.peers
+    target = request.uri.decode("ascii", "replace")
+    mac = header(request, TARGET_MAC_HEADER)
+    if is_signed(target, mac, (peers.key, peers.previous_key)):
+        return None
+    return refuse_others(request, in_force.configuration.admin)
+
+
 def number(request: HttpRequest, name: bytes) -> int | None:
     """Return a whole number of the query, zero where it is absent."""
     values = request.args.get(name, [b"0"])
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -139,11 +139,18 @@
             f"http://{peer.address}/v1/config",
             loop.revisions.revision,
             0,
+            peers_key(loop),
         )
         if not isinstance(read, PlatformFailed):
             take_folder(loop, read.revision, read.files, f"watch {peer.name}")
 
 
+def peers_key(loop: WatchLoop) -> str:
+    """Return the key that proves this watch to others, empty before it has one."""
+    in_force = loop.revisions.in_force
+    return in_force.configuration.peers.key if in_force is not None else ""
+
+
 def take_folder(
     loop: WatchLoop, revision: int, files: dict[str, str], source: str
 ) -> bool:
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -43,7 +43,6 @@
 from bramleyturn.runtime.load_reports import follow_load
 from bramleyturn.runtime.peer_client import Identity, PeerClient, say_hello
 from bramleyturn.runtime.peers_api import peers_api
-from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
@@ -119,8 +118,7 @@
     """Add every route of an entry process to ``app``."""
     callers_api(loop, app)
     peers_api(loop, app)
-    status_api(loop, app)
-    timeline_api(app, loop.state.name, loop.state.timeline, loop.clock)
+    status_api(loop, app, lifecycle.asked_to_stop)
 
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
--- a/src/bramleyturn/runtime/entry_status.py
+++ b/src/bramleyturn/runtime/entry_status.py
@@ -1,31 +1,110 @@
-"""Serve what operators want to know of an entry process."""
+"""Serve what operators want to know of an entry process, and take their orders."""
 
+from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any
+from typing import Any, Final
 
+import orjson
 from klein import Klein
 
 from bramleyturn.core.cost import cost_rows
 from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.routing_table import ServerState
+from bramleyturn.core.running_view import kept_rows, running_rows
 from bramleyturn.runtime.entry_loop import EntryLoop
-from bramleyturn.runtime.http_server import json_answer
+from bramleyturn.runtime.http_server import json_answer, problem
+from bramleyturn.runtime.operator_access import refuse_others
+from bramleyturn.runtime.timeline_api import after_argument, timeline_document
 from bramleyturn.runtime.twisted_types import HttpRequest
 
+MAX_KEPT_SHOWN: Final = 500
+STATUS_ACCEPTED: Final = 202
+STATUS_CONFLICT: Final = 409
 
-def status_api(loop: EntryLoop, app: Klein) -> None:
-    """Add the routes of status and cost to ``app``."""
+
+def status_api(loop: EntryLoop, app: Klein, drain: Callable[[], None]) -> None:
+    """Add the operators' routes to ``app``. ``drain`` asks the process to stop."""
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
-        return json_answer(
-            request, status_document(loop.state, loop.clock.monotonic_ms())
+        return for_operators(
+            loop,
+            request,
+            lambda: status_document(loop.state, loop.clock.monotonic_ms()),
         )
 
     @app.route("/v1/cost", methods=["GET"])
     def cost(request: HttpRequest) -> bytes:
-        rows = [row._asdict() for row in cost_rows(loop.state.costs)]
-        return json_answer(request, {"process": loop.state.name, "rows": rows})
+        return for_operators(loop, request, lambda: cost_document(loop.state))
+
+    @app.route("/v1/running", methods=["GET"])
+    def running(request: HttpRequest) -> bytes:
+        return for_operators(
+            loop,
+            request,
+            lambda: running_document(loop.state, loop.clock.monotonic_ms()),
+        )
+
+    @app.route("/v1/timeline", methods=["GET"])
+    def events(request: HttpRequest) -> bytes:
+        state = loop.state
+        return for_operators(
+            loop,
+            request,
+            lambda: timeline_document(
+                state.name, state.timeline, loop.clock, after_argument(request)
+            ),
+        )
+
+    @app.route("/v1/drain", methods=["POST"])
+    def order_drain(request: HttpRequest) -> bytes:
+        refusal = refuse_others(request, loop.state.configuration.admin)
+        if refusal is not None:
+            return refusal
+        return receive_drain(loop, request, drain)
+
+
+def for_operators(
+    loop: EntryLoop, request: HttpRequest, document: Callable[[], Any]
+) -> bytes:
+    """Return a document to whoever holds the operators' key."""
+    refusal = refuse_others(request, loop.state.configuration.admin)
+    return refusal if refusal is not None else json_answer(request, document())
+
+
+def receive_drain(
+    loop: EntryLoop, request: HttpRequest, drain: Callable[[], None]
+) -> bytes:
+    """Drain this process as SIGTERM does, if it is the one that is meant.
+
+    Another process may have taken over an address since it was listed.
+    """
+    name = process_named(request.content.read())
+    if isinstance(name, BadRequest):
+        return problem(request, name)
+    if name != loop.state.name:
+        other = BadRequest(
+            STATUS_CONFLICT,
+            "Another process",
+            f"this process is {loop.state.name}",
+            "process",
+        )
+        return problem(request, other)
+    loop.reactor.callLater(0, drain)
+    return json_answer(request, {"process": name, "draining": True}, STATUS_ACCEPTED)
+
+
+def process_named(body: bytes) -> str | BadRequest:
+    """Return the process that a drain order names."""
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return BadRequest(400, "Bad JSON", str(error), "body")
+    name = document.get("process") if isinstance(document, dict) else None
+    if not isinstance(name, str) or not name:
+        return BadRequest(400, "Process missing", 'send {"process": NAME}', "process")
+    return name
 
 
 def status_document(state: EntryState, now_ms: int) -> dict[str, Any]:
@@ -65,3 +144,19 @@
         "is_leaving": server.left_ms is not None,
         "is_ejected": is_ejected,
     }
+
+
+def cost_document(state: EntryState) -> dict[str, Any]:
+    """Return what every workspace has spent here since the process started."""
+    rows = [row._asdict() for row in cost_rows(state.costs)]
+    return {"process": state.name, "rows": rows}
+
+
+def running_document(state: EntryState, now_ms: int) -> dict[str, Any]:
+    """Return the running requests and the newest of the kept ones."""
+    rows = running_rows(state, now_ms) + kept_rows(state, now_ms, MAX_KEPT_SHOWN)
+    return {
+        "process": state.name,
+        "requests": [row._asdict() for row in rows],
+        "kept_outcomes": len(state.kept.by_key),
+    }
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -31,10 +31,12 @@
 )
 from bramleyturn.core.ticket_messages import (
     InputDiffers,
+    Intent,
     PrimaryAnswer,
     PrimaryFinished,
     PrimaryRunning,
 )
+from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.runtime.entry_loop import (
     EntryLoop,
     WaiterAction,
@@ -116,6 +118,7 @@
 
 def answer_as_backup(loop: EntryLoop, message: BackupMessage) -> dict[str, Any]:
     """Let the core answer as the backup of a ticket."""
+    note_message(loop, message)
     answers: list[dict[str, Any]] = []
     reply_to = new_backup_reply(
         loop, lambda answer: answers.append(answer_document(answer))
@@ -124,6 +127,21 @@
     return answers[0]
 
 
+def note_message(loop: EntryLoop, message: BackupMessage) -> None:
+    """Put an intent of a primary on the time line, under the attempt it is for."""
+    if not isinstance(message, Intent):
+        return
+    record(
+        loop.state.timeline,
+        EventKind.MESSAGE_RECEIVED,
+        loop.clock.monotonic_ms(),
+        stage=message.intended.stage,
+        attempt_id=message.intended.attempt_id,
+        detail="intent",
+        cause=message.intended.attempt_id,
+    )
+
+
 def run_forwarded(loop: EntryLoop, body: Any) -> Deferred[Any]:
     """Run a forwarded request, or wait a while for the one that runs."""
     answered: Deferred[Any] = Deferred()
--- a/src/bramleyturn/runtime/timeline_api.py
+++ b/src/bramleyturn/runtime/timeline_api.py
@@ -1,23 +1,16 @@
-"""Serve the time line of a process."""
+"""Describe the time line of a process to those who may see it."""
 
 from typing import Any
 
-from klein import Klein
-
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.timeline import Timeline, events_after
-from bramleyturn.runtime.http_server import json_answer
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 
-def timeline_api(app: Klein, name: str, timeline: Timeline, clock: Clock) -> None:
-    """Add the route of the time line to ``app``."""
-
-    @app.route("/v1/timeline", methods=["GET"])
-    def events(request: HttpRequest) -> bytes:
-        after = request.args.get(b"after", [b""])[0]
-        sequence = int(after) if after.isdigit() else -1
-        return json_answer(request, timeline_document(name, timeline, clock, sequence))
+def after_argument(request: HttpRequest) -> int:
+    """Return the sequence number after which a reader wants events, -1 for all."""
+    after = request.args.get(b"after", [b""])[0]
+    return int(after) if after.isdigit() else -1
 
 
 def timeline_document(
--- a/src/bramleyturn/runtime/twisted_types.py
+++ b/src/bramleyturn/runtime/twisted_types.py
@@ -12,6 +12,7 @@
 
     content: BinaryIO
     args: dict[bytes, list[bytes]]
+    uri: bytes
 
     def getHeader(self, key: str) -> str | None:  # noqa: N802
         """Return a header of the request."""
@@ -22,6 +23,9 @@
     def setResponseCode(self, code: int) -> None:  # noqa: N802
         """Set the status of the answer."""
 
+    def getClientAddress(self) -> Any:  # noqa: N802
+        """Return the address of the peer; ``host`` is its IP number."""
+
     def notifyFinish(self) -> Any:  # noqa: N802
         """Return a Deferred that fails if the caller goes away."""
 
