Add the administration process of an availability zone

It asks the entries and watches of its zone with the operator's own key and merges status, cost, servers, requests and time lines.

--- a/src/bramleyturn/core/operator_access.py
+++ b/src/bramleyturn/core/operator_access.py
@@ -41,14 +41,18 @@
     )
 
 
-def is_loopback(host: str) -> bool:
-    """Tell whether a peer's IP number belongs to this machine's loopback."""
+def is_same_machine(peer_host: str, own_host: str) -> bool:
+    """Tell whether the peer of a connection runs on this machine.
+
+    It does if its IP number is a loopback one or the one that it connected to: no
+    other machine can complete a connection from there.
+    """
     try:
-        address = ipaddress.ip_address(host)
+        peer = ipaddress.ip_address(peer_host)
+        own = ipaddress.ip_address(own_host)
     except ValueError:
         return False
-    mapped = getattr(address, "ipv4_mapped", None)
-    return bool((mapped or address).is_loopback)
+    return peer.is_loopback or peer == own
 
 
 def target_mac(target: str, key: str) -> str:
--- /dev/null
+++ b/src/bramleyturn/openapi/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the OpenAPI documents of the programs."""
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -6,7 +6,7 @@
 
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.intake import BadRequest
-from bramleyturn.core.operator_access import is_loopback, is_signed
+from bramleyturn.core.operator_access import is_same_machine, is_signed
 from bramleyturn.core.revisions import Refused
 from bramleyturn.platform.reader import TARGET_MAC_HEADER
 from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
@@ -80,11 +80,11 @@
 def refuse_strangers(loop: WatchLoop, request: HttpRequest) -> bytes | None:
     """Return the refusal of a caller that may not see what a watch knows, else None.
 
-    Processes of the same instance come over loopback and need no key: a watch
+    Processes of the same instance need no key: a watch
     without a configuration has none to check theirs with. Everybody else shows the
     operators' key, or signs with the `[peers]` key as another watch does.
     """
-    if is_loopback(str(request.getClientAddress().host)):
+    if is_same_machine(request.getClientAddress().host, request.getHost().host):
         return None
     in_force = loop.revisions.in_force
     if in_force is None:
--- /dev/null
+++ b/src/bramleyturn/programs/admin.py
@@ -0,0 +1,80 @@
+"""Run the administration process of an availability zone."""
+
+from dataclasses import dataclass
+from typing import Annotated, Any, Final
+
+import cappa
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.process_settings import ProcessSettings
+from bramleyturn.programs.entry import empty_configuration, log_end
+from bramleyturn.programs.start import read_settings, run
+from bramleyturn.runtime.admin_api import admin_api
+from bramleyturn.runtime.admin_gather import AdminLoop
+from bramleyturn.runtime.http_server import listen, print_ready
+from bramleyturn.runtime.lifecycle import stop_on_signals
+from bramleyturn.runtime.watch_client import (
+    InstanceList,
+    follow_configuration,
+    follow_instances,
+)
+
+STOP_DELAY_S: Final = 0.05
+
+
+@dataclass
+class Admin:
+    """Serve the operators of one availability zone.
+
+    It follows the configuration and the instance list of the watch in its settings
+    and asks the entries and watches of its zone whenever it is asked itself. It
+    stores nothing and may be restarted at any time. Every route but /healthz,
+    /readyz and /v1/openapi.json wants the operators' key.
+
+    Exit codes: 0 after SIGTERM, 2 for a bad settings file.
+    """
+
+    settings: Annotated[str, cappa.Arg(help="The INI settings file of this process.")]
+
+    def __call__(self) -> None:
+        """Serve until the process is asked to stop."""
+        settings = read_settings(self.settings, required=("watch",))
+        serve(reactor, settings, system_clock())
+        run(reactor)
+
+
+def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> AdminLoop:
+    """Start an administration process that waits for its first configuration."""
+    loop = AdminLoop(
+        reactor, clock, settings.zone, settings.watch, empty_configuration()
+    )
+    address = listen(reactor, admin_api(loop), settings.listen)
+    follow(loop)
+    stop_on_signals(reactor, lambda: reactor.callLater(STOP_DELAY_S, reactor.stop))
+    print_ready(settings.advertise or address)
+    return loop
+
+
+def follow(loop: AdminLoop) -> None:
+    """Start following the watch."""
+
+    def accept(configuration: Configuration) -> None:
+        loop.configuration = configuration
+
+    def take_list(found: InstanceList) -> None:
+        loop.instances = found.instances
+        loop.instances_age_ms = found.age_ms
+
+    for work in (
+        follow_configuration(loop.client, loop.reactor, loop.watch, accept),
+        follow_instances(loop.client, loop.reactor, loop.watch, take_list),
+    ):
+        Deferred.fromCoroutine(work).addErrback(log_end)
+
+
+def main() -> None:
+    """Run the program."""
+    cappa.invoke(Admin)
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -41,6 +41,7 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
+from bramleyturn.runtime.openapi import openapi_api
 from bramleyturn.runtime.peer_client import Identity, PeerClient, say_hello
 from bramleyturn.runtime.peers_api import peers_api
 from bramleyturn.runtime.twisted_types import HttpRequest
@@ -99,7 +100,7 @@
     lifecycle = new_lifecycle(
         Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
     )
-    add_routes(loop, app, lifecycle)
+    add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
     print_ready(me.address)
@@ -114,11 +115,12 @@
     return loaded
 
 
-def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle) -> None:
+def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle, watch: str) -> None:
     """Add every route of an entry process to ``app``."""
     callers_api(loop, app)
     peers_api(loop, app)
-    status_api(loop, app, lifecycle.asked_to_stop)
+    status_api(loop, app, watch, lifecycle.asked_to_stop)
+    openapi_api(app, "callers")
 
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
--- a/src/bramleyturn/runtime/entry_status.py
+++ b/src/bramleyturn/runtime/entry_status.py
@@ -23,8 +23,13 @@
 STATUS_CONFLICT: Final = 409
 
 
-def status_api(loop: EntryLoop, app: Klein, drain: Callable[[], None]) -> None:
-    """Add the operators' routes to ``app``. ``drain`` asks the process to stop."""
+def status_api(
+    loop: EntryLoop, app: Klein, watch: str, drain: Callable[[], None]
+) -> None:
+    """Add the operators' routes to ``app``.
+
+    ``watch`` is the address that the process follows, ``drain`` asks it to stop.
+    """
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
@@ -53,7 +58,11 @@
             loop,
             request,
             lambda: timeline_document(
-                state.name, state.timeline, loop.clock, after_argument(request)
+                state.name,
+                state.timeline,
+                loop.clock,
+                after_argument(request),
+                watch,
             ),
         )
 
--- a/src/bramleyturn/runtime/timeline_api.py
+++ b/src/bramleyturn/runtime/timeline_api.py
@@ -14,11 +14,15 @@
 
 
 def timeline_document(
-    name: str, timeline: Timeline, clock: Clock, after: int
+    name: str, timeline: Timeline, clock: Clock, after: int, watch: str = ""
 ) -> dict[str, Any]:
-    """Return the kept events and how to turn their times into wall-clock times."""
+    """Return the kept events and how to turn their times into wall-clock times.
+
+    ``watch`` is the address of the watch that the process follows, if any.
+    """
     return {
         "process": name,
+        "watch": watch,
         "wall_minus_monotonic_ms": clock.wall_ms() - clock.monotonic_ms(),
         "events": [event._asdict() for event in events_after(timeline, after)],
     }
--- a/src/bramleyturn/runtime/twisted_types.py
+++ b/src/bramleyturn/runtime/twisted_types.py
@@ -26,6 +26,9 @@
     def getClientAddress(self) -> Any:  # noqa: N802
         """Return the address of the peer; ``host`` is its IP number."""
 
+    def getHost(self) -> Any:  # noqa: N802
+        """Return the address that the peer connected to, with a ``host`` too."""
+
     def notifyFinish(self) -> Any:  # noqa: N802
         """Return a Deferred that fails if the caller goes away."""
 
