Add the operators' commands and the page of the time line

status, cost, servers, timeline and drain call an administration process; the key comes from a file or the environment, never as an argument. The answer of a backup is now recorded under the attempt it is for: under the request's own key it stood before the backup's receipt of the question, because nothing linked the two processes.

--- a/src/bramleyturn/core/intents.py
+++ b/src/bramleyturn/core/intents.py
@@ -10,7 +10,7 @@
     BackupSilent,
 )
 from bramleyturn.core.forwarding import revocation_answered, revocation_unanswered
-from bramleyturn.core.permission import is_allowed
+from bramleyturn.core.permission import is_allowed, next_attempt_id
 from bramleyturn.core.progress import StageState
 from bramleyturn.core.requests import give_up
 from bramleyturn.core.ticket_backup import record_intent, record_outcome, revoke
@@ -89,13 +89,15 @@
         return []
     if not is_allowed(state, request, stage, now_ms):
         return refuse_intent(state, key, stage, RefusedStage.EXPIRED, now_ms)
+    attempt_id = next_attempt_id(request, progress)
     record(
         state.timeline,
         EventKind.INTENT_ANSWERED,
         now_ms,
         request_id=request.request_id,
         stage=stage,
-        cause=request.key,
+        attempt_id=attempt_id,
+        cause=attempt_id,
     )
     return start_attempt(state, request, progress, now_ms)
 
--- /dev/null
+++ b/src/bramleyturn/core/since.py
@@ -0,0 +1,26 @@
+"""Parse how far back a reader wants to look."""
+
+import re
+from datetime import UTC, datetime
+from typing import Final
+
+MS_PER_S: Final = 1_000
+AGE: Final = re.compile(r"([0-9]{1,9})(s|m|h)")
+SECONDS: Final = {"s": 1, "m": 60, "h": 3_600}
+
+
+def parse_since_ms(text: str, now_ms: int) -> int | None:
+    """Return a wall-clock time, None unless ``text`` is an age or an ISO time.
+
+    A time without an offset is UTC.
+    """
+    age = AGE.fullmatch(text)
+    if age is not None:
+        return now_ms - int(age[1]) * SECONDS[age[2]] * MS_PER_S
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        return None
+    if at.tzinfo is None:
+        at = at.replace(tzinfo=UTC)
+    return int(at.timestamp() * MS_PER_S)
--- a/src/bramleyturn/programs/cli.py
+++ b/src/bramleyturn/programs/cli.py
@@ -5,6 +5,13 @@
 
 import cappa
 
+from bramleyturn.programs.commands_operate import (
+    Cost,
+    Drain,
+    Servers,
+    Status,
+    Timeline,
+)
 from bramleyturn.programs.commands_settings import Check, Explain, SettingsReference
 
 
@@ -13,12 +20,16 @@
 class Bramleyturn:
     """Check settings and look after a running bramleyturn.
 
-    Start with `bramleyturn check FOLDER`. Each command has a --help of its own.
-    Exit codes: 0: done; 1: the command found faults; 2: wrong usage, or something
-    that the command needs cannot be read.
+    Start with `bramleyturn check FOLDER` before you publish settings, and with
+    `bramleyturn status --admin ADDRESS --key-file FILE` on a running availability
+    zone. Each command has a --help of its own. Exit codes: 0: done; 1: the command
+    found faults or was refused; 2: wrong usage, or something that the command needs
+    cannot be read; 3: the administration process is unreachable.
     """
 
-    command: cappa.Subcommands[Check | Explain | SettingsReference]
+    command: cappa.Subcommands[
+        Check | Explain | SettingsReference | Status | Cost | Servers | Timeline | Drain
+    ]
 
 
 def main() -> None:
