Name instance, zone and revision in every log line and keep messages out

Lines about attempts and outcomes name request, stage and attempt. An exception is logged by its type and place only, because its message may quote a caller. The level is a setting of each process.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -40,7 +40,7 @@
     ``separate_servers`` gives each backend server a process of its own, named after
     it, so that one can be killed alone. ``extra_files`` are published beside those
     of ``settings`` and may override single keys. ``standin_values`` are further
-    keys of every backend server stand-in.
+    keys of every backend server stand-in, ``process_values`` of every other process.
     """
 
     folder: Path
@@ -51,6 +51,7 @@
     settings: Path = LAKESHORE
     extra_files: Mapping[str, str] = {}
     standin_values: Mapping[str, str] = {}
+    process_values: Mapping[str, str] = {}
 
 
 class Instance(NamedTuple):
@@ -286,7 +287,7 @@
         values["platform"] = fleet.addresses[PLATFORM]
     else:
         values["watch"] = fleet.addresses[name.replace(role, "watch", 1)]
-    return ini_text({"process": values})
+    return ini_text({"process": {**values, **fleet.plan.process_values}})
 
 
 def _start(fleet: Fleet, name: str, role: str, text: str) -> None:
--- a/src/bramleyturn/core/process_settings.py
+++ b/src/bramleyturn/core/process_settings.py
@@ -6,6 +6,7 @@
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.ini_folder import merge_folder
 from bramleyturn.core.schema import PROCESS
+from bramleyturn.core.schema_operation import LogLevel
 from bramleyturn.core.section_values import key_fault, parse_sections
 
 
@@ -22,6 +23,7 @@
     watch: str
     platform: tuple[str, ...]
     advertise: str
+    log_level: LogLevel
 
 
 class RefusedSettings(NamedTuple):
--- a/src/bramleyturn/core/schema_operation.py
+++ b/src/bramleyturn/core/schema_operation.py
@@ -1,5 +1,6 @@
 """List the settings of how processes operate."""
 
+from enum import StrEnum
 from typing import Final
 
 from bramleyturn.core import value_types as types
@@ -14,6 +15,16 @@
     SectionSchema,
 )
 
+
+class LogLevel(StrEnum):
+    """Name how much a process logs."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 LIMITS: Final = SectionSchema(
     "limits",
     "",
@@ -263,5 +274,12 @@
             "",
             "Address that others use; empty: the one it listens on.",
         ),
+        Key(
+            "log_level",
+            types.choice(LogLevel),
+            "",
+            "info",
+            "Least level of the lines in its log.",
+        ),
     ),
 )
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -16,6 +16,7 @@
 from bramleyturn.platform.documents import ListedInstance
 from bramleyturn.platform.errors import PlatformFailed
 from bramleyturn.platform.reader import read_folder, read_instances
+from bramleyturn.runtime.logs import error_fields, note_revision
 
 WATCH_WAIT_MS: Final = 10_000
 LIST_INTERVAL_MS: Final = 1_000
@@ -68,8 +69,8 @@
     """Run one of the reading loops and log the fault that ends it, if any does."""
     try:
         await work(loop)
-    except Exception:
-        logger.exception("a reading loop ended")
+    except Exception as error:
+        logger.error("a reading loop ended", extra=error_fields(error))
         raise
 
 
@@ -161,7 +162,8 @@
     refused_before = len(loop.revisions.refused)
     result = offer(loop.revisions, revision, files, source, now_ms)
     if isinstance(result, InForce):
-        logger.info("configuration in force", extra={"revision": revision})
+        note_revision(revision)
+        logger.info("configuration in force")
         record(
             loop.timeline,
             EventKind.CONFIGURATION_IN_FORCE,
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -16,6 +16,7 @@
 from bramleyturn.runtime.admin_gather import AdminLoop
 from bramleyturn.runtime.http_server import listen, print_ready
 from bramleyturn.runtime.lifecycle import stop_on_signals
+from bramleyturn.runtime.logs import note_revision
 from bramleyturn.runtime.watch_client import (
     InstanceList,
     follow_configuration,
@@ -62,6 +63,7 @@
     """Start following the watch."""
 
     def accept(configuration: Configuration) -> None:
+        note_revision(configuration.revision)
         loop.configuration = configuration
 
     def take_list(found: InstanceList) -> None:
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -41,6 +41,7 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
+from bramleyturn.runtime.logs import error_fields, note_revision
 from bramleyturn.runtime.openapi import openapi_api
 from bramleyturn.runtime.peer_client import (
     MESSAGE_PATH,
@@ -155,6 +156,7 @@
     client = http_client(loop.reactor)
 
     def accept(configuration: Configuration) -> None:
+        note_revision(configuration.revision)
         loop.access = access_table(configuration)
         feed(loop, ConfigurationAccepted(configuration))
         lifecycle.configured()
@@ -172,7 +174,7 @@
 
 def log_end(failure: Any) -> None:
     """Log that something that should run for ever has ended."""
-    logger.error("a background loop ended", extra={"error": str(failure)})
+    logger.error("a background loop ended", extra=error_fields(failure.value))
 
 
 def take_list(loop: EntryLoop, found: InstanceList) -> None:
--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -28,7 +28,7 @@
         for fault in settings.faults:
             print(describe_fault(fault), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    start_logging(settings.name, settings.zone)
+    start_logging(settings.name, settings.zone, settings.log_level)
     return settings
 
 
--- /dev/null
+++ b/src/bramleyturn/runtime/entry_logs.py
@@ -0,0 +1,64 @@
+"""Log what an entry process does for its callers, without what they sent."""
+
+import logging
+
+from bramleyturn.core.actions import Answer, StartAttempt
+from bramleyturn.core.entry_state import EntryState
+from bramleyturn.core.events import AttemptBroke
+from bramleyturn.core.outcomes import OutcomeKind
+
+logger = logging.getLogger(__name__)
+
+
+def log_started(action: StartAttempt) -> None:
+    """Log that an attempt starts."""
+    if not logger.isEnabledFor(logging.DEBUG):
+        return
+    logger.debug(
+        "attempt started",
+        extra={
+            "request_id": action.request_id,
+            "stage": action.stage,
+            "attempt_id": action.attempt_id,
+            "server": action.server.name,
+        },
+    )
+
+
+def log_broken(state: EntryState, event: AttemptBroke) -> None:
+    """Log that an attempt ended without an answer.
+
+    The event's detail stays out: it may quote what a backend server sent.
+    """
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    request = state.requests.get(attempt.request_key)
+    logger.info(
+        "attempt broke",
+        extra={
+            "request_id": request.request_id if request is not None else "",
+            "stage": attempt.stage,
+            "attempt_id": event.attempt_id,
+            "server": attempt.server.name,
+            "reason": str(event.reason),
+        },
+    )
+
+
+def log_outcome(action: Answer) -> None:
+    """Log how a request ended; one that was answered only for debugging."""
+    outcome = action.outcome
+    answered = outcome.kind is OutcomeKind.ANSWERED
+    level = logging.DEBUG if answered else logging.INFO
+    if not logger.isEnabledFor(level):
+        return
+    logger.log(
+        level,
+        "request ended",
+        extra={
+            "request_id": action.request_id,
+            "outcome": str(outcome.kind),
+            "reason": outcome.reason,
+        },
+    )
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -1,6 +1,5 @@
 """Drive the core of an entry process: feed it events and carry out its actions."""
 
-import logging
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -21,7 +20,7 @@
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.entry import next_wake_ms, step
 from bramleyturn.core.entry_state import EntryState
-from bramleyturn.core.events import BackupAnswer, Event, TimePassed
+from bramleyturn.core.events import AttemptBroke, BackupAnswer, Event, TimePassed
 from bramleyturn.core.intake import AccessTable, access_table
 from bramleyturn.runtime.backend_client import (
     BackendClient,
@@ -29,6 +28,7 @@
     cancel_attempt,
     start_attempt,
 )
+from bramleyturn.runtime.entry_logs import log_broken, log_outcome, log_started
 from bramleyturn.runtime.peer_client import PeerClient, tell_backup, tell_primary
 from bramleyturn.runtime.twisted_types import DelayedCall
 
@@ -38,8 +38,6 @@
 Waiter = Callable[[WaiterAction], None]
 BackupReply = Callable[[BackupAnswer], None]
 
-logger = logging.getLogger(__name__)
-
 
 class EntryLoop:
     """Hold the core's state, the clients that serve it and the waiting callers."""
@@ -78,6 +76,8 @@
 
 def feed(loop: EntryLoop, event: Event) -> None:
     """Hand an event to the core and carry out what it decides."""
+    if isinstance(event, AttemptBroke):
+        log_broken(loop.state, event)
     for action in step(loop.state, event, loop.clock.monotonic_ms()):
         perform(loop, action)
     arrange_wake(loop)
@@ -87,7 +87,7 @@
     """Carry out one action."""
     match action:
         case StartAttempt():
-            log_attempt(loop, action)
+            log_started(action)
             start_attempt(loop.backends, action)
         case CancelAttempt():
             cancel_attempt(loop.backends, action)
@@ -95,7 +95,10 @@
             loop.backends.permitted.add(attempt_id)
         case CancelOrphan(attempt_id, server):
             cancel_at_server(loop.backends, attempt_id, server.address)
-        case Answer() | TicketNeeded() | TicketRefused() | ForwardAnswer():
+        case Answer():
+            log_outcome(action)
+            answer_waiter(loop, action)
+        case TicketNeeded() | TicketRefused() | ForwardAnswer():
             answer_waiter(loop, action)
         case AnswerAsBackup(reply_to, answer):
             loop.backup_replies.pop(reply_to)(answer)
@@ -112,20 +115,6 @@
         waiter(action)
 
 
-def log_attempt(loop: EntryLoop, action: StartAttempt) -> None:
-    """Log that an attempt starts."""
-    logger.debug(
-        "attempt started",
-        extra={
-            "request_id": action.request_id,
-            "stage": action.stage,
-            "attempt_id": action.attempt_id,
-            "server": action.server.name,
-            "revision": loop.state.configuration.revision,
-        },
-    )
-
-
 def arrange_wake(loop: EntryLoop) -> None:
     """Wake the core when its next timer is due."""
     wake_at_ms = next_wake_ms(loop.state)
--- a/src/bramleyturn/runtime/one_call.py
+++ b/src/bramleyturn/runtime/one_call.py
@@ -28,7 +28,7 @@
     """Return the answers to one call of each URL. See ``call_once``."""
 
     async def make_calls() -> list[JsonAnswer | CallFailed]:
-        client = http_client(reactor, persistent=False)
+        client = http_client(reactor)
         return [
             await call_json(
                 client,
--- a/tests/core/test_process_settings.py
+++ b/tests/core/test_process_settings.py
@@ -9,6 +9,7 @@
     RefusedSettings,
     parse_process_settings,
 )
+from bramleyturn.core.schema_operation import LogLevel
 
 SOUND = """\
 [process]
@@ -28,6 +29,7 @@
             watch="",
             platform=("127.0.0.1:7000", "127.0.0.1:7001"),
             advertise="",
+            log_level=LogLevel.INFO,
         )
 
     def test_a_key_that_the_program_needs(self) -> None:
