--- a/src/bramleyturn/core/zone_view.py
+++ b/src/bramleyturn/core/zone_view.py
@@ -93,7 +93,7 @@
     sums: dict[tuple[str, str, str], CostRow] = {}
     for report in reports:
         for row in (report.document or {}).get("rows", ()):
-            item = CostRow(**row)
+            item = CostRow(*(row[name] for name in CostRow._fields))
             key = (item.workspace, item.pipeline, item.stage)
             old = sums.get(key, CostRow(*key, 0, 0, 0, 0))
             sums[key] = CostRow(
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -68,7 +68,7 @@
 
     def take_list(found: InstanceList) -> None:
         loop.instances = found.instances
-        loop.instances_age_ms = found.age_ms
+        loop.instances_at_ms = loop.clock.monotonic_ms() - found.age_ms
 
     for work in (
         follow_configuration(loop.client, loop.reactor, loop.watch, accept),
--- a/src/bramleyturn/runtime/admin_api.py
+++ b/src/bramleyturn/runtime/admin_api.py
@@ -27,6 +27,7 @@
     ASK_TIMEOUT_MS,
     AdminLoop,
     gather,
+    instances_age_ms,
     usable,
     zone_processes,
 )
@@ -70,7 +71,7 @@
 
     @app.route("/readyz", methods=["GET"])
     def readyz(request: HttpRequest) -> bytes:
-        is_ready = loop.configuration.revision > 0 and loop.instances_age_ms is not None
+        is_ready = loop.configuration.revision > 0 and loop.instances_at_ms is not None
         return json_answer(request, {"ready": is_ready}, 200 if is_ready else 503)
 
     openapi_api(app, "admin")
@@ -109,7 +110,7 @@
     return {
         "zone": loop.zone,
         "revision": loop.configuration.revision,
-        "instances_age_ms": loop.instances_age_ms,
+        "instances_age_ms": instances_age_ms(loop),
         "problems": find_problems(reports),
         "processes": [describe_process(report) for report in reports],
     }
--- a/src/bramleyturn/runtime/admin_gather.py
+++ b/src/bramleyturn/runtime/admin_gather.py
@@ -35,7 +35,14 @@
         self.configuration = configuration
         self.client = http_client(reactor)
         self.instances: tuple[ListedInstance, ...] = ()
-        self.instances_age_ms: int | None = None
+        self.instances_at_ms: int | None = None
+
+
+def instances_age_ms(loop: AdminLoop) -> int | None:
+    """Return how long ago the platform's list was read, None if it never was."""
+    if loop.instances_at_ms is None:
+        return None
+    return loop.clock.monotonic_ms() - loop.instances_at_ms
 
 
 def zone_processes(loop: AdminLoop, roles: Collection[str]) -> list[ListedInstance]:
