--- a/src/bramleyturn/runtime/http_server.py
+++ b/src/bramleyturn/runtime/http_server.py
@@ -5,6 +5,8 @@
 
 import orjson
 from klein import Klein
+from twisted.python.failure import Failure
+from werkzeug.exceptions import MethodNotAllowed, NotFound
 
 from bramleyturn.core.address import parse_address
 from bramleyturn.core.intake import BadRequest
@@ -28,6 +30,7 @@
     Port 0 takes any free port. A request whose body is above ``body_limit`` of its
     path is refused while it arrives.
     """
+    answer_unknown_routes(app)
     site = BoundedSite(app.resource(), body_limit)
     wanted = parse_address(address)
     if wanted is None:
@@ -37,6 +40,19 @@
     return f"{bound.host}:{bound.port}"
 
 
+def answer_unknown_routes(app: Klein) -> None:
+    """Let ``app`` answer with a problem document where it has no route."""
+
+    @app.handle_errors(NotFound, MethodNotAllowed)
+    def unknown_route(request: HttpRequest, failure: Failure) -> bytes:
+        error: Any = failure.value
+        methods = getattr(error, "valid_methods", None)
+        if methods:
+            request.setHeader("Allow", ", ".join(sorted(methods)))
+        detail = "this process serves no such route or method"
+        return problem(request, BadRequest(error.code, error.name, detail, "path"))
+
+
 def print_ready(address: str, **more: Any) -> None:
     """Tell whoever started this process that it listens, as one JSON line."""
     line = orjson.dumps({"ready": True, "address": address} | more).decode()
--- a/tests/programs/test_admin.py
+++ b/tests/programs/test_admin.py
@@ -59,6 +59,19 @@
         assert operate(fleet.addresses[name], path, "").status == 200
 
 
+class TestUnknownRoutes:
+    @pytest.mark.parametrize("name", [ADMIN, FIRST, "watch-duluth-1"])
+    def test_get_a_problem_document(self, fleet: Fleet, name: str) -> None:
+        address = fleet.addresses[name]
+        missing = operate(address, "/v1/nothing")
+        wrong = operate(address, "/v1/status", document={})
+        assert (missing.status, wrong.status) == (404, 405)
+        assert wrong.headers["allow"] == "GET, HEAD"
+        for reply in (missing, wrong):
+            assert reply.headers["content-type"] == "application/problem+json"
+            assert reply.document["status"] == reply.status
+
+
 class TestReads:
     def test_status_names_every_process(self, fleet: Fleet) -> None:
         status = operate(fleet.addresses[ADMIN], "/v1/status").document
