--- a/src/bramleyturn/runtime/peer_client.py
+++ b/src/bramleyturn/runtime/peer_client.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
-from bramleyturn.core.actions import ForwardedRequest, TellBackup, TellPrimary
+from bramleyturn.core.actions import TellBackup, TellPrimary
 from bramleyturn.core.events import (
     BackupAnswered,
     BackupMessage,
@@ -154,7 +154,7 @@
         peers,
         action.primary.address,
         MessageKind.RUN,
-        forwarded_document(action.message),
+        forwarded_document(action),
         action.timeout_ms,
     )
     parsed = parse_answer(answer.body) if answer is not None else None
@@ -165,9 +165,12 @@
             feed(PrimarySilent(action.forward_id))
 
 
-def forwarded_document(message: ForwardedRequest) -> dict[str, Any]:
-    """Return the document of a request on its way to its primary."""
-    return message._asdict()
+def forwarded_document(action: TellPrimary) -> dict[str, Any]:
+    """Return the document of a request on its way to its primary.
+
+    ``forward_id`` links the time lines of the two processes.
+    """
+    return {**action.message._asdict(), "forward_id": action.forward_id}
 
 
 async def say_hello(peers: PeerClient, address: str, feed: Feed) -> None:
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -142,6 +142,18 @@
     )
 
 
+def note_forwarded(loop: EntryLoop, request_id: str, forward_id: str) -> None:
+    """Put a forwarded request on the time line, under the id of its forward."""
+    record(
+        loop.state.timeline,
+        EventKind.MESSAGE_RECEIVED,
+        loop.clock.monotonic_ms(),
+        request_id=request_id,
+        detail="forwarded request",
+        cause=forward_id,
+    )
+
+
 def run_forwarded(loop: EntryLoop, body: Any) -> Deferred[Any]:
     """Run a forwarded request, or wait a while for the one that runs."""
     answered: Deferred[Any] = Deferred()
@@ -161,6 +173,7 @@
     if event is None:
         loop.waiters.pop(waiter)
         return succeed(None)
+    note_forwarded(loop, event.request_id, str(body.get("forward_id", "")))
     timer = loop.reactor.callLater(PRIMARY_WAIT_S, still_running)
     feed(loop, event)
     return answered
--- a/tests/programs/test_operate.py
+++ b/tests/programs/test_operate.py
@@ -106,6 +106,23 @@
         assert ENTRY in lines[asked]
         assert "entry-milwaukee-1" in lines[received]
 
+    def test_of_a_forwarded_request(self, fleet: Fleet) -> None:
+        given = {"child": "Ada"}
+        name = {"Bramleyturn_Request_Id": "forwarded-1"}
+        primary = fleet.addresses["entry-milwaukee-1"]
+        needed = send_request(primary, "rosters", "roster-signup", given, **name)
+        ticket = {"Bramleyturn_Ticket": needed.document["ticket"]}
+        other = fleet.addresses[ENTRY]
+        reply = send_request(other, "rosters", "roster-signup", given, **name, **ticket)
+        assert reply.status == 200
+        admins = [f"--admin={fleet.addresses[name]}" for name in ADMINS]
+        done = command("timeline", *admins, "--request", "forwarded-1", "--json")
+        events = [(e["process"], e["kind"]) for e in json.loads(done.stdout)]
+        assert events[0] == (ENTRY, "ticket_forwarded")
+        assert events[1] == ("entry-milwaukee-1", "message_received")
+        assert events[2] == ("entry-milwaukee-1", "request_arrived")
+        assert events[-1] == (ENTRY, "request_ended")
+
     def test_page(self, fleet: Fleet, tmp_path: Path) -> None:
         page = tmp_path / "timeline.html"
         admin = fleet.addresses[ADMINS[0]]
