--- a/src/bramleyturn/core/actions.py
+++ b/src/bramleyturn/core/actions.py
@@ -123,6 +123,10 @@
     timeout_ms: int
 
 
+class GreetPeers(NamedTuple):
+    """Greet a few other entry processes at once: there is news that can't wait."""
+
+
 Action = (
     StartAttempt
     | PermitWrite
@@ -135,4 +139,5 @@
     | TicketRefused
     | TellBackup
     | TellPrimary
+    | GreetPeers
 )
--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bramleyturn.core.actions import Action, CancelAttempt
+from bramleyturn.core.budgets import charge_budget
 from bramleyturn.core.cost import Charge, attempt_cost_micros, charge
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptBroke, BreakReason, OutputArrived
@@ -54,6 +55,7 @@
     micros = attempt_cost_micros(attempt.pool, tokens)
     progress.cost_micros += micros
     request.cost_micros += micros
+    charge_budget(state, request, micros, now_ms)
     charge(
         state.costs,
         Charge(
@@ -194,6 +196,7 @@
         if other.server.name == attempt.server.name
     ]
     connection_lost(state.suspects, attempt.server.name, on_server, now_ms)
+    state.gossip.is_urgent = True
 
 
 def wrong_answer(state: EntryState, attempt_id: str, detail: str) -> AttemptBroke:
--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -1,6 +1,6 @@
 """Decide what an entry process does about everything that happens to it."""
 
-from bramleyturn.core.actions import Action, AnswerAsBackup
+from bramleyturn.core.actions import Action, AnswerAsBackup, GreetPeers
 from bramleyturn.core.answers import answered, broke, broke_or_nothing, ended_stream
 from bramleyturn.core.arrivals import forget_waiter, request_arrived
 from bramleyturn.core.due_timers import FORGET_INTERVAL_MS, run_due_timers
@@ -16,6 +16,7 @@
     Event,
     LoadReportArrived,
     OutputArrived,
+    PeerIntroduced,
     PeerSeen,
     PeerSilent,
     PeersListed,
@@ -29,16 +30,20 @@
     WaiterGone,
 )
 from bramleyturn.core.forwarding import primary_answered, primary_silent
+from bramleyturn.core.gossip import note_load
+from bramleyturn.core.greetings import hear_introduction, hear_peer, tell_at_once
 from bramleyturn.core.intents import (
     answer_of_backup,
     asked_as_backup,
     silence_of_backup,
 )
+from bramleyturn.core.membership import list_members, missed
 from bramleyturn.core.news import accept_configuration, take_server_list
-from bramleyturn.core.peers import list_peers, peer_seen, peer_silent
 from bramleyturn.core.permission import permit_write
 from bramleyturn.core.routing import load_reported
+from bramleyturn.core.spend import list_processes
 from bramleyturn.core.streams import tokens_arrived
+from bramleyturn.core.tickets import ProcessRef
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
 from bramleyturn.core.timers import next_wake_ms as next_timer_ms
@@ -51,7 +56,10 @@
     expired before it handles anything that queued up meanwhile.
     """
     actions = run_due_timers(state, now_ms)
-    return actions + handle(state, event, now_ms)
+    actions += handle(state, event, now_ms)
+    if tell_at_once(state, now_ms):
+        actions.append(GreetPeers())
+    return actions
 
 
 def next_wake_ms(state: EntryState) -> int | None:
@@ -103,14 +111,19 @@
             return accept_configuration(state, configuration, now_ms)
         case LoadReportArrived(report):
             load_reported(state.routing, report, now_ms)
+            note_load(state.gossip, report, now_ms)
         case ServersListed():
             take_server_list(state, event, now_ms)
         case PeersListed(entries):
-            list_peers(state.peers, entries, state.me.address)
-        case PeerSeen(name, zone, address, incarnation):
-            peer_seen(state.peers, name, zone, address, incarnation, now_ms)
+            list_members(state.peers, entries, now_ms)
+            list_processes(state.spend, (entry.name for entry in entries))
+        case PeerSeen(name, zone, address, incarnation, revision, body):
+            sender = ProcessRef(address, incarnation)
+            hear_peer(state, sender, name, zone, revision, body, now_ms)
+        case PeerIntroduced(name, zone, address):
+            hear_introduction(state, name, zone, address)
         case PeerSilent(address):
-            peer_silent(state.peers, address)
+            missed(state.peers, address, now_ms)
         case DrainOrdered():
             state.is_draining = True
             record(state.timeline, EventKind.DRAINING, now_ms)
--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -7,14 +7,16 @@
 from bramleyturn.core.admission import Admission, admission
 from bramleyturn.core.cost import CostBook
 from bramleyturn.core.events import RequestArrived
+from bramleyturn.core.gossip import Gossip
 from bramleyturn.core.kept import KeptOutcomes, OutcomeKey
 from bramleyturn.core.latency import StageLatencies
+from bramleyturn.core.membership import Membership
 from bramleyturn.core.model import Configuration
-from bramleyturn.core.peers import Peers
 from bramleyturn.core.poison import Suspects
 from bramleyturn.core.progress import Attempt, RunningRequest
 from bramleyturn.core.retry_budget import RetryBudget
 from bramleyturn.core.routing import RoutingTable, apply_servers, routing_table
+from bramleyturn.core.spend import SpendBook, spend_book
 from bramleyturn.core.ticket_asker import Asking
 from bramleyturn.core.ticket_backup import TicketBackup
 from bramleyturn.core.ticket_primary import TicketPrimary
@@ -67,7 +69,8 @@
     retry_budget: RetryBudget
     costs: CostBook
     suspects: Suspects
-    peers: Peers
+    peers: Membership
+    spend: SpendBook
     primary_tickets: TicketPrimary
     backup_tickets: TicketBackup
     requests: dict[str, RunningRequest] = field(default_factory=dict)
@@ -79,6 +82,7 @@
         default_factory=dict
     )
     forwards: dict[str, Forward] = field(default_factory=dict)
+    gossip: Gossip = field(default_factory=Gossip)
     kept: KeptOutcomes = field(default_factory=KeptOutcomes)
     timers: Timers = field(default_factory=Timers)
     timeline: Timeline = field(default_factory=Timeline)
@@ -110,7 +114,8 @@
         retry_budget=RetryBudget(configuration.limits.retry_ratio_percent),
         costs=CostBook(),
         suspects=Suspects(),
-        peers=Peers(),
+        peers=Membership(name, zone, me),
+        spend=spend_book(name, me.incarnation),
         primary_tickets=TicketPrimary(me, MAX_TICKETS),
         backup_tickets=TicketBackup(
             me, MAX_TICKETS, MAX_PRIMARIES, configuration.tickets.margin_ms
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -147,12 +147,26 @@
 
 
 class PeerSeen(NamedTuple):
-    """Another entry process answered and named its incarnation."""
+    """Another entry process sent a signed message meant for this very process.
+
+    ``revision`` is the configuration that it has in force. ``body`` is the content of
+    a greeting, None for any other message.
+    """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    revision: int = 0
+    body: Any = None
+
+
+class PeerIntroduced(NamedTuple):
+    """An entry process that does not know this one's incarnation sent a message."""
+
+    name: str
+    zone: str
+    address: str
 
 
 class PeerSilent(NamedTuple):
@@ -217,6 +231,7 @@
     | ServersListed
     | PeersListed
     | PeerSeen
+    | PeerIntroduced
     | PeerSilent
     | BackupAnswered
     | BackupSilent
--- /dev/null
+++ b/src/bramleyturn/core/membership.py
@@ -0,0 +1,398 @@
+"""Know which other entry processes are alive, at a cost flat in their number.
+
+A process knows its own availability zone whole, up to a bound, and a few processes
+of each other zone. It probes one of them at a time, and each message spreads what
+changed of late. A process that does not answer is probed again, then suspected, and
+counts as gone only after ``suspect_ms`` without a refutation.
+
+The platform's list lags, so it names candidates only: being listed is no sign of
+life, and being absent no sign of death. A process that has heard nobody since a
+suspicion began declares nobody gone, because it may be the one that is cut off.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from enum import StrEnum
+from random import Random
+from typing import Final, NamedTuple
+
+from bramleyturn.core.events import ListedEntry
+from bramleyturn.core.tickets import ProcessRef
+
+MAX_OWN_ZONE: Final = 48
+MAX_OTHERS: Final = 60
+LEAST_PER_ZONE: Final = 2
+MAX_OTHER_ZONES: Final = 30
+ENOUGH_HEARD: Final = 3
+MISSES_TO_SUSPECT: Final = 2
+PAUSE_INTERVALS: Final = 3
+GONE_EVERY: Final = 4
+RECENT_MS: Final = 10_000
+TELL_LEAST: Final = 4
+MAX_RUMOURS: Final = 64
+
+
+class Life(StrEnum):
+    """Name what is known of a process. An unproven one has never been heard of."""
+
+    UNPROVEN = "unproven"
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    GONE = "gone"
+
+
+class Member(NamedTuple):
+    """Hold what is known of one run of another entry process.
+
+    ``refutation`` counts how often it has refuted a suspicion. ``since_ms`` is when
+    its ``life`` last changed, ``heard_ms`` when it was last heard directly, zero for
+    never. ``misses`` counts the probes in a row that it did not answer.
+    """
+
+    name: str
+    zone: str
+    address: str
+    incarnation: str = ""
+    refutation: int = 0
+    life: Life = Life.UNPROVEN
+    since_ms: int = 0
+    heard_ms: int = 0
+    misses: int = 0
+    is_listed: bool = False
+    is_leaving: bool = False
+
+
+class Rumour(NamedTuple):
+    """Tell a peer of the life of a process, which changed ``age_ms`` ago."""
+
+    name: str
+    zone: str
+    address: str
+    incarnation: str
+    refutation: int
+    life: Life
+    age_ms: int
+
+
+class Membership:
+    """Hold what one process knows of the others, by address."""
+
+    def __init__(self, name: str, zone: str, me: ProcessRef) -> None:
+        self.name = name
+        self.zone = zone
+        self.me = me
+        self.refutation = 0
+        self.by_address: dict[str, Member] = {}
+        self.listed: tuple[ListedEntry, ...] = ()
+        self.tellings: dict[str, int] = {}
+        self.turns: dict[bool, list[str]] = {True: [], False: []}
+        self.turn_count = 0
+        self.turn_ms: int | None = None
+        self.heard_ms: int | None = None
+
+
+def list_members(
+    membership: Membership, entries: Iterable[ListedEntry], now_ms: int
+) -> None:
+    """Take over the platform's list as candidates."""
+    listed = tuple(sorted(entries))
+    if listed == membership.listed:
+        return
+    membership.listed = listed
+    by_address = {entry.address: entry for entry in listed}
+    for address, member in list(membership.by_address.items()):
+        entry = by_address.get(address)
+        if entry is not None and entry.name == member.name:
+            _put(membership, member._replace(is_listed=True, is_leaving=entry.leaving))
+            continue
+        _put(membership, member._replace(is_listed=False))
+        if member.life in {Life.GONE, Life.UNPROVEN}:
+            _forget(membership, address)
+        elif member.life is Life.SUSPECT:
+            _change(membership, address, Life.GONE, now_ms)
+    fill_view(membership, now_ms)
+
+
+def fill_view(membership: Membership, now_ms: int) -> None:
+    """Take in listed processes up to the bounds of the view.
+
+    Each process prefers other ones of a foreign zone by a hash of both names, so
+    that all are known, and probed, about equally often.
+    """
+    room = _room(membership)
+    ordered = sorted(membership.listed, key=lambda entry: _rank(membership, entry))
+    for entry in ordered:
+        if entry.address in membership.by_address or entry.name == membership.name:
+            continue
+        if entry.address == membership.me.address or not _take(room, entry.zone):
+            continue
+        member = Member(entry.name, entry.zone, entry.address, since_ms=now_ms)
+        _put(membership, member._replace(is_listed=True, is_leaving=entry.leaving))
+
+
+def heard(
+    membership: Membership, name: str, zone: str, sender: ProcessRef, now_ms: int
+) -> None:
+    """Write down that a process was heard directly: the best proof of its life.
+
+    An address that another run of a process has taken over belongs to that run.
+    """
+    if sender == membership.me:
+        return
+    membership.heard_ms = now_ms
+    known = membership.by_address.get(sender.address)
+    if known is None or known.incarnation != sender.incarnation or known.name != name:
+        if known is None and not _has_room(membership, zone):
+            return
+        _join(membership, name, zone, sender, known, now_ms)
+        return
+    was_alive = known.life is Life.ALIVE
+    _put(membership, known._replace(heard_ms=now_ms, misses=0))
+    if not was_alive:
+        _change(membership, sender.address, Life.ALIVE, now_ms)
+
+
+def introduced(membership: Membership, name: str, zone: str, address: str) -> None:
+    """Take in a process that says to exist, to be probed soon."""
+    if address == membership.me.address or address in membership.by_address:
+        return
+    if _has_room(membership, zone):
+        _put(membership, Member(name, zone, address))
+
+
+def missed(membership: Membership, address: str, now_ms: int) -> None:
+    """Write down that a process did not answer a probe."""
+    member = membership.by_address.get(address)
+    if member is None:
+        return
+    member = member._replace(misses=member.misses + 1)
+    _put(membership, member)
+    if member.life is Life.UNPROVEN and member.misses >= MISSES_TO_SUSPECT:
+        if not member.is_listed:
+            _forget(membership, address)
+        return
+    if member.life is not Life.ALIVE or member.misses < MISSES_TO_SUSPECT:
+        return
+    _change(membership, address, Life.SUSPECT, now_ms)
+
+
+def take_turn(
+    membership: Membership, interval_ms: int, suspect_ms: int, now_ms: int
+) -> None:
+    """Declare those gone whose suspicion nobody refuted in time.
+
+    Call it before each probe. After a pause of this process the suspicions start
+    anew, because what refuted them may have been missed.
+    """
+    before_ms = membership.turn_ms
+    membership.turn_ms = now_ms
+    paused = before_ms is not None and now_ms - before_ms > max(
+        PAUSE_INTERVALS * interval_ms, suspect_ms // 2
+    )
+    if paused:
+        membership.heard_ms = None
+    for member in list(membership.by_address.values()):
+        if paused:
+            since_ms = now_ms if member.life is Life.SUSPECT else member.since_ms
+            _put(membership, member._replace(misses=0, since_ms=since_ms))
+        elif now_ms - member.since_ms >= suspect_ms:
+            _judge(membership, member, now_ms)
+
+
+def _judge(membership: Membership, member: Member, now_ms: int) -> None:
+    if member.life is Life.SUSPECT and _heard_since(membership, member.since_ms):
+        _change(membership, member.address, Life.GONE, now_ms)
+    elif member.life is Life.GONE and not member.is_listed:
+        _forget(membership, member.address)
+        fill_view(membership, now_ms)
+
+
+def is_settled(membership: Membership) -> bool:
+    """Tell whether enough others are known alive to probe at the ordinary rate."""
+    alive = sum(member.life is Life.ALIVE for member in membership.by_address.values())
+    return alive >= min(ENOUGH_HEARD, len(membership.by_address))
+
+
+def next_probe(membership: Membership, random: Random) -> Member | None:
+    """Return whom to probe now, None if nobody is known.
+
+    One that missed a probe comes first. Otherwise the own zone and the others take
+    turns, each in an order shuffled anew every round. Those that are gone have
+    every fourth turn, so that a healed partition is noticed from both sides.
+    """
+    members = membership.by_address.values()
+    if not members:
+        return None
+    membership.turn_count += 1
+    missing = [m for m in members if m.misses == 1 and m.life is Life.ALIVE]
+    if missing and membership.turn_count % 2:
+        return random.choice(missing)
+    gone = [m for m in members if m.life is Life.GONE]
+    if gone and not membership.turn_count % GONE_EVERY:
+        return random.choice(gone)
+    own = bool(membership.turn_count // 2 % 2)
+    chosen = _next_of_zone(membership, own, random) or _next_of_zone(
+        membership, not own, random
+    )
+    return chosen or (random.choice(gone) if gone else None)
+
+
+def choose_rumours(membership: Membership, told: str, now_ms: int) -> list[Rumour]:
+    """Return what to tell the process at ``told``, the most important first.
+
+    What is said of that process itself comes first, so that it can refute it.
+    """
+    about = membership.by_address.get(told)
+    chosen: list[Rumour] = []
+    if about is not None and about.life in {Life.SUSPECT, Life.GONE}:
+        chosen.append(_rumour(about, now_ms))
+    waiting = sorted(membership.tellings.items(), key=lambda item: -item[1])
+    for address, _left in waiting[:MAX_RUMOURS]:
+        member = membership.by_address.get(address)
+        if member is not None and address != told:
+            chosen.append(_rumour(member, now_ms))
+    return chosen
+
+
+def rumours_told(membership: Membership, rumours: Iterable[Rumour]) -> None:
+    """Count one telling of each rumour, so that none is told for ever."""
+    for rumour in rumours:
+        left = membership.tellings.get(rumour.address, 0) - 1
+        if left > 0:
+            membership.tellings[rumour.address] = left
+        else:
+            membership.tellings.pop(rumour.address, None)
+
+
+def hear_rumours(
+    membership: Membership, rumours: Iterable[Rumour], now_ms: int
+) -> None:
+    """Take in what a peer says of others, and refute what it says of this one."""
+    for rumour in rumours:
+        if rumour.address == membership.me.address:
+            _refute(membership, rumour)
+        else:
+            _hear_rumour(membership, rumour, now_ms)
+
+
+def alive_members(membership: Membership, now_ms: int) -> list[Member]:
+    """Return those that can be counted on, the recently heard if there are any."""
+    alive = [
+        member
+        for member in membership.by_address.values()
+        if member.life is Life.ALIVE and not member.is_leaving and not member.misses
+    ]
+    recent = [m for m in alive if m.heard_ms and now_ms - m.heard_ms <= RECENT_MS]
+    return recent or alive
+
+
+def _hear_rumour(membership: Membership, rumour: Rumour, now_ms: int) -> None:
+    known = membership.by_address.get(rumour.address)
+    if known is None:
+        if rumour.life is Life.ALIVE:
+            introduced(membership, rumour.name, rumour.zone, rumour.address)
+        return
+    # Only a process itself tells which incarnation an address belongs to now.
+    if known.incarnation != rumour.incarnation or rumour.refutation < known.refutation:
+        return
+    since_ms = now_ms - max(0, rumour.age_ms)
+    if rumour.refutation > known.refutation:
+        _put(membership, known._replace(refutation=rumour.refutation))
+        if known.life is not rumour.life:
+            _change(membership, rumour.address, rumour.life, since_ms)
+        return
+    worse = _RANK[rumour.life] > _RANK[known.life]
+    if worse and known.heard_ms < since_ms:
+        _change(membership, rumour.address, rumour.life, since_ms)
+
+
+def _refute(membership: Membership, rumour: Rumour) -> None:
+    if rumour.incarnation != membership.me.incarnation:
+        return
+    if rumour.life is Life.ALIVE or rumour.refutation < membership.refutation:
+        return
+    membership.refutation = rumour.refutation + 1
+
+
+def _join(
+    membership: Membership,
+    name: str,
+    zone: str,
+    sender: ProcessRef,
+    known: Member | None,
+    now_ms: int,
+) -> None:
+    listed = known is not None and known.is_listed and known.name == name
+    member = Member(name, zone, sender.address, sender.incarnation, heard_ms=now_ms)
+    leaving = known is not None and listed and known.is_leaving
+    _put(membership, member._replace(is_listed=listed, is_leaving=leaving))
+    _change(membership, sender.address, Life.ALIVE, now_ms)
+
+
+def _change(membership: Membership, address: str, life: Life, since_ms: int) -> None:
+    member = membership.by_address[address]
+    _put(membership, member._replace(life=life, since_ms=since_ms))
+    size = len(membership.by_address)
+    membership.tellings[address] = TELL_LEAST + 3 * size.bit_length()
+
+
+def _put(membership: Membership, member: Member) -> None:
+    membership.by_address[member.address] = member
+
+
+def _forget(membership: Membership, address: str) -> None:
+    del membership.by_address[address]
+    membership.tellings.pop(address, None)
+
+
+def _heard_since(membership: Membership, since_ms: int) -> bool:
+    return membership.heard_ms is not None and membership.heard_ms > since_ms
+
+
+def _next_of_zone(membership: Membership, own: bool, random: Random) -> Member | None:
+    turns = membership.turns[own]
+    for _ in range(2):
+        while turns:
+            member = membership.by_address.get(turns.pop())
+            if member is not None and member.life is not Life.GONE:
+                return member
+        turns += [
+            member.address
+            for member in membership.by_address.values()
+            if (member.zone == membership.zone) == own and member.life is not Life.GONE
+        ]
+        random.shuffle(turns)
+    return None
+
+
+def _rumour(member: Member, now_ms: int) -> Rumour:
+    return Rumour(*member[:6], age_ms=max(0, now_ms - member.since_ms))
+
+
+def _has_room(membership: Membership, zone: str) -> bool:
+    return _take(_room(membership, zone), zone)
+
+
+def _room(membership: Membership, *more: str) -> dict[str, int]:
+    members = [m for m in membership.by_address.values() if m.life is not Life.GONE]
+    zones = {*more, *(m.zone for m in members), *(e.zone for e in membership.listed)}
+    others = sorted(zones - {membership.zone})[:MAX_OTHER_ZONES]
+    each = max(LEAST_PER_ZONE, MAX_OTHERS // max(1, len(others)))
+    room = dict.fromkeys(others, each) | {membership.zone: MAX_OWN_ZONE}
+    for member in members:
+        _take(room, member.zone)
+    return room
+
+
+def _take(room: dict[str, int], zone: str) -> bool:
+    left = room.get(zone, 0)
+    room[zone] = left - 1
+    return left > 0
+
+
+def _rank(membership: Membership, entry: ListedEntry) -> bytes:
+    both = f"{membership.name}\n{entry.name}".encode()
+    return hashlib.blake2b(both, digest_size=8).digest()
+
+
+_RANK: Final = {Life.UNPROVEN: 0, Life.ALIVE: 1, Life.SUSPECT: 2, Life.GONE: 3}
--- a/src/bramleyturn/core/peer_message.py
+++ b/src/bramleyturn/core/peer_message.py
@@ -1,7 +1,14 @@
-"""Encode messages between entry processes and check who sent them."""
+"""Encode messages between entry processes and check who sent them to whom.
+
+A message is signed with every key in force, so that while keys are rotated it is
+accepted by a process that knows only the older or only the newer one. Each carries a
+number that counts up within its sender's incarnation, and a receiver takes each
+number once.
+"""
 
 import hashlib
 import hmac
+from collections import OrderedDict
 from collections.abc import Sequence
 from enum import StrEnum
 from typing import Any, Final, NamedTuple
@@ -11,6 +18,10 @@
 from bramleyturn.core.tickets import ProcessRef
 
 MAC_BYTES: Final = 16
+MAC_SEPARATOR: Final = ","
+MAX_MACS: Final = 4
+WINDOW: Final = 1_024
+MAX_SENDERS: Final = 2_048
 _PERSON: Final = b"peer"
 
 
@@ -29,7 +40,9 @@
     """Hold one message between entry processes.
 
     ``sender_name`` and ``sender_zone`` describe the sender, ``revision`` is the
-    configuration that it has in force.
+    configuration that it has in force. ``to`` is the incarnation that the message is
+    meant for, empty where the sender does not know it. ``answers`` is the sequence
+    number of the message that this one answers, zero for none.
     """
 
     sender: ProcessRef
@@ -38,6 +51,9 @@
     revision: int
     kind: MessageKind
     body: Any
+    sequence: int = 0
+    to: str = ""
+    answers: int = 0
 
 
 class MessageFault(StrEnum):
@@ -45,6 +61,8 @@
 
     BAD_MAC = "bad_mac"
     MALFORMED = "malformed"
+    REPLAYED = "replayed"
+    OTHER_INCARNATION = "other_incarnation"
 
 
 class MessageRefused(NamedTuple):
@@ -53,6 +71,23 @@
     reason: MessageFault
 
 
+class SequenceWindow:
+    """Hold which numbers of one sender were taken, as bits below the highest."""
+
+    __slots__ = ("highest", "taken")
+
+    def __init__(self) -> None:
+        self.highest = 0
+        self.taken = 0
+
+
+class Senders:
+    """Hold a window for each incarnation heard of late, the latest one last."""
+
+    def __init__(self) -> None:
+        self.windows: OrderedDict[ProcessRef, SequenceWindow] = OrderedDict()
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Return the bytes of a message."""
     return orjson.dumps(
@@ -62,6 +97,9 @@
             "zone": message.sender_zone,
             "revision": message.revision,
             "kind": str(message.kind),
+            "sequence": message.sequence,
+            "to": message.to,
+            "answers": message.answers,
             "body": message.body,
         }
     )
@@ -75,18 +113,25 @@
     ).hexdigest()
 
 
+def message_macs(packed: bytes, keys: Sequence[str]) -> str:
+    """Return the MAC of a message by each key that is set, as a header value."""
+    return MAC_SEPARATOR.join(message_mac(packed, key) for key in keys if key)
+
+
 def decode_message(
-    packed: bytes, mac: str, keys: Sequence[str]
+    packed: bytes, macs: str, keys: Sequence[str]
 ) -> PeerMessage | MessageRefused:
     """Return a message that was signed with one of ``keys``.
 
     Members that this version does not know are ignored, so that a newer process can
     talk to an older one.
     """
+    given = [mac.strip().encode() for mac in macs.split(MAC_SEPARATOR)[:MAX_MACS]]
     matches = [
-        hmac.compare_digest(mac.encode(), message_mac(packed, key).encode())
+        hmac.compare_digest(mac, message_mac(packed, key).encode())
         for key in keys
         if key
+        for mac in given
     ]
     if not any(matches):
         return MessageRefused(MessageFault.BAD_MAC)
@@ -99,6 +144,55 @@
             revision=int(document["revision"]),
             kind=MessageKind(document["kind"]),
             body=document["body"],
+            sequence=int(document["sequence"]),
+            to=str(document["to"]),
+            answers=int(document["answers"]),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, IndexError):
         return MessageRefused(MessageFault.MALFORMED)
+
+
+def check_fresh(
+    senders: Senders, message: PeerMessage, me: ProcessRef
+) -> MessageFault | None:
+    """Return why a signed message may not be taken, None if it may.
+
+    A number is taken once. Numbers may arrive out of order, as long as fewer than
+    ``WINDOW`` newer ones came before.
+    """
+    if message.to and message.to != me.incarnation:
+        return MessageFault.OTHER_INCARNATION
+    window = senders.windows.get(message.sender)
+    if window is None:
+        window = senders.windows[message.sender] = SequenceWindow()
+        if len(senders.windows) > MAX_SENDERS:
+            senders.windows.popitem(last=False)
+    senders.windows.move_to_end(message.sender)
+    if _take(window, message.sequence):
+        return None
+    return MessageFault.REPLAYED
+
+
+def check_answer(
+    answer: PeerMessage, asked: PeerMessage, me: ProcessRef
+) -> MessageFault | None:
+    """Return why a signed message is no answer to ``asked``, None if it is."""
+    if answer.to != me.incarnation:
+        return MessageFault.OTHER_INCARNATION
+    if asked.to and answer.sender.incarnation != asked.to:
+        return MessageFault.OTHER_INCARNATION
+    return None if answer.answers == asked.sequence else MessageFault.REPLAYED
+
+
+def _take(window: SequenceWindow, sequence: int) -> bool:
+    if sequence < 1 or sequence <= window.highest - WINDOW:
+        return False
+    if sequence > window.highest:
+        ahead = min(sequence - window.highest, WINDOW)
+        window.taken = (window.taken << ahead) & ((1 << WINDOW) - 1)
+        window.highest = sequence
+    bit = 1 << (window.highest - sequence)
+    if window.taken & bit:
+        return False
+    window.taken |= bit
+    return True
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -15,6 +15,7 @@
     request_admission,
 )
 from bramleyturn.core.attempt_results import cancel_attempts
+from bramleyturn.core.budgets import free_budget, hold_budget
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
 from bramleyturn.core.kept import KeptOutcome, OutcomeKey, find_outcome, keep_outcome
@@ -144,7 +145,7 @@
         state.latencies, request.pipeline, request.pipeline.stages, left_ms
     ):
         return not_run("deadline_too_short", DEADLINE_RETRY_AFTER_MS)
-    return None
+    return hold_budget(state, request, now_ms)
 
 
 def admit_request(
@@ -268,6 +269,7 @@
     outcome = outcome._replace(
         stages=stage_outcomes(request, now_ms), cost_micros=request.cost_micros
     )
+    free_budget(state, request, now_ms)
     outcome, copies = finish_ticket(state, request, outcome)
     forget_running(state, request)
     keep_request_outcome(state, request, outcome, now_ms)
--- a/src/bramleyturn/core/spend.py
+++ b/src/bramleyturn/core/spend.py
@@ -154,13 +154,20 @@
 
 
 def merge_spend(
-    book: SpendBook, process: str, counters: Iterable[SpendCounter], now_ms: int
+    book: SpendBook,
+    process: str,
+    counters: Iterable[SpendCounter],
+    now_ms: int,
+    *,
+    whole: bool = True,
 ) -> None:
     """Merge a report of a peer, also an empty one.
 
+    Only a ``whole`` report shows that nothing of what the peer spent is missing.
     Counters about this very incarnation and those of a past hour are ignored.
     """
-    book.heard_ms[process] = now_ms
+    if whole:
+        book.heard_ms[process] = now_ms
     for counter in counters:
         _merge_counter(book, counter, now_ms)
 
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -7,7 +7,7 @@
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.revisions import Refused
-from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
+from bramleyturn.platform.watch_loop import WatchLoop, look_at_once, wait_for_newer
 from bramleyturn.runtime.http_server import json_answer, problem
 from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
@@ -24,9 +24,13 @@
     async def config(request: HttpRequest) -> bytes:
         after = number(request, b"after")
         wait_ms = number(request, b"wait_ms")
-        if after is None or wait_ms is None:
-            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+        seen = number(request, b"seen")
+        if after is None or wait_ms is None or seen is None:
+            bad = BadRequest(
+                400, "Bad query", "send whole numbers", "after, wait_ms, seen"
+            )
             return problem(request, bad)
+        look_at_once(loop, seen)
         await wait_for_newer(loop, after, min(wait_ms, MAX_WAIT_MS))
         return json_answer(request, config_document(loop, after))
 
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -19,11 +19,16 @@
 
 WATCH_WAIT_MS: Final = 10_000
 LIST_INTERVAL_MS: Final = 1_000
-PEER_INTERVAL_MS: Final = 1_000
+PEER_INTERVAL_MS: Final = 5_000
+PEER_HURRY_MS: Final = 200
+LIST_BYTES_PER_S: Final = 1_024
+LIST_LINE_BYTES: Final = 120
+SHORT_LIST_LINES: Final = 128
 BACKOFF_FIRST_MS: Final = 100
 BACKOFF_MOST_MS: Final = 3_000
 PEER_SILENCE_MS: Final = 3_000
 JITTER_PERCENT: Final = 30
+NEAR_SHARE: Final = 0.5
 PERCENT: Final = 100
 MS_PER_S: Final = 1_000
 
@@ -56,6 +61,8 @@
         self.timeline = Timeline()
         self.waiting: list[Deferred[None]] = []
         self.is_stopped = False
+        self.seen_revision = 0
+        self.hurry: Deferred[None] | None = None
 
 
 def start_watching(loop: WatchLoop) -> None:
@@ -114,25 +121,33 @@
                 loop.instances = read
                 loop.instances_read_ms = loop.clock.monotonic_ms()
                 break
-        await pause(loop, jittered_ms(loop, LIST_INTERVAL_MS))
+        await pause(loop, jittered_ms(loop, list_interval_ms(len(loop.instances))))
+
+
+def list_interval_ms(lines: int) -> int:
+    """Return how long to wait between two reads of a list of that many lines.
+
+    The platform sends the whole list each time, so a long one is read less often, at
+    a fixed rate of bytes. What is lost in freshness comes from the peers, whose reads
+    fall at other times, and from the backend servers themselves.
+    """
+    if lines <= SHORT_LIST_LINES:
+        return LIST_INTERVAL_MS
+    return max(LIST_INTERVAL_MS, lines * LIST_LINE_BYTES * MS_PER_S // LIST_BYTES_PER_S)
 
 
 async def watch_peers(loop: WatchLoop) -> None:
     """Ask one other watch at a time for a newer configuration.
 
     A revision that one reader has seen thus reaches those whom the platform does
-    not answer, or answers from a stale replica.
+    not answer, or answers from a stale replica. Watches are asked in quick
+    succession while a newer revision is known to be in force somewhere.
     """
     while not loop.is_stopped:
-        await pause(loop, jittered_ms(loop, PEER_INTERVAL_MS))
-        peers = [
-            instance
-            for instance in loop.instances
-            if instance.role == "watch" and instance.name != loop.name
-        ]
-        if not peers:
+        await pause_unless_hurried(loop)
+        peer = choose_watch(loop)
+        if peer is None:
             continue
-        peer = loop.random.choice(peers)
         read = await read_folder(
             loop.client,
             loop.reactor,
@@ -144,6 +159,44 @@
             take_folder(loop, read.revision, read.files, f"watch {peer.name}")
 
 
+def choose_watch(loop: WatchLoop) -> ListedInstance | None:
+    """Return another watch, half the time one of the own availability zone."""
+    watches = [each for each in loop.instances if each.role == "watch"]
+    zones = {each.zone for each in watches if each.name == loop.name}
+    others = [each for each in watches if each.name != loop.name]
+    near = [each for each in others if each.zone in zones]
+    chosen_from = near if near and loop.random.random() < NEAR_SHARE else others
+    return loop.random.choice(chosen_from) if chosen_from else None
+
+
+async def pause_unless_hurried(loop: WatchLoop) -> None:
+    """Wait until it is time to ask another watch."""
+    if loop.seen_revision > loop.revisions.revision:
+        await pause(loop, jittered_ms(loop, PEER_HURRY_MS))
+        return
+    loop.hurry = Deferred()
+    wait_s = jittered_ms(loop, PEER_INTERVAL_MS) / MS_PER_S
+    timer = loop.reactor.callLater(wait_s, end_pause, loop)
+    await loop.hurry
+    if timer.active():
+        timer.cancel()
+
+
+def end_pause(loop: WatchLoop) -> None:
+    """Ask another watch now."""
+    hurry, loop.hurry = loop.hurry, None
+    if hurry is not None:
+        hurry.callback(None)
+
+
+def look_at_once(loop: WatchLoop, seen_revision: int) -> None:
+    """Look for a revision that a local process knows to be in force elsewhere."""
+    if seen_revision <= max(loop.seen_revision, loop.revisions.revision):
+        return
+    loop.seen_revision = seen_revision
+    end_pause(loop)
+
+
 def take_folder(
     loop: WatchLoop, revision: int, files: dict[str, str], source: str
 ) -> bool:
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -32,6 +32,7 @@
 from bramleyturn.runtime.callers_api import callers_api
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.entry_status import status_api
+from bramleyturn.runtime.greeter import follow_peers, greet_several
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.http_server import json_answer, listen, print_ready
 from bramleyturn.runtime.lifecycle import (
@@ -41,7 +42,7 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
-from bramleyturn.runtime.peer_client import Identity, PeerClient, say_hello
+from bramleyturn.runtime.peer_client import Identity, PeerClient
 from bramleyturn.runtime.peers_api import peers_api
 from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
@@ -49,11 +50,10 @@
     InstanceList,
     follow_configuration,
     follow_instances,
+    tell_watch,
 )
 
 INCARNATION_BYTES: Final = 8
-HELLO_INTERVAL_S: Final = 0.5
-HELLO_PEERS: Final = 3
 DRAIN_CHECK_S: Final = 0.05
 LEAVE_DELAY_S: Final = 0.5
 
@@ -141,15 +141,21 @@
         feed(loop, ConfigurationAccepted(configuration))
         lifecycle.configured()
 
+    def tell_newer(seen_revision: int) -> None:
+        revision = loop.state.configuration.revision
+        told = tell_watch(client, loop.reactor, settings.watch, revision, seen_revision)
+        Deferred.fromCoroutine(told).addErrback(log_end)
+
     for work in (
         follow_configuration(client, loop.reactor, settings.watch, accept),
         follow_instances(
             client, loop.reactor, settings.watch, lambda found: take_list(loop, found)
         ),
         follow_load(loop),
+        follow_peers(loop, tell_newer),
     ):
         Deferred.fromCoroutine(work).addErrback(log_end)
-    LoopingCall(greet_peers, loop).start(HELLO_INTERVAL_S)
+    loop.greet_several = lambda: greet_several(loop)
 
 
 def log_end(failure: Any) -> None:
@@ -175,16 +181,6 @@
     feed(loop, PeersListed(entries))
 
 
-def greet_peers(loop: EntryLoop) -> None:
-    """Ask a few other entry processes who they are."""
-    addresses = list(loop.state.peers.by_address)
-    chosen = loop.state.random.sample(addresses, min(HELLO_PEERS, len(addresses)))
-    for address in chosen:
-        Deferred.fromCoroutine(
-            say_hello(loop.peers, address, lambda event: feed(loop, event))
-        )
-
-
 def drain(loop: EntryLoop, lifecycle: Lifecycle) -> None:
     """Take nothing new and end once nothing is in flight."""
     feed(loop, DrainOrdered())
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -11,6 +11,7 @@
     CancelAttempt,
     CancelOrphan,
     ForwardAnswer,
+    GreetPeers,
     PermitWrite,
     StartAttempt,
     TellBackup,
@@ -56,6 +57,7 @@
         self.waiters: dict[str, Waiter] = {}
         self.backup_replies: dict[str, BackupReply] = {}
         self.next_waiter = 0
+        self.greet_several: Callable[[], None] = lambda: None
         self.wake_call: DelayedCall | None = None
         self.wake_at_ms: int | None = None
 
@@ -103,6 +105,8 @@
             tell_backup(loop.peers, action, lambda event: feed(loop, event))
         case TellPrimary():
             tell_primary(loop.peers, action, lambda event: feed(loop, event))
+        case GreetPeers():
+            loop.greet_several()
 
 
 def answer_waiter(loop: EntryLoop, action: WaiterAction) -> None:
--- a/src/bramleyturn/runtime/entry_status.py
+++ b/src/bramleyturn/runtime/entry_status.py
@@ -6,10 +6,10 @@
 from klein import Klein
 
 from bramleyturn.core.cost import cost_rows
-from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.routing_table import ServerState
 from bramleyturn.runtime.entry_loop import EntryLoop
 from bramleyturn.runtime.http_server import json_answer
+from bramleyturn.runtime.peer_client import Traffic
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 
@@ -18,9 +18,7 @@
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
-        return json_answer(
-            request, status_document(loop.state, loop.clock.monotonic_ms())
-        )
+        return json_answer(request, status_document(loop, loop.clock.monotonic_ms()))
 
     @app.route("/v1/cost", methods=["GET"])
     def cost(request: HttpRequest) -> bytes:
@@ -28,8 +26,9 @@
         return json_answer(request, {"process": loop.state.name, "rows": rows})
 
 
-def status_document(state: EntryState, now_ms: int) -> dict[str, Any]:
+def status_document(loop: EntryLoop, now_ms: int) -> dict[str, Any]:
     """Return the state of an entry process in numbers."""
+    state = loop.state
     return {
         "name": state.name,
         "role": "entry",
@@ -46,6 +45,7 @@
         "tickets_held": len(state.primary_tickets.records),
         "backup_records": len(state.backup_tickets.records),
         "counters": asdict(state.counters),
+        "messages": traffic_document(loop.peers.traffic),
         "peers": [peer._asdict() for peer in state.peers.by_address.values()],
         "servers": [
             server_document(server, now_ms) for server in state.routing.servers.values()
@@ -53,6 +53,15 @@
     }
 
 
+def traffic_document(traffic: Traffic) -> dict[str, dict[str, int]]:
+    """Return the messages between entry processes so far, by kind."""
+    return {
+        "count": dict(traffic.messages),
+        "bytes": dict(traffic.bytes),
+        "refused": dict(traffic.refused),
+    }
+
+
 def server_document(server: ServerState, now_ms: int) -> dict[str, Any]:
     """Return what is known of one backend server."""
     ejected_until_ms = server.outlier.ejected_until_ms
--- a/src/bramleyturn/runtime/peer_client.py
+++ b/src/bramleyturn/runtime/peer_client.py
@@ -1,5 +1,6 @@
 """Send messages to other entry processes."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
@@ -11,8 +12,6 @@
     BackupMessage,
     BackupSilent,
     Event,
-    PeerSeen,
-    PeerSilent,
     PrimaryAnswered,
     PrimarySilent,
 )
@@ -21,9 +20,11 @@
     MessageKind,
     MessageRefused,
     PeerMessage,
+    Senders,
+    check_answer,
     decode_message,
     encode_message,
-    message_mac,
+    message_macs,
 )
 from bramleyturn.core.ticket_json import backup_message_document, parse_answer
 from bramleyturn.core.ticket_messages import (
@@ -40,7 +41,6 @@
 
 MAC_HEADER: Final = "Bramleyturn-Mac"
 MESSAGE_PATH: Final = "/peer/v1/message"
-HELLO_TIMEOUT_MS: Final = 500
 STATUS_OK: Final = 200
 
 Feed = Callable[[Event], None]
@@ -54,6 +54,15 @@
     zone: str
 
 
+class Traffic:
+    """Count the messages and bytes of each kind, their bodies and MACs only."""
+
+    def __init__(self) -> None:
+        self.messages: Counter[str] = Counter()
+        self.bytes: Counter[str] = Counter()
+        self.refused: Counter[str] = Counter()
+
+
 class PeerClient:
     """Hold the connections to other entry processes and the keys to sign with."""
 
@@ -69,20 +78,33 @@
         self.settings = settings
         self.revision = revision
         self.client = http_client(reactor)
+        self.senders = Senders()
+        self.traffic = Traffic()
+        self.next_sequence = 0
+
+
+def new_message(
+    peers: PeerClient, kind: MessageKind, body: Any, to: str, answers: int = 0
+) -> PeerMessage:
+    """Return a message from this process."""
+    peers.next_sequence += 1
+    return PeerMessage(
+        sender=peers.identity.me,
+        sender_name=peers.identity.name,
+        sender_zone=peers.identity.zone,
+        revision=peers.revision(),
+        kind=kind,
+        body=body,
+        sequence=peers.next_sequence,
+        to=to,
+        answers=answers,
+    )
 
 
-def signed_message(peers: PeerClient, kind: MessageKind, body: Any) -> bytes:
-    """Return the bytes of a message from this process."""
-    return encode_message(
-        PeerMessage(
-            sender=peers.identity.me,
-            sender_name=peers.identity.name,
-            sender_zone=peers.identity.zone,
-            revision=peers.revision(),
-            kind=kind,
-            body=body,
-        )
-    )
+def count_traffic(peers: PeerClient, kind: str, packed: bytes, macs: str) -> None:
+    """Count one message that was sent or received."""
+    peers.traffic.messages[kind] += 1
+    peers.traffic.bytes[kind] += len(packed) + len(macs)
 
 
 def message_keys(settings: PeerSettings) -> tuple[str, str]:
@@ -91,25 +113,55 @@
 
 
 async def tell(
-    peers: PeerClient, address: str, kind: MessageKind, body: Any, timeout_ms: int
+    peers: PeerClient,
+    address: str,
+    kind: MessageKind,
+    body: Any,
+    timeout_ms: int,
+    to: str = "",
 ) -> PeerMessage | None:
-    """Send a message and return the answer, None without a usable one."""
-    packed = signed_message(peers, kind, body)
-    key = peers.settings().key
+    """Send a message and return the answer, None without a usable one.
+
+    Without a key nothing is sent. An answer that is no answer to this very message
+    is refused and counted.
+    """
+    keys = message_keys(peers.settings())
+    if not keys[0]:
+        return None
+    message = new_message(peers, kind, body, to)
+    packed = encode_message(message)
+    macs = message_macs(packed, keys)
+    count_traffic(peers, f"sent_{kind}", packed, macs)
     answer = await call_bytes(
         peers.client,
         peers.reactor,
         "POST",
         f"http://{address}{MESSAGE_PATH}",
         body=packed,
-        headers={MAC_HEADER: message_mac(packed, key)},
+        headers={MAC_HEADER: macs},
         timeout_ms=timeout_ms,
     )
     if isinstance(answer, CallFailed) or answer.status != STATUS_OK:
         return None
-    mac = answer.headers.get(MAC_HEADER.lower(), "")
-    message = decode_message(answer.content, mac, message_keys(peers.settings()))
-    return None if isinstance(message, MessageRefused) else message
+    macs = answer.headers.get(MAC_HEADER.lower(), "")
+    count_traffic(peers, f"answered_{kind}", answer.content, macs)
+    return usable_answer(peers, answer.content, macs, message)
+
+
+def usable_answer(
+    peers: PeerClient, packed: bytes, macs: str, asked: PeerMessage
+) -> PeerMessage | None:
+    """Return an answer that is signed and meant for ``asked``."""
+    answer = decode_message(packed, macs, message_keys(peers.settings()))
+    if isinstance(answer, MessageRefused):
+        fault = answer.reason
+    else:
+        found = check_answer(answer, asked, peers.identity.me)
+        if found is None:
+            return answer
+        fault = found
+    peers.traffic.refused[f"answer_{fault}"] += 1
+    return None
 
 
 def tell_backup(peers: PeerClient, action: TellBackup, feed: Feed) -> None:
@@ -168,16 +220,3 @@
 def forwarded_document(message: ForwardedRequest) -> dict[str, Any]:
     """Return the document of a request on its way to its primary."""
     return message._asdict()
-
-
-async def say_hello(peers: PeerClient, address: str, feed: Feed) -> None:
-    """Ask a peer who it is and feed whether it answered."""
-    answer = await tell(peers, address, MessageKind.HELLO, {}, HELLO_TIMEOUT_MS)
-    if answer is None:
-        feed(PeerSilent(address))
-        return
-    feed(
-        PeerSeen(
-            answer.sender_name, answer.sender_zone, address, answer.sender.incarnation
-        )
-    )
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Final
 
+import orjson
 from klein import Klein
 from twisted.internet.defer import Deferred, succeed
 
@@ -10,18 +11,23 @@
 from bramleyturn.core.events import (
     BackupAsked,
     BackupMessage,
+    PeerIntroduced,
     PeerSeen,
     RequestArrived,
     WaiterGone,
 )
+from bramleyturn.core.greetings import greeting_sent, write_greeting
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.outcome_json import outcome_document
 from bramleyturn.core.peer_message import (
+    MessageFault,
     MessageKind,
     MessageRefused,
     PeerMessage,
+    check_fresh,
     decode_message,
-    message_mac,
+    encode_message,
+    message_macs,
 )
 from bramleyturn.core.ticket_json import (
     answer_document,
@@ -46,8 +52,9 @@
 from bramleyturn.runtime.peer_client import (
     MAC_HEADER,
     MESSAGE_PATH,
+    count_traffic,
     message_keys,
-    signed_message,
+    new_message,
 )
 from bramleyturn.runtime.twisted_types import HttpRequest
 
@@ -67,27 +74,60 @@
 
     @app.route(MESSAGE_PATH, methods=["POST"])
     async def message(request: HttpRequest) -> bytes:
-        settings = loop.state.configuration.peers
-        received = decode_message(
-            request.content.read(), header(request, MAC_HEADER), message_keys(settings)
-        )
-        if isinstance(received, MessageRefused):
+        packed = request.content.read()
+        macs = header(request, MAC_HEADER)
+        received = take_message(loop, packed, macs)
+        if isinstance(received, MessageFault):
             loop.state.counters.messages_refused += 1
-            bad = BadRequest(403, "Message refused", received.reason, MAC_HEADER)
+            loop.peers.traffic.refused[received] += 1
+            bad = BadRequest(403, "Message refused", received, MAC_HEADER)
             return problem(request, bad)
+        count_traffic(loop.peers, f"received_{received.kind}", packed, macs)
         note_sender(loop, received)
         body = await answer_message(loop, received)
         if body is None:
             bad = BadRequest(400, "Bad message", "its body is malformed", "body")
             return problem(request, bad)
-        packed = signed_message(loop.peers, received.kind, body)
-        request.setHeader(MAC_HEADER, message_mac(packed, settings.key))
+        answer = new_message(
+            loop.peers,
+            received.kind,
+            body,
+            received.sender.incarnation,
+            received.sequence,
+        )
+        packed = encode_message(answer)
+        macs = message_macs(packed, message_keys(loop.state.configuration.peers))
+        count_traffic(loop.peers, f"returned_{received.kind}", packed, macs)
+        request.setHeader(MAC_HEADER, macs)
         return packed
 
 
+def take_message(
+    loop: EntryLoop, packed: bytes, macs: str
+) -> PeerMessage | MessageFault:
+    """Return a message that is signed, new and meant for this process."""
+    keys = message_keys(loop.state.configuration.peers)
+    received = decode_message(packed, macs, keys)
+    if isinstance(received, MessageRefused):
+        return received.reason
+    fault = check_fresh(loop.peers.senders, received, loop.peers.identity.me)
+    return received if fault is None else fault
+
+
 def note_sender(loop: EntryLoop, message: PeerMessage) -> None:
-    """Tell the core that a peer is alive."""
+    """Tell the core that a peer is alive.
+
+    A message that names no incarnation may be an old one sent again, which a restart
+    of this process made it forget, and is no proof of life.
+    """
     sender = message.sender
+    if not message.to:
+        feed(
+            loop,
+            PeerIntroduced(message.sender_name, message.sender_zone, sender.address),
+        )
+        return
+    body = message.body if message.kind is MessageKind.HELLO else None
     feed(
         loop,
         PeerSeen(
@@ -95,6 +135,8 @@
             message.sender_zone,
             sender.address,
             sender.incarnation,
+            message.revision,
+            body,
         ),
     )
 
@@ -103,7 +145,7 @@
     """Return the body of the answer, None for a malformed message."""
     match message.kind:
         case MessageKind.HELLO:
-            return succeed({})
+            return succeed(greeting(loop, message))
         case MessageKind.RUN:
             return run_forwarded(loop, message.body)
         case MessageKind.LOOKUP:
@@ -114,6 +156,14 @@
     return succeed(answer_as_backup(loop, asked))
 
 
+def greeting(loop: EntryLoop, message: PeerMessage) -> dict[str, Any]:
+    """Return the answer to a greeting: what this process has to tell itself."""
+    now_ms = loop.clock.monotonic_ms()
+    body = write_greeting(loop.state, message.sender, message.sender_zone, now_ms)
+    greeting_sent(loop.state, len(orjson.dumps(body)))
+    return body
+
+
 def answer_as_backup(loop: EntryLoop, message: BackupMessage) -> dict[str, Any]:
     """Let the core answer as the backup of a ticket."""
     answers: list[dict[str, Any]] = []
--- a/src/bramleyturn/runtime/request_lookup.py
+++ b/src/bramleyturn/runtime/request_lookup.py
@@ -26,7 +26,14 @@
     body = {"workspace": workspace, "request_id": request_id}
     calls = [
         Deferred.fromCoroutine(
-            tell(loop.peers, peer.address, MessageKind.LOOKUP, body, LOOKUP_TIMEOUT_MS)
+            tell(
+                loop.peers,
+                peer.address,
+                MessageKind.LOOKUP,
+                body,
+                LOOKUP_TIMEOUT_MS,
+                to=peer.incarnation,
+            )
         )
         for peer in peers[:MAX_ASKED]
     ]
--- a/src/bramleyturn/runtime/watch_client.py
+++ b/src/bramleyturn/runtime/watch_client.py
@@ -23,6 +23,19 @@
 logger = logging.getLogger(__name__)
 
 
+async def tell_watch(
+    client: HTTPClient, reactor: Any, watch: str, revision: int, seen_revision: int
+) -> None:
+    """Tell the watch that a newer revision is in force at a peer."""
+    await call_json(
+        client,
+        reactor,
+        "GET",
+        f"http://{watch}/v1/config?after={revision}&wait_ms=0&seen={seen_revision}",
+        timeout_ms=LIST_TIMEOUT_MS,
+    )
+
+
 class InstanceList(NamedTuple):
     """Hold the platform's list, ``age_ms`` old."""
 
--- /dev/null
+++ b/tests/core/greeting_world.py
@@ -0,0 +1,192 @@
+"""Let many entry states greet each other in virtual time, with delayed delivery."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+import orjson
+
+from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.entry import step
+from bramleyturn.core.entry_state import EntryState, entry_state
+from bramleyturn.core.events import (
+    ConfigurationAccepted,
+    ListedEntry,
+    PeerIntroduced,
+    PeerSeen,
+    PeerSilent,
+)
+from bramleyturn.core.greetings import greeting_sent, write_greeting
+from bramleyturn.core.membership import Life, heard, next_probe, take_turn
+from bramleyturn.core.membership import list_members as take_list
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.tickets import ProcessRef
+
+INTERVAL_MS: Final = 1_000
+TIMEOUT_MS: Final = 500
+SUSPECT_MS: Final = 5_000
+# HTTP's own lines and headers, the envelope and the MAC, as `make capacity` measures.
+OVERHEAD_BYTES: Final = 450
+
+
+def empty_configuration() -> Configuration:
+    loaded = load_configuration(0, {})
+    assert not isinstance(loaded, RefusedConfiguration)
+    return loaded
+
+
+class World:
+    """Hold the states by address, a queue of events, and the traffic counted."""
+
+    def __init__(self, count: int, zones: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.now_ms = 0
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.number = 0
+        self.states: dict[str, EntryState] = {}
+        self.cut: Callable[[str, str], bool] = lambda _a, _b: False
+        self.frozen: set[str] = set()
+        self.bytes: Counter[str] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.configuration = empty_configuration()
+        for index in range(count):
+            self.start(f"entry-{index}", f"zone-{index % zones}", f"10.0.0.1:{index}")
+        self.list_everyone()
+
+    def start(self, name: str, zone: str, address: str) -> EntryState:
+        me = ProcessRef(address, self.random.randbytes(8).hex())
+        state = entry_state(
+            name, zone, me, self.configuration, Random(str(me)), self.now_ms
+        )
+        self.states[address] = state
+        first_ms = self.now_ms + self.random.randrange(INTERVAL_MS)
+        self.at(first_ms, lambda: self.turn(state))
+        return state
+
+    def acquaint(self) -> None:
+        """Let each state have heard everyone in its view, to skip the start."""
+        for state in self.states.values():
+            for address in list(state.peers.by_address):
+                other = self.states[address]
+                heard(state.peers, other.name, other.zone, other.me, self.now_ms)
+            state.peers.tellings.clear()
+
+    def configure(self, state: EntryState, configuration: Configuration) -> None:
+        step(state, ConfigurationAccepted(configuration), self.now_ms)
+
+    def stop(self, addresses: Iterable[str]) -> None:
+        for address in addresses:
+            del self.states[address]
+
+    def list_everyone(self, *, without: frozenset[str] = frozenset()) -> None:
+        entries = [
+            ListedEntry(state.name, state.zone, address, False)
+            for address, state in self.states.items()
+            if address not in without
+        ]
+        for state in self.states.values():
+            take_list(state.peers, entries, self.now_ms)
+
+    def at(self, at_ms: int, call: Callable[[], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.queue, (at_ms, self.number, call))
+
+    def run(self, for_ms: int) -> None:
+        end_ms = self.now_ms + for_ms
+        while self.queue and self.queue[0][0] <= end_ms:
+            self.now_ms, _, call = heapq.heappop(self.queue)
+            call()
+        self.now_ms = end_ms
+
+    def run_until(self, condition: Callable[[], bool], most_ms: int) -> int:
+        """Return how long it took until the condition held, at most ``most_ms``."""
+        began_ms = self.now_ms
+        while not condition() and self.now_ms - began_ms < most_ms:
+            self.run(100)
+        return self.now_ms - began_ms
+
+    def turn(self, state: EntryState) -> None:
+        address = state.me.address
+        if self.states.get(address) is not state:
+            return
+        jitter_ms = self.random.randint(-INTERVAL_MS // 5, INTERVAL_MS // 5)
+        self.at(self.now_ms + INTERVAL_MS + jitter_ms, lambda: self.turn(state))
+        if address in self.frozen:
+            return
+        take_turn(state.peers, INTERVAL_MS, SUSPECT_MS, self.now_ms)
+        member = next_probe(state.peers, state.random)
+        if member is not None:
+            told = ProcessRef(member.address, member.incarnation)
+            self.greet(state, told, member.zone)
+
+    def greet(self, state: EntryState, told: ProcessRef, zone: str) -> None:
+        packed = self.pack(state, told, zone)
+        delay_ms = self.random.randint(1, 40)
+        self.at(self.now_ms + delay_ms, lambda: self.arrive(state, told, packed))
+
+    def arrive(self, sender: EntryState, told: ProcessRef, packed: bytes) -> None:
+        other = self.states.get(told.address)
+        lost = other is None or self.cut(sender.me.address, told.address)
+        if other is None or lost or told.address in self.frozen:
+            left_ms = TIMEOUT_MS
+            self.at(self.now_ms + left_ms, lambda: self.silent(sender, told.address))
+            return
+        if told.incarnation and told.incarnation != other.me.incarnation:
+            self.silent(sender, told.address)
+            self.greet(sender, ProcessRef(told.address, ""), other.zone)
+            return
+        if told.incarnation:
+            self.hear(other, sender, packed)
+        else:
+            event = PeerIntroduced(sender.name, sender.zone, sender.me.address)
+            step(other, event, self.now_ms)
+        answer = self.pack(other, sender.me, sender.zone)
+        delay_ms = self.random.randint(1, 40)
+        self.at(self.now_ms + delay_ms, lambda: self.hear(sender, other, answer))
+
+    def pack(self, state: EntryState, told: ProcessRef, zone: str) -> bytes:
+        body = write_greeting(state, told, zone, self.now_ms)
+        packed = orjson.dumps(body)
+        greeting_sent(state, len(packed))
+        for address in (state.me.address, told.address):
+            self.bytes[address] += len(packed) + OVERHEAD_BYTES
+            self.messages[address] += 1
+        return packed
+
+    def hear(self, state: EntryState, sender: EntryState, packed: bytes) -> None:
+        if state.me.address in self.frozen:
+            return
+        event = PeerSeen(
+            sender.name,
+            sender.zone,
+            *sender.me,
+            sender.configuration.revision,
+            orjson.loads(packed),
+        )
+        step(state, event, self.now_ms)
+
+    def silent(self, state: EntryState, address: str) -> None:
+        if state.me.address not in self.frozen:
+            step(state, PeerSilent(address), self.now_ms)
+
+    def believed(self, address: str, life: Life) -> list[str]:
+        """Return who believes that of the process at ``address``."""
+        return [
+            state.me.address
+            for state in self.states.values()
+            if (member := state.peers.by_address.get(address)) is not None
+            and member.life is life
+        ]
+
+    def falsely_gone(self) -> list[tuple[str, str]]:
+        """Return every pair of a process and a live one that it holds for gone."""
+        return [
+            (state.me.address, address)
+            for state in self.states.values()
+            for address, member in state.peers.by_address.items()
+            if member.life is Life.GONE
+            and address in self.states
+            and member.incarnation == self.states[address].me.incarnation
+        ]
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,243 @@
+"""Tests of knowing which entry processes are alive, in virtual time."""
+
+import pytest
+
+from bramleyturn.core.membership import (
+    MAX_OTHERS,
+    MAX_OWN_ZONE,
+    Life,
+    Membership,
+    Rumour,
+    hear_rumours,
+    heard,
+    missed,
+    next_probe,
+    take_turn,
+)
+from bramleyturn.core.peers import choose_backup
+from bramleyturn.core.tickets import ProcessRef
+from tests.core.greeting_world import SUSPECT_MS, World
+
+SEED = 11
+ME = ProcessRef("10.0.0.1:0", "aa")
+OTHER = ProcessRef("10.0.0.1:1", "bb")
+THIRD = ProcessRef("10.0.0.1:2", "cc")
+
+
+def membership() -> Membership:
+    return Membership("me", "zone-0", ME)
+
+
+def all_settled(world: World) -> bool:
+    return all(
+        member.life is Life.ALIVE
+        for state in world.states.values()
+        for member in state.peers.by_address.values()
+    )
+
+
+class TestCost:
+    @pytest.mark.parametrize(("count", "zones"), [(20, 4), (100, 10), (390, 20)])
+    def test_traffic_of_a_process_is_flat_in_their_number(
+        self, count: int, zones: int
+    ) -> None:
+        world = World(count, zones, SEED)
+        world.acquaint()
+        world.run(5_000)
+        world.bytes.clear()
+        world.messages.clear()
+        seconds = 20
+        world.run(seconds * 1000)
+        mean_bytes = sum(world.bytes.values()) / count / seconds
+        mean_messages = sum(world.messages.values()) / count / seconds
+        largest = max(world.bytes.values()) / seconds
+        print(f"{count=} {mean_bytes=:.0f} {largest=:.0f} {mean_messages=:.1f}")
+        assert mean_messages < 4.5
+        assert mean_bytes < 3_200
+        most = max(len(state.peers.by_address) for state in world.states.values())
+        assert most <= MAX_OWN_ZONE + MAX_OTHERS
+
+    @pytest.mark.parametrize(("count", "zones"), [(20, 4), (390, 20)])
+    def test_death_is_noticed_within_seconds(self, count: int, zones: int) -> None:
+        world = World(count, zones, SEED)
+        world.acquaint()
+        world.run(5_000)
+        dead = "10.0.0.1:7"
+        knowing = [a for a in world.believed(dead, Life.ALIVE) if a != dead]
+        world.stop([dead])
+        took_ms = world.run_until(
+            lambda: len(world.believed(dead, Life.ALIVE)) * 10 <= len(knowing), 30_000
+        )
+        gone_ms = took_ms + world.run_until(
+            lambda: len(world.believed(dead, Life.GONE)) * 10 >= len(knowing) * 9,
+            60_000,
+        )
+        print(f"{count=} suspected {took_ms=} {gone_ms=} known by {len(knowing)}")
+        assert took_ms < 18_000
+        assert gone_ms < 30_000
+        assert not world.falsely_gone()
+
+
+class TestFailures:
+    def test_partition_and_heal(self) -> None:
+        world = World(40, 4, SEED)
+        world.run(15_000)
+        side = {a for a, s in world.states.items() if s.zone in {"zone-0", "zone-1"}}
+        world.cut = lambda a, b: (a in side) != (b in side)
+        world.run(60_000)
+        cut_off = [pair for pair in world.falsely_gone() if pair[0] in side]
+        assert cut_off, "the other side should count as gone"
+        assert all((a in side) != (b in side) for a, b in world.falsely_gone())
+        world.cut = lambda _a, _b: False
+        healed_ms = world.run_until(
+            lambda: not world.falsely_gone() and all_settled(world), 240_000
+        )
+        print(f"{healed_ms=}")
+        assert healed_ms < 240_000
+
+    def test_isolated_process_declares_nobody_gone(self) -> None:
+        world = World(20, 4, SEED)
+        world.run(15_000)
+        alone = "10.0.0.1:3"
+        world.cut = lambda a, b: alone in {a, b}
+        world.run(60_000)
+        assert not [pair for pair in world.falsely_gone() if pair[0] == alone]
+        state = world.states[alone]
+        assert choose_backup(state.peers, state.zone, world.now_ms, world.random) is (
+            None
+        )
+
+    def test_mass_restart(self) -> None:
+        world = World(20, 4, SEED)
+        world.run(15_000)
+        restarted = [f"10.0.0.1:{index}" for index in range(14)]
+        old = {address: world.states[address] for address in restarted}
+        world.stop(restarted)
+        for address, state in old.items():
+            world.start(state.name, state.zone, address)
+        world.list_everyone()
+
+        def known_anew() -> bool:
+            return all(
+                (member := state.peers.by_address.get(address)) is not None
+                and member.incarnation == world.states[address].me.incarnation
+                and member.life is Life.ALIVE
+                for state in world.states.values()
+                for address in restarted
+                if address != state.me.address
+            )
+
+        took_ms = world.run_until(known_anew, 120_000)
+        print(f"{took_ms=}")
+        assert took_ms < 60_000
+
+    def test_rack_loss(self) -> None:
+        world = World(100, 5, SEED)
+        world.acquaint()
+        world.run(5_000)
+        rack = [f"10.0.0.1:{index}" for index in range(0, 50, 5)]
+        world.stop(rack)
+
+        def nobody_counts_on_them() -> bool:
+            return not any(world.believed(address, Life.ALIVE) for address in rack)
+
+        took_ms = world.run_until(nobody_counts_on_them, 120_000)
+        print(f"{took_ms=}")
+        assert took_ms < 60_000
+        assert not world.falsely_gone()
+
+    def test_frozen_process_that_wakes_hears_before_it_declares(self) -> None:
+        world = World(20, 4, SEED)
+        world.run(15_000)
+        sleeper = "10.0.0.1:5"
+        world.frozen.add(sleeper)
+        world.run(40_000)
+        assert world.believed(sleeper, Life.GONE)
+        world.frozen.clear()
+        world.run(SUSPECT_MS + 10_000)
+        assert not [pair for pair in world.falsely_gone() if pair[0] == sleeper]
+        world.run_until(lambda: not world.falsely_gone(), 120_000)
+        assert not world.falsely_gone()
+
+    def test_one_that_restarts_every_few_minutes_leaves_no_trace(self) -> None:
+        world = World(20, 4, SEED)
+        for round_number in range(12):
+            world.run(8_000)
+            address = f"10.0.0.1:{round_number}"
+            state = world.states[address]
+            world.stop([address])
+            world.start(state.name, state.zone, f"10.0.0.1:{100 + round_number}")
+            world.list_everyone()
+        world.run(90_000)
+        sizes = {len(state.peers.by_address) for state in world.states.values()}
+        assert sizes == {19}
+
+
+class TestIdentity:
+    def test_address_taken_over_belongs_to_the_new_process(self) -> None:
+        known = membership()
+        heard(known, "old", "zone-1", OTHER, 1_000)
+        heard(known, "new", "zone-2", ProcessRef(OTHER.address, "dd"), 2_000)
+        member = known.by_address[OTHER.address]
+        assert (member.name, member.zone, member.incarnation) == ("new", "zone-2", "dd")
+
+    def test_rumour_of_the_former_process_is_ignored(self) -> None:
+        known = membership()
+        heard(known, "new", "zone-1", ProcessRef(OTHER.address, "dd"), 2_000)
+        gone = Rumour("old", "zone-1", *OTHER, 9, Life.GONE, 0)
+        hear_rumours(known, [gone], 3_000)
+        assert known.by_address[OTHER.address].life is Life.ALIVE
+
+    def test_own_suspicion_is_refuted(self) -> None:
+        known = membership()
+        hear_rumours(known, [Rumour("me", "zone-0", *ME, 3, Life.SUSPECT, 0)], 1_000)
+        assert known.refutation == 4
+
+    def test_suspicion_of_a_former_incarnation_is_not_refuted(self) -> None:
+        known = membership()
+        former = ProcessRef(ME.address, "old")
+        hear_rumours(known, [Rumour("me", "zone-0", *former, 3, Life.GONE, 0)], 1_000)
+        assert known.refutation == 0
+
+    def test_refutation_outweighs_the_suspicion(self) -> None:
+        known = membership()
+        heard(known, "b", "zone-1", OTHER, 0)
+        suspected = Rumour("b", "zone-1", *OTHER, 0, Life.SUSPECT, 0)
+        hear_rumours(known, [suspected], 1_000)
+        assert known.by_address[OTHER.address].life is Life.SUSPECT
+        refuted = suspected._replace(refutation=1, life=Life.ALIVE)
+        hear_rumours(known, [refuted], 1_500)
+        hear_rumours(known, [suspected], 1_600)
+        assert known.by_address[OTHER.address].life is Life.ALIVE
+
+    def test_suspicion_older_than_what_was_heard_is_ignored(self) -> None:
+        known = membership()
+        heard(known, "b", "zone-1", OTHER, 5_000)
+        old = Rumour("b", "zone-1", *OTHER, 0, Life.GONE, 3_000)
+        hear_rumours(known, [old], 6_000)
+        assert known.by_address[OTHER.address].life is Life.ALIVE
+
+
+class TestSuspicion:
+    def test_one_missed_probe_is_no_suspicion(self) -> None:
+        known = membership()
+        heard(known, "b", "zone-1", OTHER, 0)
+        missed(known, OTHER.address, 1_000)
+        assert known.by_address[OTHER.address].life is Life.ALIVE
+        missed(known, OTHER.address, 2_000)
+        assert known.by_address[OTHER.address].life is Life.SUSPECT
+
+    def test_gone_only_after_another_was_heard(self) -> None:
+        known = membership()
+        heard(known, "b", "zone-1", OTHER, 0)
+        for now_ms in (1_000, 2_000):
+            missed(known, OTHER.address, now_ms)
+        for now_ms in range(3_000, 20_000, 1_000):
+            take_turn(known, 1_000, SUSPECT_MS, now_ms)
+        assert known.by_address[OTHER.address].life is Life.SUSPECT
+        heard(known, "c", "zone-1", THIRD, 20_500)
+        take_turn(known, 1_000, SUSPECT_MS, 21_000)
+        assert known.by_address[OTHER.address].life is Life.GONE
+
+    def test_nobody_to_probe(self) -> None:
+        assert next_probe(membership(), World(0, 1, SEED).random) is None
