--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -21,7 +21,7 @@
 LIST_INTERVAL_MS: Final = 1_000
 PEER_INTERVAL_MS: Final = 5_000
 PEER_HURRY_MS: Final = 200
-LIST_BYTES_PER_S: Final = 1_024
+LIST_BYTES_PER_S: Final = 700
 LIST_LINE_BYTES: Final = 120
 SHORT_LIST_LINES: Final = 128
 BACKOFF_FIRST_MS: Final = 100
@@ -86,6 +86,7 @@
     With several platform addresses the next one is asked after a failure.
     """
     backoff_ms = BACKOFF_FIRST_MS
+    useless_ms = BACKOFF_FIRST_MS
     turn = loop.random.randrange(len(loop.platforms))
     while not loop.is_stopped:
         platform = loop.platforms[turn % len(loop.platforms)]
@@ -105,9 +106,12 @@
         backoff_ms = BACKOFF_FIRST_MS
         loop.platform_read_ms = loop.clock.monotonic_ms()
         took = take_folder(loop, read.revision, read.files, f"platform {platform}")
-        if not took:
-            # A refused or stale revision is answered at once, so wait here instead.
-            await pause(loop, jittered_ms(loop, BACKOFF_FIRST_MS))
+        if took or not read.files:
+            useless_ms = BACKOFF_FIRST_MS
+            continue
+        # A refused revision is answered at once, again and again, so wait here instead.
+        await pause(loop, jittered_ms(loop, useless_ms))
+        useless_ms = min(2 * useless_ms, BACKOFF_MOST_MS)
 
 
 async def watch_list(loop: WatchLoop) -> None:
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -79,7 +79,7 @@
         received = take_message(loop, packed, macs)
         if isinstance(received, MessageFault):
             loop.state.counters.messages_refused += 1
-            loop.peers.traffic.refused[received] += 1
+            loop.peers.traffic.refused[str(received)] += 1
             bad = BadRequest(403, "Message refused", received, MAC_HEADER)
             return problem(request, bad)
         count_traffic(loop.peers, f"received_{received.kind}", packed, macs)
--- a/tests/core/greeting_world.py
+++ b/tests/core/greeting_world.py
@@ -48,6 +48,7 @@
         self.states: dict[str, EntryState] = {}
         self.cut: Callable[[str, str], bool] = lambda _a, _b: False
         self.frozen: set[str] = set()
+        self.turned: Callable[[str], None] = lambda _address: None
         self.bytes: Counter[str] = Counter()
         self.messages: Counter[str] = Counter()
         self.configuration = empty_configuration()
@@ -115,6 +116,7 @@
         self.at(self.now_ms + INTERVAL_MS + jitter_ms, lambda: self.turn(state))
         if address in self.frozen:
             return
+        self.turned(address)
         take_turn(state.peers, INTERVAL_MS, SUSPECT_MS, self.now_ms)
         member = next_probe(state.peers, state.random)
         if member is not None:
