Measure the slopes behind the capacity page with make capacity

One part measures in one process: configuration load, memory, messages, requests and streams in the core, and the bytes of HTTP exchanges. Entry processes of a zone now share one rate of load reports, 20 a second, instead of asking 10 a second each.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test lint format clean
+.PHONY: setup run test lint format clean capacity
 
 setup: $(VENV)/.done
 
@@ -23,6 +23,10 @@
 	$(BIN)/ruff check src tests scripts
 	$(BIN)/mypy
 
+capacity: setup  ## Measure the slopes of docs/CAPACITY.md again.
+	$(BIN)/python -m bramleyturn.bench.capacity
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m scripts.capacity_fleet
+
 format: setup
 	$(BIN)/ruff format src tests scripts
 	$(BIN)/ruff check --fix src tests scripts
--- /dev/null
+++ b/src/bramleyturn/bench/capacity_configuration.py
@@ -0,0 +1,200 @@
+"""Measure what a configuration costs, by its number of workspaces and servers."""
+
+import gc
+import tracemalloc
+from collections.abc import Mapping
+from functools import partial
+from random import Random
+from typing import Final
+
+import orjson
+
+from bramleyturn.bench.capacity_points import (
+    Point,
+    Slope,
+    cpu_ms,
+    fit,
+    repeated,
+)
+from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.entry import step
+from bramleyturn.core.entry_state import EntryState, entry_state
+from bramleyturn.core.events import ConfigurationAccepted
+from bramleyturn.core.intake import access_table
+from bramleyturn.core.model import Configuration
+from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.platform.documents import parse_instances
+
+WORKSPACES: Final = 8_200
+SERVERS: Final = 1_300
+MODELS: Final = 15
+ZONES: Final = 20
+PIPELINES: Final = 14
+DAEMONS: Final = 390
+WORKSPACES_PER_FILE: Final = 410
+STAGES: Final = ("encode", "retrieve", "rerank", "generate")
+
+
+def synthetic_folder(workspaces: int, servers: int) -> dict[str, str]:
+    """Return a published folder of that size, its workspaces in several files."""
+    files = {
+        "10-pools.ini": "".join(
+            f"[pool pool-{n}]\nkind = engine\nmodel = model-{n}\n"
+            f"price_micros_per_1k_tokens = 600\n"
+            for n in range(MODELS)
+        ),
+        "20-pipelines.ini": "".join(_pipeline_text(n) for n in range(PIPELINES)),
+        "30-servers.ini": "".join(
+            f"[server server-{n}]\npool = pool-{n % MODELS}\n"
+            f"zone = zone-{n % ZONES}\naddress = 10.{n // 250}.0.{n % 250}:8000\n"
+            for n in range(servers)
+        ),
+    }
+    for first in range(0, workspaces, WORKSPACES_PER_FILE):
+        numbers = range(first, min(workspaces, first + WORKSPACES_PER_FILE))
+        text = "".join(_workspace_text(n) for n in numbers)
+        files[f"40-workspaces-{first:05}.ini"] = text
+    return files
+
+
+def _pipeline_text(number: int) -> str:
+    text = f"[pipeline pipeline-{number}]\nstages = {', '.join(STAGES)}\n"
+    return text + "".join(
+        f"[stage pipeline-{number}.{stage}]\npool = pool-{number % MODELS}\n"
+        "repeatable = yes\n"
+        for stage in STAGES
+    )
+
+
+def _workspace_text(number: int) -> str:
+    return (
+        f"[workspace workspace-{number}]\nkey_sha256 = {number:064x}\nweight = 1\n"
+        "rate_per_s = 20\nburst = 40\nconcurrency = 8\n"
+        "budget_micros_per_hour = 1000000\n"
+        f"pipelines = pipeline-{number % PIPELINES}\n"
+    )
+
+
+def load(files: Mapping[str, str], revision: int = 1) -> Configuration:
+    """Return the configuration of a sound folder."""
+    loaded = load_configuration(revision, files)
+    if isinstance(loaded, RefusedConfiguration):
+        raise AssertionError(loaded.faults[:3])
+    return loaded
+
+
+def new_entry(configuration: Configuration) -> EntryState:
+    """Return an entry state with a configuration in force."""
+    me = ProcessRef("10.9.0.1:7000", "incarnation")
+    return entry_state("entry", "zone-0", me, configuration, Random(1), 0)
+
+
+def measure_configuration() -> list[Slope]:
+    """Return the slopes of loading, applying, holding and sending a configuration."""
+    return [
+        *_sizes(),
+        _loading(),
+        _applying(),
+        *_memory(),
+        _listing(),
+    ]
+
+
+def _shares() -> tuple[tuple[int, int], ...]:
+    return tuple((WORKSPACES * part // 4, SERVERS * part // 4) for part in (1, 2, 3, 4))
+
+
+def _sizes() -> list[Slope]:
+    points = []
+    for workspaces, servers in _shares():
+        size = sum(map(len, synthetic_folder(workspaces, servers).values()))
+        points.append(Point(workspaces, size, size, size))
+    return [fit("published folder, all of it", "B", "workspace and its share", points)]
+
+
+def _loading() -> Slope:
+    points = []
+    for workspaces, servers in _shares():
+        files = synthetic_folder(workspaces, servers)
+        points.append(repeated(workspaces, partial(cpu_ms, partial(load, files))))
+    return fit("configuration load", "ms CPU", "workspace and its share", points)
+
+
+def _applying() -> Slope:
+    points = []
+    for workspaces, servers in _shares():
+        configuration = load(synthetic_folder(workspaces, servers))
+        points.append(repeated(workspaces, partial(_apply_ms, configuration)))
+    return fit(
+        "configuration put in force", "ms CPU", "workspace and its share", points
+    )
+
+
+def _apply_ms(configuration: Configuration) -> float:
+    state = new_entry(configuration)
+    newer = configuration._replace(revision=2)
+
+    def work() -> None:
+        step(state, ConfigurationAccepted(newer), 1)
+        access_table(newer)
+
+    return cpu_ms(work)
+
+
+def _memory() -> list[Slope]:
+    """Measure the live memory of ever larger configurations, and the peak."""
+    by_workspace = [_memory_points(count, 20) for count in (1_000, 4_000, 8_200)]
+    by_server = [_memory_points(20, count) for count in (300, 800, 1_300)]
+    live = Point(WORKSPACES, *(_live_bytes(WORKSPACES, SERVERS)[1],) * 3)
+    return [
+        fit("entry memory, live", "B", "workspace", [each[0] for each in by_workspace]),
+        fit("entry memory, live", "B", "server", [each[0] for each in by_server]),
+        fit(
+            "entry memory, peak while loading",
+            "B",
+            "workspace",
+            [each[1] for each in by_workspace],
+        ),
+        fit("entry memory, peak while loading, all of it", "B", "workspace", [live]),
+    ]
+
+
+def _memory_points(workspaces: int, servers: int) -> tuple[Point, Point]:
+    live, peak = _live_bytes(workspaces, servers)
+    size = workspaces if servers == 20 else servers
+    return Point(size, live, live, live), Point(size, peak, peak, peak)
+
+
+def _live_bytes(workspaces: int, servers: int) -> tuple[int, int]:
+    files = synthetic_folder(workspaces, servers)
+    tracemalloc.start()
+    state = new_entry(load(files))
+    access = access_table(state.configuration)
+    gc.collect()
+    live, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del state, access
+    return live, peak
+
+
+def _listing() -> Slope:
+    points = []
+    for daemons in (20, 100, DAEMONS):
+        lines = daemons * 2 + SERVERS * daemons // DAEMONS
+        packed = orjson.dumps({"instances": [_line(n) for n in range(lines)]})
+        points.append(repeated(lines, partial(cpu_ms, partial(_read_list, packed))))
+    return fit("instance list, one read", "ms CPU", "line", points)
+
+
+def _read_list(packed: bytes) -> None:
+    parse_instances(orjson.loads(packed))
+
+
+def _line(number: int) -> dict[str, str]:
+    return {
+        "name": f"entry-zone-{number % ZONES}-{number}",
+        "role": "entry",
+        "zone": f"zone-{number % ZONES}",
+        "address": f"10.{number // 250}.0.{number % 250}:7000",
+        "state": "live",
+    }
--- /dev/null
+++ b/src/bramleyturn/bench/capacity_messages.py
@@ -0,0 +1,176 @@
+"""Measure what greetings cost, by what they carry, and whole requests by stages."""
+
+from functools import partial
+from random import Random
+from typing import Final
+
+import orjson
+
+from bramleyturn.bench.capacity_configuration import load, new_entry
+from bramleyturn.bench.capacity_points import Point, Slope, cpu_ms, fit, repeated
+from bramleyturn.core.actions import Action, Answer, StartAttempt
+from bramleyturn.core.entry import step
+from bramleyturn.core.entry_state import EntryState, entry_state
+from bramleyturn.core.events import (
+    OutputArrived,
+    PeerSeen,
+    RequestArrived,
+    StreamEnded,
+    TokensArrived,
+)
+from bramleyturn.core.gossip import log_change
+from bramleyturn.core.greetings import write_greeting
+from bramleyturn.core.model import PoolKind
+from bramleyturn.core.peer_message import (
+    MessageKind,
+    PeerMessage,
+    Senders,
+    check_fresh,
+    decode_message,
+    encode_message,
+    message_macs,
+)
+from bramleyturn.core.spend import record_spend
+from bramleyturn.core.tickets import ProcessRef
+
+KEY: Final = "a-key-for-measurements-only"
+EXCHANGES: Final = 400
+REQUESTS: Final = 300
+STREAMS: Final = 30
+MICROS_PER_MS: Final = 1_000
+
+
+def measure_messages() -> list[Slope]:
+    """Return the slopes of greetings, requests and streams."""
+    return [*_greetings(), _requests(), _tokens()]
+
+
+def _greetings() -> list[Slope]:
+    sizes: list[Point] = []
+    times: list[Point] = []
+    for counters in (0, 10, 20, 40):
+        size = len(_packed(*_pair(counters), 1))
+        sizes.append(Point(counters, size, size, size))
+        times.append(repeated(counters, partial(_exchange_micros, counters)))
+    return [
+        fit("greeting, envelope and MAC in", "B", "spent counter told", sizes),
+        fit("greeting, written and read", "us CPU", "spent counter told", times),
+    ]
+
+
+def _pair(counters: int) -> tuple[EntryState, EntryState]:
+    configuration = load({})
+    first = new_entry(configuration)
+    peer = ProcessRef("10.9.0.2:7000", "incarnation2")
+    second = entry_state("peer", "zone-1", peer, configuration, Random(2), 0)
+    for number in range(counters):
+        record_spend(first.spend, f"workspace-{number}", 100, 0)
+        log_change(first.gossip.spend, (f"workspace-{number}", 0))
+    return first, second
+
+
+def _packed(sender: EntryState, receiver: EntryState, sequence: int) -> bytes:
+    body = write_greeting(sender, receiver.me, receiver.zone, 0)
+    message = PeerMessage(
+        sender.me,
+        sender.name,
+        sender.zone,
+        7,
+        MessageKind.HELLO,
+        body,
+        sequence,
+        receiver.me.incarnation,
+    )
+    packed = encode_message(message)
+    return packed + message_macs(packed, (KEY,)).encode()
+
+
+def _exchange_micros(counters: int) -> float:
+    first, second = _pair(counters)
+    senders = Senders()
+
+    def work() -> None:
+        for sequence in range(1, EXCHANGES + 1):
+            signed = _packed(first, second, sequence)
+            packed, mac = signed[:-32], signed[-32:].decode()
+            message = decode_message(packed, mac, (KEY, ""))
+            assert isinstance(message, PeerMessage)
+            assert check_fresh(senders, message, second.me) is None
+            seen = PeerSeen(
+                first.name, first.zone, *first.me, 7, message.body | {"acks": [0, 0]}
+            )
+            step(second, seen, 1)
+
+    return cpu_ms(work) * MICROS_PER_MS / EXCHANGES
+
+
+def _requests() -> Slope:
+    points = [
+        repeated(stages, partial(_request_micros, stages)) for stages in (1, 2, 4, 6)
+    ]
+    return fit("request in the core", "us CPU", "stage", points)
+
+
+def _pipeline_folder(stages: int, kind: PoolKind) -> dict[str, str]:
+    names = [f"stage-{number}" for number in range(stages)]
+    text = f"[pool pool]\nkind = {kind}\nmodel = m\nconcurrency_per_server = 64\n"
+    for number in range(65):
+        text += f"[server s-{number}]\npool = pool\nzone = zone-0\n"
+        text += f"address = 10.0.0.{number}:8000\n"
+    text += f"[pipeline ask]\nstages = {', '.join(names)}\n"
+    for name in names:
+        text += f"[stage ask.{name}]\npool = pool\nrepeatable = yes\n"
+    text += f"[workspace w]\nkey_sha256 = {0:064x}\nrate_per_s = 100000\n"
+    text += "burst = 100000\nconcurrency = 1000\npipelines = ask\n"
+    return {"a.ini": text}
+
+
+def _request_micros(stages: int) -> float:
+    state = new_entry(load(_pipeline_folder(stages, PoolKind.PLAIN)))
+
+    def work() -> None:
+        for number in range(REQUESTS):
+            actions = _arrive(state, number)
+            while started := _started(actions):
+                output = OutputArrived(started, started, {"text": "x" * 200}, 0)
+                actions = step(state, output, number * 10 + 5)
+            assert isinstance(actions[0], Answer), actions
+
+    return cpu_ms(work) * MICROS_PER_MS / REQUESTS
+
+
+def _arrive(state: EntryState, number: int) -> list[Action]:
+    arrived = RequestArrived(
+        f"w{number}", "w", "ask", f"r{number}", {"n": number}, 200, 4_000, ""
+    )
+    return step(state, arrived, number * 10)
+
+
+def _started(actions: list[Action]) -> str:
+    found = [each.attempt_id for each in actions if isinstance(each, StartAttempt)]
+    return found[0] if found else ""
+
+
+def _tokens() -> Slope:
+    points = [
+        repeated(tokens, partial(_stream_micros, tokens)) for tokens in (32, 128, 252)
+    ]
+    return fit("stream in the core", "us CPU", "token", points)
+
+
+def _stream_micros(tokens: int) -> float:
+    state = new_entry(load(_pipeline_folder(1, PoolKind.ENGINE)))
+    lines = [orjson.dumps({"o": n, "t": ["word"]}) for n in range(tokens)]
+
+    def work() -> None:
+        for number in range(STREAMS):
+            started = _started(_arrive(state, number))
+            now_ms = number * 10 + 1
+            for line in lines:
+                part = orjson.loads(line)
+                arrived = TokensArrived(started, started, part["o"], tuple(part["t"]))
+                step(state, arrived, now_ms)
+            ended = step(state, StreamEnded(started, started, tokens), now_ms + 1)
+            assert isinstance(ended[0], Answer), ended
+
+    return cpu_ms(work) * MICROS_PER_MS / STREAMS
--- a/src/bramleyturn/platform/reader.py
+++ b/src/bramleyturn/platform/reader.py
@@ -1,5 +1,6 @@
 """Read the platform's configuration service and instance list."""
 
+from collections.abc import Callable
 from typing import Any, Final
 
 from treq.client import HTTPClient
@@ -20,7 +21,12 @@
 
 
 async def read_folder(
-    client: HTTPClient, reactor: Any, url: str, after: int, wait_ms: int
+    client: HTTPClient,
+    reactor: Any,
+    url: str,
+    after: int,
+    wait_ms: int,
+    count: Callable[[int], None] = lambda _size: None,
 ) -> PublishedFolder | PlatformFailed:
     """Return the folder at ``url``, held back until it is newer than ``after``.
 
@@ -32,6 +38,7 @@
         "GET",
         f"{url}?after={after}&wait_ms={wait_ms}",
         timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+        count=count,
     )
     document = usable_document(answer)
     if isinstance(document, PlatformFailed):
@@ -40,10 +47,15 @@
 
 
 async def read_instances(
-    client: HTTPClient, reactor: Any, url: str
+    client: HTTPClient,
+    reactor: Any,
+    url: str,
+    count: Callable[[int], None] = lambda _size: None,
 ) -> tuple[ListedInstance, ...] | PlatformFailed:
     """Return the instance list at ``url``."""
-    answer = await call_json(client, reactor, "GET", url, timeout_ms=CALL_TIMEOUT_MS)
+    answer = await call_json(
+        client, reactor, "GET", url, timeout_ms=CALL_TIMEOUT_MS, count=count
+    )
     document = usable_document(answer)
     if isinstance(document, PlatformFailed):
         return document
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -8,6 +8,7 @@
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.revisions import Refused
 from bramleyturn.platform.watch_loop import WatchLoop, look_at_once, wait_for_newer
+from bramleyturn.runtime.entry_status import traffic_document
 from bramleyturn.runtime.http_server import json_answer, problem
 from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
@@ -107,6 +108,7 @@
         "platform_age_ms": age_ms(loop, loop.platform_read_ms),
         "instances_age_ms": age_ms(loop, loop.instances_read_ms),
         "instances": len(loop.instances),
+        "messages": traffic_document(loop.traffic),
     }
 
 
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -16,6 +17,7 @@
 from bramleyturn.platform.documents import ListedInstance
 from bramleyturn.platform.errors import PlatformFailed
 from bramleyturn.platform.reader import read_folder, read_instances
+from bramleyturn.runtime.peer_client import Traffic, count_read
 
 WATCH_WAIT_MS: Final = 10_000
 LIST_INTERVAL_MS: Final = 1_000
@@ -62,6 +64,7 @@
         self.waiting: list[Deferred[None]] = []
         self.is_stopped = False
         self.seen_revision = 0
+        self.traffic = Traffic()
         self.hurry: Deferred[None] | None = None
 
 
@@ -96,6 +99,7 @@
             f"http://{platform}/config",
             loop.revisions.revision,
             jittered_ms(loop, WATCH_WAIT_MS),
+            partial(count_read, loop.traffic, "platform_config"),
         )
         if isinstance(read, PlatformFailed):
             turn += 1
@@ -119,7 +123,10 @@
     while not loop.is_stopped:
         for platform in loop.platforms:
             read = await read_instances(
-                loop.client, loop.reactor, f"http://{platform}/instances"
+                loop.client,
+                loop.reactor,
+                f"http://{platform}/instances",
+                partial(count_read, loop.traffic, "platform_list"),
             )
             if not isinstance(read, PlatformFailed):
                 loop.instances = read
@@ -158,6 +165,7 @@
             f"http://{peer.address}/v1/config",
             loop.revisions.revision,
             0,
+            partial(count_read, loop.traffic, "watch_config"),
         )
         if not isinstance(read, PlatformFailed):
             take_folder(loop, read.revision, read.files, f"watch {peer.name}")
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -170,13 +170,18 @@
     body: bytes | None = None,
     headers: HeaderMap | None = None,
     timeout_ms: int,
+    count: Callable[[int], None] = lambda _size: None,
 ) -> JsonAnswer | CallFailed:
-    """Send one request and return its JSON answer, or how far the call came."""
+    """Send one request and return its JSON answer, or how far the call came.
+
+    ``count`` is called with the length of the answer's body.
+    """
     answer = await call_bytes(
         client, reactor, method, url, body=body, headers=headers, timeout_ms=timeout_ms
     )
     if isinstance(answer, CallFailed):
         return answer
+    count(len(answer.content))
     try:
         document = orjson.loads(answer.content) if answer.content else None
     except orjson.JSONDecodeError as error:
--- a/src/bramleyturn/runtime/load_reports.py
+++ b/src/bramleyturn/runtime/load_reports.py
@@ -1,17 +1,21 @@
 """Ask backend servers for their load, one at a time."""
 
 from collections.abc import Iterator
+from functools import partial
 from typing import Any, Final
 
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.events import LoadReportArrived
+from bramleyturn.core.membership import Life
 from bramleyturn.core.routing import LoadReport
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.errors import CallFailed
 from bramleyturn.runtime.http_client import call_json
+from bramleyturn.runtime.peer_client import count_read
 
-INTERVAL_MS: Final = 100
+LEAST_INTERVAL_MS: Final = 100
+ZONE_REPORTS_PER_S: Final = 20
 TIMEOUT_MS: Final = 1_000
 MS_PER_S: Final = 1_000
 
@@ -19,13 +23,24 @@
 async def follow_load(loop: EntryLoop) -> None:
     """Ask the backend servers of the own availability zone in turn, for ever.
 
-    The rate of questions does not depend on the number of backend servers.
+    The rate of questions does not depend on the number of backend servers. The entry
+    processes of a zone share one rate and tell each other what they learn.
     """
     while True:
         for address_name, address in servers_in_turn(loop):
             await ask_load(loop, address_name, address)
-            await deferLater(loop.reactor, INTERVAL_MS / MS_PER_S)
-        await deferLater(loop.reactor, INTERVAL_MS / MS_PER_S)
+            await deferLater(loop.reactor, interval_ms(loop) / MS_PER_S)
+        await deferLater(loop.reactor, interval_ms(loop) / MS_PER_S)
+
+
+def interval_ms(loop: EntryLoop) -> int:
+    """Return the time between two questions of this process."""
+    members = loop.state.peers.by_address.values()
+    sharing = 1 + sum(
+        member.life is Life.ALIVE and member.zone == loop.state.zone
+        for member in members
+    )
+    return max(LEAST_INTERVAL_MS, sharing * MS_PER_S // ZONE_REPORTS_PER_S)
 
 
 def servers_in_turn(loop: EntryLoop) -> Iterator[tuple[str, str]]:
@@ -48,6 +63,7 @@
         "GET",
         f"http://{address}/v1/load",
         timeout_ms=TIMEOUT_MS,
+        count=partial(count_read, loop.peers.traffic, "load_reports"),
     )
     if isinstance(answer, CallFailed):
         return
--- a/src/bramleyturn/runtime/peer_client.py
+++ b/src/bramleyturn/runtime/peer_client.py
@@ -55,7 +55,7 @@
 
 
 class Traffic:
-    """Count the messages and bytes of each kind, their bodies and MACs only."""
+    """Count the messages and reads of each kind: their bodies, and MACs if signed."""
 
     def __init__(self) -> None:
         self.messages: Counter[str] = Counter()
@@ -112,6 +112,12 @@
     return settings.key, settings.previous_key
 
 
+def count_read(traffic: Traffic, kind: str, size_bytes: int) -> None:
+    """Count one answer to a read."""
+    traffic.messages[kind] += 1
+    traffic.bytes[kind] += size_bytes
+
+
 async def tell(
     peers: PeerClient,
     address: str,
