--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -7,7 +7,12 @@
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.revisions import Refused
-from bramleyturn.platform.watch_loop import WatchLoop, look_at_once, wait_for_newer
+from bramleyturn.platform.watch_loop import (
+    WatchLoop,
+    look_at_once,
+    wait_for_list,
+    wait_for_newer,
+)
 from bramleyturn.runtime.entry_status import traffic_document
 from bramleyturn.runtime.http_server import json_answer, problem
 from bramleyturn.runtime.timeline_api import timeline_api
@@ -36,8 +41,14 @@
         return json_answer(request, config_document(loop, after))
 
     @app.route("/v1/instances", methods=["GET"])
-    def instances(request: HttpRequest) -> bytes:
-        return json_answer(request, instances_document(loop))
+    async def instances(request: HttpRequest) -> bytes:
+        after = number(request, b"after")
+        wait_ms = number(request, b"wait_ms")
+        if after is None or wait_ms is None:
+            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+            return problem(request, bad)
+        await wait_for_list(loop, after, min(wait_ms, MAX_WAIT_MS))
+        return json_answer(request, instances_document(loop, after))
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
@@ -88,12 +99,18 @@
     return fault._asdict()
 
 
-def instances_document(loop: WatchLoop) -> dict[str, Any]:
-    """Return the platform's list as this watch last read it."""
-    return {
-        "instances": [instance._asdict() for instance in loop.instances],
+def instances_document(loop: WatchLoop, after: int) -> dict[str, Any]:
+    """Return the platform's list as this watch last read it.
+
+    Its lines are left out for a reader that has this version, named ``after``.
+    """
+    document = {
+        "version": loop.list_version,
         "age_ms": age_ms(loop, loop.instances_read_ms),
     }
+    if after and after == loop.list_version:
+        return document
+    return document | {"instances": [each._asdict() for each in loop.instances]}
 
 
 def status_document(loop: WatchLoop) -> dict[str, Any]:
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -61,7 +61,9 @@
         self.platform_read_ms: int | None = None
         self.asked_everyone = False
         self.timeline = Timeline()
+        self.list_version = 0
         self.waiting: list[Deferred[None]] = []
+        self.waiting_for_list: list[Deferred[None]] = []
         self.is_stopped = False
         self.seen_revision = 0
         self.traffic = Traffic()
@@ -129,12 +131,21 @@
                 partial(count_read, loop.traffic, "platform_list"),
             )
             if not isinstance(read, PlatformFailed):
-                loop.instances = read
-                loop.instances_read_ms = loop.clock.monotonic_ms()
+                take_list(loop, read)
                 break
         await pause(loop, jittered_ms(loop, list_interval_ms(len(loop.instances))))
 
 
+def take_list(loop: WatchLoop, instances: tuple[ListedInstance, ...]) -> None:
+    """Keep a list that was just read, and tell those who wait if it differs."""
+    loop.instances_read_ms = loop.clock.monotonic_ms()
+    if loop.list_version and instances == loop.instances:
+        return
+    loop.instances = instances
+    loop.list_version += 1
+    wake_all(loop.waiting_for_list)
+
+
 def list_interval_ms(lines: int) -> int:
     """Return how long to wait between two reads of a list of that many lines.
 
@@ -227,7 +238,7 @@
             detail=f"revision {revision} from {source}",
             cause=f"revision-{revision}",
         )
-        wake_waiting(loop)
+        wake_all(loop.waiting)
         return True
     if isinstance(result, Refused) and len(loop.revisions.refused) > refused_before:
         report_refusal(loop, result, now_ms)
@@ -254,29 +265,42 @@
     )
 
 
-def wake_waiting(loop: WatchLoop) -> None:
-    """Answer everyone who waits for a newer revision."""
-    waiting, loop.waiting = loop.waiting, []
-    for waiter in waiting:
+def wake_all(waiting: list[Deferred[None]]) -> None:
+    """Answer everyone who waits for the same news."""
+    woken = list(waiting)
+    waiting.clear()
+    for waiter in woken:
         waiter.callback(None)
 
 
 async def wait_for_newer(loop: WatchLoop, after: int, wait_ms: int) -> None:
     """Return once a revision above ``after`` is in force, or the time is over."""
-    if loop.revisions.revision > after or wait_ms <= 0:
-        return
+    if loop.revisions.revision <= after and wait_ms > 0:
+        await wait_among(loop, loop.waiting, wait_ms)
+
+
+async def wait_for_list(loop: WatchLoop, after: int, wait_ms: int) -> None:
+    """Return once the list differs from version ``after``, or the time is over."""
+    if loop.list_version == after and wait_ms > 0:
+        await wait_among(loop, loop.waiting_for_list, wait_ms)
+
+
+async def wait_among(
+    loop: WatchLoop, waiting: list[Deferred[None]], wait_ms: int
+) -> None:
+    """Wait with the others of ``waiting`` for as long as ``wait_ms``."""
     waiter: Deferred[None] = Deferred()
-    loop.waiting.append(waiter)
-    timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, loop, waiter)
+    waiting.append(waiter)
+    timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, waiting, waiter)
     await waiter
     if timer.active():
         timer.cancel()
 
 
-def stop_waiting(loop: WatchLoop, waiter: Deferred[None]) -> None:
+def stop_waiting(waiting: list[Deferred[None]], waiter: Deferred[None]) -> None:
     """Answer one of those who wait, because its time is over."""
-    if waiter in loop.waiting:
-        loop.waiting.remove(waiter)
+    if waiter in waiting:
+        waiting.remove(waiter)
         waiter.callback(None)
 
 
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -9,7 +9,7 @@
 
 from bramleyturn.core.clock import system_clock
 from bramleyturn.platform.watch_api import watch_api
-from bramleyturn.platform.watch_loop import WatchLoop, start_watching
+from bramleyturn.platform.watch_loop import WatchLoop, start_watching, wake_all
 from bramleyturn.programs.start import read_settings, run
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.http_server import listen, print_ready
@@ -46,9 +46,8 @@
 def stop(loop: WatchLoop) -> None:
     """Answer those who wait and end."""
     loop.is_stopped = True
-    for waiter in loop.waiting:
-        waiter.callback(None)
-    loop.waiting = []
+    wake_all(loop.waiting)
+    wake_all(loop.waiting_for_list)
     loop.reactor.callLater(0.05, loop.reactor.stop)
 
 
--- a/src/bramleyturn/runtime/watch_client.py
+++ b/src/bramleyturn/runtime/watch_client.py
@@ -20,7 +20,7 @@
 
 WAIT_MS: Final = 10_000
 RETRY_MS: Final = 200
-LIST_INTERVAL_MS: Final = 500
+LIST_WAIT_MS: Final = 2_000
 LIST_TIMEOUT_MS: Final = 2_000
 MS_PER_S: Final = 1_000
 
@@ -97,19 +97,27 @@
     watch: str,
     accept: Callable[[InstanceList], None],
 ) -> None:
-    """Call ``accept`` with the platform's list again and again."""
+    """Call ``accept`` with the platform's list when it changes, and now and then."""
+    version = 0
+    instances: tuple[ListedInstance, ...] = ()
     while True:
         answer = await call_json(
             client,
             reactor,
             "GET",
-            f"http://{watch}/v1/instances",
-            timeout_ms=LIST_TIMEOUT_MS,
+            f"http://{watch}/v1/instances?after={version}&wait_ms={LIST_WAIT_MS}",
+            timeout_ms=LIST_WAIT_MS + LIST_TIMEOUT_MS,
         )
         document = usable_document(answer)
-        parsed = parse_instances(document)
-        if not isinstance(parsed, PlatformFailed) and isinstance(
-            document.get("age_ms"), int
-        ):
-            accept(InstanceList(parsed, document["age_ms"]))
-        await deferLater(reactor, LIST_INTERVAL_MS / MS_PER_S)
+        if isinstance(document, PlatformFailed) or not isinstance(document, dict):
+            version = 0
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
+            continue
+        if "instances" in document:
+            parsed = parse_instances(document)
+            instances = () if isinstance(parsed, PlatformFailed) else parsed
+            version = document.get("version", 0)
+        if isinstance(document.get("age_ms"), int):
+            accept(InstanceList(instances, document["age_ms"]))
+        else:
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
