--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -160,3 +160,30 @@
             wait_until("still acquainted", lambda: know_each_other(fleet))
             for name in names:
                 assert "bad_mac" not in status(fleet, name)["messages"]["refused"]
+
+
+class TestLiveness:
+    def test_killed_process_counts_as_gone_and_a_paused_one_comes_back(
+        self, tmp_path: Path
+    ) -> None:
+        text = keys_text(OLD) + "probe_interval_ms = 200\nsuspect_ms = 1500\n"
+        plan = fleet_plan(tmp_path, OLD)._replace(extra_files={KEYS_FILE: text})
+        with Fleet(plan) as fleet:
+            wait_until("acquainted", lambda: know_each_other(fleet))
+            first, second, third = fleet.entry_names()
+
+            def life(seen_by: str, name: str) -> str:
+                peers = status(fleet, seen_by)["peers"]
+                lives = {peer["address"]: str(peer["life"]) for peer in peers}
+                return lives.get(fleet.addresses[name], "")
+
+            fleet.freeze(second)
+            wait_until("paused one is gone", lambda: life(first, second) == "gone")
+            fleet.thaw(second)
+            wait_until("it is back", lambda: know_each_other(fleet))
+            fleet.kill(third)
+            for name in (first, second):
+                wait_until(
+                    "killed one is gone", lambda n=name: life(n, third) == "gone"
+                )
+                assert life(name, first if name == second else second) == "alive"
