--- a/src/bramleyturn/runtime/watch_client.py
+++ b/src/bramleyturn/runtime/watch_client.py
@@ -1,13 +1,17 @@
 """Follow what the watch of this instance knows."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
 from treq.client import HTTPClient
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.configuration import (
+    LoadCache,
+    RefusedConfiguration,
+    load_in_steps,
+)
 from bramleyturn.core.model import Configuration
 from bramleyturn.platform.documents import ListedInstance, parse_instances
 from bramleyturn.platform.errors import PlatformFailed
@@ -16,13 +20,26 @@
 
 WAIT_MS: Final = 10_000
 RETRY_MS: Final = 200
-LIST_INTERVAL_MS: Final = 500
+LIST_WAIT_MS: Final = 2_000
 LIST_TIMEOUT_MS: Final = 2_000
 MS_PER_S: Final = 1_000
 
 logger = logging.getLogger(__name__)
 
 
+async def tell_watch(
+    client: HTTPClient, reactor: Any, watch: str, revision: int, seen_revision: int
+) -> None:
+    """Tell the watch that a newer revision is in force at a peer."""
+    await call_json(
+        client,
+        reactor,
+        "GET",
+        f"http://{watch}/v1/config?after={revision}&wait_ms=0&seen={seen_revision}",
+        timeout_ms=LIST_TIMEOUT_MS,
+    )
+
+
 class InstanceList(NamedTuple):
     """Hold the platform's list, ``age_ms`` old."""
 
@@ -38,6 +55,7 @@
 ) -> None:
     """Call ``accept`` with each newer configuration that the watch has."""
     revision = 0
+    cache = LoadCache()
     while True:
         read = await read_folder(
             client, reactor, f"http://{watch}/v1/config", revision, WAIT_MS
@@ -47,7 +65,7 @@
             continue
         if read.revision <= revision or not read.files:
             continue
-        loaded = load_configuration(read.revision, read.files)
+        loaded = await load_between(reactor, read.revision, read.files, cache)
         if isinstance(loaded, RefusedConfiguration):
             logger.error(
                 "the watch holds a refused revision", extra={"revision": read.revision}
@@ -59,25 +77,48 @@
         accept(loaded)
 
 
+async def load_between(
+    reactor: Any, revision: int, files: Mapping[str, str], cache: LoadCache
+) -> Configuration | RefusedConfiguration:
+    """Load a configuration in steps, with other events handled in between."""
+    steps = load_in_steps(revision, files, cache)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            loaded: Configuration | RefusedConfiguration = stop.value
+            return loaded
+        await deferLater(reactor, 0)
+
+
 async def follow_instances(
     client: HTTPClient,
     reactor: Any,
     watch: str,
     accept: Callable[[InstanceList], None],
 ) -> None:
-    """Call ``accept`` with the platform's list again and again."""
+    """Call ``accept`` with the platform's list when it changes, and now and then."""
+    version = 0
+    instances: tuple[ListedInstance, ...] = ()
     while True:
         answer = await call_json(
             client,
             reactor,
             "GET",
-            f"http://{watch}/v1/instances",
-            timeout_ms=LIST_TIMEOUT_MS,
+            f"http://{watch}/v1/instances?after={version}&wait_ms={LIST_WAIT_MS}",
+            timeout_ms=LIST_WAIT_MS + LIST_TIMEOUT_MS,
         )
         document = usable_document(answer)
-        parsed = parse_instances(document)
-        if not isinstance(parsed, PlatformFailed) and isinstance(
-            document.get("age_ms"), int
-        ):
-            accept(InstanceList(parsed, document["age_ms"]))
-        await deferLater(reactor, LIST_INTERVAL_MS / MS_PER_S)
+        if isinstance(document, PlatformFailed) or not isinstance(document, dict):
+            version = 0
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
+            continue
+        if "instances" in document:
+            parsed = parse_instances(document)
+            instances = () if isinstance(parsed, PlatformFailed) else parsed
+            version = document.get("version", 0)
+        if isinstance(document.get("age_ms"), int):
+            accept(InstanceList(instances, document["age_ms"]))
+        if not version or document.get("age_ms") is None:
+            # Such an answer is not held back until there is news.
+            await deferLater(reactor, RETRY_MS / MS_PER_S)
