Keep a ticket refused once its pipeline was missing

A request with a ticket whose pipeline the primary's configuration did not hold was told not_run without a look at the ticket. Two falsehoods followed: a copy could run under a later revision, and a copy of what had run was told not_run. The ticket is now looked up first, and the refusal is its recorded outcome. Both tests failed before: the second copy started an attempt, and the kept answer was told as not_run.

--- a/src/bramleyturn/core/arrivals.py
+++ b/src/bramleyturn/core/arrivals.py
@@ -25,8 +25,11 @@
     Kept,
     NotIssued,
     Started,
+    TicketRecord,
     TicketRefusal,
+    finish,
     receive_ticket,
+    store_record,
 )
 from bramleyturn.core.ticket_primary import (
     TicketRefused as RefusedTicket,
@@ -61,38 +64,44 @@
     """Start a request, join it to a running one, or send it to its primary."""
     workspace = state.configuration.workspaces.get(event.workspace)
     pipeline = state.configuration.pipelines.get(event.pipeline)
+    digest = digest_input(event.pipeline, orjson.dumps(event.input))
+    needs_ticket = workspace is None or pipeline is None or not pipeline.repeatable
+    if event.ticket and needs_ticket:
+        return ticketed_request(state, event, workspace, pipeline, digest, now_ms)
     if workspace is None or pipeline is None:
-        changed = not_run("configuration_changed", CHANGED_RETRY_AFTER_MS)
-        return [Answer(event.waiter, event.request_id, changed)]
-    digest = digest_input(pipeline.name, orjson.dumps(event.input))
+        return [Answer(event.waiter, event.request_id, changed_configuration())]
     if not pipeline.repeatable:
-        return ticketed_request(state, event, workspace, pipeline, digest, now_ms)
+        return [offer_ticket(state, event, now_ms)]
     joined = join_known_request(state, event, digest, now_ms)
     if joined is not None:
         return joined
     return accept_request(state, event, workspace, pipeline, digest, None, now_ms)
 
 
+def changed_configuration() -> Outcome:
+    """Return the outcome of a request for what the configuration no longer has."""
+    return not_run("configuration_changed", CHANGED_RETRY_AFTER_MS)
+
+
 def ticketed_request(
     state: EntryState,
     event: RequestArrived,
-    workspace: Workspace,
-    pipeline: Pipeline,
+    workspace: Workspace | None,
+    pipeline: Pipeline | None,
     digest: bytes,
     now_ms: int,
 ) -> list[Action]:
     """Run a request that may not be repeated if this process holds its ticket."""
-    if not event.ticket:
-        return [offer_ticket(state, event, now_ms)]
     tickets = state.configuration.tickets
-    ticket = decode_ticket(
-        event.ticket, (tickets.key, tickets.previous_key), workspace.name, pipeline.name
-    )
+    keys = (tickets.key, tickets.previous_key)
+    ticket = decode_ticket(event.ticket, keys, event.workspace, event.pipeline)
     if isinstance(ticket, TicketRejected):
         return [TicketRefused(event.waiter, event.request_id, ticket.reason)]
     received = receive_ticket(state.primary_tickets, ticket, digest.hex(), now_ms)
     match received:
-        case Started():
+        case Started(found):
+            if workspace is None or pipeline is None:
+                return [refuse_for_good(state, event, found)]
             actions = accept_request(
                 state, event, workspace, pipeline, digest, ticket.number, now_ms
             )
@@ -105,6 +114,18 @@
     return refused_ticket(state, event, ticket, pipeline, received, digest, now_ms)
 
 
+def refuse_for_good(
+    state: EntryState, event: RequestArrived, found: TicketRecord
+) -> Answer:
+    """Refuse a ticket that the configuration has no use for, now and later.
+
+    Without a record of it, a copy of the request could run under a later revision.
+    """
+    outcome = changed_configuration()
+    store_record(state.primary_tickets, finish(found, outcome))
+    return Answer(event.waiter, event.request_id, outcome)
+
+
 def offer_ticket(
     state: EntryState, event: RequestArrived, now_ms: int
 ) -> TicketNeeded | Answer:
@@ -137,7 +158,7 @@
     state: EntryState,
     event: RequestArrived,
     ticket: Ticket,
-    pipeline: Pipeline,
+    pipeline: Pipeline | None,
     refused: RefusedTicket,
     digest: bytes,
     now_ms: int,
--- a/src/bramleyturn/core/forwarding.py
+++ b/src/bramleyturn/core/forwarding.py
@@ -51,12 +51,13 @@
     state: EntryState,
     event: RequestArrived,
     ticket: Ticket,
-    pipeline: Pipeline,
+    pipeline: Pipeline | None,
     digest: str,
     now_ms: int,
 ) -> list[Action]:
     """Send a request on to the primary of its ticket."""
-    stages = tuple(stage.name for stage in pipeline.stages if not stage.repeatable)
+    known = pipeline.stages if pipeline is not None else ()
+    stages = tuple(stage.name for stage in known if not stage.repeatable)
     forward = Forward(
         forward_id=new_key(state),
         event=event,
--- /dev/null
+++ b/tests/core/test_arrivals.py
@@ -0,0 +1,51 @@
+"""Tests of requests whose pipeline a newer configuration no longer has."""
+
+from bramleyturn.core.actions import StartAttempt
+from bramleyturn.core.arrivals import IssuedTicket, issue_ticket
+from bramleyturn.core.events import ConfigurationAccepted
+from bramleyturn.core.outcomes import OutcomeKind
+from tests.core.entry_world import FOLDER, World, answer, configuration, started
+
+REMOVED = """
+[workspace lessons]
+key_sha256 = aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
+pipelines = *
+[tickets]
+key = a-key-of-sixteen-characters
+[peers]
+key = another-key-of-sixteen-characters
+"""
+
+
+def accept(world: World, files: dict[str, str], revision: int) -> None:
+    accepted = configuration(files)._replace(revision=revision)
+    world.feed(ConfigurationAccepted(accepted))
+
+
+def ticket_of(world: World) -> str:
+    issued = issue_ticket(world.state, "lessons", "signup", world.now_ms)
+    assert isinstance(issued, IssuedTicket)
+    return issued.text
+
+
+class TestTicketOfARemovedPipeline:
+    def test_refuses_for_good_what_it_told_as_not_run(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        accept(world, {"10.ini": REMOVED}, 2)
+        refused = answer(world.send("signup", ticket=ticket, is_forwarded=True))
+        assert refused.outcome.kind is OutcomeKind.NOT_RUN
+        accept(world, FOLDER, 3)
+        actions = world.send("signup", ticket=ticket, waiter="w2")
+        assert not [each for each in actions if isinstance(each, StartAttempt)]
+        assert answer(actions).outcome.kind is OutcomeKind.NOT_RUN
+
+    def test_tells_the_outcome_of_what_ran_before(self) -> None:
+        world = World()
+        ticket = ticket_of(world)
+        enrol = started(world.send("signup", ticket=ticket))
+        world.connect(enrol)
+        world.output(enrol)
+        accept(world, {"10.ini": REMOVED}, 2)
+        again = answer(world.send("signup", ticket=ticket, waiter="w2"))
+        assert again.outcome.kind is OutcomeKind.ANSWERED
