--- a/src/bramleyturn/bench/capacity_http.py
+++ b/src/bramleyturn/bench/capacity_http.py
@@ -1,5 +1,7 @@
 """Count the bytes of single HTTP exchanges as they go over the connection."""
 
+import time
+from statistics import median
 from typing import Any, Final
 
 import orjson
@@ -9,7 +11,7 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Site
 
-from bramleyturn.bench.capacity_points import Point, Slope, fit
+from bramleyturn.bench.capacity_points import REPEATS, Point, Slope, fit
 from bramleyturn.core.peer_message import message_mac
 from bramleyturn.runtime.http_client import call_bytes, http_client
 from bramleyturn.runtime.http_server import JSON_TYPE
@@ -18,6 +20,12 @@
 
 TIMEOUT_MS: Final = 5_000
 SIZES: Final = (0, 1_000, 10_000)
+COUNT: Final = 200
+EXCHANGES: Final = (
+    ("message on a new connection", "POST", True),
+    ("message on a kept connection", "POST", False),
+    ("read on a kept connection", "GET", False),
+)
 KEY: Final = "a-key-for-measurements-only"
 
 
@@ -71,6 +79,9 @@
         plain = [await _exchange(counted, address, size, "GET") for size in SIZES]
         result.append(fit("signed message and its answer", "B", "body byte", signed))
         result.append(fit("unsigned read", "B", "body byte", plain))
+        for name, method, is_new in EXCHANGES:
+            point = await _exchange_micros(address, method, is_new)
+            result.append(fit(f"{name}, both ends", "us CPU", "exchange", [point]))
 
     done = Deferred.fromCoroutine(work())
     done.addErrback(lambda failure: print(failure.getTraceback()))
@@ -96,6 +107,25 @@
     return app
 
 
+async def _exchange_micros(address: str, method: str, is_new: bool) -> Point:
+    """Measure the processor time of one exchange, client and server together."""
+    client = http_client(reactor)
+    values: list[float] = []
+    for _ in range(REPEATS):
+        began_ns = time.process_time_ns()
+        for _ in range(COUNT):
+            await call_bytes(
+                http_client(reactor) if is_new else client,
+                reactor,
+                method,
+                f"http://{address}/peer/v1/message/250",
+                body=b"x" * 250 if method == "POST" else None,
+                timeout_ms=TIMEOUT_MS,
+            )
+        values.append((time.process_time_ns() - began_ns) / 1e3 / COUNT)
+    return Point(1, median(values), min(values), max(values))
+
+
 async def _exchange(counted: Counted, address: str, size: int, method: str) -> Point:
     before = counted.read_bytes + counted.written_bytes
     body = orjson.dumps("x" * max(0, size - 2)) if method == "POST" else None
--- a/src/bramleyturn/bench/capacity_messages.py
+++ b/src/bramleyturn/bench/capacity_messages.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 import orjson
+from twisted.internet import reactor
 
 from bramleyturn.bench.capacity_configuration import load, new_entry
 from bramleyturn.bench.capacity_points import Point, Slope, cpu_ms, fit, repeated
@@ -15,8 +16,6 @@
     OutputArrived,
     PeerSeen,
     RequestArrived,
-    StreamEnded,
-    TokensArrived,
 )
 from bramleyturn.core.gossip import log_change
 from bramleyturn.core.greetings import write_greeting
@@ -32,6 +31,7 @@
 )
 from bramleyturn.core.spend import record_spend
 from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.runtime.backend_client import BackendClient, LineReader
 
 KEY: Final = "a-key-for-measurements-only"
 EXCHANGES: Final = 400
@@ -155,22 +155,29 @@
     points = [
         repeated(tokens, partial(_stream_micros, tokens)) for tokens in (32, 128, 252)
     ]
-    return fit("stream in the core", "us CPU", "token", points)
+    return fit("stream, from lines to outcome", "us CPU", "token", points)
 
 
 def _stream_micros(tokens: int) -> float:
+    """Measure streams from the bytes of each line to the outcome, without sockets."""
     state = new_entry(load(_pipeline_folder(1, PoolKind.ENGINE)))
-    lines = [orjson.dumps({"o": n, "t": ["word"]}) for n in range(tokens)]
+    last: list[Action] = []
+    client = BackendClient(reactor, lambda event: last.extend(step(state, event, 5)))
 
     def work() -> None:
         for number in range(STREAMS):
-            started = _started(_arrive(state, number))
-            now_ms = number * 10 + 1
-            for line in lines:
-                part = orjson.loads(line)
-                arrived = TokensArrived(started, started, part["o"], tuple(part["t"]))
-                step(state, arrived, now_ms)
-            ended = step(state, StreamEnded(started, started, tokens), now_ms + 1)
-            assert isinstance(ended[0], Answer), ended
+            (start,) = _arrive(state, number)
+            assert isinstance(start, StartAttempt)
+            reader = LineReader(client, start, is_answer=True)
+            for offset in range(tokens):
+                reader.dataReceived(_token_line(start.attempt_id, offset))
+            end = {"attempt_id": start.attempt_id, "end": True, "total": tokens}
+            reader.dataReceived(orjson.dumps(end) + b"\n")
+            assert isinstance(last[-1], Answer), last
 
     return cpu_ms(work) * MICROS_PER_MS / STREAMS
+
+
+def _token_line(attempt_id: str, offset: int) -> bytes:
+    line = {"attempt_id": attempt_id, "offset": offset, "tokens": ["word"]}
+    return orjson.dumps(line) + b"\n"
