--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -16,18 +16,22 @@
     attempt_ended,
     server_leaving,
 )
+from bramleyturn.core.silence import record_silence
 from bramleyturn.core.timeline import EventKind, record
 
 _VERDICTS: Final = {
     BreakReason.NOT_CONNECTED: AttemptVerdict.LOST,
     BreakReason.NOT_STARTED: AttemptVerdict.REFUSED,
+    BreakReason.RESUME_REFUSED: AttemptVerdict.CANCELLED,
     BreakReason.ERROR_ANSWER: AttemptVerdict.FAILED,
     BreakReason.LOST: AttemptVerdict.LOST,
     BreakReason.CUT: AttemptVerdict.LOST,
     BreakReason.WRONG_ANSWER: AttemptVerdict.FAILED,
     BreakReason.TIMED_OUT: AttemptVerdict.FAILED,
 }
-_NOTHING_RAN: Final = frozenset({BreakReason.NOT_CONNECTED, BreakReason.NOT_STARTED})
+_NOTHING_RAN: Final = frozenset(
+    {BreakReason.NOT_CONNECTED, BreakReason.NOT_STARTED, BreakReason.RESUME_REFUSED}
+)
 
 
 def end_attempt(
@@ -107,6 +111,7 @@
         return wrong_answer(state, event.attempt_id, "another attempt's id")
     request = state.requests[attempt.request_key]
     progress = request.stages[attempt.stage]
+    record_silence(state.latencies, request.pipeline.name, attempt, now_ms)
     end_attempt(state, attempt, AttemptVerdict.OK, event.tokens, now_ms, wasted=False)
     actions = cancel_attempts(state, progress, now_ms)
     progress.state = StageState.ANSWERED
@@ -160,6 +165,7 @@
         now_ms,
         wasted=event.reason not in _NOTHING_RAN,
     )
+    progress.unconnected += event.reason is BreakReason.NOT_CONNECTED
     if event.reason is BreakReason.NOT_CONNECTED and attempt.is_written:
         take_back_dispatch(state, request, attempt.stage)
     if attempt.is_written:
@@ -168,6 +174,8 @@
         return None
     progress.ended_ms = now_ms
     progress.state = StageState.FAILED
+    if event.reason is BreakReason.RESUME_REFUSED:
+        progress.tokens.clear()
     if event.reason is not BreakReason.NOT_CONNECTED:
         settle_stage(state, request, progress, now_ms)
     return request, progress
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -10,7 +10,7 @@
 from bramleyturn.core.latency import stage_deadline_ms
 from bramleyturn.core.model import Pool, PoolKind, Stage
 from bramleyturn.core.permission import next_attempt_id
-from bramleyturn.core.poison import Suspect, request_fingerprint, verdict
+from bramleyturn.core.poison import Convicted, Suspect, request_fingerprint, verdict
 from bramleyturn.core.progress import (
     Attempt,
     RunningRequest,
@@ -23,15 +23,18 @@
     Choice,
     ChoiceRequest,
     NoServer,
+    NoServerReason,
     attempt_started,
     choose_server,
 )
+from bramleyturn.core.silence import silence_limit_ms, watch_silence
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
 
 BYTES_PER_TOKEN: Final = 4
 PREFIX_CHARACTERS: Final = 256
 SERVER_WAIT_MS: Final = 50
+CONVICTED_WAIT_MS: Final = 1
 
 
 def start_attempt(
@@ -42,7 +45,10 @@
     *,
     is_hedge: bool = False,
 ) -> list[Action]:
-    """Choose a backend server and send it the stage, or wait until one is free."""
+    """Choose a backend server and send it the stage, or wait until one is free.
+
+    A convicted input waits as well: its retry timer gives the request up.
+    """
     stage = progress.stage
     pool = state.configuration.pools.get(stage.pool)
     if pool is None:
@@ -52,7 +58,12 @@
     fingerprint = request_fingerprint(request.pipeline.name, stage.name, packed)
     size_tokens = size_of_stage(stage, packed)
     prefix = prefix_of(pool, packed)
-    is_suspect = isinstance(verdict(state.suspects, fingerprint, now_ms), Suspect)
+    found = verdict(state.suspects, fingerprint, now_ms)
+    if isinstance(found, Convicted):
+        if is_hedge:
+            return []
+        return wait_for_server(state, request, progress, CONVICTED_WAIT_MS, now_ms)
+    is_suspect = isinstance(found, Suspect)
     chosen = choose_for_attempt(
         state,
         progress,
@@ -62,6 +73,8 @@
             prefix=prefix,
             excluded=frozenset(progress.tried_servers),
             alone=is_suspect,
+            place=found.place if isinstance(found, Suspect) else 0,
+            places=found.suspects if isinstance(found, Suspect) else 1,
         ),
         now_ms,
     )
@@ -84,6 +97,10 @@
         resume_offset=len(progress.tokens),
         is_hedge=is_hedge,
         is_written=stage.repeatable,
+        silence_limit_ms=silence_limit_ms(
+            state.latencies, request.pipeline, stage, timeout_ms
+        ),
+        heard_ms=now_ms,
     )
     register_attempt(state, request, progress, attempt, chosen, now_ms)
     attempt_started(
@@ -104,12 +121,23 @@
     if intended is not None and not progress.attempts_made:
         return Choice(intended, ("recorded intent",))
     chosen = choose_server(state.routing, request, now_ms, state.random)
-    if isinstance(chosen, NoServer) and request.excluded:
+    if not isinstance(chosen, NoServer) or chosen.reason is NoServerReason.NONE_IDLE:
+        return chosen
+    if request.excluded:
         again = request._replace(excluded=frozenset())
         return choose_server(state.routing, again, now_ms, state.random)
     return chosen
 
 
+def is_convicted(
+    state: EntryState, request: RunningRequest, stage: Stage, now_ms: int
+) -> bool:
+    """Tell whether the input of a stage is known to crash backend servers."""
+    packed = orjson.dumps(stage_input(request, stage))
+    fingerprint = request_fingerprint(request.pipeline.name, stage.name, packed)
+    return isinstance(verdict(state.suspects, fingerprint, now_ms), Convicted)
+
+
 def size_of_stage(stage: Stage, packed: bytes) -> int:
     """Return the size of a stage's work in tokens, its longest answer included."""
     return len(packed) // BYTES_PER_TOKEN + stage.max_output_tokens
@@ -177,6 +205,7 @@
         TimerKind.ATTEMPT_TIMEOUT,
         attempt.attempt_id,
     )
+    watch_silence(state, attempt, now_ms)
     set_hedge_timer(state, request, progress, attempt, now_ms)
     record(
         state.timeline,
--- a/src/bramleyturn/core/due_timers.py
+++ b/src/bramleyturn/core/due_timers.py
@@ -5,14 +5,15 @@
 from bramleyturn.core.actions import Action
 from bramleyturn.core.admission import give_up_late
 from bramleyturn.core.answers import broke_or_nothing
-from bramleyturn.core.attempts import start_attempt
+from bramleyturn.core.attempts import is_convicted, start_attempt
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptBroke, BreakReason
 from bramleyturn.core.forwarding import forward_timer
 from bramleyturn.core.kept import forget_expired
 from bramleyturn.core.progress import StageState
-from bramleyturn.core.requests import give_up
+from bramleyturn.core.requests import give_up, refuse_convicted
 from bramleyturn.core.retry_budget import may_retry
+from bramleyturn.core.silence import should_move, watch_silence
 from bramleyturn.core.stages import start_stage
 from bramleyturn.core.ticket_backup import forget_backup_records
 from bramleyturn.core.ticket_primary import forget_records
@@ -39,6 +40,8 @@
             return give_up(state, request, "deadline", None, now_ms)
         case TimerKind.ATTEMPT_TIMEOUT:
             return time_out(state, timer.key, now_ms)
+        case TimerKind.SILENCE:
+            return silent(state, timer.key, now_ms)
         case TimerKind.HEDGE:
             return hedge(state, timer.key, now_ms)
         case TimerKind.RETRY:
@@ -57,6 +60,22 @@
     return broke_or_nothing(state, event, now_ms)
 
 
+def silent(state: EntryState, attempt_id: str, now_ms: int) -> list[Action]:
+    """Give an attempt up that was silent for too long, if another one can follow."""
+    attempt = state.attempts.get(attempt_id)
+    if attempt is None:
+        return []
+    if now_ms < attempt.heard_ms + attempt.silence_limit_ms:
+        watch_silence(state, attempt, attempt.heard_ms)
+        return []
+    request = state.requests[attempt.request_key]
+    if not should_move(state, request, attempt, now_ms):
+        watch_silence(state, attempt, now_ms)
+        return []
+    event = AttemptBroke(attempt_id, BreakReason.TIMED_OUT, "silent", None, False)
+    return broke_or_nothing(state, event, now_ms)
+
+
 def hedge(state: EntryState, attempt_id: str, now_ms: int) -> list[Action]:
     """Start a second attempt beside one that takes longer than most."""
     attempt = state.attempts.get(attempt_id)
@@ -80,6 +99,8 @@
     progress = request.stages[stage]
     if progress.state is not StageState.AWAITING_SERVER:
         return []
+    if is_convicted(state, request, progress.stage, now_ms):
+        return refuse_convicted(state, request, now_ms)
     return start_stage(state, request, progress, now_ms)
 
 
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -75,6 +75,7 @@
 
     NOT_CONNECTED = "not_connected"
     NOT_STARTED = "not_started"
+    RESUME_REFUSED = "resume_refused"
     ERROR_ANSWER = "error_answer"
     LOST = "lost"
     CUT = "cut"
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -42,10 +42,16 @@
 
 
 class Suspect(NamedTuple):
-    """State that the request was on servers that crashed; run it alone or not."""
+    """State that the request was on servers that crashed; run it alone or not.
+
+    ``place`` numbers the ``suspects`` of its latest crash from 0. Processes that know
+    of the same crash number them alike, and so can keep them apart.
+    """
 
     fingerprint: str
     servers: tuple[str, ...]
+    place: int
+    suspects: int
 
 
 class Convicted(NamedTuple):
@@ -106,7 +112,8 @@
     if _is_convicted(suspects, own, fingerprint):
         until_ms = min(crash.at_ms for crash in own) + KEPT_MS
         return Convicted(fingerprint, servers, until_ms)
-    return Suspect(fingerprint, servers)
+    latest = sorted(own[-1].fingerprints)
+    return Suspect(fingerprint, servers, latest.index(fingerprint), len(latest))
 
 
 def export_hints(
--- a/src/bramleyturn/core/progress.py
+++ b/src/bramleyturn/core/progress.py
@@ -21,7 +21,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Hold one try of one stage on one backend server."""
+    """Hold one try of one stage on one backend server.
+
+    ``heard_ms`` is when the last part of the answer arrived, or the attempt started.
+    """
 
     attempt_id: str
     request_key: str
@@ -35,6 +38,9 @@
     resume_offset: int
     is_hedge: bool
     is_written: bool
+    silence_limit_ms: int
+    heard_ms: int
+    longest_silence_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -42,7 +48,8 @@
     """Hold what is known of one stage of one request.
 
     ``tokens`` is the part of a model engine's answer received so far.
-    ``possible_runs`` counts the attempts that may have run on a backend server.
+    ``possible_runs`` counts the attempts that may have run on a backend server,
+    ``unconnected`` those that reached none.
     """
 
     stage: Stage
@@ -56,6 +63,7 @@
     ended_ms: int = 0
     cost_micros: int = 0
     possible_runs: int = 0
+    unconnected: int = 0
     outcome_is_certain: bool = True
     intended_server: str = ""
 
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -43,6 +43,7 @@
 DRAIN_RETRY_AFTER_MS: Final = 1_000
 DEADLINE_RETRY_AFTER_MS: Final = 1_000
 OUTCOME_OVERHEAD_BYTES: Final = 1_024
+CRASHES_SERVERS: Final = "input_crashes_servers"
 
 
 def digest_input(pipeline: str, packed: bytes) -> bytes:
@@ -138,7 +139,7 @@
             now_ms,
         )
         if isinstance(found, Convicted):
-            return Outcome(OutcomeKind.FAILED, "input_crashes_servers")
+            return Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
     left_ms = request.deadline_at_ms - now_ms
     if not can_finish(
         state.latencies, request.pipeline, request.pipeline.stages, left_ms
@@ -235,7 +236,7 @@
 ) -> list[Action]:
     """Try a broken stage again, or give the request up at once."""
     if may_try_again(state, request, progress, reason, now_ms):
-        schedule_retry(state, request, progress, now_ms)
+        schedule_retry(state, request, progress, reason, now_ms)
         return []
     return give_up(state, request, str(reason), retry_after_ms, now_ms)
 
@@ -256,6 +257,19 @@
     return end_request(state, request, outcome, now_ms)
 
 
+def refuse_convicted(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> list[Action]:
+    """End a request one of whose inputs crashes backend servers.
+
+    The outcome is final even if nothing ran here: another try would crash another.
+    """
+    if overall_kind(request) is OutcomeKind.UNKNOWN:
+        return give_up(state, request, CRASHES_SERVERS, None, now_ms)
+    outcome = Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
+    return end_request(state, request, outcome, now_ms)
+
+
 def end_request(
     state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
 ) -> list[Action]:
--- a/src/bramleyturn/core/retries.py
+++ b/src/bramleyturn/core/retries.py
@@ -1,11 +1,16 @@
 """Decide whether a stage that broke is tried again."""
 
+from typing import Final
+
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import BreakReason
 from bramleyturn.core.progress import RunningRequest, StageProgress, StageState
 from bramleyturn.core.retry_budget import may_retry, retry_delay_ms
 from bramleyturn.core.timers import TimerKind, set_timer
 
+MAX_UNCONNECTED: Final = 8
+HINTS_MS: Final = 50
+
 
 def may_try_again(
     state: EntryState,
@@ -17,28 +22,47 @@
     """Tell whether a stage whose last attempt broke may be sent again.
 
     A stage that may not be repeated is sent again only where nothing was written to
-    a backend server, or where the pool recognises its idempotency key.
+    a backend server, or where the pool recognises its idempotency key. A connection
+    that never opened cost its server nothing, and takes no retry. An input that
+    was on a server that crashed runs alone from then on, which bounds its tries by
+    itself; neighbours of an input that crashes servers must not fail for lack of a
+    retry.
     """
     limits = state.configuration.limits
     if state.requests.get(request.key) is None or now_ms >= request.deadline_at_ms:
         return False
-    if progress.attempts_made >= limits.max_attempts:
+    if progress.attempts_made - progress.unconnected >= limits.max_attempts:
         return False
     if not progress.stage.repeatable and reason is not BreakReason.NOT_CONNECTED:
         pool = state.configuration.pools.get(progress.stage.pool)
         if pool is None or not pool.recognises_idempotency_key:
             return False
+    if reason is BreakReason.NOT_CONNECTED:
+        return progress.unconnected < MAX_UNCONNECTED
+    if progress.stage.repeatable and reason is BreakReason.LOST:
+        return True
     return may_retry(state.retry_budget, progress.stage.pool, now_ms)
 
 
 def schedule_retry(
-    state: EntryState, request: RunningRequest, progress: StageProgress, now_ms: int
+    state: EntryState,
+    request: RunningRequest,
+    progress: StageProgress,
+    reason: BreakReason,
+    now_ms: int,
 ) -> None:
-    """Arrange the next attempt of a stage after a short random delay."""
+    """Arrange the next attempt of a stage after a short random delay.
+
+    After a crash it waits until peers have told of their own inputs on that server,
+    so that the suspects of all processes are sent to servers apart.
+    """
     state.counters.retries += 1
     progress.state = StageState.AWAITING_SERVER
     progress.ended_ms = 0
-    delay_ms = retry_delay_ms(progress.attempts_made, state.random)
+    reached = max(1, progress.attempts_made - progress.unconnected)
+    delay_ms = retry_delay_ms(reached, state.random)
+    if reason is BreakReason.LOST:
+        delay_ms += HINTS_MS
     set_timer(
         state.timers,
         now_ms + delay_ms,
--- a/src/bramleyturn/core/retry_budget.py
+++ b/src/bramleyturn/core/retry_budget.py
@@ -57,6 +57,13 @@
     return False
 
 
+def has_retry(budget: RetryBudget, pool: str, now_ms: int) -> bool:
+    """Tell whether ``may_retry`` would grant a retry now, and take none."""
+    state = _pool_budget(budget, pool, now_ms)
+    _refill_floor(state, now_ms)
+    return state.earned >= 1.0 or state.floor >= 1.0
+
+
 def forget_pools(budget: RetryBudget, kept: frozenset[str]) -> None:
     """Drop the pools that are no longer configured."""
     for pool in budget.pools.keys() - kept:
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -96,7 +96,8 @@
     """Ask for a server of a pool.
 
     ``prefix`` identifies the start of the prompt and may be empty. ``alone`` asks
-    for a server on which this process has nothing in flight.
+    for a server on which this process has nothing in flight. Of those that may not
+    share one, each takes every ``places``-th server from ``place`` on.
     """
 
     pool: str
@@ -104,6 +105,8 @@
     prefix: str
     excluded: frozenset[str]
     alone: bool
+    place: int = 0
+    places: int = 1
 
 
 class Choice(NamedTuple):
@@ -153,7 +156,7 @@
         return NoServer(NoServerReason.UNKNOWN_POOL, NO_SERVER_RETRY_MS)
     _end_ejections(table, now_ms)
     if request.alone:
-        return _choose_idle(pool, request, now_ms, random)
+        return _choose_idle(pool, request, now_ms)
     best = _best(table, pool, pool.own, request, now_ms, random)
     if best is None or _spills(best):
         other = _best(table, pool, pool.others, request, now_ms, random)
@@ -350,18 +353,25 @@
 
 
 def _choose_idle(
-    pool: PoolState, request: ChoiceRequest, now_ms: int, random: Random
+    pool: PoolState, request: ChoiceRequest, now_ms: int
 ) -> Choice | NoServer:
+    usable = 0
     for reason, candidates in (("own_zone", pool.own), ("other_zone", pool.others)):
-        states = candidates.states
-        count = len(states)
-        start = int(random.random() * count)
-        for offset in range(min(count, IDLE_PROBES)):
-            state = states[(start + offset) % count]
+        # Places are only apart among the servers that every suspect may use.
+        states = [
+            state
+            for state in candidates.states
+            if state.server.name not in request.excluded
+        ]
+        usable += len(states)
+        count = max(1, len(states))
+        for state in states[request.place % count :: request.places][:IDLE_PROBES]:
             if state.load.in_flight == 0 and _takes(state, request, now_ms):
                 return Choice(state.server, (reason, "alone"))
     if not pool.own.states and not pool.others.states:
         return NoServer(NoServerReason.NONE_LIVE, NO_SERVER_RETRY_MS)
+    if not usable:
+        return NoServer(NoServerReason.ALL_EXCLUDED, NO_SERVER_RETRY_MS)
     return NoServer(NoServerReason.NONE_IDLE, IDLE_RETRY_MS)
 
 
--- a/src/bramleyturn/core/schema_operation.py
+++ b/src/bramleyturn/core/schema_operation.py
@@ -59,7 +59,7 @@
             types.integer(1, 10),
             "attempts",
             "3",
-            "Attempts of one stage of one request, the first included.",
+            "Attempts of one stage of one request that reached a server.",
         ),
         Key(
             "hedge_percentile",
--- a/src/bramleyturn/core/timers.py
+++ b/src/bramleyturn/core/timers.py
@@ -10,6 +10,7 @@
 
     REQUEST_DEADLINE = "request_deadline"
     ATTEMPT_TIMEOUT = "attempt_timeout"
+    SILENCE = "silence"
     HEDGE = "hedge"
     RETRY = "retry"
     FORWARD = "forward"
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -38,6 +38,7 @@
 MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
 CANCEL_TIMEOUT_MS: Final = 1_000
 STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
 STATUS_UNAVAILABLE: Final = 503
 
 Feed = Callable[[Event], None]
@@ -174,13 +175,10 @@
     """Report an error answer, and whether the backend server says it did not start."""
     client.readers.pop(action.attempt_id, None)
     document = parse_object(body)
-    not_started = (
-        response.code == STATUS_UNAVAILABLE and document.get("not_started") is True
-    )
     client.feed(
         AttemptBroke(
             attempt_id=action.attempt_id,
-            reason=BreakReason.NOT_STARTED if not_started else BreakReason.ERROR_ANSWER,
+            reason=refusal_reason(action, response.code, document),
             detail=f"status {response.code}",
             retry_after_ms=retry_after_ms(header_text(response, "Retry-After")),
             leaving=document.get("state") == "leaving",
@@ -188,6 +186,19 @@
     )
 
 
+def refusal_reason(
+    action: StartAttempt, status: int, document: dict[str, Any]
+) -> BreakReason:
+    """Return what an answer other than 200 says about an attempt."""
+    if document.get("not_started") is not True:
+        return BreakReason.ERROR_ANSWER
+    if status == STATUS_UNAVAILABLE:
+        return BreakReason.NOT_STARTED
+    if status == STATUS_CONFLICT and action.resume_offset:
+        return BreakReason.RESUME_REFUSED
+    return BreakReason.ERROR_ANSWER
+
+
 def whole_answer(client: BackendClient, action: StartAttempt, body: bytes) -> None:
     """Report the whole answer of a backend server other than an engine."""
     client.readers.pop(action.attempt_id, None)
--- a/tests/core/entry_world.py
+++ b/tests/core/entry_world.py
@@ -112,13 +112,20 @@
 class World:
     """Hold one entry process and the time, and collect its actions."""
 
-    def __init__(self, *, with_backup: bool = False, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        with_backup: bool = False,
+        seed: int = 1,
+        files: dict[str, str] | None = None,
+        number: int = 1,
+    ) -> None:
         self.now_ms = 1_000
         self.state: EntryState = entry_state(
-            "entry-1",
+            f"entry-{number}",
             "duluth",
-            ProcessRef("127.0.0.1:7001", "incarnation-1"),
-            configuration(),
+            ProcessRef(f"127.0.0.1:700{number}", f"incarnation-{number}"),
+            configuration(files),
             Random(seed),
             self.now_ms,
         )
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -180,13 +180,14 @@
     def test_says_not_run_when_no_server_was_reached(self) -> None:
         world = World()
         attempt = started(world.send("draft", left_ms=400))
-        for _ in range(10):
+        while not answers(world.actions):
             world.feed(broke(attempt, BreakReason.NOT_CONNECTED))
-            actions = world.advance(100)
-            starts = [a for a in actions if isinstance(a, StartAttempt)]
-            if not starts:
-                break
-            attempt = starts[0]
+            # No attempt is left under way: one that is might still run.
+            while not answers(world.actions):
+                starts = [a for a in world.advance(1) if isinstance(a, StartAttempt)]
+                if starts:
+                    attempt = starts[0]
+                    break
         ended = answers(world.actions)[0].outcome
         assert ended.kind is OutcomeKind.NOT_RUN
         assert ended.retry_after_ms is not None
