--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -24,7 +24,6 @@
     ChoiceRequest,
     NoServer,
     attempt_started,
-    choose_server,
 )
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
@@ -103,10 +102,10 @@
     intended = state.configuration.servers.get(progress.intended_server)
     if intended is not None and not progress.attempts_made:
         return Choice(intended, ("recorded intent",))
-    chosen = choose_server(state.routing, request, now_ms, state.random)
+    chosen = state.choose(state.routing, request, now_ms, state.random)
     if isinstance(chosen, NoServer) and request.excluded:
         again = request._replace(excluded=frozenset())
-        return choose_server(state.routing, again, now_ms, state.random)
+        return state.choose(state.routing, again, now_ms, state.random)
     return chosen
 
 
--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -1,5 +1,6 @@
 """Hold everything that one entry process knows."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -14,7 +15,15 @@
 from bramleyturn.core.poison import Suspects
 from bramleyturn.core.progress import Attempt, RunningRequest
 from bramleyturn.core.retry_budget import RetryBudget
-from bramleyturn.core.routing import RoutingTable, apply_servers, routing_table
+from bramleyturn.core.routing import (
+    Choice,
+    ChoiceRequest,
+    NoServer,
+    RoutingTable,
+    apply_servers,
+    choose_server,
+    routing_table,
+)
 from bramleyturn.core.ticket_asker import Asking
 from bramleyturn.core.ticket_backup import TicketBackup
 from bramleyturn.core.ticket_primary import TicketPrimary
@@ -25,6 +34,8 @@
 MAX_TICKETS: Final = 20_000
 MAX_PRIMARIES: Final = 40_000
 
+ChooseServer = Callable[[RoutingTable, ChoiceRequest, int, Random], Choice | NoServer]
+
 
 @dataclass(slots=True)
 class Counters:
@@ -54,7 +65,10 @@
 
 @dataclass(slots=True)
 class EntryState:
-    """Hold one entry process: its configuration, requests, attempts and knowledge."""
+    """Hold one entry process: its configuration, requests, attempts and knowledge.
+
+    ``choose`` is the policy that chooses a backend server for an attempt.
+    """
 
     name: str
     zone: str
@@ -83,6 +97,7 @@
     timers: Timers = field(default_factory=Timers)
     timeline: Timeline = field(default_factory=Timeline)
     counters: Counters = field(default_factory=Counters)
+    choose: ChooseServer = choose_server
     next_number: int = 0
     is_draining: bool = False
 
--- a/src/bramleyturn/core/stages.py
+++ b/src/bramleyturn/core/stages.py
@@ -15,7 +15,7 @@
     ready_stages,
     stage_input,
 )
-from bramleyturn.core.routing import ChoiceRequest, NoServer, choose_server
+from bramleyturn.core.routing import ChoiceRequest, NoServer
 from bramleyturn.core.ticket_primary import StageState as PermissionState
 from bramleyturn.core.ticket_primary import find_stage
 
@@ -55,7 +55,7 @@
 ) -> list[Action]:
     """Choose the backend server that a stage would run on and ask for the right."""
     packed = orjson.dumps(stage_input(request, progress.stage))
-    chosen = choose_server(
+    chosen = state.choose(
         state.routing,
         ChoiceRequest(
             pool=progress.stage.pool,
--- a/src/bramleyturn/programs/cli.py
+++ b/src/bramleyturn/programs/cli.py
@@ -5,6 +5,7 @@
 
 import cappa
 
+from bramleyturn.programs.commands_replay import Replay
 from bramleyturn.programs.commands_settings import Check, Explain, SettingsReference
 
 
@@ -18,7 +19,7 @@
     that the command needs cannot be read.
     """
 
-    command: cappa.Subcommands[Check | Explain | SettingsReference]
+    command: cappa.Subcommands[Check | Explain | SettingsReference | Replay]
 
 
 def main() -> None:
