--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -25,7 +25,6 @@
     NoServer,
     NoServerReason,
     attempt_started,
-    choose_server,
 )
 from bramleyturn.core.silence import silence_limit_ms, watch_silence
 from bramleyturn.core.timeline import EventKind, record
@@ -120,12 +119,12 @@
     intended = state.configuration.servers.get(progress.intended_server)
     if intended is not None and not progress.attempts_made:
         return Choice(intended, ("recorded intent",))
-    chosen = choose_server(state.routing, request, now_ms, state.random)
+    chosen = state.choose(state.routing, request, now_ms, state.random)
     if not isinstance(chosen, NoServer) or chosen.reason is NoServerReason.NONE_IDLE:
         return chosen
     if request.excluded:
         again = request._replace(excluded=frozenset())
-        return choose_server(state.routing, again, now_ms, state.random)
+        return state.choose(state.routing, again, now_ms, state.random)
     return chosen
 
 
--- a/src/bramleyturn/programs/cli.py
+++ b/src/bramleyturn/programs/cli.py
@@ -12,6 +12,7 @@
     Status,
     Timeline,
 )
+from bramleyturn.programs.commands_replay import Replay
 from bramleyturn.programs.commands_settings import Check, Explain, SettingsReference
 
 
@@ -28,7 +29,15 @@
     """
 
     command: cappa.Subcommands[
-        Check | Explain | SettingsReference | Status | Cost | Servers | Timeline | Drain
+        Check
+        | Explain
+        | SettingsReference
+        | Status
+        | Cost
+        | Servers
+        | Timeline
+        | Drain
+        | Replay
     ]
 
 
