Keep leaving servers out despite a lagging list or a pause

A list read a moment ago may show the platform's state of long before. Its age counts from the read, so a server that had said it was leaving was taken for live again with the next read. A listed server is now live only once the list has shown it so for longer than the list may lag; its own newer load report brings it back at once unless the list says that it leaves.

A process that was paused hears of nothing. After a pause of more than 2 s a backend server is chosen only once it was asked for its load again.

A silent server no longer holds up the questions to the others.

With the lag left out of account ("- LIST_LAG_MS" removed in core/news.py) test_a_lagging_list_does_not_bring_back_a_server_that_said_it_leaves fails; without distrust_servers in core/entry.py both tests of TestPause that send work fail.

--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -15,12 +15,14 @@
     DrainOrdered,
     Event,
     LoadReportArrived,
+    LoadReportMissing,
     OutputArrived,
     PeerSeen,
     PeerSilent,
     PeersListed,
     PrimaryAnswered,
     PrimarySilent,
+    ProcessPaused,
     RequestArrived,
     ServersListed,
     StreamEnded,
@@ -38,6 +40,7 @@
 from bramleyturn.core.peers import list_peers, peer_seen, peer_silent
 from bramleyturn.core.permission import permit_write
 from bramleyturn.core.routing import load_reported
+from bramleyturn.core.server_confirmation import distrust_servers, server_silent
 from bramleyturn.core.streams import tokens_arrived
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
@@ -50,6 +53,8 @@
     Timers that are due come first, so that a process that was paused drops what has
     expired before it handles anything that queued up meanwhile.
     """
+    if isinstance(event, ProcessPaused):
+        distrust_servers(state.routing, now_ms)
     actions = run_due_timers(state, now_ms)
     return actions + handle(state, event, now_ms)
 
@@ -91,7 +96,7 @@
             return primary_silent(state, forward_id, now_ms)
         case WaiterGone(waiter):
             return forget_waiter(state, waiter)
-        case TimePassed():
+        case TimePassed() | ProcessPaused():
             return []
     return learn(state, event, now_ms)
 
@@ -103,6 +108,8 @@
             return accept_configuration(state, configuration, now_ms)
         case LoadReportArrived(report):
             load_reported(state.routing, report, now_ms)
+        case LoadReportMissing(server):
+            server_silent(state.routing, server, now_ms)
         case ServersListed():
             take_server_list(state, event, now_ms)
         case PeersListed(entries):
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -117,6 +117,16 @@
     report: LoadReport
 
 
+class LoadReportMissing(NamedTuple):
+    """A backend server gave no load report when it was asked."""
+
+    server: str
+
+
+class ProcessPaused(NamedTuple):
+    """The process did nothing for so long that what it knew may be out of date."""
+
+
 class ListedServer(NamedTuple):
     """One backend server on the platform's list."""
 
@@ -214,6 +224,8 @@
     | TimePassed
     | ConfigurationAccepted
     | LoadReportArrived
+    | LoadReportMissing
+    | ProcessPaused
     | ServersListed
     | PeersListed
     | PeerSeen
--- a/src/bramleyturn/core/news.py
+++ b/src/bramleyturn/core/news.py
@@ -1,5 +1,7 @@
 """Take in news of the configuration and of the backend servers."""
 
+from typing import Final
+
 from bramleyturn.core.actions import Action
 from bramleyturn.core.admission import update_limits
 from bramleyturn.core.entry_state import EntryState
@@ -8,6 +10,9 @@
 from bramleyturn.core.routing import apply_servers, server_back, server_leaving
 from bramleyturn.core.timeline import EventKind, record
 
+# How far behind the platform's list may be without saying so.
+LIST_LAG_MS: Final = 60_000
+
 
 def accept_configuration(
     state: EntryState, configuration: Configuration, now_ms: int
@@ -31,11 +36,13 @@
 def take_server_list(state: EntryState, event: ServersListed, now_ms: int) -> None:
     """Take in which backend servers are leaving and which are not.
 
-    Absence from the list says nothing: the list lags.
+    Absence from the list says nothing: the list lags. For the same reason a server
+    that left is taken for live only once the list has shown it so for longer than
+    the list may lag.
     """
     for server in event.servers:
         if server.leaving:
-            server_leaving(state.routing, server.name, now_ms)
+            server_leaving(state.routing, server.name, now_ms, is_listed=True)
         else:
-            shown_ms = now_ms - event.age_ms
+            shown_ms = now_ms - event.age_ms - LIST_LAG_MS
             server_back(state.routing, server.name, shown_ms, now_ms)
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -31,6 +31,7 @@
     server_back,
     server_leaving,
 )
+from bramleyturn.core.server_confirmation import is_confirmed
 from bramleyturn.core.server_load import (
     LoadReport,
     count_end,
@@ -72,6 +73,7 @@
 BUSY_MS: Final = 100
 IDLE_RETRY_MS: Final = 50
 NO_SERVER_RETRY_MS: Final = 1_000
+UNCONFIRMED_RETRY_MS: Final = 25
 
 
 class AttemptVerdict(StrEnum):
@@ -121,6 +123,7 @@
     ALL_EXCLUDED = "all_excluded"
     ALL_BUSY = "all_busy"
     NONE_IDLE = "none_idle"
+    UNCONFIRMED = "unconfirmed"
 
 
 class NoServer(NamedTuple):
@@ -147,7 +150,18 @@
     The own zone goes first; the other zones are looked at when the own one has no
     server for this request, or its best one is nearly full or slow. The cost doesn't
     depend on the number of servers.
+
+    After a pause of the process a server is chosen only once it has been heard again.
     """
+    chosen = _choose(table, request, now_ms, random)
+    if isinstance(chosen, NoServer) or is_confirmed(table, chosen.server):
+        return chosen
+    return NoServer(NoServerReason.UNCONFIRMED, UNCONFIRMED_RETRY_MS)
+
+
+def _choose(
+    table: RoutingTable, request: ChoiceRequest, now_ms: int, random: Random
+) -> Choice | NoServer:
     pool = table.pools.get(request.pool)
     if pool is None:
         return NoServer(NoServerReason.UNKNOWN_POOL, NO_SERVER_RETRY_MS)
@@ -213,8 +227,11 @@
     if state is None:
         return
     take_report(table.pools[state.server.pool].load, state.load, report, now_ms)
+    state.heard_ms = now_ms
     if report.leaving:
         server_leaving(table, report.server, now_ms)
+    elif not state.is_listed_leaving:
+        server_back(table, report.server, now_ms - max(0, report.age_ms), now_ms)
 
 
 def _eject_if_due(
--- a/src/bramleyturn/core/routing_table.py
+++ b/src/bramleyturn/core/routing_table.py
@@ -5,7 +5,7 @@
 from bramleyturn.core.model import Configuration, Limits, Server
 from bramleyturn.core.outliers import OutlierState, start_fresh
 from bramleyturn.core.prefix_cache import HashRing, RecentPrefixes
-from bramleyturn.core.server_load import PoolLoad, ServerLoad
+from bramleyturn.core.server_load import NEVER_MS, PoolLoad, ServerLoad
 
 # In force only until the first configuration is applied.
 NO_LIMITS: Final = Limits(*(0 for _ in Limits._fields))
@@ -16,7 +16,9 @@
 
     __slots__ = (
         "busy_until_ms",
+        "heard_ms",
         "held_alone",
+        "is_listed_leaving",
         "left_ms",
         "load",
         "outlier",
@@ -28,6 +30,8 @@
         self.load = load
         self.outlier = outlier
         self.left_ms: int | None = None
+        self.is_listed_leaving = False
+        self.heard_ms = NEVER_MS
         self.busy_until_ms = 0
         self.held_alone = False
 
@@ -61,6 +65,8 @@
         self.servers: dict[str, ServerState] = {}
         self.prefixes = RecentPrefixes()
         self.ejections: list[tuple[int, str]] = []
+        self.view_from_ms = NEVER_MS
+        self.to_confirm: dict[str, Server] = {}
 
 
 def routing_table(zone: str) -> RoutingTable:
@@ -94,11 +100,18 @@
         list_candidates(table, pool)
 
 
-def server_leaving(table: RoutingTable, name: str, now_ms: int) -> None:
-    """Give the server no new work from now on."""
+def server_leaving(
+    table: RoutingTable, name: str, now_ms: int, *, is_listed: bool = False
+) -> None:
+    """Give the server no new work from now on.
+
+    ``is_listed`` tells that the platform's list says so: then the server's own
+    reports can't bring it back.
+    """
     state = table.servers.get(name)
     if state is None:
         return
+    state.is_listed_leaving = state.is_listed_leaving or is_listed
     listed = state.left_ms is None
     state.left_ms = now_ms if state.left_ms is None else max(state.left_ms, now_ms)
     if listed:
@@ -115,6 +128,7 @@
     if state is None or state.left_ms is None or shown_ms <= state.left_ms:
         return
     state.left_ms = None
+    state.is_listed_leaving = False
     start_fresh(state.outlier, now_ms)
     list_candidates(table, table.pools[state.server.pool])
 
--- /dev/null
+++ b/src/bramleyturn/core/server_confirmation.py
@@ -0,0 +1,48 @@
+"""Distrust what was known of backend servers before the process was paused.
+
+While a process is paused it hears of no server that leaves. Once it wakes it asks a
+server for its load before it sends it work, and only those that it would choose, so
+that the cost depends on the work and not on the number of servers.
+"""
+
+from typing import Final
+
+from bramleyturn.core.model import Server
+from bramleyturn.core.routing_table import RoutingTable
+
+PAUSE_MS: Final = 2_000
+MAX_TO_CONFIRM: Final = 64
+
+
+def distrust_servers(table: RoutingTable, now_ms: int) -> None:
+    """Forget that any server was heard before now."""
+    table.view_from_ms = now_ms
+    table.to_confirm.clear()
+
+
+def is_confirmed(table: RoutingTable, server: Server) -> bool:
+    """Tell whether the server was heard since the last pause; else have it asked."""
+    state = table.servers[server.name]
+    if state.heard_ms >= table.view_from_ms:
+        return True
+    if len(table.to_confirm) < MAX_TO_CONFIRM:
+        table.to_confirm[server.name] = server
+    return False
+
+
+def take_to_confirm(table: RoutingTable) -> list[Server]:
+    """Return the servers to ask for their load now."""
+    asked = list(table.to_confirm.values())
+    table.to_confirm.clear()
+    return asked
+
+
+def server_silent(table: RoutingTable, name: str, now_ms: int) -> None:
+    """Write down that a server gave no load report when it was asked.
+
+    It is no longer held back: one that can't be reached gets no work either, and one
+    that tells no load answers for itself when work is sent.
+    """
+    state = table.servers.get(name)
+    if state is not None:
+        state.heard_ms = now_ms
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -21,8 +21,9 @@
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.entry import next_wake_ms, step
 from bramleyturn.core.entry_state import EntryState
-from bramleyturn.core.events import BackupAnswer, Event, TimePassed
+from bramleyturn.core.events import BackupAnswer, Event, ProcessPaused, TimePassed
 from bramleyturn.core.intake import AccessTable, access_table
+from bramleyturn.core.server_confirmation import PAUSE_MS
 from bramleyturn.runtime.backend_client import (
     BackendClient,
     cancel_at_server,
@@ -56,6 +57,7 @@
         self.waiters: dict[str, Waiter] = {}
         self.backup_replies: dict[str, BackupReply] = {}
         self.next_waiter = 0
+        self.fed_ms = clock.monotonic_ms()
         self.wake_call: DelayedCall | None = None
         self.wake_at_ms: int | None = None
 
@@ -78,7 +80,12 @@
 
 def feed(loop: EntryLoop, event: Event) -> None:
     """Hand an event to the core and carry out what it decides."""
-    for action in step(loop.state, event, loop.clock.monotonic_ms()):
+    now_ms = loop.clock.monotonic_ms()
+    if now_ms - loop.fed_ms > PAUSE_MS:
+        loop.fed_ms = now_ms
+        feed(loop, ProcessPaused())
+    loop.fed_ms = now_ms
+    for action in step(loop.state, event, now_ms):
         perform(loop, action)
     arrange_wake(loop)
 
--- a/src/bramleyturn/runtime/load_reports.py
+++ b/src/bramleyturn/runtime/load_reports.py
@@ -3,15 +3,18 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.events import LoadReportArrived
+from bramleyturn.core.events import LoadReportArrived, LoadReportMissing, TimePassed
 from bramleyturn.core.routing import LoadReport
+from bramleyturn.core.server_confirmation import take_to_confirm
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.errors import CallFailed
 from bramleyturn.runtime.http_client import call_json
 
 INTERVAL_MS: Final = 100
+CONFIRM_INTERVAL_MS: Final = 20
 TIMEOUT_MS: Final = 1_000
 MS_PER_S: Final = 1_000
 
@@ -22,10 +25,27 @@
     The rate of questions does not depend on the number of backend servers.
     """
     while True:
-        for address_name, address in servers_in_turn(loop):
-            await ask_load(loop, address_name, address)
-            await deferLater(loop.reactor, INTERVAL_MS / MS_PER_S)
-        await deferLater(loop.reactor, INTERVAL_MS / MS_PER_S)
+        for name, address in servers_in_turn(loop):
+            start_asking(loop, name, address)
+            await next_turn(loop)
+        await next_turn(loop)
+
+
+async def next_turn(loop: EntryLoop) -> None:
+    """Wait for the next turn to ask, and ask those that hold up work meanwhile."""
+    for _ in range(INTERVAL_MS // CONFIRM_INTERVAL_MS):
+        await deferLater(loop.reactor, CONFIRM_INTERVAL_MS / MS_PER_S)
+        feed(loop, TimePassed())
+        for server in take_to_confirm(loop.state.routing):
+            start_asking(loop, server.name, server.address)
+
+
+def start_asking(loop: EntryLoop, name: str, address: str) -> None:
+    """Ask without waiting, so that a silent server holds up no question to others.
+
+    The time-out bounds the questions that are open at once.
+    """
+    Deferred.fromCoroutine(ask_load(loop, name, address))
 
 
 def servers_in_turn(loop: EntryLoop) -> Iterator[tuple[str, str]]:
@@ -49,11 +69,13 @@
         f"http://{address}/v1/load",
         timeout_ms=TIMEOUT_MS,
     )
-    if isinstance(answer, CallFailed):
+    report = (
+        None if isinstance(answer, CallFailed) else parse_report(name, answer.document)
+    )
+    if report is None:
+        feed(loop, LoadReportMissing(name))
         return
-    report = parse_report(name, answer.document)
-    if report is not None:
-        feed(loop, LoadReportArrived(report))
+    feed(loop, LoadReportArrived(report))
 
 
 def parse_report(name: str, document: Any) -> LoadReport | None:
--- /dev/null
+++ b/tests/core/test_leaving.py
@@ -0,0 +1,110 @@
+"""Tests of backend servers that leave, come back, or left during a pause."""
+
+from bramleyturn.core.actions import StartAttempt
+from bramleyturn.core.events import (
+    ListedServer,
+    LoadReportArrived,
+    LoadReportMissing,
+    ProcessPaused,
+    ServersListed,
+)
+from bramleyturn.core.news import LIST_LAG_MS
+from bramleyturn.core.routing import LoadReport
+from tests.core.entry_world import World, answers
+
+SLOW_START_MS = 60_000
+NAMES = ("encoder-1", "encoder-2")
+
+
+def report(server: str, *, leaving: bool, age_ms: int = 0) -> LoadReportArrived:
+    return LoadReportArrived(LoadReport(server, 0, 0, 8, age_ms, leaving))
+
+
+def listed(*leaving: str, age_ms: int = 0) -> ServersListed:
+    return ServersListed(
+        tuple(ListedServer(name, name in leaving) for name in NAMES), age_ms
+    )
+
+
+def servers_used(world: World, requests: int = 20) -> set[str]:
+    """Return the names of the encoders that a few requests are sent to."""
+    used: set[str] = set()
+    first = len(world.state.requests)
+    for number in range(first, first + requests):
+        actions = world.send("draft", request_id=f"r{number}", waiter=f"w{number}")
+        used |= {
+            action.server.name for action in actions if isinstance(action, StartAttempt)
+        }
+    return used
+
+
+class TestLeaving:
+    def test_a_lagging_list_does_not_bring_back_a_server_that_said_it_leaves(
+        self,
+    ) -> None:
+        world = World()
+        world.feed(report("encoder-1", leaving=True))
+        for _ in range(30):
+            world.advance(1_000)
+            world.feed(listed())
+        assert servers_used(world) == {"encoder-2"}
+
+    def test_a_list_that_shows_it_live_for_long_enough_does(self) -> None:
+        world = World()
+        world.feed(report("encoder-1", leaving=True))
+        world.advance(LIST_LAG_MS + 1)
+        world.feed(listed())
+        world.advance(SLOW_START_MS)
+        assert servers_used(world) == {"encoder-1", "encoder-2"}
+
+    def test_its_own_newer_report_does_at_once(self) -> None:
+        world = World()
+        world.feed(report("encoder-1", leaving=True))
+        world.advance(1_000)
+        world.feed(report("encoder-1", leaving=False, age_ms=100))
+        world.advance(SLOW_START_MS)
+        assert servers_used(world) == {"encoder-1", "encoder-2"}
+
+    def test_its_own_older_report_does_not(self) -> None:
+        world = World()
+        world.feed(report("encoder-1", leaving=True))
+        world.advance(1_000)
+        world.feed(report("encoder-1", leaving=False, age_ms=1_001))
+        assert servers_used(world) == {"encoder-2"}
+
+    def test_its_own_report_does_not_outweigh_the_list(self) -> None:
+        world = World()
+        world.feed(listed("encoder-1"))
+        world.advance(1_000)
+        world.feed(report("encoder-1", leaving=False))
+        assert servers_used(world) == {"encoder-2"}
+
+
+class TestPause:
+    def test_nothing_is_sent_from_the_view_before_the_pause(self) -> None:
+        world = World()
+        world.feed(listed())
+        world.freeze(10_000)
+        world.feed(ProcessPaused())
+        assert servers_used(world) == set()
+        assert world.state.routing.to_confirm.keys() & set(NAMES)
+        world.feed(report("encoder-1", leaving=True))
+        world.feed(report("encoder-2", leaving=False))
+        assert servers_used(world) == {"encoder-2"}
+        assert not answers(world.actions)
+
+    def test_work_that_waits_goes_on_once_a_server_is_heard(self) -> None:
+        world = World()
+        world.freeze(10_000)
+        world.feed(ProcessPaused())
+        assert not any(isinstance(a, StartAttempt) for a in world.send("draft"))
+        for name in NAMES:
+            world.feed(report(name, leaving=False))
+        assert any(isinstance(a, StartAttempt) for a in world.advance(100))
+
+    def test_a_server_that_tells_no_load_is_not_held_back(self) -> None:
+        world = World()
+        world.feed(ProcessPaused())
+        for name in NAMES:
+            world.feed(LoadReportMissing(name))
+        assert servers_used(world) == set(NAMES)
