--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -39,7 +39,7 @@
         address = listen(reactor, watch_api(loop), settings.listen)
         start_watching(loop)
         stop_on_signals(reactor, lambda: stop(loop))
-        print_ready(settings.advertise or address)
+        print_ready(settings.advertise or address, listen=address)
         run(reactor)
 
 
--- a/src/bramleyturn/standin/backend.py
+++ b/src/bramleyturn/standin/backend.py
@@ -28,7 +28,7 @@
     stop_timer,
     take_job,
 )
-from bramleyturn.standin.json_http import hang_up
+from bramleyturn.standin.json_http import LEAVING, hang_up
 from bramleyturn.standin.lag import LaggedValue, note_value
 from bramleyturn.standin.ledger import (
     Ledger,
@@ -101,7 +101,7 @@
 def refusal(server: BackendServer) -> str | None:
     """Return why the server takes no new work now, if so."""
     if server.behaviour.leaving:
-        return "leaving"
+        return LEAVING
     if server.behaviour.refuse or not has_place(server.queue):
         return "busy"
     return None
--- a/src/bramleyturn/standin/json_http.py
+++ b/src/bramleyturn/standin/json_http.py
@@ -10,6 +10,7 @@
 from twisted.web.server import Site
 
 RETRY_AFTER_S: Final = b"1"
+LEAVING: Final = "leaving"
 
 
 class BadBody(NamedTuple):
@@ -91,7 +92,10 @@
 
 def not_started(request: Request, status: int, reason: str) -> bytes:
     """Answer that nothing was started, for ``reason``."""
-    return answer(request, status, {"error": reason, "not_started": True})
+    document: dict[str, Any] = {"error": reason, "not_started": True}
+    if reason == LEAVING:
+        document["state"] = LEAVING
+    return answer(request, status, document)
 
 
 def number_argument(request: Request, name: bytes, default: int) -> int:
--- /dev/null
+++ b/tests/proofs/zones.py
@@ -0,0 +1,268 @@
+"""Run a fleet whose availability zones can be cut off, under a steady load.
+
+Each zone reaches the platform through a link of its own, and each entry and watch is
+known to the others by the address of a link, so that a zone can be cut off whole.
+"""
+
+import json
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPException
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from scripts.fleet import (
+    PLATFORM,
+    Fleet,
+    FleetPlan,
+    publish_instances,
+    start_standins,
+    wait_for_entry,
+    workspace_key,
+)
+from scripts.fleet_settings import ANY_PORT, ini_text
+from scripts.process_group import program, wait_until
+from tests.http_calls import Reply, call, connect, receive
+
+NOWHERE: Final = "127.0.0.1:1"
+PROXY: Final = "faultproxy"
+WORKSPACE_OF: Final = {
+    "lesson-draft": "lessons",
+    "craft-idea": "lessons",
+    "roster-signup": "rosters",
+}
+LOAD_PAUSE_S: Final = 0.02
+
+
+class Zones(NamedTuple):
+    """Hold a fleet and the control address of the links between its zones."""
+
+    fleet: Fleet
+    proxy: str
+    links: set[str]
+
+
+class Sent(NamedTuple):
+    """Hold what became of one request; status 0 without a whole answer."""
+
+    entry: str
+    request_id: str
+    status: int
+    document: dict[str, Any]
+    error: str
+
+
+@contextmanager
+def running_zones(plan: FleetPlan) -> Iterator[Zones]:
+    """Run a fleet until the block ends."""
+    fleet = Fleet(plan)
+    try:
+        start_standins(fleet)
+        zones = Zones(fleet, start_links(fleet), set())
+        for role in ("watch", "entry"):
+            for name in fleet.entry_names():
+                launch(zones, name.replace("entry", role, 1))
+        publish_instances(fleet)
+        for name in fleet.entry_names():
+            wait_for_entry(fleet, name)
+        yield zones
+    finally:
+        fleet.stop()
+
+
+def start_links(fleet: Fleet) -> str:
+    """Start the links and return the address that controls them."""
+    sections = {"control": {"listen": ANY_PORT}}
+    for zone in fleet.plan.zones:
+        sections[f"link {PLATFORM}-{zone}"] = {
+            "listen": ANY_PORT,
+            "target": fleet.addresses[PLATFORM],
+        }
+    path = fleet.plan.folder / f"{PROXY}.ini"
+    path.write_text(ini_text(sections))
+    fleet.processes.start(PROXY, [program("bramleyturn-faultproxy"), str(path)])
+    line = fleet.processes.wait_for_ready_line(PROXY)
+    links = line["addresses"]
+    assert isinstance(links, dict)
+    fleet.addresses.update(links)
+    return str(line["address"])
+
+
+def launch(zones: Zones, name: str, more: dict[str, str] | None = None) -> None:
+    """Start a watch or an entry under the address of its link."""
+    fleet = zones.fleet
+    role, zone, _number = name.split("-")
+    link = f"to-{name}"
+    shown = put_links(zones, {link: {"target": NOWHERE}})
+    zones.links.add(link)
+    values = {"name": name, "zone": zone, "listen": ANY_PORT}
+    values["advertise"] = shown[link]["address"]
+    if role == "watch":
+        values["platform"] = fleet.addresses[f"{PLATFORM}-{zone}"]
+    else:
+        watch = name.replace(role, "watch", 1)
+        values["watch"] = fleet.addresses[f"own-{watch}"]
+    path = fleet.plan.folder / "processes" / f"{name}.ini"
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(ini_text({"process": values | (more or {})}), "utf-8")
+    fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
+    fleet.addresses[name] = fleet.processes.wait_for_address(name)
+    own = own_address(fleet, name)
+    fleet.addresses[f"own-{name}"] = own
+    put_links(zones, {link: {"target": own}})
+
+
+def own_address(fleet: Fleet, name: str) -> str:
+    """Return where a process listens, beside the address that it advertises."""
+    return str(fleet.processes.wait_for_ready_line(name)["listen"])
+
+
+def put_links(zones: Zones, links: dict[str, dict[str, Any]]) -> dict[str, Any]:
+    """Change or add links and return them."""
+    reply = call(zones.proxy, "PUT", "/links", {"links": links})
+    assert reply.status == 200, reply.body
+    changed: dict[str, Any] = reply.document["links"]
+    return changed
+
+
+def cut_zone(zones: Zones, zone: str, mode: str = "cut") -> None:
+    """Cut ``zone`` off from the platform and from the one other zone."""
+    between = [name for name in zones.links if name.startswith("to-")]
+    names = [f"{PLATFORM}-{zone}", *between]
+    put_links(zones, {name: {"mode": mode} for name in names})
+
+
+def heal_zone(zones: Zones, zone: str) -> None:
+    """Let everything pass again."""
+    cut_zone(zones, zone, "pass")
+
+
+def platform_behaviour(fleet: Fleet, **fields: Any) -> None:
+    """Give the platform a fault, or take it away."""
+    control = fleet.addresses["platform-control"]
+    reply = call(control, "POST", "/standin/behaviour", fields)
+    assert reply.status == 200, reply.body
+
+
+def server_behaviour(fleet: Fleet, server: str, **fields: Any) -> None:
+    """Give a backend server a fault, or take it away."""
+    reply = call(fleet.addresses[server], "POST", "/standin/behaviour", fields)
+    assert reply.status == 200, reply.body
+
+
+def ledger(fleet: Fleet, server: str) -> dict[str, Any]:
+    """Return the ledger of a backend server."""
+    document: dict[str, Any] = call(
+        fleet.addresses[server], "GET", "/standin/ledger"
+    ).document
+    return document
+
+
+def status_of(fleet: Fleet, name: str) -> dict[str, Any]:
+    """Return the status of an entry or a watch, asked at its own address."""
+    address = fleet.addresses[f"own-{name}"]
+    document: dict[str, Any] = call(address, "GET", "/v1/status").document
+    return document
+
+
+def let_pass(seconds: float) -> None:
+    """Wait until a period of the test is over."""
+    end = time.monotonic() + seconds
+    wait_until(lambda: time.monotonic() >= end, "the period is over")
+
+
+def send_request(
+    address: str,
+    pipeline: str,
+    request_id: str,
+    value: Any,
+    *,
+    deadline_ms: int = 8_000,
+    ticket: str = "",
+) -> Sent:
+    """Send one request on a connection of its own; a broken one gives status 0."""
+    headers = {
+        "Authorization": f"Bearer {workspace_key(WORKSPACE_OF[pipeline])}",
+        "Bramleyturn-Deadline-Ms": str(deadline_ms),
+        "Bramleyturn-Request-Id": request_id,
+        "Content-Type": "application/json",
+    }
+    if ticket:
+        headers["Bramleyturn-Ticket"] = ticket
+    connection = connect(address)
+    try:
+        connection.connect()
+    except OSError as error:
+        connection.close()
+        return Sent(address, request_id, 0, {}, f"not connected: {error}")
+    try:
+        path = f"/v1/pipelines/{pipeline}/requests"
+        connection.request("POST", path, json.dumps({"input": value}), headers)
+        reply = receive(connection)
+    except (OSError, HTTPException) as error:
+        return Sent(address, request_id, 0, {}, f"cut: {type(error).__name__} {error}")
+    finally:
+        connection.close()
+    if reply.status == 428 and not ticket:
+        return send_request(
+            address,
+            pipeline,
+            request_id,
+            value,
+            deadline_ms=deadline_ms,
+            ticket=ticket_of(reply),
+        )
+    return Sent(address, request_id, reply.status, reply.document, "")
+
+
+def ticket_of(reply: Reply) -> str:
+    """Return the ticket that an answer offers."""
+    return str(reply.document["ticket"])
+
+
+class SteadyLoad:
+    """Send requests to each of some addresses from a thread of its own."""
+
+    def __init__(self, addresses: dict[str, str], pipelines: tuple[str, ...]) -> None:
+        self.addresses = addresses
+        self.pipelines = pipelines
+        self.sent: list[Sent] = []
+        self.ending = threading.Event()
+        self.threads = [
+            threading.Thread(target=self._run, args=(name,), daemon=True)
+            for name in addresses
+        ]
+
+    def __enter__(self) -> "SteadyLoad":
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.ending.set()
+        for thread in self.threads:
+            thread.join()
+
+    def _run(self, name: str) -> None:
+        number = 0
+        while not self.ending.is_set():
+            number += 1
+            pipeline = self.pipelines[number % len(self.pipelines)]
+            request_id = f"{name}-{number}"
+            address = self.addresses[name]
+            self.sent.append(
+                send_request(address, pipeline, request_id, f"text {request_id}")
+            )
+            self.ending.wait(LOAD_PAUSE_S)
+
+
+def plan_of(folder: Path, entries_per_zone: int = 1, **more: Any) -> FleetPlan:
+    """Return a plan of two zones."""
+    return FleetPlan(
+        folder,
+        zones=("duluth", "milwaukee"),
+        entries_per_zone=entries_per_zone,
+        **more,
+    )
--- a/tests/standin/test_backends.py
+++ b/tests/standin/test_backends.py
@@ -82,6 +82,8 @@
         attempt_id = new_id()
         reply = servers.run("retriever", "x", attempt_id=attempt_id)
         assert (reply.status, reply.document["not_started"]) == (503, True)
+        said = reply.document.get("state")
+        assert said == ("leaving" if fault == "leaving" else None)
         assert servers.runs("retriever", attempt_id) == []
         state = servers.get("retriever", "/v1/load")["state"]
         assert state == ("leaving" if fault == "leaving" else "live")
