--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -41,6 +41,9 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
+from bramleyturn.runtime.logs import error_fields, note_revision
+from bramleyturn.runtime.memory import freeze_start_up_objects
+from bramleyturn.runtime.openapi import openapi_api
 from bramleyturn.runtime.peer_client import (
     MESSAGE_PATH,
     Identity,
@@ -48,7 +51,6 @@
     say_hello,
 )
 from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
-from bramleyturn.runtime.timeline_api import timeline_api
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
@@ -108,7 +110,7 @@
     lifecycle = new_lifecycle(
         Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
     )
-    add_routes(loop, app, lifecycle)
+    add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
     print_ready(me.address, listen=address)
@@ -133,12 +135,12 @@
     return loaded
 
 
-def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle) -> None:
+def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle, watch: str) -> None:
     """Add every route of an entry process to ``app``."""
     callers_api(loop, app)
     peers_api(loop, app)
-    status_api(loop, app)
-    timeline_api(app, loop.state.name, loop.state.timeline, loop.clock)
+    status_api(loop, app, watch, lifecycle.asked_to_stop)
+    openapi_api(app, "callers")
 
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
@@ -155,8 +157,11 @@
     client = http_client(loop.reactor)
 
     def accept(configuration: Configuration) -> None:
+        note_revision(configuration.revision)
         loop.access = access_table(configuration)
         feed(loop, ConfigurationAccepted(configuration))
+        if not lifecycle.is_ready():
+            freeze_start_up_objects()
         lifecycle.configured()
 
     for work in (
@@ -172,7 +177,7 @@
 
 def log_end(failure: Any) -> None:
     """Log that something that should run for ever has ended."""
-    logger.error("a background loop ended", extra={"error": str(failure)})
+    logger.error("a background loop ended", extra=error_fields(failure.value))
 
 
 def take_list(loop: EntryLoop, found: InstanceList) -> None:
