Cut off no request and keep outcomes when a process ends

From SIGTERM on answers say `Connection: close`; at the end the address is closed, idle connections are closed, and the loop stops once every open answer is written (entry, watch and admin alike), where it stopped after a fixed delay before.

--- a/src/bramleyturn/core/peer_message.py
+++ b/src/bramleyturn/core/peer_message.py
@@ -23,6 +23,7 @@
     REVOKE = "revoke"
     OUTCOME = "outcome"
     LOOKUP = "lookup"
+    KEEP = "keep"
 
 
 class PeerMessage(NamedTuple):
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -1,7 +1,7 @@
 """Run the administration process of an availability zone."""
 
 from dataclasses import dataclass
-from typing import Annotated, Any, Final
+from typing import Annotated, Any
 
 import cappa
 from twisted.internet import reactor
@@ -14,17 +14,16 @@
 from bramleyturn.programs.start import read_settings, run
 from bramleyturn.runtime.admin_api import admin_api
 from bramleyturn.runtime.admin_gather import AdminLoop
-from bramleyturn.runtime.http_server import listen, print_ready
+from bramleyturn.runtime.http_server import OpenServer, open_server, print_ready
 from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.logs import note_revision
+from bramleyturn.runtime.shutdown import end_when_answered
 from bramleyturn.runtime.watch_client import (
     InstanceList,
     follow_configuration,
     follow_instances,
 )
 
-STOP_DELAY_S: Final = 0.05
-
 
 @dataclass
 class Admin:
@@ -52,13 +51,21 @@
     loop = AdminLoop(
         reactor, clock, settings.zone, settings.watch, empty_configuration()
     )
-    address = listen(reactor, admin_api(loop), settings.listen)
+    server = open_server(reactor, admin_api(loop), settings.listen)
     follow(loop)
-    stop_on_signals(reactor, lambda: reactor.callLater(STOP_DELAY_S, reactor.stop))
-    print_ready(settings.advertise or address)
+    stop_on_signals(reactor, lambda: stop(loop, server))
+    print_ready(settings.advertise or server.address, listen=server.address)
     return loop
 
 
+def stop(loop: AdminLoop, server: OpenServer) -> None:
+    """Answer those who asked and end."""
+    if loop.is_stopped:
+        return
+    loop.is_stopped = True
+    end_when_answered(loop.reactor, server)
+
+
 def follow(loop: AdminLoop) -> None:
     """Start following the watch."""
 
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -32,8 +32,14 @@
 from bramleyturn.runtime.callers_api import callers_api
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.entry_status import status_api
+from bramleyturn.runtime.handing_over import end_entry
 from bramleyturn.runtime.http_client import http_client
-from bramleyturn.runtime.http_server import json_answer, listen, print_ready
+from bramleyturn.runtime.http_server import (
+    OpenServer,
+    json_answer,
+    open_server,
+    print_ready,
+)
 from bramleyturn.runtime.lifecycle import (
     Ending,
     Lifecycle,
@@ -62,7 +68,6 @@
 HELLO_INTERVAL_S: Final = 0.5
 HELLO_PEERS: Final = 3
 DRAIN_CHECK_S: Final = 0.05
-LEAVE_DELAY_S: Final = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -87,10 +92,12 @@
     """Start an entry process that waits for its first configuration."""
     app = Klein()
     configuration = empty_configuration()
-    address = listen(
+    server = open_server(
         reactor, app, settings.listen, lambda path: body_limit(state, path)
     )
-    me = ProcessRef(settings.advertise or address, secrets.token_hex(INCARNATION_BYTES))
+    me = ProcessRef(
+        settings.advertise or server.address, secrets.token_hex(INCARNATION_BYTES)
+    )
     state = entry_state(
         settings.name,
         settings.zone,
@@ -108,12 +115,15 @@
     )
     loop = EntryLoop(reactor, clock, state, peers)
     lifecycle = new_lifecycle(
-        Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
+        Ending(
+            drain=lambda: drain(loop, lifecycle, server),
+            end=lambda: leave(loop, server),
+        )
     )
     add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
-    print_ready(me.address, listen=address)
+    print_ready(me.address, listen=server.address)
     return loop
 
 
@@ -208,8 +218,9 @@
         )
 
 
-def drain(loop: EntryLoop, lifecycle: Lifecycle) -> None:
+def drain(loop: EntryLoop, lifecycle: Lifecycle, server: OpenServer) -> None:
     """Take nothing new and end once nothing is in flight."""
+    server.site.is_closing = True
     feed(loop, DrainOrdered())
     checking = LoopingCall(lambda: end_when_idle(loop, lifecycle, checking))
     checking.start(DRAIN_CHECK_S)
@@ -223,9 +234,15 @@
     lifecycle.finished()
 
 
-def leave(loop: EntryLoop) -> None:
-    """Stop the loop after the last answers have been written."""
-    loop.reactor.callLater(LEAVE_DELAY_S, loop.reactor.stop)
+def leave(loop: EntryLoop, server: OpenServer) -> None:
+    """Hand over what is kept and stop the loop once every answer is written."""
+    Deferred.fromCoroutine(end_entry(loop, server)).addErrback(end_anyway, loop)
+
+
+def end_anyway(failure: Any, loop: EntryLoop) -> None:
+    """Stop the loop although ending in good order failed."""
+    log_end(failure)
+    loop.reactor.stop()
 
 
 def main() -> None:
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -12,8 +12,9 @@
 from bramleyturn.platform.watch_loop import WatchLoop, start_watching
 from bramleyturn.programs.start import read_settings, run
 from bramleyturn.runtime.http_client import http_client
-from bramleyturn.runtime.http_server import listen, print_ready
+from bramleyturn.runtime.http_server import OpenServer, open_server, print_ready
 from bramleyturn.runtime.lifecycle import stop_on_signals
+from bramleyturn.runtime.shutdown import end_when_answered
 
 
 @dataclass
@@ -36,20 +37,22 @@
             settings.platform,
             Random(),
         )
-        address = listen(reactor, watch_api(loop), settings.listen)
+        server = open_server(reactor, watch_api(loop), settings.listen)
         start_watching(loop)
-        stop_on_signals(reactor, lambda: stop(loop))
-        print_ready(settings.advertise or address, listen=address)
+        stop_on_signals(reactor, lambda: stop(loop, server))
+        print_ready(settings.advertise or server.address, listen=server.address)
         run(reactor)
 
 
-def stop(loop: WatchLoop) -> None:
+def stop(loop: WatchLoop, server: OpenServer) -> None:
     """Answer those who wait and end."""
+    if loop.is_stopped:
+        return
     loop.is_stopped = True
     for waiter in loop.waiting:
         waiter.callback(None)
     loop.waiting = []
-    loop.reactor.callLater(0.05, loop.reactor.stop)
+    end_when_answered(loop.reactor, server)
 
 
 def main() -> None:
--- a/src/bramleyturn/runtime/admin_gather.py
+++ b/src/bramleyturn/runtime/admin_gather.py
@@ -36,6 +36,7 @@
         self.client = http_client(reactor)
         self.instances: tuple[ListedInstance, ...] = ()
         self.instances_at_ms: int | None = None
+        self.is_stopped = False
 
 
 def instances_age_ms(loop: AdminLoop) -> int | None:
--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -90,6 +90,7 @@
         """Count a new connection and refuse it where there are too many."""
         super().connectionMade()
         self.factory.connections += 1
+        self.factory.channels.add(self)
         if self.factory.connections > MAX_CONNECTIONS:
             self.transport.loseConnection()
 
@@ -102,6 +103,7 @@
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Count a connection as closed."""
         self.factory.connections -= 1
+        self.factory.channels.discard(self)
         self._request_complete()
         super().connectionLost(reason)
 
@@ -110,6 +112,24 @@
         self._request_complete()
         super().allContentReceived()
 
+    def checkPersistence(self, request: Any, version: bytes) -> bool:  # noqa: N802
+        """Tell whether the connection stays open after the answer to ``request``."""
+        if self.factory.is_closing:
+            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            return False
+        return bool(super().checkPersistence(request, version))
+
+    def requestDone(self, request: Any) -> None:  # noqa: N802
+        """Close the connection after an answer while the site closes."""
+        super().requestDone(request)
+        if self.factory.is_closing:
+            self.close_if_idle()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being sent or answered."""
+        if not self.requests and self._whole_request is None:
+            self.transport.loseConnection()
+
     def _request_complete(self) -> None:
         if self._whole_request is not None and self._whole_request.active():
             self._whole_request.cancel()
@@ -129,11 +149,19 @@
     def __init__(self, resource: Resource, body_limit: BodyLimit) -> None:
         super().__init__(resource, timeout=IDLE_TIMEOUT_S)
         self.connections = 0
+        self.channels: set[Any] = set()
+        self.is_closing = False
         self.body_limit = body_limit
         self.displayTracebacks = False
         self.noisy = False
         self.requestFactory = BoundedRequest
         self.protocol = BoundedChannel
 
+    def close_idle(self) -> None:
+        """Close idle connections now, and every other one after its answer."""
+        self.is_closing = True
+        for channel in tuple(self.channels):
+            channel.close_if_idle()
+
     def log(self, request: Any) -> None:
         """Write no access log: requests stand on the time line."""
--- a/src/bramleyturn/runtime/http_server.py
+++ b/src/bramleyturn/runtime/http_server.py
@@ -1,7 +1,7 @@
 """Serve HTTP with JSON."""
 
 import sys
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import orjson
 from klein import Klein
@@ -19,13 +19,31 @@
 JSON_TYPE: Final = "application/json"
 
 
+class OpenServer(NamedTuple):
+    """Hold an address that is served and what it takes to close it."""
+
+    address: str
+    port: Any
+    site: BoundedSite
+
+
 def listen(
     reactor: Any,
     app: Klein,
     address: str,
     body_limit: BodyLimit = lambda _path: MAX_BODY_BYTES,
 ) -> str:
-    """Serve ``app`` and return the address on which it listens.
+    """Serve ``app`` until the process ends; return the address."""
+    return open_server(reactor, app, address, body_limit).address
+
+
+def open_server(
+    reactor: Any,
+    app: Klein,
+    address: str,
+    body_limit: BodyLimit = lambda _path: MAX_BODY_BYTES,
+) -> OpenServer:
+    """Serve ``app`` at ``address``.
 
     Port 0 takes any free port. A request whose body is above ``body_limit`` of its
     path is refused while it arrives.
@@ -37,7 +55,7 @@
         raise ValueError(f"no address: {address}")
     port = reactor.listenTCP(wanted.port, site, interface=wanted.host)
     bound = port.getHost()
-    return f"{bound.host}:{bound.port}"
+    return OpenServer(f"{bound.host}:{bound.port}", port, site)
 
 
 def answer_unknown_routes(app: Klein) -> None:
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -14,6 +14,7 @@
     RequestArrived,
     WaiterGone,
 )
+from bramleyturn.core.handover import take_batch
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.outcome_json import outcome_document
 from bramleyturn.core.peer_message import (
@@ -110,6 +111,8 @@
             return run_forwarded(loop, message.body)
         case MessageKind.LOOKUP:
             return succeed(look_up_here(loop, message.body))
+        case MessageKind.KEEP:
+            return succeed(keep_here(loop, message.body))
     asked = _BACKUP_PARSERS[message.kind](message.body)
     if asked is None:
         return succeed(None)
@@ -219,3 +222,13 @@
     if isinstance(found, StillRunning):
         return {"state": "running"}
     return {"state": "ended", "outcome": outcome_document(request_id, found)}
+
+
+def keep_here(loop: EntryLoop, body: Any) -> dict[str, Any] | None:
+    """Keep the outcomes of a process that ends, unless this one ends too."""
+    if loop.state.is_draining:
+        return {"taken": 0}
+    batch = body.get("outcomes") if isinstance(body, dict) else None
+    most_ms = loop.state.configuration.limits.kept_outcome_ms
+    taken = take_batch(loop.state.kept, batch, most_ms, loop.clock.monotonic_ms())
+    return None if taken is None else {"taken": taken}
--- a/tests/proofs/zones.py
+++ b/tests/proofs/zones.py
@@ -14,6 +14,7 @@
 from typing import Any, Final, NamedTuple
 
 from scripts.fleet import (
+    OPERATORS,
     PLATFORM,
     Fleet,
     FleetPlan,
@@ -163,7 +164,15 @@
 def status_of(fleet: Fleet, name: str) -> dict[str, Any]:
     """Return the status of an entry or a watch, asked at its own address."""
     address = fleet.addresses[f"own-{name}"]
-    document: dict[str, Any] = call(address, "GET", "/v1/status").document
+    connection = connect(address)
+    try:
+        key = {"Authorization": f"Bearer {workspace_key(OPERATORS)}"}
+        connection.request("GET", "/v1/status", headers=key)
+        reply = receive(connection)
+    finally:
+        connection.close()
+    assert reply.status == 200, reply.body
+    document: dict[str, Any] = reply.document
     return document
 
 
