--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -75,6 +75,7 @@
 
     NOT_CONNECTED = "not_connected"
     NOT_STARTED = "not_started"
+    RESUME_REFUSED = "resume_refused"
     ERROR_ANSWER = "error_answer"
     LOST = "lost"
     CUT = "cut"
@@ -157,12 +158,26 @@
 
 
 class PeerSeen(NamedTuple):
-    """Another entry process answered and named its incarnation."""
+    """Another entry process sent a signed message meant for this very process.
+
+    ``revision`` is the configuration that it has in force. ``body`` is the content of
+    a greeting, None for any other message.
+    """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    revision: int = 0
+    body: Any = None
+
+
+class PeerIntroduced(NamedTuple):
+    """An entry process that does not know this one's incarnation sent a message."""
+
+    name: str
+    zone: str
+    address: str
 
 
 class PeerSilent(NamedTuple):
@@ -229,6 +244,7 @@
     | ServersListed
     | PeersListed
     | PeerSeen
+    | PeerIntroduced
     | PeerSilent
     | BackupAnswered
     | BackupSilent
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -15,6 +15,7 @@
     request_admission,
 )
 from bramleyturn.core.attempt_results import cancel_attempts
+from bramleyturn.core.budgets import free_budget, hold_budget
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
 from bramleyturn.core.kept import (
@@ -48,6 +49,7 @@
 TYPICAL_PERCENTILE: Final = 50
 DRAIN_RETRY_AFTER_MS: Final = 1_000
 DEADLINE_RETRY_AFTER_MS: Final = 1_000
+CRASHES_SERVERS: Final = "input_crashes_servers"
 
 
 def digest_input(pipeline: str, packed: bytes) -> bytes:
@@ -143,13 +145,13 @@
             now_ms,
         )
         if isinstance(found, Convicted):
-            return Outcome(OutcomeKind.FAILED, "input_crashes_servers")
+            return Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
     left_ms = request.deadline_at_ms - now_ms
     if not can_finish(
         state.latencies, request.pipeline, request.pipeline.stages, left_ms
     ):
         return not_run("deadline_too_short", DEADLINE_RETRY_AFTER_MS)
-    return None
+    return hold_budget(state, request, now_ms)
 
 
 def admit_request(
@@ -240,7 +242,7 @@
 ) -> list[Action]:
     """Try a broken stage again, or give the request up at once."""
     if may_try_again(state, request, progress, reason, now_ms):
-        schedule_retry(state, request, progress, now_ms)
+        schedule_retry(state, request, progress, reason, now_ms)
         return []
     return give_up(state, request, str(reason), retry_after_ms, now_ms)
 
@@ -261,6 +263,19 @@
     return end_request(state, request, outcome, now_ms)
 
 
+def refuse_convicted(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> list[Action]:
+    """End a request one of whose inputs crashes backend servers.
+
+    The outcome is final even if nothing ran here: another try would crash another.
+    """
+    if overall_kind(request) is OutcomeKind.UNKNOWN:
+        return give_up(state, request, CRASHES_SERVERS, None, now_ms)
+    outcome = Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
+    return end_request(state, request, outcome, now_ms)
+
+
 def end_request(
     state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
 ) -> list[Action]:
@@ -273,6 +288,7 @@
     outcome = outcome._replace(
         stages=stage_outcomes(request, now_ms), cost_micros=request.cost_micros
     )
+    free_budget(state, request, now_ms)
     outcome, copies = finish_ticket(state, request, outcome)
     forget_running(state, request)
     keep_request_outcome(state, request, outcome, now_ms)
--- a/src/bramleyturn/core/routing_table.py
+++ b/src/bramleyturn/core/routing_table.py
@@ -20,6 +20,7 @@
         "held_alone",
         "is_listed_leaving",
         "left_ms",
+        "live_ms",
         "load",
         "outlier",
         "server",
@@ -31,6 +32,7 @@
         self.outlier = outlier
         self.left_ms: int | None = None
         self.is_listed_leaving = False
+        self.live_ms = NEVER_MS
         self.heard_ms = NEVER_MS
         self.busy_until_ms = 0
         self.held_alone = False
@@ -106,10 +108,10 @@
     """Give the server no new work from now on.
 
     ``is_listed`` tells that the platform's list says so: then the server's own
-    reports can't bring it back.
+    reports can't bring it back. A hint from before it was shown live changes nothing.
     """
     state = table.servers.get(name)
-    if state is None:
+    if state is None or (now_ms < state.live_ms and not is_listed):
         return
     state.is_listed_leaving = state.is_listed_leaving or is_listed
     listed = state.left_ms is None
@@ -128,6 +130,7 @@
     if state is None or state.left_ms is None or shown_ms <= state.left_ms:
         return
     state.left_ms = None
+    state.live_ms = shown_ms
     state.is_listed_leaving = False
     start_fresh(state.outlier, now_ms)
     list_candidates(table, table.pools[state.server.pool])
--- a/src/bramleyturn/core/schema_operation.py
+++ b/src/bramleyturn/core/schema_operation.py
@@ -70,7 +70,7 @@
             types.integer(1, 10),
             "attempts",
             "3",
-            "Attempts of one stage of one request, the first included.",
+            "Attempts of one stage of one request that reached a server.",
         ),
         Key(
             "hedge_percentile",
@@ -187,7 +187,7 @@
             types.optional(types.secret()),
             "",
             "",
-            "The key before, accepted while keys are rotated.",
+            "The key before, which signs too and is accepted during a rotation.",
             secret=True,
         ),
         Key(
--- a/src/bramleyturn/core/server_confirmation.py
+++ b/src/bramleyturn/core/server_confirmation.py
@@ -37,11 +37,11 @@
     return asked
 
 
-def server_silent(table: RoutingTable, name: str, now_ms: int) -> None:
-    """Write down that a server gave no load report when it was asked.
+def confirm_server(table: RoutingTable, name: str, now_ms: int) -> None:
+    """Take a server for heard: it answered for itself, or was asked in vain.
 
-    It is no longer held back: one that can't be reached gets no work either, and one
-    that tells no load answers for itself when work is sent.
+    One that can't be reached gets no work either, and one that tells no load answers
+    for itself when work is sent. What others report of a server confirms nothing.
     """
     state = table.servers.get(name)
     if state is not None:
--- a/src/bramleyturn/platform/reader.py
+++ b/src/bramleyturn/platform/reader.py
@@ -1,5 +1,6 @@
 """Read the platform's configuration service and instance list."""
 
+from collections.abc import Callable
 from typing import Any, Final
 
 from treq.client import HTTPClient
@@ -28,6 +29,7 @@
     after: int,
     wait_ms: int,
     key: str = "",
+    count: Callable[[int], None] = lambda _size: None,
 ) -> PublishedFolder | PlatformFailed:
     """Return the folder at ``url``, held back until it is newer than ``after``.
 
@@ -43,6 +45,7 @@
         f"{url}{query}",
         headers={TARGET_MAC_HEADER: target_mac(target, key)} if key else None,
         timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+        count=count,
     )
     document = usable_document(answer)
     if isinstance(document, PlatformFailed):
@@ -51,10 +54,15 @@
 
 
 async def read_instances(
-    client: HTTPClient, reactor: Any, url: str
+    client: HTTPClient,
+    reactor: Any,
+    url: str,
+    count: Callable[[int], None] = lambda _size: None,
 ) -> tuple[ListedInstance, ...] | PlatformFailed:
     """Return the instance list at ``url``."""
-    answer = await call_json(client, reactor, "GET", url, timeout_ms=CALL_TIMEOUT_MS)
+    answer = await call_json(
+        client, reactor, "GET", url, timeout_ms=CALL_TIMEOUT_MS, count=count
+    )
     document = usable_document(answer)
     if isinstance(document, PlatformFailed):
         return document
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -9,7 +9,7 @@
 
 from bramleyturn.core.clock import system_clock
 from bramleyturn.platform.watch_api import watch_api
-from bramleyturn.platform.watch_loop import WatchLoop, start_watching
+from bramleyturn.platform.watch_loop import WatchLoop, start_watching, wake_all
 from bramleyturn.programs.start import read_settings, run
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.http_server import OpenServer, open_server, print_ready
@@ -49,9 +49,8 @@
     if loop.is_stopped:
         return
     loop.is_stopped = True
-    for waiter in loop.waiting:
-        waiter.callback(None)
-    loop.waiting = []
+    wake_all(loop.waiting)
+    wake_all(loop.waiting_for_list)
     end_when_answered(loop.reactor, server)
 
 
--- a/src/bramleyturn/runtime/entry_status.py
+++ b/src/bramleyturn/runtime/entry_status.py
@@ -15,6 +15,7 @@
 from bramleyturn.runtime.entry_loop import EntryLoop
 from bramleyturn.runtime.http_server import json_answer, problem
 from bramleyturn.runtime.operator_access import refuse_others
+from bramleyturn.runtime.peer_client import Traffic
 from bramleyturn.runtime.timeline_api import after_argument, timeline_document
 from bramleyturn.runtime.twisted_types import HttpRequest
 
@@ -36,7 +37,7 @@
         return for_operators(
             loop,
             request,
-            lambda: status_document(loop.state, loop.clock.monotonic_ms()),
+            lambda: status_document(loop, loop.clock.monotonic_ms()),
         )
 
     @app.route("/v1/cost", methods=["GET"])
@@ -116,8 +117,9 @@
     return name
 
 
-def status_document(state: EntryState, now_ms: int) -> dict[str, Any]:
+def status_document(loop: EntryLoop, now_ms: int) -> dict[str, Any]:
     """Return the state of an entry process in numbers."""
+    state = loop.state
     return {
         "name": state.name,
         "role": "entry",
@@ -134,6 +136,7 @@
         "tickets_held": len(state.primary_tickets.records),
         "backup_records": len(state.backup_tickets.records),
         "counters": asdict(state.counters),
+        "messages": traffic_document(loop.peers.traffic),
         "peers": [peer._asdict() for peer in state.peers.by_address.values()],
         "servers": [
             server_document(server, now_ms) for server in state.routing.servers.values()
@@ -141,6 +144,15 @@
     }
 
 
+def traffic_document(traffic: Traffic) -> dict[str, dict[str, int]]:
+    """Return the messages between entry processes so far, by kind."""
+    return {
+        "count": dict(traffic.messages),
+        "bytes": dict(traffic.bytes),
+        "refused": dict(traffic.refused),
+    }
+
+
 def server_document(server: ServerState, now_ms: int) -> dict[str, Any]:
     """Return what is known of one backend server."""
     ejected_until_ms = server.outlier.ejected_until_ms
