--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -32,6 +32,7 @@
 HTTP_TIMEOUT_S: Final = 10.0
 PLATFORM: Final = "platform"
 CONTROL: Final = "platform-control"
+FAULT_PROXY: Final = "faultproxy"
 
 
 class FleetPlan(NamedTuple):
@@ -40,7 +41,9 @@
     ``separate_servers`` gives each backend server a process of its own, named after
     it, so that one can be killed alone. ``extra_files`` are published beside those
     of ``settings`` and may override single keys. ``standin_values`` are further
-    keys of every backend server stand-in.
+    keys of every backend server stand-in, ``process_values`` of every other process.
+    With ``fault_links`` the entries reach each backend server over a link of a fault
+    proxy that is named after it.
     """
 
     folder: Path
@@ -51,6 +54,8 @@
     settings: Path = LAKESHORE
     extra_files: Mapping[str, str] = {}
     standin_values: Mapping[str, str] = {}
+    process_values: Mapping[str, str] = {}
+    fault_links: bool = False
 
 
 class Instance(NamedTuple):
@@ -70,6 +75,7 @@
         self.plan = plan
         self.processes = ProcessGroup(plan.folder / "logs")
         self.addresses: dict[str, str] = {}
+        self.links: dict[str, str] = {}
         self.servers: tuple[FleetServer, ...] = ()
         self.files: dict[str, str] = {}
         self.leaving: set[str] = set()
@@ -145,7 +151,10 @@
     fleet.servers = servers_in_zones(fleet.files, plan.zones)
     _start_servers(fleet)
     _start_platform(fleet)
-    fleet.files[SERVERS_FILE] = published_servers_text(fleet.servers, fleet.addresses)
+    if plan.fault_links:
+        _start_fault_links(fleet)
+    addresses = {**fleet.addresses, **fleet.links}
+    fleet.files[SERVERS_FILE] = published_servers_text(fleet.servers, addresses)
     publish_files(fleet)
 
 
@@ -257,6 +266,23 @@
     fleet.addresses.update(addresses)
 
 
+def _start_fault_links(fleet: Fleet) -> None:
+    sections = {
+        f"link {server.name}": {
+            "listen": ANY_PORT,
+            "target": fleet.addresses[server.name],
+        }
+        for server in fleet.servers
+    }
+    text = ini_text({"control": {"listen": ANY_PORT}, **sections})
+    _start(fleet, FAULT_PROXY, "faultproxy", text)
+    ready = fleet.processes.wait_for_ready_line(FAULT_PROXY)
+    addresses = ready["addresses"]
+    assert isinstance(addresses, dict)
+    fleet.links = addresses
+    fleet.addresses[FAULT_PROXY] = str(ready["address"])
+
+
 def _start_platform(fleet: Fleet) -> None:
     text = ini_text({"platform": {"listen": ANY_PORT, "control": ANY_PORT}})
     _start(fleet, PLATFORM, "standin", text)
@@ -286,7 +312,7 @@
         values["platform"] = fleet.addresses[PLATFORM]
     else:
         values["watch"] = fleet.addresses[name.replace(role, "watch", 1)]
-    return ini_text({"process": values})
+    return ini_text({"process": {**values, **fleet.plan.process_values}})
 
 
 def _start(fleet: Fleet, name: str, role: str, text: str) -> None:
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -1,12 +1,12 @@
 """Call other processes over HTTP with JSON."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
 import orjson
 import treq
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
@@ -21,7 +21,7 @@
     Agent,
     HTTPConnectionPool,
 )
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from bramleyturn.runtime.errors import CallFailed, CallFailure
@@ -69,14 +69,44 @@
         return TCP4ClientEndpoint(self.reactor, host, uri.port, CONNECT_TIMEOUT_S)
 
 
+@implementer(IBodyProducer)
+class WholeBody:
+    """Write a body in the turn in which its request is written."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: N802
+        """Write everything at once."""
+        consumer.write(self.body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything is written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything is written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: everything is written."""
+
+
 def http_client(reactor: Any) -> HTTPClient:
     """Return a client that never sends a request a second time by itself."""
+    return HTTPClient(http_agent(reactor))
+
+
+def http_agent(reactor: Any) -> Any:
+    """Return what ``http_client`` is built on, for calls that are made often.
+
+    It knows neither cookies nor compressed answers, and saves their cost.
+    """
     pool = HTTPConnectionPool(reactor, persistent=True)
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
     pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-    agent: Any = Agent.usingEndpointFactory(reactor, IpEndpoints(reactor), pool)
-    return HTTPClient(agent)
+    return Agent.usingEndpointFactory(reactor, IpEndpoints(reactor), pool)
 
 
 class PermissionRefusedError(ConnectError):
@@ -117,12 +147,12 @@
         return GuardedEndpoint(self.endpoints.endpointForURI(uri), self.may_write)
 
 
-def guarded_client(reactor: Any, may_write: Callable[[], bool]) -> HTTPClient:
-    """Return a client for one request that asks once its connection is open."""
+def guarded_agent(reactor: Any, may_write: Callable[[], bool]) -> Any:
+    """Return an agent for one request that asks once its connection is open."""
     pool = HTTPConnectionPool(reactor, persistent=False)
     pool.retryAutomatically = False
     endpoints = GuardedEndpoints(reactor, may_write)
-    return HTTPClient(Agent.usingEndpointFactory(reactor, endpoints, pool))
+    return Agent.usingEndpointFactory(reactor, endpoints, pool)
 
 
 async def call_bytes(
@@ -132,7 +162,7 @@
     url: str,
     *,
     body: bytes | None = None,
-    headers: HeaderMap | None = None,
+    headers: Mapping[str, str] | None = None,
     timeout_ms: int,
 ) -> BytesAnswer | CallFailed:
     """Send one request and return its answer, or how far the call came.
@@ -157,12 +187,12 @@
     method: str,
     url: str,
     body: bytes | None,
-    headers: HeaderMap | None,
+    headers: Mapping[str, str] | None,
 ) -> BytesAnswer:
     """Send one request and read its answer to the end."""
-    all_headers = dict(headers or {})
-    if body is not None:
-        all_headers |= JSON_HEADERS
+    all_headers: HeaderMap = JSON_HEADERS.copy() if body is not None else {}
+    for name, value in (headers or {}).items():
+        all_headers[name] = value
     response = await client.request(
         method, url, data=body, headers=all_headers, allow_redirects=False
     )
@@ -183,7 +213,7 @@
     url: str,
     *,
     body: bytes | None = None,
-    headers: HeaderMap | None = None,
+    headers: Mapping[str, str] | None = None,
     timeout_ms: int,
 ) -> JsonAnswer | CallFailed:
     """Send one request and return its JSON answer, or how far the call came."""
