--- a/src/bramleyturn/core/actions.py
+++ b/src/bramleyturn/core/actions.py
@@ -50,6 +50,15 @@
     server: Server
 
 
+class ProbeServer(NamedTuple):
+    """Ask a backend server for a sign of life and report ``ServerAlive`` for one.
+
+    A connection to it was lost, but one that only closed it has not crashed.
+    """
+
+    server: Server
+
+
 class Answer(NamedTuple):
     """Give a waiting caller the outcome of its request."""
 
@@ -129,6 +138,7 @@
     | ForwardAnswer
     | AnswerAsBackup
     | CancelOrphan
+    | ProbeServer
     | CancelAttempt
     | Answer
     | TicketNeeded
--- a/src/bramleyturn/core/answers.py
+++ b/src/bramleyturn/core/answers.py
@@ -1,9 +1,14 @@
 """Take in what backend servers send, and go on with their requests."""
 
-from bramleyturn.core.actions import Action, CancelAttempt
+from bramleyturn.core.actions import Action, CancelAttempt, ProbeServer
 from bramleyturn.core.attempt_results import attempt_broke, output_arrived
 from bramleyturn.core.entry_state import EntryState
-from bramleyturn.core.events import AttemptBroke, OutputArrived, StreamEnded
+from bramleyturn.core.events import (
+    AttemptBroke,
+    BreakReason,
+    OutputArrived,
+    StreamEnded,
+)
 from bramleyturn.core.requests import stage_answered, stage_broke
 from bramleyturn.core.stages import retry_waiting
 from bramleyturn.core.streams import stream_ended
@@ -42,8 +47,8 @@
 def broke(state: EntryState, event: AttemptBroke, now_ms: int) -> list[Action]:
     """Take in that an attempt ended without an answer."""
     pool = pool_of_attempt(state, event.attempt_id)
+    actions = probe_after_loss(state, event)
     left = attempt_broke(state, event, now_ms)
-    actions: list[Action] = []
     if left is not None:
         request, progress = left
         actions += stage_broke(
@@ -52,6 +57,14 @@
     return actions + retry_waiting(state, pool, now_ms)
 
 
+def probe_after_loss(state: EntryState, event: AttemptBroke) -> list[Action]:
+    """Ask a backend server whose connection was lost whether it crashed."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None or event.reason is not BreakReason.LOST:
+        return []
+    return [ProbeServer(attempt.server)]
+
+
 def pool_of_attempt(state: EntryState, attempt_id: str) -> str:
     """Return the pool that an attempt uses, empty for one that has ended."""
     attempt = state.attempts.get(attempt_id)
--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -22,6 +22,7 @@
     PrimaryAnswered,
     PrimarySilent,
     RequestArrived,
+    ServerAlive,
     ServersListed,
     StreamEnded,
     TimePassed,
@@ -37,6 +38,7 @@
 from bramleyturn.core.news import accept_configuration, take_server_list
 from bramleyturn.core.peers import list_peers, peer_seen, peer_silent
 from bramleyturn.core.permission import permit_write
+from bramleyturn.core.poison import server_lives
 from bramleyturn.core.routing import load_reported
 from bramleyturn.core.streams import tokens_arrived
 from bramleyturn.core.timeline import EventKind, record
@@ -79,6 +81,9 @@
             return broke(state, event, now_ms)
         case ConnectionReady(attempt_id):
             return permit_write(state, attempt_id, now_ms)
+        case ServerAlive(server):
+            server_lives(state.suspects, server, now_ms)
+            return []
         case BackupAnswered():
             return answer_of_backup(state, event, now_ms)
         case BackupSilent():
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -96,6 +96,12 @@
     leaving: bool
 
 
+class ServerAlive(NamedTuple):
+    """A backend server answered a probe."""
+
+    server: str
+
+
 class ConnectionReady(NamedTuple):
     """An attempt that may not be repeated has a connection and is about to write."""
 
@@ -212,6 +218,7 @@
     | OutputArrived
     | AttemptBroke
     | ConnectionReady
+    | ServerAlive
     | TimePassed
     | ConfigurationAccepted
     | LoadReportArrived
--- a/src/bramleyturn/core/news.py
+++ b/src/bramleyturn/core/news.py
@@ -5,6 +5,7 @@
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import ServersListed
 from bramleyturn.core.model import Configuration
+from bramleyturn.core.retry_budget import forget_pools
 from bramleyturn.core.routing import apply_servers, server_back, server_leaving
 from bramleyturn.core.timeline import EventKind, record
 
@@ -18,6 +19,8 @@
     state.configuration = configuration
     apply_servers(state.routing, configuration, now_ms)
     update_limits(state.admission, configuration)
+    state.retry_budget.ratio_percent = configuration.limits.retry_ratio_percent
+    forget_pools(state.retry_budget, frozenset(configuration.pools))
     record(
         state.timeline,
         EventKind.CONFIGURATION_IN_FORCE,
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -13,6 +13,7 @@
 DIGEST_BYTES: Final = 16
 KEPT_MS: Final = 1_800_000
 SAME_CRASH_MS: Final = 500
+RESTART_MS: Final = 1_000
 MAX_CRASHES: Final = 256
 MAX_FINGERPRINTS: Final = 512
 MAX_HINTS: Final = 16
@@ -87,6 +88,15 @@
     _expire(suspects, now_ms)
 
 
+def server_lives(suspects: Suspects, server: str, now_ms: int) -> None:
+    """Forget the latest crash of a server that answers too soon to have restarted."""
+    suspects.crashes = [
+        crash
+        for crash in suspects.crashes
+        if crash.server != server or now_ms - crash.at_ms > RESTART_MS
+    ]
+
+
 def request_finished(suspects: Suspects, fingerprint: str, now_ms: int) -> None:
     """Clear a request that finished: no crash until now was its fault."""
     if not any(fingerprint in crash.fingerprints for crash in suspects.crashes):
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -19,12 +19,14 @@
     ConnectionReady,
     Event,
     OutputArrived,
+    ServerAlive,
     StreamEnded,
     TokensArrived,
 )
-from bramleyturn.core.model import PoolKind
+from bramleyturn.core.model import PoolKind, Server
 from bramleyturn.runtime.errors import CallFailed, CallFailure
 from bramleyturn.runtime.http_client import (
+    JsonAnswer,
     WholeBody,
     call_json,
     failure_of,
@@ -38,6 +40,7 @@
 MAX_LINE_BYTES: Final = 1024 * 1024
 MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
 CANCEL_TIMEOUT_MS: Final = 1_000
+PROBE_TIMEOUT_MS: Final = 500
 STATUS_OK: Final = 200
 STATUS_CONFLICT: Final = 409
 STATUS_UNAVAILABLE: Final = 503
@@ -97,6 +100,20 @@
     )
 
 
+def probe_server(client: BackendClient, server: Server) -> None:
+    """Report that a backend server is alive if it answers whatever is asked."""
+
+    def take(answer: JsonAnswer | CallFailed) -> None:
+        if isinstance(answer, JsonAnswer):
+            client.feed(ServerAlive(server.name))
+
+    url = f"http://{server.address}/v1/load"
+    probe = call_json(
+        client.client, client.reactor, "GET", url, timeout_ms=PROBE_TIMEOUT_MS
+    )
+    Deferred.fromCoroutine(probe).addCallback(take)
+
+
 async def run_attempt(client: BackendClient, action: StartAttempt) -> None:
     """Send one attempt and feed every part of its answer to the core."""
     try:
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -11,6 +11,7 @@
     CancelOrphan,
     ForwardAnswer,
     PermitWrite,
+    ProbeServer,
     StartAttempt,
     TellBackup,
     TellPrimary,
@@ -26,6 +27,7 @@
     BackendClient,
     cancel_at_server,
     cancel_attempt,
+    probe_server,
     start_attempt,
 )
 from bramleyturn.runtime.entry_logs import log_broken, log_outcome, log_started
@@ -95,6 +97,8 @@
             loop.backends.permitted.add(attempt_id)
         case CancelOrphan(attempt_id, server):
             cancel_at_server(loop.backends, attempt_id, server.address)
+        case ProbeServer(server):
+            probe_server(loop.backends, server)
         case Answer():
             log_outcome(action)
             answer_waiter(loop, action)
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -20,6 +20,7 @@
     BackupAnswered,
     BackupSilent,
     BreakReason,
+    ConfigurationAccepted,
     DrainOrdered,
     OutputArrived,
     PrimarySilent,
@@ -341,3 +342,13 @@
         world.state.primary_tickets.me = world.state.me
         (told,) = world.send("signup", ticket=ticket, is_forwarded=True)
         assert told == ForwardAnswer("w1", "r1", PrimaryGone())
+
+
+class TestNewConfiguration:
+    def test_changes_the_share_of_retries(self) -> None:
+        world = World()
+        old = world.state.configuration
+        limits = old.limits._replace(retry_ratio_percent=77)
+        newer = old._replace(revision=old.revision + 1, limits=limits)
+        world.feed(ConfigurationAccepted(newer))
+        assert world.state.retry_budget.ratio_percent == 77
--- a/tests/core/test_poison.py
+++ b/tests/core/test_poison.py
@@ -15,12 +15,14 @@
     Clear,
     Convicted,
     CrashHint,
+    Suspect,
     Suspects,
     connection_lost,
     export_hints,
     import_hints,
     request_fingerprint,
     request_finished,
+    server_lives,
     verdict,
 )
 
@@ -138,3 +140,18 @@
         assert innocents
         for entry, name in innocents:
             assert not isinstance(verdict(entries[entry], name, now_ms), Convicted)
+
+
+class TestServerThatLives:
+    def test_lost_connection_to_a_server_that_answers_is_no_crash(self) -> None:
+        suspects = Suspects()
+        for number, server in enumerate(("s1", "s2")):
+            connection_lost(suspects, server, ["p"], 1_000 + number)
+        server_lives(suspects, "s2", 1_010)
+        assert verdict(suspects, "p", 1_010) == Suspect("p", ("s1",), 0, 1)
+
+    def test_server_that_answers_later_may_have_restarted(self) -> None:
+        suspects = Suspects()
+        connection_lost(suspects, "s1", ["p"], 1_000)
+        server_lives(suspects, "s1", 3_000)
+        assert isinstance(verdict(suspects, "p", 3_000), Suspect)
--- a/tests/proofs/test_streams_whole.py
+++ b/tests/proofs/test_streams_whole.py
@@ -1,13 +1,27 @@
 """Proof: a streamed answer is whole, wherever it was cut and however it came."""
 
+from collections.abc import Iterator
 from itertools import product
+from typing import Any
 
 import pytest
 
 from bramleyturn.core.actions import Action, StartAttempt
 from bramleyturn.core.events import AttemptBroke, BreakReason
 from bramleyturn.core.outcomes import OutcomeKind
+from scripts.fleet import Fleet, FleetPlan
 from tests.core.entry_world import World, answer, started
+from tests.http_calls import receive
+from tests.proofs.fleet_calls import (
+    expected,
+    heal,
+    ledger,
+    send_request,
+    servers_of,
+    set_behaviour,
+    set_link,
+    start_request,
+)
 
 TOKENS = tuple("abcdefgh")
 WHOLE = "".join(TOKENS)
@@ -117,3 +131,117 @@
             actions = stream.world.end(stream.attempt, len(TOKENS))
             assert stream.go_on(actions) == cut
             stream.finish(cut)
+
+
+STREAM_POOL = "drafting"
+PIPELINE = "craft-idea"
+CUT_TOKENS = (0, 1, 2, 3, 4, 5, 8, 11, 12, 47)
+TRIALS = 8
+CUT_BYTES = (1, 120, 180, 190, 200, 260, 300, 333, 400, 512, 700, 900)
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    limits = "[limits]\nejection_failures = 1000\nretry_ratio_percent = 100\n"
+    plan = FleetPlan(
+        tmp_path_factory.mktemp("streams"),
+        entries_per_zone=1,
+        fault_links=True,
+        extra_files={"60-limits.ini": limits},
+    )
+    with Fleet(plan) as running:
+        yield running
+
+
+@pytest.fixture
+def healed(fleet: Fleet) -> Iterator[Fleet]:
+    yield fleet
+    heal(fleet)
+
+
+def assert_whole(fleet: Fleet, value: dict[str, Any]) -> None:
+    """Send an idea and check that its answer is whole."""
+    reply = send_request(fleet, fleet.entry_names()[0], PIPELINE, value)
+    document = reply.document
+    found = (value, document["reason"], document["stages"])
+    assert document["outcome"] == "answered", found
+    assert reply.document["output"] == expected(fleet, PIPELINE, value).output, value
+
+
+def resumed_runs(fleet: Fleet) -> int:
+    """Count the streams that began beyond their first token."""
+    return sum(
+        entry["resume_offset"] > 0
+        for server in servers_of(fleet, STREAM_POOL)
+        for entry in ledger(fleet, server)
+    )
+
+
+@pytest.mark.usefixtures("healed")
+class TestThroughProcesses:
+    def test_cut_by_the_engine_at_a_token(self, fleet: Fleet) -> None:
+        """Two engines cut the stream in turn; the third one finishes it."""
+        before = resumed_runs(fleet)
+        for tokens in CUT_TOKENS:
+            for server in servers_of(fleet, STREAM_POOL)[:2]:
+                set_behaviour(
+                    fleet, server, truncate_after_tokens=tokens, answer_faults_left=1
+                )
+            assert_whole(fleet, {"ask": f"cut after {tokens} tokens"})
+            heal(fleet)
+        assert resumed_runs(fleet) > before
+
+    def test_connection_cut_at_a_byte(self, fleet: Fleet) -> None:
+        for cut in CUT_BYTES:
+            for server in servers_of(fleet, STREAM_POOL)[:2]:
+                set_link(fleet, server, cut_after_bytes_to_client=cut, cuts_left=1)
+            for place in range(3):
+                assert_whole(fleet, {"ask": f"cut after {cut} bytes, {place}"})
+            heal(fleet)
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            {"resume_refused": True},
+            {"wrong_resume_offset": 3},
+            {"wrong_resume_offset": -3},
+            {"longer_than_announced": True},
+            {"duplicate_chunk": True},
+        ],
+        ids=str,
+    )
+    def test_engine_that_resumes_badly(
+        self, fleet: Fleet, fault: dict[str, Any]
+    ) -> None:
+        """One engine is cut; the other one of its zone resumes, badly."""
+        pair = servers_of(fleet, STREAM_POOL)[:2]
+        before = resumed_runs(fleet)
+        for place in range(TRIALS):
+            cut, resuming = pair if place % 2 else pair[::-1]
+            # Each whole answer earns one retry; the faulty one needs two.
+            for earned in range(2):
+                assert_whole(fleet, {"ask": f"{fault} {place} earns {earned}"})
+            set_behaviour(
+                fleet, cut, truncate_after_tokens=4 + place, answer_faults_left=1
+            )
+            set_behaviour(fleet, resuming, **fault, answer_faults_left=1)
+            assert_whole(fleet, {"ask": f"{fault} {place}"})
+            heal(fleet)
+        assert fault == {"resume_refused": True} or resumed_runs(fleet) > before
+
+    def test_engine_that_falls_silent(self, fleet: Fleet) -> None:
+        """Every server but one hangs; each draft is answered in its time."""
+        for place in range(12):
+            assert_whole(fleet, {"ask": f"usual {place}"})
+        hung = servers_of(fleet, STREAM_POOL)[0]
+        set_behaviour(fleet, hung, hang=True)
+        values = [{"ask": f"beside a hung engine {place}"} for place in range(4)]
+        entry = fleet.entry_names()[0]
+        sent = [start_request(fleet, entry, PIPELINE, value) for value in values]
+        for value, connection in zip(values, sent, strict=True):
+            document = receive(connection).document
+            connection.close()
+            assert document["outcome"] == "answered", document
+            assert document["output"] == expected(fleet, PIPELINE, value).output
+            assert document["stages"]["generate"]["elapsed_ms"] < 2_000, document
+        assert [e for e in ledger(fleet, hung) if e["state"] == "cancelled"]
