Draw pairs of faults under load; prove the poison limit over processes

One entry over processes loses two servers to a poison draft that is sent four times with six neighbours beside it, all answered.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test lint format clean
+.PHONY: setup run test soak lint format clean
 
 setup: $(VENV)/.done
 
@@ -18,6 +18,9 @@
 test: setup  ## Run every test.
 	$(BIN)/python -m pytest -n 6 $(PYTEST_ARGS)
 
+soak: setup  ## Draw pairs of faults under load from ten seeds; takes minutes.
+	$(BIN)/python -m scripts.soak $(SOAK_ARGS)
+
 lint: setup  ## Formatter, linter and types, as CI runs them.
 	$(BIN)/ruff format --check src tests scripts
 	$(BIN)/ruff check src tests scripts
--- a/tests/proofs/test_poison.py
+++ b/tests/proofs/test_poison.py
@@ -1,8 +1,20 @@
 """Proof: one poison request costs two servers at most, and no neighbour its answer."""
 
+from pathlib import Path
+from typing import Any
+
 import pytest
 
 from bramleyturn.core.outcomes import OutcomeKind
+from scripts.fleet import Fleet, FleetPlan
+from tests.http_calls import receive
+from tests.proofs.fleet_calls import (
+    expected,
+    send_request,
+    servers_of,
+    set_behaviour,
+    start_request,
+)
 from tests.proofs.poison_world import (
     SERVERS,
     PoisonStory,
@@ -50,3 +62,45 @@
         world = PoisonWorld(1, tells_peers=False)
         story = send_poison_everywhere(world, neighbours=0)
         assert len(story.crashed) > MOST_CRASHES
+
+
+NEIGHBOURS = 6
+SENDS = 4
+
+
+class TestThroughProcesses:
+    @pytest.mark.parametrize("pool", ["drafting", "encoders"])
+    def test_one_entry_loses_two_processes_at_most(
+        self, tmp_path: Path, pool: str
+    ) -> None:
+        """Send one poison draft again and again, with innocent ones beside it."""
+        zones = ("duluth", "milwaukee", "toledo")
+        plan = FleetPlan(
+            tmp_path, zones=zones, entries_per_zone=1, separate_servers=True
+        )
+        poison: dict[str, Any] = {"ask": "draft the poison"}
+        with Fleet(plan) as fleet:
+            entry = fleet.entry_names()[0]
+            for server in servers_of(fleet, pool):
+                set_behaviour(fleet, server, crash_marker="poison")
+            for number in range(SENDS):
+                values = [{"ask": f"{number} {each}"} for each in range(NEIGHBOURS)]
+                sent = [
+                    start_request(fleet, entry, "lesson-draft", value)
+                    for value in values
+                ]
+                reply = send_request(fleet, entry, "lesson-draft", poison)
+                assert reply.document["outcome"] == "failed", reply.document
+                for value, connection in zip(values, sent, strict=True):
+                    document = receive(connection).document
+                    connection.close()
+                    assert document["outcome"] == "answered", document
+                    right = expected(fleet, "lesson-draft", value).output
+                    assert document["output"] == right
+            crashed = [
+                server
+                for server in servers_of(fleet, pool)
+                if fleet.processes.started[server].popen.poll() is not None
+            ]
+        assert reply.document["reason"] == "input_crashes_servers"
+        assert len(crashed) == MOST_CRASHES, crashed
