--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -25,6 +25,7 @@
     PrimarySilent,
     ProcessPaused,
     RequestArrived,
+    ServerAlive,
     ServersListed,
     StreamEnded,
     TimePassed,
@@ -42,6 +43,7 @@
 from bramleyturn.core.membership import list_members, missed
 from bramleyturn.core.news import accept_configuration, take_server_list
 from bramleyturn.core.permission import permit_write
+from bramleyturn.core.poison import server_lives
 from bramleyturn.core.routing import load_reported
 from bramleyturn.core.server_confirmation import confirm_server, distrust_servers
 from bramleyturn.core.spend import list_processes
@@ -92,6 +94,9 @@
             return broke(state, event, now_ms)
         case ConnectionReady(attempt_id):
             return permit_write(state, attempt_id, now_ms)
+        case ServerAlive(server):
+            server_lives(state.suspects, server, now_ms)
+            return []
         case BackupAnswered():
             return answer_of_backup(state, event, now_ms)
         case BackupSilent():
