Prove at most once with real processes behind the fault proxy

A fleet may put a link of the fault proxy in front of each entry, which advertises it; a link may get a new target, so that an entry restarts under its address. An entry's ready line therefore names where it listens, and a backup notes what it records on its time line, by which the tests hit each point without waiting.

A plain call that has begun can't be cancelled; the outcome names its stage as unknown.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -32,6 +32,8 @@
 HTTP_TIMEOUT_S: Final = 10.0
 PLATFORM: Final = "platform"
 CONTROL: Final = "platform-control"
+LINKS: Final = "links"
+NOWHERE: Final = "127.0.0.1:9"
 
 
 class FleetPlan(NamedTuple):
@@ -40,7 +42,8 @@
     ``separate_servers`` gives each backend server a process of its own, named after
     it, so that one can be killed alone. ``extra_files`` are published beside those
     of ``settings`` and may override single keys. ``standin_values`` are further
-    keys of every backend server stand-in.
+    keys of every backend server stand-in. ``linked_entries`` puts a link of a fault
+    proxy, named after the entry, in front of what other entries send to it.
     """
 
     folder: Path
@@ -51,6 +54,7 @@
     settings: Path = LAKESHORE
     extra_files: Mapping[str, str] = {}
     standin_values: Mapping[str, str] = {}
+    linked_entries: bool = False
 
 
 class Instance(NamedTuple):
@@ -70,6 +74,7 @@
         self.plan = plan
         self.processes = ProcessGroup(plan.folder / "logs")
         self.addresses: dict[str, str] = {}
+        self.advertised: dict[str, str] = {}
         self.servers: tuple[FleetServer, ...] = ()
         self.files: dict[str, str] = {}
         self.leaving: set[str] = set()
@@ -129,6 +134,8 @@
     """Start every process, publish what it needs, and wait until it is ready."""
     start_standins(fleet)
     _start_instances(fleet, "watch")
+    if fleet.plan.linked_entries:
+        _start_links(fleet)
     _start_instances(fleet, "entry")
     if fleet.plan.admins:
         _start_admins(fleet)
@@ -160,9 +167,15 @@
     role = name.partition("-")[0]
     fleet.processes.start(name, [program(f"bramleyturn-{role}"), _path(fleet, name)])
     fleet.addresses[name] = fleet.processes.wait_for_address(name)
+    _point_link(fleet, name)
     publish_instances(fleet)
 
 
+def change_link(fleet: Fleet, name: str, changes: Mapping[str, object]) -> None:
+    """Change the fault proxy's link in front of an entry."""
+    put_json(f"http://{fleet.addresses[LINKS]}/links/{name}", dict(changes))
+
+
 def publish_files(fleet: Fleet) -> None:
     """Publish the folder of the fleet under the next revision."""
     _write_published(fleet)
@@ -194,7 +207,7 @@
             name=name,
             role=role,
             zone=zone,
-            address=fleet.addresses[name],
+            address=fleet.advertised.get(name, fleet.addresses[name]),
             state="leaving" if name in fleet.leaving else "live",
         )
         for name, role, zone in located
@@ -269,6 +282,23 @@
         _start(fleet, name, role, _process_text(fleet, name, role))
     for name in names:
         fleet.addresses[name] = fleet.processes.wait_for_address(name)
+        _point_link(fleet, name)
+
+
+def _start_links(fleet: Fleet) -> None:
+    nowhere = {"listen": ANY_PORT, "target": NOWHERE}
+    links = {f"link {name}": nowhere for name in fleet.entry_names()}
+    _start(fleet, LINKS, "faultproxy", ini_text(links))
+    ready = fleet.processes.wait_for_ready_line(LINKS)
+    fleet.addresses[LINKS] = str(ready["address"])
+    addresses = ready["addresses"]
+    assert isinstance(addresses, dict)
+    fleet.advertised.update(addresses)
+
+
+def _point_link(fleet: Fleet, name: str) -> None:
+    if name in fleet.advertised:
+        change_link(fleet, name, {"target": fleet.addresses[name]})
 
 
 def _start_admins(fleet: Fleet) -> None:
@@ -286,6 +316,8 @@
         values["platform"] = fleet.addresses[PLATFORM]
     else:
         values["watch"] = fleet.addresses[name.replace(role, "watch", 1)]
+    if name in fleet.advertised:
+        values["advertise"] = fleet.advertised[name]
     return ini_text({"process": values})
 
 
--- a/src/bramleyturn/core/intents.py
+++ b/src/bramleyturn/core/intents.py
@@ -120,8 +120,22 @@
     """Answer another entry process as the backup of a ticket."""
     match message:
         case Intent():
-            return record_intent(state.backup_tickets, message, now_ms)
+            answer = record_intent(state.backup_tickets, message, now_ms)
+            if isinstance(answer, IntentAcknowledged):
+                intended = message.intended
+                note_recorded(state, intended.stage, intended.attempt_id, now_ms)
+            return answer
         case Revoke():
             return revoke(state.backup_tickets, message, now_ms)
         case OutcomeCopy():
+            note_recorded(state, "", str(message.ticket.number), now_ms)
             return record_outcome(state.backup_tickets, message, now_ms)
+
+
+def note_recorded(state: EntryState, stage: str, cause: str, now_ms: int) -> None:
+    """Put what this process records as a backup on its time line.
+
+    An outcome has no stage.
+    """
+    kind = EventKind.INTENT_RECORDED if stage else EventKind.OUTCOME_RECORDED
+    record(state.timeline, kind, now_ms, stage=stage, cause=cause)
--- a/src/bramleyturn/core/timeline.py
+++ b/src/bramleyturn/core/timeline.py
@@ -23,6 +23,8 @@
     PEER_SEEN = "peer_seen"
     PEER_SILENT = "peer_silent"
     INTENT_ASKED = "intent_asked"
+    INTENT_RECORDED = "intent_recorded"
+    OUTCOME_RECORDED = "outcome_recorded"
     INTENT_ANSWERED = "intent_answered"
     TICKET_FORWARDED = "ticket_forwarded"
     TICKET_REVOKED = "ticket_revoked"
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -112,7 +112,7 @@
     add_routes(loop, app, lifecycle)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
-    print_ready(me.address)
+    print_ready(address)
     return loop
 
 
--- a/src/bramleyturn/standin/fault_proxy_http.py
+++ b/src/bramleyturn/standin/fault_proxy_http.py
@@ -136,6 +136,7 @@
     """Change or add links; with one fault none of them changes."""
     behaviours: dict[str, LinkBehaviour] = {}
     added: list[LinkSettings] = []
+    targets: dict[str, Listen] = {}
     for name, fields in changes.items():
         if not isinstance(fields, dict):
             return bad_request(request, f"{name}: expected an object")
@@ -145,6 +146,11 @@
             if isinstance(link, BadLink):
                 return bad_request(request, f"{name}: {link.reason}")
             added.append(link)
+        elif "target" in rest:
+            target = _target(rest)
+            if isinstance(target, BadLink):
+                return bad_request(request, f"{name}: {target.reason}")
+            targets[name] = target
         known = links.by_name.get(name)
         behaviour = changed_link(known.behaviour if known else LinkBehaviour(), rest)
         if isinstance(behaviour, BadLink):
@@ -157,6 +163,8 @@
             )
         except CannotListenError as error:
             return answer(request, 409, {"error": str(error)})
+    for name, target in targets.items():
+        links.by_name[name].target = target
     for name, behaviour in behaviours.items():
         set_behaviour(links.by_name[name], behaviour)
     shown = {name: describe_link(links.by_name[name]) for name in changes}
@@ -175,6 +183,14 @@
     return LinkSettings(name, address, target)
 
 
+def _target(fields: dict[str, Any]) -> Listen | BadLink:
+    """Take the new target of a known link out of ``fields``."""
+    try:
+        return parse_listen(str(fields.pop("target")))
+    except ValueError as error:
+        return BadLink(str(error))
+
+
 def _address(
     section: str, key: str, values: dict[str, str], faults: list[Fault]
 ) -> Listen:
