Let timers follow the monotonic clock

The reactor of Twisted reads the wall clock for its timers, so a step of that clock fired or held back every time-out, deadline and idle limit of a process. The stand-ins keep the library's clock.

--- a/src/bramleyturn/core/clock.py
+++ b/src/bramleyturn/core/clock.py
@@ -32,6 +32,11 @@
     )
 
 
+def monotonic_s() -> float:
+    """Return the time of the monotonic clock in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualTime:
     """Hold a time that only moves when told to."""
 
--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -5,6 +5,9 @@
 from pathlib import Path
 from typing import Any, Final
 
+from twisted.internet import reactor
+
+from bramleyturn.core.clock import monotonic_s
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.process_settings import (
     ProcessSettings,
@@ -29,9 +32,19 @@
             print(describe_fault(fault), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     start_logging(settings.name, settings.zone)
+    use_monotonic_time(reactor)
     return settings
 
 
-def run(reactor: Any) -> None:
+def use_monotonic_time(loop: Any) -> None:
+    """Let the loop's timers follow the clock that the deadlines are read on.
+
+    The library reads the wall clock, and a step of that would fire or hold back
+    every timer.
+    """
+    loop.seconds = monotonic_s
+
+
+def run(loop: Any) -> None:
     """Run the loop without signal handlers of the library's own."""
-    reactor.run(installSignalHandlers=False)
+    loop.run(installSignalHandlers=False)
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -353,3 +353,38 @@
                 assert told == {"charge": "answered", "print": "unknown"}
             runs = fleet.check(ORDER, case.input, case.told)
             assert runs == {"charge": 1, "print": prints}
+
+
+class TestSteppedWallClock:
+    def test_reaches_no_decision(self, tmp_path: Path) -> None:
+        with fleet_of(tmp_path, 2) as fleet:
+            for name in (PRIMARY, BACKUP):
+                fleet.restart_with_stepped_wall_clock(name)
+            self.ends_at_its_deadline(fleet)
+            self.is_revoked_when_its_primary_is_silent(fleet)
+
+    def ends_at_its_deadline(self, fleet: TicketFleet) -> None:
+        fleet.behave("roster", hang=True)
+        case = new_case(fleet, SIGNUP)
+        began_s = time.monotonic()
+        for name in (PRIMARY, BACKUP):
+            case.told.append(
+                fleet.ask(name, case.ticket, case.input, deadline_ms=1_000)
+            )
+        took_s = time.monotonic() - began_s
+        assert 1.0 <= took_s < 10.0
+        assert {each["outcome"] for each in case.told} == {"unknown"}
+        assert fleet.check(SIGNUP, case.input, case.told) == {"enrol": 1}
+
+    def is_revoked_when_its_primary_is_silent(self, fleet: TicketFleet) -> None:
+        fleet.behave("roster", reset=True)
+        case, answered = new_case(fleet, SIGNUP), new_case(fleet, SIGNUP)
+        fleet.fleet.freeze(PRIMARY)
+        case.told.append(fleet.ask(BACKUP, case.ticket, case.input))
+        fleet.fleet.thaw(PRIMARY)
+        case.told.append(fleet.ask(PRIMARY, case.ticket, case.input))
+        assert {each["outcome"] for each in case.told} == {"not_run"}
+        assert fleet.check(SIGNUP, case.input, case.told) == {"enrol": 0}
+        answered.told.append(fleet.ask(BACKUP, answered.ticket, answered.input))
+        assert answered.told[0]["outcome"] == "answered"
+        assert fleet.check(SIGNUP, answered.input, answered.told) == {"enrol": 1}
