--- a/src/bramleyturn/bench/ticket_search.py
+++ b/src/bramleyturn/bench/ticket_search.py
@@ -12,21 +12,24 @@
 
 import cappa
 
-from bramleyturn.bench.entry_network import (
-    Faults,
-    Network,
-    Run,
-    Step,
+from bramleyturn.bench.entry_cores import (
+    entry_network,
     feed,
     freeze,
     kill,
-    later,
     new_waiter,
     outcome_of,
-    run_until,
     start_node,
     thaw,
 )
+from bramleyturn.bench.entry_network import (
+    Faults,
+    Network,
+    Run,
+    Step,
+    later,
+    run_until,
+)
 from bramleyturn.core.actions import Action
 from bramleyturn.core.arrivals import IssuedTicket, issue_ticket
 from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
@@ -111,7 +114,7 @@
 
 def search_seed(seed: int, *, with_faults: bool = True, stepping: Step = step) -> Found:
     """Send copies of some tickets to three entries, with the faults of ``seed``."""
-    network = Network(settings(), ADDRESSES, seed, stepping)
+    network = entry_network(settings(), ADDRESSES, seed, stepping)
     run_until(network, 1_000)
     if with_faults:
         network.faults = draw_faults(network.random)
