--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -40,7 +40,7 @@
         server = open_server(reactor, watch_api(loop), settings.listen)
         start_watching(loop)
         stop_on_signals(reactor, lambda: stop(loop, server))
-        print_ready(settings.advertise or server.address, listen=server.address)
+        print_ready(server.address, advertise=settings.advertise or server.address)
         run(reactor)
 
 
--- a/src/bramleyturn/standin/fault_proxy_http.py
+++ b/src/bramleyturn/standin/fault_proxy_http.py
@@ -147,10 +147,10 @@
                 return bad_request(request, f"{name}: {link.reason}")
             added.append(link)
         elif "target" in rest:
-            try:
-                targets[name] = parse_listen(str(rest.pop("target")))
-            except ValueError as error:
-                return bad_request(request, f"{name}: {error}")
+            target = _target(rest)
+            if isinstance(target, BadLink):
+                return bad_request(request, f"{name}: {target.reason}")
+            targets[name] = target
         known = links.by_name.get(name)
         behaviour = changed_link(known.behaviour if known else LinkBehaviour(), rest)
         if isinstance(behaviour, BadLink):
@@ -183,6 +183,14 @@
     return LinkSettings(name, address, target)
 
 
+def _target(fields: dict[str, Any]) -> Listen | BadLink:
+    """Take the new target of a known link out of ``fields``."""
+    try:
+        return parse_listen(str(fields.pop("target")))
+    except ValueError as error:
+        return BadLink(str(error))
+
+
 def _address(
     section: str, key: str, values: dict[str, str], faults: list[Fault]
 ) -> Listen:
