Let a new watch look at platform and peers before it answers

A watch that started at a stale replica of the platform served its old revision until it happened to ask a newer peer, and one that started while the platform was away knew no peer.

--- a/src/bramleyturn/core/process_settings.py
+++ b/src/bramleyturn/core/process_settings.py
@@ -14,7 +14,8 @@
     """Hold the settings of one process; addresses read IP:PORT.
 
     ``watch`` and ``platform`` are empty where the program needs none. An empty
-    ``advertise`` stands for the address that the process listens on.
+    ``advertise`` stands for the address that the process listens on. ``peers`` are
+    other watches, asked with ``peers_key`` while the platform gives no list of them.
     """
 
     name: str
@@ -23,6 +24,8 @@
     watch: str
     platform: tuple[str, ...]
     advertise: str
+    peers: tuple[str, ...]
+    peers_key: str
     log_level: LogLevel
 
 
--- a/src/bramleyturn/core/schema_operation.py
+++ b/src/bramleyturn/core/schema_operation.py
@@ -274,6 +274,21 @@
             "",
             "Address that others use; empty: the one it listens on.",
         ),
+        Key(
+            "peers",
+            types.addresses(),
+            "",
+            "",
+            "Watch: others to ask when it starts while the platform is away.",
+        ),
+        Key(
+            "peers_key",
+            types.optional(types.secret()),
+            "",
+            "",
+            "Watch: the `[peers]` key in force, by which the `peers` know it.",
+            secret=True,
+        ),
         Key(
             "log_level",
             types.choice(LogLevel),
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -49,6 +49,10 @@
             return problem(request, bad)
         look_at_once(loop, seen)
         await wait_for_newer(loop, after, min(wait_ms, MAX_WAIT_MS))
+        # Local processes wait, other watches do not: what the first look has found so
+        # far is for the latter only.
+        if wait_ms and not loop.has_looked:
+            after = max(after, loop.revisions.revision)
         return json_answer(request, config_document(loop, after))
 
     @app.route("/v1/instances", methods=["GET"])
@@ -87,7 +91,7 @@
 
     @app.route("/readyz", methods=["GET"])
     def readyz(request: HttpRequest) -> bytes:
-        is_ready = loop.revisions.in_force is not None
+        is_ready = loop.has_looked and loop.revisions.in_force is not None
         return json_answer(request, {"ready": is_ready}, 200 if is_ready else 503)
 
     return app
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -60,7 +60,9 @@
         self.instances: tuple[ListedInstance, ...] = ()
         self.instances_read_ms: int | None = None
         self.platform_read_ms: int | None = None
-        self.asked_everyone = False
+        self.has_looked = False
+        self.first_watches: tuple[str, ...] = ()
+        self.first_key = ""
         self.timeline = Timeline()
         self.list_version = 0
         self.waiting: list[Deferred[None]] = []
@@ -71,8 +73,20 @@
         self.hurry: Deferred[None] | None = None
 
 
-def start_watching(loop: WatchLoop) -> None:
-    """Start reading the platform and the other watches."""
+def start_watching(
+    loop: WatchLoop, look_first: Callable[[WatchLoop], Awaitable[None]]
+) -> None:
+    """Start reading the platform and the other watches, after a first look at all."""
+
+    async def start() -> None:
+        await run(look_first, loop)
+        start_following(loop)
+
+    Deferred.fromCoroutine(start())
+
+
+def start_following(loop: WatchLoop) -> None:
+    """Follow the platform and the other watches."""
     for work in (watch_platform, watch_list, watch_peers):
         Deferred.fromCoroutine(run(work, loop))
 
@@ -185,21 +199,33 @@
 
 
 def peers_key(loop: WatchLoop) -> str:
-    """Return the key that proves this watch to others, empty before it has one."""
+    """Return the key that proves this watch to others."""
     in_force = loop.revisions.in_force
-    return in_force.configuration.peers.key if in_force is not None else ""
+    return in_force.configuration.peers.key if in_force is not None else loop.first_key
 
 
 def choose_watch(loop: WatchLoop) -> ListedInstance | None:
     """Return another watch, half the time one of the own availability zone."""
-    watches = [each for each in loop.instances if each.role == "watch"]
-    zones = {each.zone for each in watches if each.name == loop.name}
-    others = [each for each in watches if each.name != loop.name]
+    zones = {each.zone for each in loop.instances if each.name == loop.name}
+    others = other_watches(loop)
     near = [each for each in others if each.zone in zones]
     chosen_from = near if near and loop.random.random() < NEAR_SHARE else others
     return loop.random.choice(chosen_from) if chosen_from else None
 
 
+def other_watches(loop: WatchLoop) -> list[ListedInstance]:
+    """Return the other watches on the list, or those of the settings without one."""
+    listed = [
+        each
+        for each in loop.instances
+        if each.role == "watch" and each.name != loop.name
+    ]
+    return listed or [
+        ListedInstance(address, "watch", "", address, "live")
+        for address in loop.first_watches
+    ]
+
+
 async def pause_unless_hurried(loop: WatchLoop) -> None:
     """Wait until it is time to ask another watch."""
     if loop.seen_revision > loop.revisions.revision:
@@ -247,7 +273,8 @@
             detail=f"revision {revision} from {source}",
             cause=f"revision-{revision}",
         )
-        wake_all(loop.waiting)
+        if loop.has_looked:
+            wake_all(loop.waiting)
         return True
     if isinstance(result, Refused) and len(loop.revisions.refused) > refused_before:
         report_refusal(loop, result, now_ms)
@@ -284,7 +311,8 @@
 
 async def wait_for_newer(loop: WatchLoop, after: int, wait_ms: int) -> None:
     """Return once a revision above ``after`` is in force, or the time is over."""
-    if loop.revisions.revision <= after and wait_ms > 0:
+    is_newer = loop.has_looked and loop.revisions.revision > after
+    if not is_newer and wait_ms > 0:
         await wait_among(loop, loop.waiting, wait_ms)
 
 
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -8,6 +8,7 @@
 from twisted.internet import reactor
 
 from bramleyturn.core.clock import system_clock
+from bramleyturn.platform.first_look import look_first
 from bramleyturn.platform.watch_api import watch_api
 from bramleyturn.platform.watch_loop import WatchLoop, start_watching, wake_all
 from bramleyturn.programs.start import read_settings, run
@@ -37,8 +38,10 @@
             settings.platform,
             Random(),
         )
+        loop.first_watches = settings.peers
+        loop.first_key = settings.peers_key
         server = open_server(reactor, watch_api(loop), settings.listen)
-        start_watching(loop)
+        start_watching(loop, look_first)
         stop_on_signals(reactor, lambda: stop(loop, server))
         print_ready(settings.advertise or server.address, listen=server.address)
         run(reactor)
--- a/tests/core/test_process_settings.py
+++ b/tests/core/test_process_settings.py
@@ -29,6 +29,8 @@
             watch="",
             platform=("127.0.0.1:7000", "127.0.0.1:7001"),
             advertise="",
+            peers=(),
+            peers_key="",
             log_level=LogLevel.INFO,
         )
 
