Look a request up at every peer that is not known to be gone

Change: lookups ask unproven, suspect and ending peers too; the tickets' proofs present the operators' key.

--- a/src/bramleyturn/core/peers.py
+++ b/src/bramleyturn/core/peers.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from bramleyturn.core.membership import Member, Membership, alive_members
+from bramleyturn.core.membership import Life, Member, Membership, alive_members
 from bramleyturn.core.tickets import ProcessRef
 
 
@@ -11,6 +11,19 @@
     return alive_members(membership, now_ms)
 
 
+def reachable_peers(membership: Membership) -> list[Member]:
+    """Return every peer that is not known to be gone.
+
+    One that has not answered yet may hold what is looked for, and so may one that
+    is about to end.
+    """
+    return [
+        member
+        for member in membership.by_address.values()
+        if member.life is not Life.GONE
+    ]
+
+
 def choose_backup(
     membership: Membership, zone: str, now_ms: int, random: Random
 ) -> ProcessRef | None:
--- a/src/bramleyturn/runtime/request_lookup.py
+++ b/src/bramleyturn/runtime/request_lookup.py
@@ -8,7 +8,7 @@
 from bramleyturn.core.outcome_json import parse_outcome
 from bramleyturn.core.outcomes import Outcome
 from bramleyturn.core.peer_message import MessageKind, PeerMessage
-from bramleyturn.core.peers import answering_peers
+from bramleyturn.core.peers import reachable_peers
 from bramleyturn.runtime.entry_loop import EntryLoop
 from bramleyturn.runtime.peer_client import tell
 
@@ -20,8 +20,7 @@
     loop: EntryLoop, workspace: str, request_id: str
 ) -> Outcome | StillRunning | None:
     """Ask other entry processes for a request, the own availability zone first."""
-    now_ms = loop.clock.monotonic_ms()
-    peers = answering_peers(loop.state.peers, now_ms)
+    peers = reachable_peers(loop.state.peers)
     peers.sort(key=lambda peer: peer.zone != loop.state.zone)
     body = {"workspace": workspace, "request_id": request_id}
     calls = [
--- a/tests/proofs/ticket_fleet.py
+++ b/tests/proofs/ticket_fleet.py
@@ -22,6 +22,7 @@
 )
 from scripts.process_group import wait_until
 from tests.http_calls import call
+from tests.operators import operate
 
 MAC_BYTES = 16
 WORKSPACES = {"roster-signup": "rosters", "packet-order": "printing"}
@@ -99,8 +100,8 @@
 
     def status(self, name: str) -> dict[str, Any]:
         """Return what an entry says of itself."""
-        found: dict[str, Any] = call(
-            self.fleet.addresses[name], "GET", "/v1/status"
+        found: dict[str, Any] = operate(
+            self.fleet.addresses[name], "/v1/status"
         ).document
         return found
 
@@ -199,7 +200,7 @@
 
     def events(self, name: str, kind: str, stage: str) -> int:
         """Return how many events of a kind an entry has on its time line."""
-        document = call(self.fleet.addresses[name], "GET", "/v1/timeline").document
+        document = operate(self.fleet.addresses[name], "/v1/timeline").document
         return sum(
             event["kind"] == kind and event["stage"] == stage
             for event in document["events"]
