Ask servers that left whether they are back when no other is live

An entry asks only its own zone's servers in turn, so one of another zone that had left and come back stayed out for 60 s.

--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -31,7 +31,11 @@
     server_back,
     server_leaving,
 )
-from bramleyturn.core.server_confirmation import ask_if_elsewhere, is_confirmed
+from bramleyturn.core.server_confirmation import (
+    ask_if_elsewhere,
+    ask_those_that_left,
+    is_confirmed,
+)
 from bramleyturn.core.server_load import (
     LoadReport,
     count_end,
@@ -158,6 +162,8 @@
     """
     chosen = _choose(table, request, now_ms, random)
     if isinstance(chosen, NoServer):
+        if chosen.reason is NoServerReason.NONE_LIVE:
+            ask_those_that_left(table, table.pools[request.pool], now_ms)
         return chosen
     if is_confirmed(table, chosen.server):
         ask_if_elsewhere(table, chosen.server, now_ms)
--- a/src/bramleyturn/core/server_confirmation.py
+++ b/src/bramleyturn/core/server_confirmation.py
@@ -8,11 +8,12 @@
 from typing import Final
 
 from bramleyturn.core.model import Server
-from bramleyturn.core.routing_table import RoutingTable
+from bramleyturn.core.routing_table import PoolState, RoutingTable
 
 PAUSE_MS: Final = 2_000
 MAX_TO_CONFIRM: Final = 64
 ELSEWHERE_MS: Final = 2_000
+LEFT_ASKED_MS: Final = 500
 
 
 def distrust_servers(table: RoutingTable, now_ms: int) -> None:
@@ -45,6 +46,17 @@
         table.to_confirm[server.name] = server
 
 
+def ask_those_that_left(table: RoutingTable, pool: PoolState, now_ms: int) -> None:
+    """Have the servers that left asked whether they are back, as no other is live."""
+    for name, state in pool.members.items():
+        if len(table.to_confirm) >= MAX_TO_CONFIRM:
+            return
+        if state.left_ms is None or state.is_listed_leaving:
+            continue
+        if now_ms - state.heard_ms > LEFT_ASKED_MS:
+            table.to_confirm[name] = state.server
+
+
 def take_to_confirm(table: RoutingTable) -> list[Server]:
     """Return the servers to ask for their load now."""
     asked = list(table.to_confirm.values())
--- a/tests/core/test_leaving.py
+++ b/tests/core/test_leaving.py
@@ -79,6 +79,16 @@
         world.feed(report("encoder-1", leaving=False))
         assert servers_used(world) == {"encoder-2"}
 
+    def test_those_that_left_are_asked_when_no_other_is_live(self) -> None:
+        world = World()
+        for name in NAMES:
+            world.feed(report(name, leaving=True))
+        world.advance(1_000)
+        assert servers_used(world, 1) == set()
+        assert world.state.routing.to_confirm.keys() == set(NAMES)
+        world.feed(report("encoder-1", leaving=False))
+        assert any(isinstance(a, StartAttempt) for a in world.advance(100))
+
 
 class TestPause:
     def test_nothing_is_sent_from_the_view_before_the_pause(self) -> None:
