--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -1,5 +1,6 @@
 """Hold everything that one entry process knows."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -15,7 +16,15 @@
 from bramleyturn.core.poison import Suspects
 from bramleyturn.core.progress import Attempt, RunningRequest
 from bramleyturn.core.retry_budget import RetryBudget
-from bramleyturn.core.routing import RoutingTable, apply_servers, routing_table
+from bramleyturn.core.routing import (
+    Choice,
+    ChoiceRequest,
+    NoServer,
+    RoutingTable,
+    apply_servers,
+    choose_server,
+    routing_table,
+)
 from bramleyturn.core.spend import SpendBook, spend_book
 from bramleyturn.core.ticket_asker import Asking
 from bramleyturn.core.ticket_backup import TicketBackup
@@ -27,6 +36,8 @@
 MAX_TICKETS: Final = 20_000
 MAX_PRIMARIES: Final = 40_000
 
+ChooseServer = Callable[[RoutingTable, ChoiceRequest, int, Random], Choice | NoServer]
+
 
 @dataclass(slots=True)
 class Counters:
@@ -56,7 +67,10 @@
 
 @dataclass(slots=True)
 class EntryState:
-    """Hold one entry process: its configuration, requests, attempts and knowledge."""
+    """Hold one entry process: its configuration, requests, attempts and knowledge.
+
+    ``choose`` is the policy that chooses a backend server for an attempt.
+    """
 
     name: str
     zone: str
@@ -87,6 +101,7 @@
     timers: Timers = field(default_factory=Timers)
     timeline: Timeline = field(default_factory=Timeline)
     counters: Counters = field(default_factory=Counters)
+    choose: ChooseServer = choose_server
     next_number: int = 0
     is_draining: bool = False
 
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -54,7 +54,7 @@
     server = open_server(reactor, admin_api(loop), settings.listen)
     follow(loop)
     stop_on_signals(reactor, lambda: stop(loop, server))
-    print_ready(settings.advertise or server.address, listen=server.address)
+    print_ready(server.address, advertise=settings.advertise or server.address)
     return loop
 
 
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -43,7 +43,7 @@
         server = open_server(reactor, watch_api(loop), settings.listen)
         start_watching(loop, look_first)
         stop_on_signals(reactor, lambda: stop(loop, server))
-        print_ready(settings.advertise or server.address, listen=server.address)
+        print_ready(server.address, advertise=settings.advertise or server.address)
         run(reactor)
 
 
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -12,6 +12,7 @@
     ForwardAnswer,
     GreetPeers,
     PermitWrite,
+    ProbeServer,
     StartAttempt,
     TellBackup,
     TellPrimary,
@@ -34,6 +35,7 @@
     BackendClient,
     cancel_at_server,
     cancel_attempt,
+    probe_server,
     start_attempt,
 )
 from bramleyturn.runtime.entry_logs import log_broken, log_outcome, log_started
@@ -110,6 +112,8 @@
             loop.backends.permitted.add(attempt_id)
         case CancelOrphan(attempt_id, server):
             cancel_at_server(loop.backends, attempt_id, server.address)
+        case ProbeServer(server):
+            probe_server(loop.backends, server)
         case Answer():
             log_outcome(action)
             answer_waiter(loop, action)
--- a/tests/proofs/zones.py
+++ b/tests/proofs/zones.py
@@ -109,7 +109,8 @@
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(ini_text({"process": values | (more or {})}), "utf-8")
     fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
-    fleet.addresses[name] = fleet.processes.wait_for_address(name)
+    line = fleet.processes.wait_for_ready_line(name)
+    fleet.addresses[name] = str(line["advertise"])
     own = own_address(fleet, name)
     fleet.addresses[f"own-{name}"] = own
     put_links(zones, {link: {"target": own}})
@@ -117,7 +118,7 @@
 
 def own_address(fleet: Fleet, name: str) -> str:
     """Return where a process listens, beside the address that it advertises."""
-    return str(fleet.processes.wait_for_ready_line(name)["listen"])
+    return str(fleet.processes.wait_for_ready_line(name)["address"])
 
 
 def put_links(zones: Zones, links: dict[str, dict[str, Any]]) -> dict[str, Any]:
