--- a/scripts/capacity_fleet.py
+++ b/scripts/capacity_fleet.py
@@ -19,9 +19,11 @@
 
 from scripts.fleet import (
     LAKESHORE_ZONES,
+    OPERATORS,
     Fleet,
     FleetPlan,
     description_path,
+    workspace_key,
 )
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
@@ -174,8 +176,10 @@
 
 
 def get_json(url: str) -> Any:
-    """Return the document at a URL."""
-    with urllib.request.urlopen(url, timeout=10) as response:
+    """Return the document at a URL, read with the operators' key."""
+    key = workspace_key(OPERATORS)
+    request = urllib.request.Request(url, headers={"Authorization": f"Bearer {key}"})
+    with urllib.request.urlopen(request, timeout=10) as response:
         return json.load(response)
 
 
--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -15,6 +15,7 @@
     DrainOrdered,
     Event,
     LoadReportArrived,
+    LoadReportMissing,
     OutputArrived,
     PeerIntroduced,
     PeerSeen,
@@ -22,7 +23,9 @@
     PeersListed,
     PrimaryAnswered,
     PrimarySilent,
+    ProcessPaused,
     RequestArrived,
+    ServerAlive,
     ServersListed,
     StreamEnded,
     TimePassed,
@@ -40,7 +43,9 @@
 from bramleyturn.core.membership import list_members, missed
 from bramleyturn.core.news import accept_configuration, take_server_list
 from bramleyturn.core.permission import permit_write
+from bramleyturn.core.poison import server_lives
 from bramleyturn.core.routing import load_reported
+from bramleyturn.core.server_confirmation import confirm_server, distrust_servers
 from bramleyturn.core.spend import list_processes
 from bramleyturn.core.streams import tokens_arrived
 from bramleyturn.core.tickets import ProcessRef
@@ -55,6 +60,8 @@
     Timers that are due come first, so that a process that was paused drops what has
     expired before it handles anything that queued up meanwhile.
     """
+    if isinstance(event, ProcessPaused):
+        distrust_servers(state.routing, now_ms)
     actions = run_due_timers(state, now_ms)
     actions += handle(state, event, now_ms)
     if tell_at_once(state, now_ms):
@@ -87,6 +94,9 @@
             return broke(state, event, now_ms)
         case ConnectionReady(attempt_id):
             return permit_write(state, attempt_id, now_ms)
+        case ServerAlive(server):
+            server_lives(state.suspects, server, now_ms)
+            return []
         case BackupAnswered():
             return answer_of_backup(state, event, now_ms)
         case BackupSilent():
@@ -99,7 +109,7 @@
             return primary_silent(state, forward_id, now_ms)
         case WaiterGone(waiter):
             return forget_waiter(state, waiter)
-        case TimePassed():
+        case TimePassed() | ProcessPaused():
             return []
     return learn(state, event, now_ms)
 
@@ -110,8 +120,11 @@
         case ConfigurationAccepted(configuration):
             return accept_configuration(state, configuration, now_ms)
         case LoadReportArrived(report):
+            confirm_server(state.routing, report.server, now_ms)
             load_reported(state.routing, report, now_ms)
             note_load(state.gossip, report, now_ms)
+        case LoadReportMissing(server):
+            confirm_server(state.routing, server, now_ms)
         case ServersListed():
             take_server_list(state, event, now_ms)
         case PeersListed(entries):
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -75,6 +75,7 @@
 
     NOT_CONNECTED = "not_connected"
     NOT_STARTED = "not_started"
+    RESUME_REFUSED = "resume_refused"
     ERROR_ANSWER = "error_answer"
     LOST = "lost"
     CUT = "cut"
@@ -95,6 +96,12 @@
     leaving: bool
 
 
+class ServerAlive(NamedTuple):
+    """A backend server answered a probe."""
+
+    server: str
+
+
 class ConnectionReady(NamedTuple):
     """An attempt that may not be repeated has a connection and is about to write."""
 
@@ -117,6 +124,16 @@
     report: LoadReport
 
 
+class LoadReportMissing(NamedTuple):
+    """A backend server gave no load report when it was asked."""
+
+    server: str
+
+
+class ProcessPaused(NamedTuple):
+    """The process did nothing for so long that what it knew may be out of date."""
+
+
 class ListedServer(NamedTuple):
     """One backend server on the platform's list."""
 
@@ -225,9 +242,12 @@
     | OutputArrived
     | AttemptBroke
     | ConnectionReady
+    | ServerAlive
     | TimePassed
     | ConfigurationAccepted
     | LoadReportArrived
+    | LoadReportMissing
+    | ProcessPaused
     | ServersListed
     | PeersListed
     | PeerSeen
--- a/src/bramleyturn/core/peer_message.py
+++ b/src/bramleyturn/core/peer_message.py
@@ -34,6 +34,7 @@
     REVOKE = "revoke"
     OUTCOME = "outcome"
     LOOKUP = "lookup"
+    KEEP = "keep"
 
 
 class PeerMessage(NamedTuple):
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -18,7 +18,13 @@
 from bramleyturn.core.budgets import free_budget, hold_budget
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
-from bramleyturn.core.kept import KeptOutcome, OutcomeKey, find_outcome, keep_outcome
+from bramleyturn.core.kept import (
+    OutcomeKey,
+    find_outcome,
+    keep_outcome,
+    pack_outcome,
+    unpack_outcome,
+)
 from bramleyturn.core.latency import can_finish, stage_percentile_ms
 from bramleyturn.core.model import Pipeline, Workspace
 from bramleyturn.core.outcomes import Outcome, OutcomeKind, not_run
@@ -43,7 +49,7 @@
 TYPICAL_PERCENTILE: Final = 50
 DRAIN_RETRY_AFTER_MS: Final = 1_000
 DEADLINE_RETRY_AFTER_MS: Final = 1_000
-OUTCOME_OVERHEAD_BYTES: Final = 1_024
+CRASHES_SERVERS: Final = "input_crashes_servers"
 
 
 def digest_input(pipeline: str, packed: bytes) -> bytes:
@@ -70,11 +76,11 @@
         state.request_by_waiter[event.waiter] = running_key
         return []
     kept = find_outcome(state.kept, key, now_ms)
-    if kept is None or kept.outcome.kind is OutcomeKind.NOT_RUN:
+    if kept is None or kept.kind is OutcomeKind.NOT_RUN:
         return None
     if kept.input_digest != digest:
         return [reused_id(event)]
-    return [Answer(event.waiter, event.request_id, kept.outcome)]
+    return [Answer(event.waiter, event.request_id, unpack_outcome(kept))]
 
 
 def reused_id(event: RequestArrived) -> Answer:
@@ -139,7 +145,7 @@
             now_ms,
         )
         if isinstance(found, Convicted):
-            return Outcome(OutcomeKind.FAILED, "input_crashes_servers")
+            return Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
     left_ms = request.deadline_at_ms - now_ms
     if not can_finish(
         state.latencies, request.pipeline, request.pipeline.stages, left_ms
@@ -236,7 +242,7 @@
 ) -> list[Action]:
     """Try a broken stage again, or give the request up at once."""
     if may_try_again(state, request, progress, reason, now_ms):
-        schedule_retry(state, request, progress, now_ms)
+        schedule_retry(state, request, progress, reason, now_ms)
         return []
     return give_up(state, request, str(reason), retry_after_ms, now_ms)
 
@@ -257,6 +263,19 @@
     return end_request(state, request, outcome, now_ms)
 
 
+def refuse_convicted(
+    state: EntryState, request: RunningRequest, now_ms: int
+) -> list[Action]:
+    """End a request one of whose inputs crashes backend servers.
+
+    The outcome is final even if nothing ran here: another try would crash another.
+    """
+    if overall_kind(request) is OutcomeKind.UNKNOWN:
+        return give_up(state, request, CRASHES_SERVERS, None, now_ms)
+    outcome = Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
+    return end_request(state, request, outcome, now_ms)
+
+
 def end_request(
     state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
 ) -> list[Action]:
@@ -316,18 +335,11 @@
     state: EntryState, request: RunningRequest, outcome: Outcome, now_ms: int
 ) -> None:
     """Keep an outcome for a caller that asks again."""
-    size_bytes = OUTCOME_OVERHEAD_BYTES
-    if outcome.output is not None:
-        size_bytes += len(orjson.dumps(outcome.output))
+    forget_at_ms = now_ms + state.configuration.limits.kept_outcome_ms
     keep_outcome(
         state.kept,
         OutcomeKey(request.workspace.name, request.request_id),
-        KeptOutcome(
-            outcome=outcome,
-            input_digest=request.input_digest,
-            size_bytes=size_bytes,
-            forget_at_ms=now_ms + state.configuration.limits.kept_outcome_ms,
-        ),
+        pack_outcome(outcome, request.input_digest, forget_at_ms),
     )
 
 
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -17,6 +17,7 @@
 from bramleyturn.platform.documents import ListedInstance
 from bramleyturn.platform.errors import PlatformFailed
 from bramleyturn.platform.reader import read_folder, read_instances
+from bramleyturn.runtime.logs import error_fields, note_revision
 from bramleyturn.runtime.peer_client import Traffic, count_read
 
 WATCH_WAIT_MS: Final = 10_000
@@ -80,8 +81,8 @@
     """Run one of the reading loops and log the fault that ends it, if any does."""
     try:
         await work(loop)
-    except Exception:
-        logger.exception("a reading loop ended")
+    except Exception as error:
+        logger.error("a reading loop ended", extra=error_fields(error))
         raise
 
 
@@ -101,7 +102,7 @@
             f"http://{platform}/config",
             loop.revisions.revision,
             jittered_ms(loop, WATCH_WAIT_MS),
-            partial(count_read, loop.traffic, "platform_config"),
+            count=partial(count_read, loop.traffic, "platform_config"),
         )
         if isinstance(read, PlatformFailed):
             turn += 1
@@ -176,12 +177,19 @@
             f"http://{peer.address}/v1/config",
             loop.revisions.revision,
             0,
+            peers_key(loop),
             partial(count_read, loop.traffic, "watch_config"),
         )
         if not isinstance(read, PlatformFailed):
             take_folder(loop, read.revision, read.files, f"watch {peer.name}")
 
 
+def peers_key(loop: WatchLoop) -> str:
+    """Return the key that proves this watch to others, empty before it has one."""
+    in_force = loop.revisions.in_force
+    return in_force.configuration.peers.key if in_force is not None else ""
+
+
 def choose_watch(loop: WatchLoop) -> ListedInstance | None:
     """Return another watch, half the time one of the own availability zone."""
     watches = [each for each in loop.instances if each.role == "watch"]
@@ -230,7 +238,8 @@
     refused_before = len(loop.revisions.refused)
     result = offer(loop.revisions, revision, files, source, now_ms)
     if isinstance(result, InForce):
-        logger.info("configuration in force", extra={"revision": revision})
+        note_revision(revision)
+        logger.info("configuration in force")
         record(
             loop.timeline,
             EventKind.CONFIGURATION_IN_FORCE,
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -15,7 +15,7 @@
 from bramleyturn.core.clock import Clock, system_clock
 from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
 from bramleyturn.core.entry import start
-from bramleyturn.core.entry_state import entry_state
+from bramleyturn.core.entry_state import EntryState, entry_state
 from bramleyturn.core.events import (
     ConfigurationAccepted,
     DrainOrdered,
@@ -33,8 +33,14 @@
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.entry_status import status_api
 from bramleyturn.runtime.greeter import follow_peers, greet_several
+from bramleyturn.runtime.handing_over import end_entry
 from bramleyturn.runtime.http_client import http_client
-from bramleyturn.runtime.http_server import json_answer, listen, print_ready
+from bramleyturn.runtime.http_server import (
+    OpenServer,
+    json_answer,
+    open_server,
+    print_ready,
+)
 from bramleyturn.runtime.lifecycle import (
     Ending,
     Lifecycle,
@@ -42,9 +48,11 @@
     stop_on_signals,
 )
 from bramleyturn.runtime.load_reports import follow_load
-from bramleyturn.runtime.peer_client import Identity, PeerClient
-from bramleyturn.runtime.peers_api import peers_api
-from bramleyturn.runtime.timeline_api import timeline_api
+from bramleyturn.runtime.logs import error_fields, note_revision
+from bramleyturn.runtime.memory import freeze_start_up_objects
+from bramleyturn.runtime.openapi import openapi_api
+from bramleyturn.runtime.peer_client import MESSAGE_PATH, Identity, PeerClient
+from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
@@ -55,7 +63,6 @@
 
 INCARNATION_BYTES: Final = 8
 DRAIN_CHECK_S: Final = 0.05
-LEAVE_DELAY_S: Final = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -79,13 +86,18 @@
 def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> EntryLoop:
     """Start an entry process that waits for its first configuration."""
     app = Klein()
-    address = listen(reactor, app, settings.listen)
-    me = ProcessRef(settings.advertise or address, secrets.token_hex(INCARNATION_BYTES))
+    configuration = empty_configuration()
+    server = open_server(
+        reactor, app, settings.listen, lambda path: body_limit(state, path)
+    )
+    me = ProcessRef(
+        settings.advertise or server.address, secrets.token_hex(INCARNATION_BYTES)
+    )
     state = entry_state(
         settings.name,
         settings.zone,
         me,
-        empty_configuration(),
+        configuration,
         Random(),
         clock.monotonic_ms(),
     )
@@ -98,15 +110,28 @@
     )
     loop = EntryLoop(reactor, clock, state, peers)
     lifecycle = new_lifecycle(
-        Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
+        Ending(
+            drain=lambda: drain(loop, lifecycle, server),
+            end=lambda: leave(loop, server),
+        )
     )
-    add_routes(loop, app, lifecycle)
+    add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
-    print_ready(me.address)
+    print_ready(me.address, listen=server.address)
     return loop
 
 
+def body_limit(state: EntryState, path: bytes) -> int:
+    """Return the largest body in bytes that is read for a path.
+
+    A message between entry processes may carry a whole outcome.
+    """
+    if path.startswith(MESSAGE_PATH.encode()):
+        return MAX_MESSAGE_BYTES
+    return state.configuration.limits.max_body_bytes
+
+
 def empty_configuration() -> Configuration:
     """Return the configuration of a process that has read none yet."""
     loaded = load_configuration(0, {})
@@ -115,12 +140,12 @@
     return loaded
 
 
-def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle) -> None:
+def add_routes(loop: EntryLoop, app: Klein, lifecycle: Lifecycle, watch: str) -> None:
     """Add every route of an entry process to ``app``."""
     callers_api(loop, app)
     peers_api(loop, app)
-    status_api(loop, app)
-    timeline_api(app, loop.state.name, loop.state.timeline, loop.clock)
+    status_api(loop, app, watch, lifecycle.asked_to_stop)
+    openapi_api(app, "callers")
 
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
@@ -137,8 +162,11 @@
     client = http_client(loop.reactor)
 
     def accept(configuration: Configuration) -> None:
+        note_revision(configuration.revision)
         loop.access = access_table(configuration)
         feed(loop, ConfigurationAccepted(configuration))
+        if not lifecycle.is_ready():
+            freeze_start_up_objects()
         lifecycle.configured()
 
     def tell_newer(seen_revision: int) -> None:
@@ -160,7 +188,7 @@
 
 def log_end(failure: Any) -> None:
     """Log that something that should run for ever has ended."""
-    logger.error("a background loop ended", extra={"error": str(failure)})
+    logger.error("a background loop ended", extra=error_fields(failure.value))
 
 
 def take_list(loop: EntryLoop, found: InstanceList) -> None:
@@ -181,8 +209,9 @@
     feed(loop, PeersListed(entries))
 
 
-def drain(loop: EntryLoop, lifecycle: Lifecycle) -> None:
+def drain(loop: EntryLoop, lifecycle: Lifecycle, server: OpenServer) -> None:
     """Take nothing new and end once nothing is in flight."""
+    server.site.is_closing = True
     feed(loop, DrainOrdered())
     checking = LoopingCall(lambda: end_when_idle(loop, lifecycle, checking))
     checking.start(DRAIN_CHECK_S)
@@ -196,9 +225,15 @@
     lifecycle.finished()
 
 
-def leave(loop: EntryLoop) -> None:
-    """Stop the loop after the last answers have been written."""
-    loop.reactor.callLater(LEAVE_DELAY_S, loop.reactor.stop)
+def leave(loop: EntryLoop, server: OpenServer) -> None:
+    """Hand over what is kept and stop the loop once every answer is written."""
+    Deferred.fromCoroutine(end_entry(loop, server)).addErrback(end_anyway, loop)
+
+
+def end_anyway(failure: Any, loop: EntryLoop) -> None:
+    """Stop the loop although ending in good order failed."""
+    log_end(failure)
+    loop.reactor.stop()
 
 
 def main() -> None:
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -4,13 +4,13 @@
 from typing import Any, Final
 
 import orjson
-from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectingCancelledError, ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 from twisted.web.http import PotentialDataLoss
+from twisted.web.http_headers import Headers
 
 from bramleyturn.core.actions import CancelAttempt, StartAttempt
 from bramleyturn.core.events import (
@@ -19,17 +19,20 @@
     ConnectionReady,
     Event,
     OutputArrived,
+    ServerAlive,
     StreamEnded,
     TokensArrived,
 )
-from bramleyturn.core.model import PoolKind
+from bramleyturn.core.model import PoolKind, Server
 from bramleyturn.runtime.errors import CallFailed, CallFailure
 from bramleyturn.runtime.http_client import (
-    JSON_HEADERS,
+    JsonAnswer,
+    WholeBody,
     call_json,
     failure_of,
-    guarded_client,
+    guarded_agent,
     header_text,
+    http_agent,
     http_client,
     retry_after_ms,
 )
@@ -37,7 +40,9 @@
 MAX_LINE_BYTES: Final = 1024 * 1024
 MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
 CANCEL_TIMEOUT_MS: Final = 1_000
+PROBE_TIMEOUT_MS: Final = 500
 STATUS_OK: Final = 200
+STATUS_CONFLICT: Final = 409
 STATUS_UNAVAILABLE: Final = 503
 
 Feed = Callable[[Event], None]
@@ -57,7 +62,8 @@
     def __init__(self, reactor: Any, feed: Feed) -> None:
         self.reactor = reactor
         self.feed = feed
-        self.persistent = http_client(reactor)
+        self.client = http_client(reactor)
+        self.agent = http_agent(reactor)
         self.permitted: set[str] = set()
         self.calls: dict[str, Deferred[None]] = {}
         self.readers: dict[str, LineReader] = {}
@@ -85,7 +91,7 @@
     """Tell a backend server to stop an attempt, without waiting for its answer."""
     Deferred.fromCoroutine(
         call_json(
-            client.persistent,
+            client.client,
             client.reactor,
             "DELETE",
             f"http://{address}/v1/attempts/{attempt_id}",
@@ -94,22 +100,34 @@
     )
 
 
+def probe_server(client: BackendClient, server: Server) -> None:
+    """Report that a backend server is alive if it answers whatever is asked."""
+
+    def take(answer: JsonAnswer | CallFailed) -> None:
+        if isinstance(answer, JsonAnswer):
+            client.feed(ServerAlive(server.name))
+
+    url = f"http://{server.address}/v1/load"
+    probe = call_json(
+        client.client, client.reactor, "GET", url, timeout_ms=PROBE_TIMEOUT_MS
+    )
+    Deferred.fromCoroutine(probe).addCallback(take)
+
+
 async def run_attempt(client: BackendClient, action: StartAttempt) -> None:
     """Send one attempt and feed every part of its answer to the core."""
     try:
-        response = await connection_for(client, action).request(
-            "POST",
-            f"http://{action.server.address}{_PATHS.get(action.kind, '/v1/run')}",
-            data=orjson.dumps(request_document(action)),
-            headers={**JSON_HEADERS, "Bramleyturn-Attempt-Id": action.attempt_id},
-            allow_redirects=False,
-            unbuffered=True,
+        response = await agent_for(client, action).request(
+            b"POST",
+            attempt_url(action),
+            attempt_headers(action),
+            WholeBody(orjson.dumps(request_document(action))),
         )
         reader = LineReader(client, action, response.code == STATUS_OK)
         client.readers[action.attempt_id] = reader
         response.deliverBody(reader)
         body = await reader.whole_body
-    except CancelledError:
+    except (CancelledError, ConnectingCancelledError):
         return
     except Exception as error:
         broke(client, action, failure_of(error))
@@ -120,7 +138,23 @@
         whole_answer(client, action, body)
 
 
-def connection_for(client: BackendClient, action: StartAttempt) -> HTTPClient:
+def attempt_url(action: StartAttempt) -> bytes:
+    """Return where to send an attempt."""
+    path = _PATHS.get(action.kind, "/v1/run")
+    return f"http://{action.server.address}{path}".encode()
+
+
+def attempt_headers(action: StartAttempt) -> Headers:
+    """Return the headers of an attempt."""
+    return Headers(
+        {
+            "Content-Type": ["application/json"],
+            "Bramleyturn-Attempt-Id": [action.attempt_id],
+        }
+    )
+
+
+def agent_for(client: BackendClient, action: StartAttempt) -> Any:
     """Return the connections to use for an attempt.
 
     An attempt that may not be repeated gets a connection of its own, which asks the
@@ -128,8 +162,8 @@
     server just as a request is written, and then nobody knows whether it ran.
     """
     if not action.needs_permission:
-        return client.persistent
-    return guarded_client(
+        return client.agent
+    return guarded_agent(
         client.reactor, lambda: ask_permission(client, action.attempt_id)
     )
 
@@ -174,13 +208,10 @@
     """Report an error answer, and whether the backend server says it did not start."""
     client.readers.pop(action.attempt_id, None)
     document = parse_object(body)
-    not_started = (
-        response.code == STATUS_UNAVAILABLE and document.get("not_started") is True
-    )
     client.feed(
         AttemptBroke(
             attempt_id=action.attempt_id,
-            reason=BreakReason.NOT_STARTED if not_started else BreakReason.ERROR_ANSWER,
+            reason=refusal_reason(action, response.code, document),
             detail=f"status {response.code}",
             retry_after_ms=retry_after_ms(header_text(response, "Retry-After")),
             leaving=document.get("state") == "leaving",
@@ -188,6 +219,19 @@
     )
 
 
+def refusal_reason(
+    action: StartAttempt, status: int, document: dict[str, Any]
+) -> BreakReason:
+    """Return what an answer other than 200 says about an attempt."""
+    if document.get("not_started") is not True:
+        return BreakReason.ERROR_ANSWER
+    if status == STATUS_UNAVAILABLE:
+        return BreakReason.NOT_STARTED
+    if status == STATUS_CONFLICT and action.resume_offset:
+        return BreakReason.RESUME_REFUSED
+    return BreakReason.ERROR_ANSWER
+
+
 def whole_answer(client: BackendClient, action: StartAttempt, body: bytes) -> None:
     """Report the whole answer of a backend server other than an engine."""
     client.readers.pop(action.attempt_id, None)
--- a/src/bramleyturn/runtime/load_reports.py
+++ b/src/bramleyturn/runtime/load_reports.py
@@ -4,11 +4,13 @@
 from functools import partial
 from typing import Any, Final
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.events import LoadReportArrived
+from bramleyturn.core.events import LoadReportArrived, LoadReportMissing, TimePassed
 from bramleyturn.core.membership import Life
 from bramleyturn.core.routing import LoadReport
+from bramleyturn.core.server_confirmation import take_to_confirm
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.errors import CallFailed
 from bramleyturn.runtime.http_client import call_json
@@ -16,6 +18,7 @@
 
 LEAST_INTERVAL_MS: Final = 100
 ZONE_REPORTS_PER_S: Final = 20
+CONFIRM_INTERVAL_MS: Final = 20
 TIMEOUT_MS: Final = 1_000
 MS_PER_S: Final = 1_000
 
@@ -27,10 +30,27 @@
     processes of a zone share one rate and tell each other what they learn.
     """
     while True:
-        for address_name, address in servers_in_turn(loop):
-            await ask_load(loop, address_name, address)
-            await deferLater(loop.reactor, interval_ms(loop) / MS_PER_S)
-        await deferLater(loop.reactor, interval_ms(loop) / MS_PER_S)
+        for name, address in servers_in_turn(loop):
+            start_asking(loop, name, address)
+            await next_turn(loop)
+        await next_turn(loop)
+
+
+async def next_turn(loop: EntryLoop) -> None:
+    """Wait for the next turn to ask, and ask those that hold up work meanwhile."""
+    for _ in range(interval_ms(loop) // CONFIRM_INTERVAL_MS):
+        await deferLater(loop.reactor, CONFIRM_INTERVAL_MS / MS_PER_S)
+        feed(loop, TimePassed())
+        for server in take_to_confirm(loop.state.routing):
+            start_asking(loop, server.name, server.address)
+
+
+def start_asking(loop: EntryLoop, name: str, address: str) -> None:
+    """Ask without waiting, so that a silent server holds up no question to others.
+
+    The time-out bounds the questions that are open at once.
+    """
+    Deferred.fromCoroutine(ask_load(loop, name, address))
 
 
 def interval_ms(loop: EntryLoop) -> int:
@@ -58,18 +78,20 @@
 async def ask_load(loop: EntryLoop, name: str, address: str) -> None:
     """Ask one backend server for its load and feed the report."""
     answer = await call_json(
-        loop.backends.persistent,
+        loop.backends.client,
         loop.reactor,
         "GET",
         f"http://{address}/v1/load",
         timeout_ms=TIMEOUT_MS,
         count=partial(count_read, loop.peers.traffic, "load_reports"),
     )
-    if isinstance(answer, CallFailed):
+    report = (
+        None if isinstance(answer, CallFailed) else parse_report(name, answer.document)
+    )
+    if report is None:
+        feed(loop, LoadReportMissing(name))
         return
-    report = parse_report(name, answer.document)
-    if report is not None:
-        feed(loop, LoadReportArrived(report))
+    feed(loop, LoadReportArrived(report))
 
 
 def parse_report(name: str, document: Any) -> LoadReport | None:
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -17,6 +17,7 @@
     WaiterGone,
 )
 from bramleyturn.core.greetings import greeting_sent, write_greeting
+from bramleyturn.core.handover import take_batch
 from bramleyturn.core.intake import BadRequest
 from bramleyturn.core.outcome_json import outcome_document
 from bramleyturn.core.peer_message import (
@@ -37,10 +38,12 @@
 )
 from bramleyturn.core.ticket_messages import (
     InputDiffers,
+    Intent,
     PrimaryAnswer,
     PrimaryFinished,
     PrimaryRunning,
 )
+from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.runtime.entry_loop import (
     EntryLoop,
     WaiterAction,
@@ -60,7 +63,7 @@
 
 PRIMARY_WAIT_S: Final = 1.0
 ASK_AGAIN_MS: Final = 10
-MAX_MESSAGE_BYTES: Final = 32 * 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 16 * 1024 * 1024
 
 _BACKUP_PARSERS: Final = {
     MessageKind.INTENT: parse_intent,
@@ -150,6 +153,8 @@
             return run_forwarded(loop, message.body)
         case MessageKind.LOOKUP:
             return succeed(look_up_here(loop, message.body))
+        case MessageKind.KEEP:
+            return succeed(keep_here(loop, message.body))
     asked = _BACKUP_PARSERS[message.kind](message.body)
     if asked is None:
         return succeed(None)
@@ -166,6 +171,7 @@
 
 def answer_as_backup(loop: EntryLoop, message: BackupMessage) -> dict[str, Any]:
     """Let the core answer as the backup of a ticket."""
+    note_message(loop, message)
     answers: list[dict[str, Any]] = []
     reply_to = new_backup_reply(
         loop, lambda answer: answers.append(answer_document(answer))
@@ -174,6 +180,33 @@
     return answers[0]
 
 
+def note_message(loop: EntryLoop, message: BackupMessage) -> None:
+    """Put an intent of a primary on the time line, under the attempt it is for."""
+    if not isinstance(message, Intent):
+        return
+    record(
+        loop.state.timeline,
+        EventKind.MESSAGE_RECEIVED,
+        loop.clock.monotonic_ms(),
+        stage=message.intended.stage,
+        attempt_id=message.intended.attempt_id,
+        detail="intent",
+        cause=message.intended.attempt_id,
+    )
+
+
+def note_forwarded(loop: EntryLoop, request_id: str, forward_id: str) -> None:
+    """Put a forwarded request on the time line, under the id of its forward."""
+    record(
+        loop.state.timeline,
+        EventKind.MESSAGE_RECEIVED,
+        loop.clock.monotonic_ms(),
+        request_id=request_id,
+        detail="forwarded request",
+        cause=forward_id,
+    )
+
+
 def run_forwarded(loop: EntryLoop, body: Any) -> Deferred[Any]:
     """Run a forwarded request, or wait a while for the one that runs."""
     answered: Deferred[Any] = Deferred()
@@ -193,6 +226,7 @@
     if event is None:
         loop.waiters.pop(waiter)
         return succeed(None)
+    note_forwarded(loop, event.request_id, str(body.get("forward_id", "")))
     timer = loop.reactor.callLater(PRIMARY_WAIT_S, still_running)
     feed(loop, event)
     return answered
@@ -238,3 +272,13 @@
     if isinstance(found, StillRunning):
         return {"state": "running"}
     return {"state": "ended", "outcome": outcome_document(request_id, found)}
+
+
+def keep_here(loop: EntryLoop, body: Any) -> dict[str, Any] | None:
+    """Keep the outcomes of a process that ends, unless this one ends too."""
+    if loop.state.is_draining:
+        return {"taken": 0}
+    batch = body.get("outcomes") if isinstance(body, dict) else None
+    most_ms = loop.state.configuration.limits.kept_outcome_ms
+    taken = take_batch(loop.state.kept, batch, most_ms, loop.clock.monotonic_ms())
+    return None if taken is None else {"taken": taken}
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -14,7 +14,8 @@
 )
 from bramleyturn.core.tickets import ProcessRef
 from scripts.fleet import Fleet, FleetPlan, publish_files, workspace_key
-from tests.http_calls import call, connect, receive
+from tests.http_calls import connect, receive
+from tests.operators import operate
 
 OLD = "the-old-key-of-peers-0123456789"
 NEW = "the-new-key-of-peers-9876543210"
@@ -36,7 +37,7 @@
 
 
 def status(fleet: Fleet, name: str) -> Any:
-    return call(fleet.addresses[name], "GET", "/v1/status").document
+    return operate(fleet.addresses[name], "/v1/status").document
 
 
 def wait_until(what: str, condition: Any) -> None:
