--- a/src/bramleyturn/core/membership.py
+++ b/src/bramleyturn/core/membership.py
@@ -219,7 +219,7 @@
 def is_settled(membership: Membership) -> bool:
     """Tell whether enough others are known alive to probe at the ordinary rate."""
     alive = sum(member.life is Life.ALIVE for member in membership.by_address.values())
-    return alive >= min(ENOUGH_HEARD, len(membership.by_address))
+    return alive >= max(1, min(ENOUGH_HEARD, len(membership.by_address)))
 
 
 def next_probe(membership: Membership, random: Random) -> Member | None:
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -10,6 +10,7 @@
     Rumour,
     hear_rumours,
     heard,
+    is_settled,
     missed,
     next_probe,
     take_turn,
@@ -239,5 +240,11 @@
         take_turn(known, 1_000, SUSPECT_MS, 21_000)
         assert known.by_address[OTHER.address].life is Life.GONE
 
+    def test_is_not_settled_before_anyone_was_heard(self) -> None:
+        known = membership()
+        assert not is_settled(known)
+        heard(known, "b", "zone-1", OTHER, 0)
+        assert is_settled(known)
+
     def test_nobody_to_probe(self) -> None:
         assert next_probe(membership(), World(0, 1, SEED).random) is None
