--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -44,6 +44,7 @@
     of ``settings`` and may override single keys. ``standin_values`` are further
     keys of every backend server stand-in. ``linked_entries`` puts a link of a fault
     proxy, named after the entry, in front of what other entries send to it.
+    ``entry_command`` stands in for the entry program where it is not empty.
     """
 
     folder: Path
@@ -55,6 +56,7 @@
     extra_files: Mapping[str, str] = {}
     standin_values: Mapping[str, str] = {}
     linked_entries: bool = False
+    entry_command: tuple[str, ...] = ()
 
 
 class Instance(NamedTuple):
@@ -165,7 +167,7 @@
 def restart(fleet: Fleet, name: str) -> None:
     """Start an ended watch, entry or admin again with its former settings."""
     role = name.partition("-")[0]
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), _path(fleet, name)])
+    fleet.processes.start(name, _command(fleet, role, _path(fleet, name)))
     fleet.addresses[name] = fleet.processes.wait_for_address(name)
     _point_link(fleet, name)
     publish_instances(fleet)
@@ -325,7 +327,13 @@
     path = Path(_path(fleet, name))
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(text, "utf-8")
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
+    fleet.processes.start(name, _command(fleet, role, str(path)))
+
+
+def _command(fleet: Fleet, role: str, path: str) -> list[str]:
+    if role == "entry" and fleet.plan.entry_command:
+        return [*fleet.plan.entry_command, path]
+    return [program(f"bramleyturn-{role}"), path]
 
 
 def _path(fleet: Fleet, name: str) -> str:
