Tell with every ticket's not_run when to send again

The not_run of a revoked and of an expired ticket carried no retry_after_ms, so the answer had no Retry-After. The test of the revoked one failed before.

--- a/src/bramleyturn/core/outcomes.py
+++ b/src/bramleyturn/core/outcomes.py
@@ -1,7 +1,9 @@
 """Describe how a request and its stages ended."""
 
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
+
+SEND_AGAIN_MS: Final = 1_000
 
 
 class OutcomeKind(StrEnum):
--- a/src/bramleyturn/core/ticket_asker.py
+++ b/src/bramleyturn/core/ticket_asker.py
@@ -8,6 +8,7 @@
 from typing import Final, NamedTuple
 
 from bramleyturn.core.outcomes import (
+    SEND_AGAIN_MS,
     Outcome,
     OutcomeKind,
     StageOutcome,
@@ -123,7 +124,7 @@
 def on_backup_answer(asking: Asking, answer: RevokeAnswer) -> tuple[Asking, AskStep]:
     """Return what follows from the backup's answer to a revocation."""
     if isinstance(answer, Revoked):
-        return asking, Verdict(not_run(AskReason.REVOKED))
+        return asking, Verdict(not_run(AskReason.REVOKED, SEND_AGAIN_MS))
     if isinstance(answer, OutcomeCopied):
         if answer.input_digest != asking.input_digest:
             return asking, WrongInput()
--- a/src/bramleyturn/core/ticket_primary.py
+++ b/src/bramleyturn/core/ticket_primary.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from bramleyturn.core.outcomes import (
+    SEND_AGAIN_MS,
     Outcome,
     OutcomeKind,
     StageOutcome,
@@ -343,11 +344,10 @@
     if record is not None:
         return _receive_again(record, input_digest)
     if ticket.expires_at_ms <= primary.forgotten_through_ms:
-        reason = TicketRefusal.FORGOTTEN
-        return TicketRefused(reason, unknown(reason))
+        return TicketRefused(TicketRefusal.FORGOTTEN, unknown(TicketRefusal.FORGOTTEN))
     if now_ms >= ticket.expires_at_ms:
         reason = TicketRefusal.EXPIRED
-        return TicketRefused(reason, not_run(reason))
+        return TicketRefused(reason, not_run(reason, SEND_AGAIN_MS))
     record = TicketRecord(ticket, input_digest)
     primary.records[ticket.number] = record
     return Started(record)
--- a/tests/core/test_ticket_asker.py
+++ b/tests/core/test_ticket_asker.py
@@ -83,6 +83,11 @@
 
 
 class TestBackup:
+    def test_not_run_tells_when_to_send_again(self) -> None:
+        _, verdict = on_backup_answer(asking(), Revoked(TICKET.ref))
+        assert isinstance(verdict, Verdict)
+        assert verdict.outcome.retry_after_ms is not None
+
     def test_revoked_is_not_run(self) -> None:
         _, step = on_backup_answer(asking(), Revoked(TICKET.ref))
         assert kind(step) is OutcomeKind.NOT_RUN
--- a/tests/core/test_ticket_primary.py
+++ b/tests/core/test_ticket_primary.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from bramleyturn.core.outcomes import Outcome, OutcomeKind, StageOutcome, not_run
+from bramleyturn.core.outcomes import (
+    SEND_AGAIN_MS,
+    Outcome,
+    OutcomeKind,
+    StageOutcome,
+    not_run,
+)
 from bramleyturn.core.ticket_messages import (
     InputDiffers,
     IntendedStage,
@@ -204,7 +210,7 @@
         primary = TicketPrimary(ME, max_issued=4)
         received = receive_ticket(primary, TICKET, "digest", 1000)
         assert isinstance(received, TicketRefused)
-        assert received.outcome == not_run("ticket_expired")
+        assert received.outcome == not_run("ticket_expired", SEND_AGAIN_MS)
 
 
 class TestForget:
