--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test lint format clean
+.PHONY: setup run test bench soak capacity lint format clean
 
 setup: $(VENV)/.done
 
@@ -18,11 +18,21 @@
 test: setup  ## Run every test.
 	$(BIN)/python -m pytest -n 6 $(PYTEST_ARGS)
 
+bench: setup  ## Replay the comparison of policies; more with BENCH_ARGS="--seeds 5".
+	$(BIN)/python scripts/bench.py $(BENCH_ARGS)
+
+soak: setup  ## Draw pairs of faults under load from ten seeds; takes minutes.
+	$(BIN)/python -m scripts.soak $(SOAK_ARGS)
+
 lint: setup  ## Formatter, linter and types, as CI runs them.
 	$(BIN)/ruff format --check src tests scripts
 	$(BIN)/ruff check src tests scripts
 	$(BIN)/mypy
 
+capacity: setup  ## Measure the slopes of docs/CAPACITY.md again.
+	$(BIN)/python -m bramleyturn.bench.capacity
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m scripts.capacity_fleet
+
 format: setup
 	$(BIN)/ruff format src tests scripts
 	$(BIN)/ruff check --fix src tests scripts
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -32,6 +32,7 @@
 HTTP_TIMEOUT_S: Final = 10.0
 PLATFORM: Final = "platform"
 CONTROL: Final = "platform-control"
+FAULT_PROXY: Final = "faultproxy"
 LINKS: Final = "links"
 NOWHERE: Final = "127.0.0.1:9"
 
@@ -42,9 +43,11 @@
     ``separate_servers`` gives each backend server a process of its own, named after
     it, so that one can be killed alone. ``extra_files`` are published beside those
     of ``settings`` and may override single keys. ``standin_values`` are further
-    keys of every backend server stand-in. ``linked_entries`` puts a link of a fault
-    proxy, named after the entry, in front of what other entries send to it.
-    ``entry_command`` stands in for the entry program where it is not empty.
+    keys of every backend server stand-in, ``process_values`` of every other process.
+    With ``fault_links`` the entries reach each backend server over a link of a fault
+    proxy that is named after it. ``linked_entries`` puts such a link, named after the
+    entry, in front of what other entries send to it. ``entry_command`` stands in for
+    the entry program where it is not empty.
     """
 
     folder: Path
@@ -55,6 +58,8 @@
     settings: Path = LAKESHORE
     extra_files: Mapping[str, str] = {}
     standin_values: Mapping[str, str] = {}
+    process_values: Mapping[str, str] = {}
+    fault_links: bool = False
     linked_entries: bool = False
     entry_command: tuple[str, ...] = ()
 
@@ -76,6 +81,7 @@
         self.plan = plan
         self.processes = ProcessGroup(plan.folder / "logs")
         self.addresses: dict[str, str] = {}
+        self.links: dict[str, str] = {}
         self.advertised: dict[str, str] = {}
         self.servers: tuple[FleetServer, ...] = ()
         self.files: dict[str, str] = {}
@@ -154,7 +160,10 @@
     fleet.servers = servers_in_zones(fleet.files, plan.zones)
     _start_servers(fleet)
     _start_platform(fleet)
-    fleet.files[SERVERS_FILE] = published_servers_text(fleet.servers, fleet.addresses)
+    if plan.fault_links:
+        _start_fault_links(fleet)
+    addresses = {**fleet.addresses, **fleet.links}
+    fleet.files[SERVERS_FILE] = published_servers_text(fleet.servers, addresses)
     publish_files(fleet)
 
 
@@ -272,6 +281,23 @@
     fleet.addresses.update(addresses)
 
 
+def _start_fault_links(fleet: Fleet) -> None:
+    sections = {
+        f"link {server.name}": {
+            "listen": ANY_PORT,
+            "target": fleet.addresses[server.name],
+        }
+        for server in fleet.servers
+    }
+    text = ini_text({"control": {"listen": ANY_PORT}, **sections})
+    _start(fleet, FAULT_PROXY, "faultproxy", text)
+    ready = fleet.processes.wait_for_ready_line(FAULT_PROXY)
+    addresses = ready["addresses"]
+    assert isinstance(addresses, dict)
+    fleet.links = addresses
+    fleet.addresses[FAULT_PROXY] = str(ready["address"])
+
+
 def _start_platform(fleet: Fleet) -> None:
     text = ini_text({"platform": {"listen": ANY_PORT, "control": ANY_PORT}})
     _start(fleet, PLATFORM, "standin", text)
@@ -320,7 +346,7 @@
         values["watch"] = fleet.addresses[name.replace(role, "watch", 1)]
     if name in fleet.advertised:
         values["advertise"] = fleet.advertised[name]
-    return ini_text({"process": values})
+    return ini_text({"process": {**values, **fleet.plan.process_values}})
 
 
 def _start(fleet: Fleet, name: str, role: str, text: str) -> None:
--- a/scripts/ticket_variant.py
+++ b/scripts/ticket_variant.py
@@ -14,7 +14,7 @@
 from bramleyturn.core.entry import step
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import BackupAnswered, BackupSilent, Event
-from bramleyturn.core.peers import Peers
+from bramleyturn.core.membership import Membership
 from bramleyturn.core.ticket_backup import TicketBackup, revoke
 from bramleyturn.core.ticket_messages import (
     BackupUnsure,
@@ -53,7 +53,7 @@
 
 
 def no_backup(
-    _peers: Peers, _zone: str, _now_ms: int, _random: Random
+    _membership: Membership, _zone: str, _now_ms: int, _random: Random
 ) -> ProcessRef | None:
     """Name no backup, whoever is there."""
     return None
--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bramleyturn.core.actions import Action, CancelAttempt
+from bramleyturn.core.budgets import charge_budget
 from bramleyturn.core.cost import Charge, attempt_cost_micros, charge
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptBroke, BreakReason, OutputArrived
@@ -16,18 +17,22 @@
     attempt_ended,
     server_leaving,
 )
+from bramleyturn.core.silence import record_silence
 from bramleyturn.core.timeline import EventKind, record
 
 _VERDICTS: Final = {
     BreakReason.NOT_CONNECTED: AttemptVerdict.LOST,
     BreakReason.NOT_STARTED: AttemptVerdict.REFUSED,
+    BreakReason.RESUME_REFUSED: AttemptVerdict.CANCELLED,
     BreakReason.ERROR_ANSWER: AttemptVerdict.FAILED,
     BreakReason.LOST: AttemptVerdict.LOST,
     BreakReason.CUT: AttemptVerdict.LOST,
     BreakReason.WRONG_ANSWER: AttemptVerdict.FAILED,
     BreakReason.TIMED_OUT: AttemptVerdict.FAILED,
 }
-_NOTHING_RAN: Final = frozenset({BreakReason.NOT_CONNECTED, BreakReason.NOT_STARTED})
+_NOTHING_RAN: Final = frozenset(
+    {BreakReason.NOT_CONNECTED, BreakReason.NOT_STARTED, BreakReason.RESUME_REFUSED}
+)
 
 
 def end_attempt(
@@ -54,6 +59,7 @@
     micros = attempt_cost_micros(attempt.pool, tokens)
     progress.cost_micros += micros
     request.cost_micros += micros
+    charge_budget(state, request, micros, now_ms)
     charge(
         state.costs,
         Charge(
@@ -107,6 +113,7 @@
         return wrong_answer(state, event.attempt_id, "another attempt's id")
     request = state.requests[attempt.request_key]
     progress = request.stages[attempt.stage]
+    record_silence(state.latencies, request.pipeline.name, attempt, now_ms)
     end_attempt(state, attempt, AttemptVerdict.OK, event.tokens, now_ms, wasted=False)
     actions = cancel_attempts(state, progress, now_ms)
     progress.state = StageState.ANSWERED
@@ -160,6 +167,7 @@
         now_ms,
         wasted=event.reason not in _NOTHING_RAN,
     )
+    progress.unconnected += event.reason is BreakReason.NOT_CONNECTED
     if event.reason is BreakReason.NOT_CONNECTED and attempt.is_written:
         take_back_dispatch(state, request, attempt.stage)
     if attempt.is_written:
@@ -168,6 +176,8 @@
         return None
     progress.ended_ms = now_ms
     progress.state = StageState.FAILED
+    if event.reason is BreakReason.RESUME_REFUSED:
+        progress.tokens.clear()
     if event.reason is not BreakReason.NOT_CONNECTED:
         settle_stage(state, request, progress, now_ms)
     return request, progress
@@ -194,6 +204,7 @@
         if other.server.name == attempt.server.name
     ]
     connection_lost(state.suspects, attempt.server.name, on_server, now_ms)
+    state.gossip.is_urgent = True
 
 
 def wrong_answer(state: EntryState, attempt_id: str, detail: str) -> AttemptBroke:
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -75,6 +75,7 @@
 
     NOT_CONNECTED = "not_connected"
     NOT_STARTED = "not_started"
+    RESUME_REFUSED = "resume_refused"
     ERROR_ANSWER = "error_answer"
     LOST = "lost"
     CUT = "cut"
@@ -95,6 +96,12 @@
     leaving: bool
 
 
+class ServerAlive(NamedTuple):
+    """A backend server answered a probe."""
+
+    server: str
+
+
 class ConnectionReady(NamedTuple):
     """An attempt that may not be repeated has a connection and is about to write."""
 
@@ -117,6 +124,16 @@
     report: LoadReport
 
 
+class LoadReportMissing(NamedTuple):
+    """A backend server gave no load report when it was asked."""
+
+    server: str
+
+
+class ProcessPaused(NamedTuple):
+    """The process did nothing for so long that what it knew may be out of date."""
+
+
 class ListedServer(NamedTuple):
     """One backend server on the platform's list."""
 
@@ -147,12 +164,26 @@
 
 
 class PeerSeen(NamedTuple):
-    """Another entry process answered and named its incarnation."""
+    """Another entry process sent a signed message meant for this very process.
+
+    ``revision`` is the configuration that it has in force. ``body`` is the content of
+    a greeting, None for any other message.
+    """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    revision: int = 0
+    body: Any = None
+
+
+class PeerIntroduced(NamedTuple):
+    """An entry process that does not know this one's incarnation sent a message."""
+
+    name: str
+    zone: str
+    address: str
 
 
 class PeerSilent(NamedTuple):
@@ -211,12 +242,16 @@
     | OutputArrived
     | AttemptBroke
     | ConnectionReady
+    | ServerAlive
     | TimePassed
     | ConfigurationAccepted
     | LoadReportArrived
+    | LoadReportMissing
+    | ProcessPaused
     | ServersListed
     | PeersListed
     | PeerSeen
+    | PeerIntroduced
     | PeerSilent
     | BackupAnswered
     | BackupSilent
--- a/src/bramleyturn/core/kept.py
+++ b/src/bramleyturn/core/kept.py
@@ -29,6 +29,7 @@
 
     packed: bytes
     kind: OutcomeKind
+    reason: str
     input_digest: bytes
     forget_at_ms: int
 
@@ -47,7 +48,7 @@
 ) -> KeptOutcome:
     """Return an outcome in the form in which it is kept."""
     packed = orjson.dumps(outcome_document("", outcome))
-    return KeptOutcome(packed, outcome.kind, input_digest, forget_at_ms)
+    return KeptOutcome(packed, outcome.kind, outcome.reason, input_digest, forget_at_ms)
 
 
 def unpack_outcome(kept: KeptOutcome) -> Outcome:
--- a/src/bramleyturn/core/process_settings.py
+++ b/src/bramleyturn/core/process_settings.py
@@ -6,6 +6,7 @@
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.ini_folder import merge_folder
 from bramleyturn.core.schema import PROCESS
+from bramleyturn.core.schema_operation import LogLevel
 from bramleyturn.core.section_values import key_fault, parse_sections
 
 
@@ -13,7 +14,8 @@
     """Hold the settings of one process; addresses read IP:PORT.
 
     ``watch`` and ``platform`` are empty where the program needs none. An empty
-    ``advertise`` stands for the address that the process listens on.
+    ``advertise`` stands for the address that the process listens on. ``peers`` are
+    other watches, asked with ``peers_key`` while the platform gives no list of them.
     """
 
     name: str
@@ -22,6 +24,9 @@
     watch: str
     platform: tuple[str, ...]
     advertise: str
+    peers: tuple[str, ...]
+    peers_key: str
+    log_level: LogLevel
 
 
 class RefusedSettings(NamedTuple):
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -31,6 +31,7 @@
     server_back,
     server_leaving,
 )
+from bramleyturn.core.server_confirmation import ask_if_elsewhere, is_confirmed
 from bramleyturn.core.server_load import (
     LoadReport,
     count_end,
@@ -72,6 +73,7 @@
 BUSY_MS: Final = 100
 IDLE_RETRY_MS: Final = 50
 NO_SERVER_RETRY_MS: Final = 1_000
+UNCONFIRMED_RETRY_MS: Final = 25
 
 
 class AttemptVerdict(StrEnum):
@@ -96,7 +98,8 @@
     """Ask for a server of a pool.
 
     ``prefix`` identifies the start of the prompt and may be empty. ``alone`` asks
-    for a server on which this process has nothing in flight.
+    for a server on which this process has nothing in flight. Of those that may not
+    share one, each takes every ``places``-th server from ``place`` on.
     """
 
     pool: str
@@ -104,6 +107,8 @@
     prefix: str
     excluded: frozenset[str]
     alone: bool
+    place: int = 0
+    places: int = 1
 
 
 class Choice(NamedTuple):
@@ -121,6 +126,7 @@
     ALL_EXCLUDED = "all_excluded"
     ALL_BUSY = "all_busy"
     NONE_IDLE = "none_idle"
+    UNCONFIRMED = "unconfirmed"
 
 
 class NoServer(NamedTuple):
@@ -147,13 +153,27 @@
     The own zone goes first; the other zones are looked at when the own one has no
     server for this request, or its best one is nearly full or slow. The cost doesn't
     depend on the number of servers.
+
+    After a pause of the process a server is chosen only once it has been heard again.
     """
+    chosen = _choose(table, request, now_ms, random)
+    if isinstance(chosen, NoServer):
+        return chosen
+    if is_confirmed(table, chosen.server):
+        ask_if_elsewhere(table, chosen.server, now_ms)
+        return chosen
+    return NoServer(NoServerReason.UNCONFIRMED, UNCONFIRMED_RETRY_MS)
+
+
+def _choose(
+    table: RoutingTable, request: ChoiceRequest, now_ms: int, random: Random
+) -> Choice | NoServer:
     pool = table.pools.get(request.pool)
     if pool is None:
         return NoServer(NoServerReason.UNKNOWN_POOL, NO_SERVER_RETRY_MS)
     _end_ejections(table, now_ms)
     if request.alone:
-        return _choose_idle(pool, request, now_ms, random)
+        return _choose_idle(pool, request, now_ms)
     best = _best(table, pool, pool.own, request, now_ms, random)
     if best is None or _spills(best):
         other = _best(table, pool, pool.others, request, now_ms, random)
@@ -215,6 +235,8 @@
     take_report(table.pools[state.server.pool].load, state.load, report, now_ms)
     if report.leaving:
         server_leaving(table, report.server, now_ms)
+    elif not state.is_listed_leaving:
+        server_back(table, report.server, now_ms - max(0, report.age_ms), now_ms)
 
 
 def _eject_if_due(
@@ -350,18 +372,25 @@
 
 
 def _choose_idle(
-    pool: PoolState, request: ChoiceRequest, now_ms: int, random: Random
+    pool: PoolState, request: ChoiceRequest, now_ms: int
 ) -> Choice | NoServer:
+    usable = 0
     for reason, candidates in (("own_zone", pool.own), ("other_zone", pool.others)):
-        states = candidates.states
-        count = len(states)
-        start = int(random.random() * count)
-        for offset in range(min(count, IDLE_PROBES)):
-            state = states[(start + offset) % count]
+        # Places are only apart among the servers that every suspect may use.
+        states = [
+            state
+            for state in candidates.states
+            if state.server.name not in request.excluded
+        ]
+        usable += len(states)
+        count = max(1, len(states))
+        for state in states[request.place % count :: request.places][:IDLE_PROBES]:
             if state.load.in_flight == 0 and _takes(state, request, now_ms):
                 return Choice(state.server, (reason, "alone"))
     if not pool.own.states and not pool.others.states:
         return NoServer(NoServerReason.NONE_LIVE, NO_SERVER_RETRY_MS)
+    if not usable:
+        return NoServer(NoServerReason.ALL_EXCLUDED, NO_SERVER_RETRY_MS)
     return NoServer(NoServerReason.NONE_IDLE, IDLE_RETRY_MS)
 
 
--- a/src/bramleyturn/core/schema_operation.py
+++ b/src/bramleyturn/core/schema_operation.py
@@ -1,5 +1,6 @@
 """List the settings of how processes operate."""
 
+from enum import StrEnum
 from typing import Final
 
 from bramleyturn.core import value_types as types
@@ -14,6 +15,16 @@
     SectionSchema,
 )
 
+
+class LogLevel(StrEnum):
+    """Name how much a process logs."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
 LIMITS: Final = SectionSchema(
     "limits",
     "",
@@ -59,7 +70,7 @@
             types.integer(1, 10),
             "attempts",
             "3",
-            "Attempts of one stage of one request, the first included.",
+            "Attempts of one stage of one request that reached a server.",
         ),
         Key(
             "hedge_percentile",
@@ -176,7 +187,7 @@
             types.optional(types.secret()),
             "",
             "",
-            "The key before, accepted while keys are rotated.",
+            "The key before, which signs too and is accepted during a rotation.",
             secret=True,
         ),
         Key(
@@ -263,5 +274,27 @@
             "",
             "Address that others use; empty: the one it listens on.",
         ),
+        Key(
+            "peers",
+            types.addresses(),
+            "",
+            "",
+            "Watch: others to ask when it starts while the platform is away.",
+        ),
+        Key(
+            "peers_key",
+            types.optional(types.secret()),
+            "",
+            "",
+            "Watch: the `[peers]` key in force, by which the `peers` know it.",
+            secret=True,
+        ),
+        Key(
+            "log_level",
+            types.choice(LogLevel),
+            "",
+            "info",
+            "Least level of the lines in its log.",
+        ),
     ),
 )
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -6,50 +6,117 @@
 
 from bramleyturn.core.fault import Fault
 from bramleyturn.core.intake import BadRequest
+from bramleyturn.core.operator_access import is_same_machine, is_signed
 from bramleyturn.core.revisions import Refused
-from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
-from bramleyturn.runtime.http_server import json_answer, problem
-from bramleyturn.runtime.timeline_api import timeline_api
+from bramleyturn.platform.reader import TARGET_MAC_HEADER
+from bramleyturn.platform.watch_loop import (
+    WatchLoop,
+    look_at_once,
+    wait_for_list,
+    wait_for_newer,
+)
+from bramleyturn.runtime.entry_status import traffic_document
+from bramleyturn.runtime.http_server import header, json_answer, problem
+from bramleyturn.runtime.operator_access import refuse_others, unauthorized
+from bramleyturn.runtime.timeline_api import after_argument, timeline_document
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 MAX_WAIT_MS: Final = 30_000
+NO_KEY_YET: Final = BadRequest(
+    401,
+    "No key yet",
+    "without a configuration this watch answers to its own instance only",
+    "Authorization",
+)
 
 
 def watch_api(loop: WatchLoop) -> Klein:
     """Return the web application of a watch."""
     app = Klein()
-    timeline_api(app, loop.name, loop.timeline, loop.clock)
 
     @app.route("/v1/config", methods=["GET"])
     async def config(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
         after = number(request, b"after")
         wait_ms = number(request, b"wait_ms")
-        if after is None or wait_ms is None:
-            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+        seen = number(request, b"seen")
+        if after is None or wait_ms is None or seen is None:
+            bad = BadRequest(
+                400, "Bad query", "send whole numbers", "after, wait_ms, seen"
+            )
             return problem(request, bad)
+        look_at_once(loop, seen)
         await wait_for_newer(loop, after, min(wait_ms, MAX_WAIT_MS))
+        # Local processes wait, other watches do not: what the first look has found so
+        # far is for the latter only.
+        if wait_ms and not loop.has_looked:
+            after = max(after, loop.revisions.revision)
         return json_answer(request, config_document(loop, after))
 
     @app.route("/v1/instances", methods=["GET"])
-    def instances(request: HttpRequest) -> bytes:
-        return json_answer(request, instances_document(loop))
+    async def instances(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
+        after = number(request, b"after")
+        wait_ms = number(request, b"wait_ms")
+        if after is None or wait_ms is None:
+            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+            return problem(request, bad)
+        await wait_for_list(loop, after, min(wait_ms, MAX_WAIT_MS))
+        return json_answer(request, instances_document(loop, after))
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
         return json_answer(request, status_document(loop))
 
+    @app.route("/v1/timeline", methods=["GET"])
+    def events(request: HttpRequest) -> bytes:
+        refusal = refuse_strangers(loop, request)
+        if refusal is not None:
+            return refusal
+        document = timeline_document(
+            loop.name, loop.timeline, loop.clock, after_argument(request)
+        )
+        return json_answer(request, document)
+
     @app.route("/healthz", methods=["GET"])
     def healthz(request: HttpRequest) -> bytes:
         return json_answer(request, {"healthy": True})
 
     @app.route("/readyz", methods=["GET"])
     def readyz(request: HttpRequest) -> bytes:
-        is_ready = loop.revisions.in_force is not None
+        is_ready = loop.has_looked and loop.revisions.in_force is not None
         return json_answer(request, {"ready": is_ready}, 200 if is_ready else 503)
 
     return app
 
 
+def refuse_strangers(loop: WatchLoop, request: HttpRequest) -> bytes | None:
+    """Return the refusal of a caller that may not see what a watch knows, else None.
+
+    Processes of the same instance need no key: a watch
+    without a configuration has none to check theirs with. Everybody else shows the
+    operators' key, or signs with the `[peers]` key as another watch does.
+    """
+    if is_same_machine(request.getClientAddress().host, request.getHost().host):
+        return None
+    in_force = loop.revisions.in_force
+    if in_force is None:
+        return unauthorized(request, NO_KEY_YET)
+    peers = in_force.configuration.peers
+    target = request.uri.decode("ascii", "replace")
+    mac = header(request, TARGET_MAC_HEADER)
+    if is_signed(target, mac, (peers.key, peers.previous_key)):
+        return None
+    return refuse_others(request, in_force.configuration.admin)
+
+
 def number(request: HttpRequest, name: bytes) -> int | None:
     """Return a whole number of the query, zero where it is absent."""
     values = request.args.get(name, [b"0"])
@@ -83,12 +150,18 @@
     return fault._asdict()
 
 
-def instances_document(loop: WatchLoop) -> dict[str, Any]:
-    """Return the platform's list as this watch last read it."""
-    return {
-        "instances": [instance._asdict() for instance in loop.instances],
+def instances_document(loop: WatchLoop, after: int) -> dict[str, Any]:
+    """Return the platform's list as this watch last read it.
+
+    Its lines are left out for a reader that has this version, named ``after``.
+    """
+    document = {
+        "version": loop.list_version,
         "age_ms": age_ms(loop, loop.instances_read_ms),
     }
+    if after and after == loop.list_version:
+        return document
+    return document | {"instances": [each._asdict() for each in loop.instances]}
 
 
 def status_document(loop: WatchLoop) -> dict[str, Any]:
@@ -103,6 +176,7 @@
         "platform_age_ms": age_ms(loop, loop.platform_read_ms),
         "instances_age_ms": age_ms(loop, loop.instances_read_ms),
         "instances": len(loop.instances),
+        "messages": traffic_document(loop.traffic),
     }
 
 
--- a/src/bramleyturn/runtime/http_server.py
+++ b/src/bramleyturn/runtime/http_server.py
@@ -1,10 +1,12 @@
 """Serve HTTP with JSON."""
 
 import sys
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import orjson
 from klein import Klein
+from twisted.python.failure import Failure
+from werkzeug.exceptions import MethodNotAllowed, NotFound
 
 from bramleyturn.core.address import parse_address
 from bramleyturn.core.intake import BadRequest
@@ -17,24 +19,56 @@
 JSON_TYPE: Final = "application/json"
 
 
+class OpenServer(NamedTuple):
+    """Hold an address that is served and what it takes to close it."""
+
+    address: str
+    port: Any
+    site: BoundedSite
+
+
 def listen(
     reactor: Any,
     app: Klein,
     address: str,
     body_limit: BodyLimit = lambda _path: MAX_BODY_BYTES,
 ) -> str:
-    """Serve ``app`` and return the address on which it listens.
+    """Serve ``app`` until the process ends; return the address."""
+    return open_server(reactor, app, address, body_limit).address
+
+
+def open_server(
+    reactor: Any,
+    app: Klein,
+    address: str,
+    body_limit: BodyLimit = lambda _path: MAX_BODY_BYTES,
+) -> OpenServer:
+    """Serve ``app`` at ``address``.
 
     Port 0 takes any free port. A request whose body is above ``body_limit`` of its
     path is refused while it arrives.
     """
+    answer_unknown_routes(app)
     site = BoundedSite(app.resource(), body_limit)
     wanted = parse_address(address)
     if wanted is None:
         raise ValueError(f"no address: {address}")
     port = reactor.listenTCP(wanted.port, site, interface=wanted.host)
     bound = port.getHost()
-    return f"{bound.host}:{bound.port}"
+    return OpenServer(f"{bound.host}:{bound.port}", port, site)
+
+
+def answer_unknown_routes(app: Klein) -> None:
+    """Let ``app`` answer with a problem document where it has no route."""
+
+    @app.handle_errors(NotFound, MethodNotAllowed)
+    def unknown_route(request: HttpRequest, failure: Failure) -> bytes:
+        error: Any = failure.value
+        methods = getattr(error, "valid_methods", None)
+        if methods:
+            request.setHeader("Allow", ", ".join(sorted(methods)))
+        detail = "this process serves no such route or method"
+        return problem(request, BadRequest(error.code, error.name, detail, "path"))
 
 
 def print_ready(address: str, **more: Any) -> None:
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -20,6 +20,7 @@
     BackupAnswered,
     BackupSilent,
     BreakReason,
+    ConfigurationAccepted,
     DrainOrdered,
     OutputArrived,
     PrimarySilent,
@@ -180,13 +181,14 @@
     def test_says_not_run_when_no_server_was_reached(self) -> None:
         world = World()
         attempt = started(world.send("draft", left_ms=400))
-        for _ in range(10):
+        while not answers(world.actions):
             world.feed(broke(attempt, BreakReason.NOT_CONNECTED))
-            actions = world.advance(100)
-            starts = [a for a in actions if isinstance(a, StartAttempt)]
-            if not starts:
-                break
-            attempt = starts[0]
+            # No attempt is left under way: one that is might still run.
+            while not answers(world.actions):
+                starts = [a for a in world.advance(1) if isinstance(a, StartAttempt)]
+                if starts:
+                    attempt = starts[0]
+                    break
         ended = answers(world.actions)[0].outcome
         assert ended.kind is OutcomeKind.NOT_RUN
         assert ended.retry_after_ms is not None
@@ -340,3 +342,13 @@
         world.state.primary_tickets.me = world.state.me
         (told,) = world.send("signup", ticket=ticket, is_forwarded=True)
         assert told == ForwardAnswer("w1", "r1", PrimaryGone())
+
+
+class TestNewConfiguration:
+    def test_changes_the_share_of_retries(self) -> None:
+        world = World()
+        old = world.state.configuration
+        limits = old.limits._replace(retry_ratio_percent=77)
+        newer = old._replace(revision=old.revision + 1, limits=limits)
+        world.feed(ConfigurationAccepted(newer))
+        assert world.state.retry_budget.ratio_percent == 77
