--- a/scripts/measure_tickets.py
+++ b/scripts/measure_tickets.py
@@ -20,7 +20,14 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.standin.answers import input_digest
-from scripts.fleet import Fleet, FleetPlan, restart, wait_for_entry, workspace_key
+from scripts.fleet import (
+    OPERATORS,
+    Fleet,
+    FleetPlan,
+    restart,
+    wait_for_entry,
+    workspace_key,
+)
 from scripts.ticket_variant import VARIANTS
 
 PIPELINE: Final = "roster-signup"
@@ -278,7 +285,9 @@
     times: list[float] = []
     for name in fleet.entry_names():
         connection = http.client.HTTPConnection(fleet.addresses[name])
-        connection.request("GET", "/v1/timeline")
+        key = workspace_key(OPERATORS)
+        headers = {"Authorization": f"Bearer {key}"}
+        connection.request("GET", "/v1/timeline", headers=headers)
         asked: dict[str, int] = {}
         for event in json.loads(connection.getresponse().read())["events"]:
             if event["kind"] == "intent_asked":
--- a/tests/proofs/ticket_fleet.py
+++ b/tests/proofs/ticket_fleet.py
@@ -13,6 +13,7 @@
 from bramleyturn.core.model import PoolKind
 from bramleyturn.standin.answers import expected_output, input_digest
 from scripts.fleet import (
+    OPERATORS,
     Fleet,
     FleetPlan,
     change_link,
@@ -99,9 +100,15 @@
 
     def status(self, name: str) -> dict[str, Any]:
         """Return what an entry says of itself."""
-        found: dict[str, Any] = call(
-            self.fleet.addresses[name], "GET", "/v1/status"
-        ).document
+        return self.shown(name, "/v1/status")
+
+    def shown(self, name: str, path: str) -> dict[str, Any]:
+        """Return a document that an entry shows to operators."""
+        connection = http.client.HTTPConnection(self.fleet.addresses[name], timeout=30)
+        key = workspace_key(OPERATORS)
+        connection.request("GET", path, headers={"Authorization": f"Bearer {key}"})
+        found: dict[str, Any] = json.loads(connection.getresponse().read())
+        connection.close()
         return found
 
     def input(self) -> dict[str, str]:
@@ -199,7 +206,7 @@
 
     def events(self, name: str, kind: str, stage: str) -> int:
         """Return how many events of a kind an entry has on its time line."""
-        document = call(self.fleet.addresses[name], "GET", "/v1/timeline").document
+        document = self.shown(name, "/v1/timeline")
         return sum(
             event["kind"] == kind and event["stage"] == stage
             for event in document["events"]
