--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -46,7 +46,8 @@
     keys of every backend server stand-in, ``process_values`` of every other process.
     With ``fault_links`` the entries reach each backend server over a link of a fault
     proxy that is named after it. ``linked_entries`` puts such a link, named after the
-    entry, in front of what other entries send to it.
+    entry, in front of what other entries send to it. ``entry_command`` stands in for
+    the entry program where it is not empty.
     """
 
     folder: Path
@@ -60,6 +61,7 @@
     process_values: Mapping[str, str] = {}
     fault_links: bool = False
     linked_entries: bool = False
+    entry_command: tuple[str, ...] = ()
 
 
 class Instance(NamedTuple):
@@ -174,7 +176,7 @@
 def restart(fleet: Fleet, name: str) -> None:
     """Start an ended watch, entry or admin again with its former settings."""
     role = name.partition("-")[0]
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), _path(fleet, name)])
+    fleet.processes.start(name, _command(fleet, role, _path(fleet, name)))
     fleet.addresses[name] = fleet.processes.wait_for_address(name)
     _point_link(fleet, name)
     publish_instances(fleet)
@@ -351,7 +353,13 @@
     path = Path(_path(fleet, name))
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(text, "utf-8")
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
+    fleet.processes.start(name, _command(fleet, role, str(path)))
+
+
+def _command(fleet: Fleet, role: str, path: str) -> list[str]:
+    if role == "entry" and fleet.plan.entry_command:
+        return [*fleet.plan.entry_command, path]
+    return [program(f"bramleyturn-{role}"), path]
 
 
 def _path(fleet: Fleet, name: str) -> str:
