Hedge after twice the usual time of an input of this size

Cause: the delay was a percentile over all inputs of a stage, so the longest inputs were hedged on a healthy fleet, at once again slow on the second server.

The servers of the replay now draw the time of each call.

--- a/src/bramleyturn/bench/cells.py
+++ b/src/bramleyturn/bench/cells.py
@@ -21,6 +21,7 @@
 FAULT_CELLS: Final = (
     "calm",
     "straggler",
+    "slow-encoder",
     "crash",
     "burst",
     "zone-cut",
--- a/src/bramleyturn/bench/replay_entries.py
+++ b/src/bramleyturn/bench/replay_entries.py
@@ -67,7 +67,11 @@
     for server in configuration.servers.values():
         pool = configuration.pools[server.pool]
         world.models[server.name] = ServerModel(
-            world.time, server, pool.kind, pool.concurrency_per_server
+            world.time,
+            server,
+            pool.kind,
+            pool.concurrency_per_server,
+            Random(f"{seed} {server.name}"),
         )
     zones = sorted({server.zone for server in configuration.servers.values()})
     for number in range(ENTRIES_PER_ZONE * len(zones)):
--- a/src/bramleyturn/bench/replay_faults.py
+++ b/src/bramleyturn/bench/replay_faults.py
@@ -13,6 +13,7 @@
 START_SHARE: Final = 0.3
 END_SHARE: Final = 0.7
 SLOW_FACTOR: Final = 4.0
+ENCODER_SLOW_FACTOR: Final = 20.0
 DOWN_SHARE: Final = 0.15
 SECOND_CRASH_SHARE: Final = 0.5
 LEAVE_SHARE: Final = 0.4
@@ -44,6 +45,13 @@
     at_share(world, END_SHARE, partial(set_slow_factor, model, 1.0))
 
 
+def slow_encoder(world: World) -> None:
+    """Slow one encoder down."""
+    model = of_kind(world, PoolKind.ENCODER)[0]
+    at_share(world, START_SHARE, partial(set_slow_factor, model, ENCODER_SLOW_FACTOR))
+    at_share(world, END_SHARE, partial(set_slow_factor, model, 1.0))
+
+
 def crashes(world: World) -> None:
     """Crash two engines, one after the other, and restart them."""
     for share, model in zip(
@@ -90,11 +98,12 @@
 
 def engines(world: World) -> list[ServerModel]:
     """Return the model engines in the order of their names."""
-    return [
-        model
-        for _, model in sorted(world.models.items())
-        if model.kind is PoolKind.ENGINE
-    ]
+    return of_kind(world, PoolKind.ENGINE)
+
+
+def of_kind(world: World, kind: PoolKind) -> list[ServerModel]:
+    """Return the servers of a kind in the order of their names."""
+    return [model for _, model in sorted(world.models.items()) if model.kind is kind]
 
 
 def at_share(world: World, share: float, call: Callable[[], None]) -> None:
@@ -119,6 +128,7 @@
 
 FAULTS: Final[dict[str, Callable[[World], None]]] = {
     "straggler": straggler,
+    "slow-encoder": slow_encoder,
     "crash": crashes,
     "zone-cut": zone_cut,
     "platform-down": platform_down,
--- a/src/bramleyturn/bench/replay_servers.py
+++ b/src/bramleyturn/bench/replay_servers.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from heapq import heapify, heapreplace
+from random import Random
 from typing import Final
 
 from bramleyturn.bench.service_times import call_ms, prefill_ms, token_ms
@@ -21,6 +22,7 @@
 QUEUE: Final = 64
 CACHED_PREFIXES: Final = 12
 CHUNK_TOKENS: Final = 8
+TIME_SIGMA: Final = 0.25
 
 
 class Job:
@@ -67,9 +69,15 @@
     """Hold the state of one backend server and the work it did."""
 
     def __init__(
-        self, time: VirtualTime, server: Server, kind: PoolKind, capacity: int
+        self,
+        time: VirtualTime,
+        server: Server,
+        kind: PoolKind,
+        capacity: int,
+        random: Random,
     ) -> None:
         self.time = time
+        self.random = random
         self.server = server
         self.kind = kind
         self.capacity = capacity
@@ -159,6 +167,7 @@
             _read_prompt(model, job)
         else:
             work_ms = call_ms(model.kind, job.input_tokens) * model.slow_factor
+            work_ms *= model.random.lognormvariate(0.0, TIME_SIGMA)
             _later(model, job, work_ms, _finish_call)
 
 
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -24,6 +24,7 @@
     ChoiceRequest,
     NoServer,
     attempt_started,
+    usual_ms,
 )
 from bramleyturn.core.timeline import EventKind, record
 from bramleyturn.core.timers import TimerKind, set_timer
@@ -204,6 +205,7 @@
         request.pipeline,
         progress.stage,
         state.configuration.limits,
+        usual_ms(state.routing, attempt.pool.name, attempt.size_tokens),
     )
     if after_ms is not None:
         set_timer(state.timers, now_ms + after_ms, TimerKind.HEDGE, attempt.attempt_id)
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -58,6 +58,7 @@
     "routing_table",
     "server_back",
     "server_leaving",
+    "usual_ms",
 ]
 
 SAMPLES: Final = 3
@@ -217,6 +218,12 @@
         server_leaving(table, report.server, now_ms)
 
 
+def usual_ms(table: RoutingTable, pool_name: str, size_tokens: int) -> float:
+    """Return how long an attempt of this size usually takes in a pool, 0 if unknown."""
+    pool = table.pools.get(pool_name)
+    return expected_ms(pool.load, size_tokens) if pool is not None else 0.0
+
+
 def _eject_if_due(
     table: RoutingTable, pool: PoolState, state: ServerState, now_ms: int
 ) -> None:
--- a/tests/core/test_latency.py
+++ b/tests/core/test_latency.py
@@ -100,7 +100,11 @@
 class TestHedging:
     def test_after_the_stage_percentile(self) -> None:
         latencies = recorded(encode=40)
-        assert hedge_after_ms(latencies, PIPELINE, ENCODE, LIMITS) == 40
+        assert hedge_after_ms(latencies, PIPELINE, ENCODE, LIMITS, 0.0) == 40
+
+    def test_after_twice_the_usual_time_of_a_long_input(self) -> None:
+        latencies = recorded(encode=40, generate=3_000)
+        assert hedge_after_ms(latencies, PIPELINE, ENCODE, LIMITS, 90.0) == 180
 
     @pytest.mark.parametrize(
         "changed",
@@ -114,4 +118,5 @@
     )
     def test_never(self, changed: object) -> None:
         latencies = recorded(encode=40, generate=3_000)
-        assert hedge_after_ms(latencies, PIPELINE, changed, LIMITS) is None  # type: ignore[arg-type]
+        after_ms = hedge_after_ms(latencies, PIPELINE, changed, LIMITS, 0.0)  # type: ignore[arg-type]
+        assert after_ms is None
