Refuse at arrival what the backend servers can't finish in time

Cause: past capacity the entry took requests until the queues of the engines outlasted the deadlines: most of what was taken then failed with its work done. The median of the stages' latencies, which arrival was checked against, holds only requests that finished, so it never showed this; the adaptive limit needs hundreds of requests to fall.

Now arrival is checked against a forecast: the usual time of each stage by size, the wait that own attempts and load reports show, and a factor that follows a quantile of elapsed to forecast time. Usual times are learnt net of the wait; attempts that were given up count for the time they took, so that a hedge doesn't hide a slow server.

--- a/src/bramleyturn/bench/replay_policies.py
+++ b/src/bramleyturn/bench/replay_policies.py
@@ -37,13 +37,15 @@
 
     ``new_choice`` returns the choice function of one entry process. ``adapts`` is
     false where the concurrency limit stays at its highest. ``knows_all`` lets the
-    replay refuse at once what cannot finish in time.
+    replay refuse at once what cannot finish in time. ``foresees`` is false where the
+    entry takes requests whatever the load.
     """
 
     change_limits: ChangeLimits
     new_choice: Callable[[Truth], ChooseServer]
     adapts: bool = True
     knows_all: bool = False
+    foresees: bool = True
 
 
 def own_choice(_truth: Truth) -> ChooseServer:
@@ -180,13 +182,15 @@
 def prepare_entry(policy: Policy, state: EntryState, truth: Truth) -> None:
     """Give an entry process the choice function of a policy."""
     state.choose = policy.new_choice(truth)
+    if not policy.foresees:
+        state.foresee = lambda *_: None
     if not policy.adapts:
         # A window that never fills leaves the limit where it is.
         state.admission.limit.window_values = -UNLIMITED
 
 
 def _baseline(new_pick: Callable[[], Pick]) -> Policy:
-    return Policy(without_policy, baseline(new_pick), adapts=False)
+    return Policy(without_policy, baseline(new_pick), adapts=False, foresees=False)
 
 
 def _own(change_limits: ChangeLimits) -> Policy:
@@ -213,13 +217,16 @@
     "no-affinity": Policy(as_set, without_affinity),
     "no-slow-start": _own(lambda limits: limits._replace(slow_start_ms=0)),
     "no-adaptive-limit": Policy(as_set, own_choice, adapts=False),
+    "no-forecast": Policy(as_set, own_choice, foresees=False),
     "no-retry-budget": _own(
         lambda limits: limits._replace(retry_ratio_percent=UNLIMITED)
     ),
 }
 POLICIES: Final[dict[str, Policy]] = {
     "own": _own(as_set),
-    "oracle": Policy(without_policy, oracle, adapts=False, knows_all=True),
+    "oracle": Policy(
+        without_policy, oracle, adapts=False, knows_all=True, foresees=False
+    ),
     **BASELINES,
     **SWITCHED_OFF,
 }
--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -45,7 +45,9 @@
     attempt_ended(
         state.routing,
         attempt.server.name,
-        AttemptEnd(verdict_of_attempt, elapsed_ms, attempt.size_tokens),
+        AttemptEnd(
+            verdict_of_attempt, elapsed_ms, attempt.size_tokens, attempt.forecast_ms
+        ),
         now_ms,
     )
     request = state.requests[attempt.request_key]
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -23,6 +23,7 @@
     Choice,
     ChoiceRequest,
     NoServer,
+    attempt_forecast_ms,
     attempt_started,
     usual_ms,
 )
@@ -85,6 +86,9 @@
         is_hedge=is_hedge,
         is_written=stage.repeatable,
     )
+    attempt.forecast_ms = attempt_forecast_ms(
+        state.routing, chosen.server.name, size_tokens, now_ms
+    )
     register_attempt(state, request, progress, attempt, chosen, now_ms)
     attempt_started(
         state.routing, chosen.server.name, size_tokens, prefix, now_ms, is_suspect
--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -1,6 +1,6 @@
 """Hold everything that one entry process knows."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -8,9 +8,10 @@
 from bramleyturn.core.admission import Admission, admission
 from bramleyturn.core.cost import CostBook
 from bramleyturn.core.events import RequestArrived
+from bramleyturn.core.forecast import TooBusy, forecast
 from bramleyturn.core.kept import KeptOutcomes, OutcomeKey
 from bramleyturn.core.latency import StageLatencies
-from bramleyturn.core.model import Configuration
+from bramleyturn.core.model import Configuration, Stage
 from bramleyturn.core.peers import Peers
 from bramleyturn.core.poison import Suspects
 from bramleyturn.core.progress import Attempt, RunningRequest
@@ -34,6 +35,7 @@
 MAX_TICKETS: Final = 20_000
 MAX_PRIMARIES: Final = 40_000
 
+Foresee = Callable[[RoutingTable, Sequence[Stage], int, int, int], TooBusy | None]
 ChooseServer = Callable[[RoutingTable, ChoiceRequest, int, Random], Choice | NoServer]
 
 
@@ -67,7 +69,8 @@
 class EntryState:
     """Hold one entry process: its configuration, requests, attempts and knowledge.
 
-    ``choose`` is the policy that chooses a backend server for an attempt.
+    ``choose`` is the policy that chooses a backend server for an attempt, ``foresee``
+    the one that refuses a request which the servers can't finish in time.
     """
 
     name: str
@@ -98,6 +101,7 @@
     timeline: Timeline = field(default_factory=Timeline)
     counters: Counters = field(default_factory=Counters)
     choose: ChooseServer = choose_server
+    foresee: Foresee = forecast
     next_number: int = 0
     is_draining: bool = False
 
--- a/src/bramleyturn/core/progress.py
+++ b/src/bramleyturn/core/progress.py
@@ -35,6 +35,7 @@
     resume_offset: int
     is_hedge: bool
     is_written: bool
+    forecast_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -15,6 +15,7 @@
     request_admission,
 )
 from bramleyturn.core.attempt_results import cancel_attempts
+from bramleyturn.core.attempts import BYTES_PER_TOKEN
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import BreakReason, RequestArrived
 from bramleyturn.core.kept import (
@@ -149,6 +150,15 @@
         state.latencies, request.pipeline, request.pipeline.stages, left_ms
     ):
         return not_run("deadline_too_short", DEADLINE_RETRY_AFTER_MS)
+    too_busy = state.foresee(
+        state.routing,
+        request.pipeline.stages,
+        len(packed) // BYTES_PER_TOKEN,
+        left_ms,
+        now_ms,
+    )
+    if too_busy is not None:
+        return not_run("servers_busy", too_busy.retry_after_ms)
     return None
 
 
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -36,8 +36,11 @@
     count_end,
     count_start,
     estimate_ms,
+    expected_finish_ms,
     expected_ms,
+    learn_margin,
     learn_time,
+    learn_unfinished,
     take_report,
 )
 
@@ -52,6 +55,7 @@
     "RoutingTable",
     "apply_servers",
     "attempt_ended",
+    "attempt_forecast_ms",
     "attempt_started",
     "choose_server",
     "load_reported",
@@ -86,11 +90,15 @@
 
 
 class AttemptEnd(NamedTuple):
-    """State how an attempt ended and how long it took."""
+    """State how an attempt ended and how long it took.
+
+    ``forecast_ms`` is how long it was expected to take, 0 if nothing was expected.
+    """
 
     verdict: AttemptVerdict
     elapsed_ms: int
     size_tokens: int
+    forecast_ms: float = 0.0
 
 
 class ChoiceRequest(NamedTuple):
@@ -198,12 +206,20 @@
     count_end(state.load, end.size_tokens, now_ms)
     if state.load.in_flight == 0:
         state.held_alone = False
+    if end.forecast_ms and end.verdict in (AttemptVerdict.OK, AttemptVerdict.FAILED):
+        learn_margin(pool.load, end.forecast_ms, end.elapsed_ms)
     if end.verdict is AttemptVerdict.OK:
         record_success(state.outlier)
         learn_time(pool.load, state.load, end.size_tokens, end.elapsed_ms, now_ms)
+    elif end.verdict is AttemptVerdict.CANCELLED:
+        learn_unfinished(pool.load, state.load, end.size_tokens, end.elapsed_ms, now_ms)
     elif end.verdict is AttemptVerdict.REFUSED:
         state.busy_until_ms = now_ms + BUSY_MS
     elif end.verdict in (AttemptVerdict.FAILED, AttemptVerdict.LOST):
+        if end.verdict is AttemptVerdict.FAILED:
+            learn_unfinished(
+                pool.load, state.load, end.size_tokens, end.elapsed_ms, now_ms
+            )
         record_failure(state.outlier)
         _eject_if_due(table, pool, state, now_ms)
 
@@ -224,6 +240,17 @@
     return expected_ms(pool.load, size_tokens) if pool is not None else 0.0
 
 
+def attempt_forecast_ms(
+    table: RoutingTable, server_name: str, size_tokens: int, now_ms: int
+) -> float:
+    """Return how long an attempt on this server is expected to take, 0 if unknown."""
+    state = table.servers.get(server_name)
+    if state is None:
+        return 0.0
+    pool = table.pools[state.server.pool]
+    return expected_finish_ms(pool.load, state.load, size_tokens, now_ms)
+
+
 def _eject_if_due(
     table: RoutingTable, pool: PoolState, state: ServerState, now_ms: int
 ) -> None:
--- a/src/bramleyturn/core/server_load.py
+++ b/src/bramleyturn/core/server_load.py
@@ -18,6 +18,9 @@
 MIN_SLOWNESS: Final = 0.25
 MAX_SLOWNESS: Final = 20.0
 DEFAULT_EXPECTED_MS: Final = 100.0
+IN_TIME_SHARE: Final = 0.85
+MARGIN_GAIN: Final = 0.1
+MAX_MARGIN: Final = 4.0
 
 
 class LoadReport(NamedTuple):
@@ -38,8 +41,10 @@
         "capacity",
         "expected_ms",
         "half_life_ms",
+        "margin",
         "mean_ms",
         "mean_others",
+        "mean_start_ms",
         "mean_weight",
     )
 
@@ -47,6 +52,8 @@
         self.capacity = max(1, capacity)
         self.mean_weight = 0.0
         self.mean_ms = 0.0
+        self.mean_start_ms = 0.0
+        self.margin = 1.0
         self.half_life_ms = MAX_REPORT_HALF_LIFE_MS
         self.expected_ms: dict[int, float] = {}
         self.mean_others = 0.0
@@ -100,6 +107,10 @@
     load.history.append((now_ms, load.in_flight))
     gain = MEAN_GAIN if pool.mean_weight else 1.0
     pool.mean_weight += (weight - pool.mean_weight) * gain
+    if pool.mean_ms:
+        usual_ms = expected_ms(pool, size_tokens)
+        gain = MEAN_GAIN if pool.mean_start_ms else 1.0
+        pool.mean_start_ms += (usual_ms - pool.mean_start_ms) * gain
 
 
 def count_end(load: ServerLoad, size_tokens: int, now_ms: int) -> None:
@@ -111,25 +122,47 @@
 
 
 def learn_time(
-    pool: PoolLoad, load: ServerLoad, size_tokens: int, elapsed_ms: int, now_ms: int
+    pool: PoolLoad, load: ServerLoad, size_tokens: int, elapsed_ms: float, now_ms: int
 ) -> None:
-    """Learn from the time of an attempt that finished."""
+    """Learn from the time of an attempt that finished, less its estimated wait."""
     usual_ms = expected_ms(pool, size_tokens)
+    elapsed_ms = elapsed_ms / (1.0 + _waiting_share(pool, load, now_ms))
     known = bool(pool.mean_ms)
     pool.mean_ms += (elapsed_ms - pool.mean_ms) * (MEAN_GAIN if known else 1.0)
     half_life_ms = pool.mean_ms * REPORT_HALF_LIFE_SHARE
     pool.half_life_ms = min(
         max(half_life_ms, MIN_REPORT_HALF_LIFE_MS), MAX_REPORT_HALF_LIFE_MS
     )
+    _learn_expected(pool, size_tokens, elapsed_ms)
+    if known:
+        _learn_slowness(load, elapsed_ms / max(1.0, usual_ms), now_ms)
+
+
+def learn_unfinished(
+    pool: PoolLoad, load: ServerLoad, size_tokens: int, elapsed_ms: int, now_ms: int
+) -> None:
+    """Learn from an attempt that was given up: it would have taken longer still."""
+    if not pool.mean_ms:
+        return
+    usual_ms = expected_ms(pool, size_tokens)
+    least_ms = elapsed_ms / (1.0 + _waiting_share(pool, load, now_ms))
+    if least_ms > usual_ms:
+        _learn_expected(pool, size_tokens, least_ms)
+    ratio = least_ms / max(1.0, usual_ms)
+    if ratio > slowness(load, now_ms):
+        _learn_slowness(load, ratio, now_ms)
+
+
+def _learn_expected(pool: PoolLoad, size_tokens: int, elapsed_ms: float) -> None:
     size_class = _size_class(size_tokens)
-    class_ms = pool.expected_ms.get(size_class, float(elapsed_ms))
+    class_ms = pool.expected_ms.get(size_class, elapsed_ms)
     pool.expected_ms[size_class] = class_ms + (elapsed_ms - class_ms) * EXPECTED_GAIN
-    if not known:
-        return
-    ratio = elapsed_ms / max(1.0, usual_ms)
+
+
+def _learn_slowness(load: ServerLoad, ratio: float, now_ms: int) -> None:
     before = slowness(load, now_ms)
-    load.slowness = before + (ratio - before) * SLOWNESS_GAIN
-    load.slowness = min(max(load.slowness, MIN_SLOWNESS), MAX_SLOWNESS)
+    learnt = before + (ratio - before) * SLOWNESS_GAIN
+    load.slowness = min(max(learnt, MIN_SLOWNESS), MAX_SLOWNESS)
     load.slowness_ms = now_ms
 
 
@@ -185,10 +218,7 @@
     ``usual_ms`` is the pool's usual time for an attempt of this size. A batch slows
     down as it fills; beyond the capacity attempts wait for one another.
     """
-    own = float(load.in_flight)
-    if own:
-        own = (own + load.in_flight_weight / pool.mean_weight) / 2
-    busy = own + others_in_flight(pool, load, now_ms)
+    busy = _busy(pool, load, now_ms)
     utilisation = busy / load.capacity
     finish_ms = usual_ms * (1.0 + utilisation)
     waiting = busy + 1.0 - load.capacity
@@ -197,6 +227,40 @@
     return finish_ms * slowness(load, now_ms), utilisation
 
 
+def expected_finish_ms(
+    pool: PoolLoad, load: ServerLoad, size_tokens: int, now_ms: int
+) -> float:
+    """Return how long one more attempt is expected to take, its wait included."""
+    wait_ms = _waiting_share(pool, load, now_ms) * pool.mean_start_ms
+    return (expected_ms(pool, size_tokens) + wait_ms) * slowness(load, now_ms)
+
+
+def learn_margin(pool: PoolLoad, forecast_ms: float, elapsed_ms: int) -> None:
+    """Learn by which factor forecasts must grow so that most attempts keep them.
+
+    The factor follows a quantile of elapsed to forecast time, so that an attempt that
+    was given up counts for what is known of it: that it took longer.
+    """
+    if elapsed_ms > forecast_ms * pool.margin:
+        pool.margin = min(MAX_MARGIN, pool.margin + MARGIN_GAIN * IN_TIME_SHARE)
+    else:
+        step = MARGIN_GAIN * (1.0 - IN_TIME_SHARE)
+        pool.margin = max(1.0, pool.margin - step)
+
+
+def _busy(pool: PoolLoad, load: ServerLoad, now_ms: int) -> float:
+    own = float(load.in_flight)
+    if own:
+        own = (own + load.in_flight_weight / pool.mean_weight) / 2
+    return own + others_in_flight(pool, load, now_ms)
+
+
+def _waiting_share(pool: PoolLoad, load: ServerLoad, now_ms: int) -> float:
+    """Return how many turns of all slots one more attempt waits."""
+    waiting = _busy(pool, load, now_ms) + 1.0 - load.capacity
+    return max(0.0, waiting) / load.capacity
+
+
 def _size_class(size_tokens: int) -> int:
     return max(0, size_tokens).bit_length()
 
