--- a/src/bramleyturn/core/actions.py
+++ b/src/bramleyturn/core/actions.py
@@ -50,6 +50,15 @@
     server: Server
 
 
+class ProbeServer(NamedTuple):
+    """Ask a backend server for a sign of life and report ``ServerAlive`` for one.
+
+    A connection to it was lost, but one that only closed it has not crashed.
+    """
+
+    server: Server
+
+
 class Answer(NamedTuple):
     """Give a waiting caller the outcome of its request."""
 
@@ -123,16 +132,22 @@
     timeout_ms: int
 
 
+class GreetPeers(NamedTuple):
+    """Greet a few other entry processes at once: there is news that can't wait."""
+
+
 Action = (
     StartAttempt
     | PermitWrite
     | ForwardAnswer
     | AnswerAsBackup
     | CancelOrphan
+    | ProbeServer
     | CancelAttempt
     | Answer
     | TicketNeeded
     | TicketRefused
     | TellBackup
     | TellPrimary
+    | GreetPeers
 )
