--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -24,7 +24,9 @@
     ChoiceRequest,
     NoServer,
     NoServerReason,
+    attempt_forecast_ms,
     attempt_started,
+    usual_ms,
 )
 from bramleyturn.core.silence import silence_limit_ms, watch_silence
 from bramleyturn.core.timeline import EventKind, record
@@ -101,6 +103,9 @@
         ),
         heard_ms=now_ms,
     )
+    attempt.forecast_ms = attempt_forecast_ms(
+        state.routing, chosen.server.name, size_tokens, now_ms
+    )
     register_attempt(state, request, progress, attempt, chosen, now_ms)
     attempt_started(
         state.routing, chosen.server.name, size_tokens, prefix, now_ms, is_suspect
@@ -233,6 +238,7 @@
         request.pipeline,
         progress.stage,
         state.configuration.limits,
+        usual_ms(state.routing, attempt.pool.name, attempt.size_tokens),
     )
     if after_ms is not None:
         set_timer(state.timers, now_ms + after_ms, TimerKind.HEDGE, attempt.attempt_id)
--- a/src/bramleyturn/core/progress.py
+++ b/src/bramleyturn/core/progress.py
@@ -41,6 +41,7 @@
     silence_limit_ms: int
     heard_ms: int
     longest_silence_ms: int = 0
+    forecast_ms: float = 0.0
 
 
 @dataclass(slots=True)
