--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -251,6 +251,7 @@
 
     def test_of_an_entry_that_is_gone(self, fleet: Fleet, admin: Described) -> None:
         order = json.dumps({"process": ENTRY}).encode()
+        fleet.terminate(ENTRY)
         assert ask(fleet, admin, "POST /v1/drain", order, "operators").status == 502
         status = ask(fleet, admin, "GET /v1/status", key="operators").document
         assert any(ENTRY in line for line in status["problems"])
