--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test soak lint format clean
+.PHONY: setup run test bench soak lint format clean capacity
 
 setup: $(VENV)/.done
 
@@ -21,11 +21,18 @@
 soak: setup  ## Draw pairs of faults under load from ten seeds; takes minutes.
 	$(BIN)/python -m scripts.soak $(SOAK_ARGS)
 
+bench: setup  ## Replay the comparison of policies; more with BENCH_ARGS="--seeds 5".
+	$(BIN)/python scripts/bench.py $(BENCH_ARGS)
+
 lint: setup  ## Formatter, linter and types, as CI runs them.
 	$(BIN)/ruff format --check src tests scripts
 	$(BIN)/ruff check src tests scripts
 	$(BIN)/mypy
 
+capacity: setup  ## Measure the slopes of docs/CAPACITY.md again.
+	$(BIN)/python -m bramleyturn.bench.capacity
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m scripts.capacity_fleet
+
 format: setup
 	$(BIN)/ruff format src tests scripts
 	$(BIN)/ruff check --fix src tests scripts
--- a/src/bramleyturn/core/actions.py
+++ b/src/bramleyturn/core/actions.py
@@ -132,6 +132,10 @@
     timeout_ms: int
 
 
+class GreetPeers(NamedTuple):
+    """Greet a few other entry processes at once: there is news that can't wait."""
+
+
 Action = (
     StartAttempt
     | PermitWrite
@@ -145,4 +149,5 @@
     | TicketRefused
     | TellBackup
     | TellPrimary
+    | GreetPeers
 )
--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bramleyturn.core.actions import Action, CancelAttempt
+from bramleyturn.core.budgets import charge_budget
 from bramleyturn.core.cost import Charge, attempt_cost_micros, charge
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptBroke, BreakReason, OutputArrived
@@ -16,6 +17,7 @@
     attempt_ended,
     server_leaving,
 )
+from bramleyturn.core.routing_table import hold_off
 from bramleyturn.core.silence import record_silence
 from bramleyturn.core.timeline import EventKind, record
 
@@ -58,6 +60,7 @@
     micros = attempt_cost_micros(attempt.pool, tokens)
     progress.cost_micros += micros
     request.cost_micros += micros
+    charge_budget(state, request, micros, now_ms)
     charge(
         state.costs,
         Charge(
@@ -154,6 +157,7 @@
     progress = request.stages[attempt.stage]
     if event.reason is BreakReason.LOST:
         suspect_inputs(state, attempt, now_ms)
+        hold_off(state.routing, attempt.server.name, now_ms)
     if event.leaving:
         server_leaving(state.routing, attempt.server.name, now_ms)
     received = max(0, len(progress.tokens) - attempt.resume_offset)
@@ -202,6 +206,7 @@
         if other.server.name == attempt.server.name
     ]
     connection_lost(state.suspects, attempt.server.name, on_server, now_ms)
+    state.gossip.is_urgent = True
 
 
 def wrong_answer(state: EntryState, attempt_id: str, detail: str) -> AttemptBroke:
--- a/src/bramleyturn/core/events.py
+++ b/src/bramleyturn/core/events.py
@@ -124,6 +124,16 @@
     report: LoadReport
 
 
+class LoadReportMissing(NamedTuple):
+    """A backend server gave no load report when it was asked."""
+
+    server: str
+
+
+class ProcessPaused(NamedTuple):
+    """The process did nothing for so long that what it knew may be out of date."""
+
+
 class ListedServer(NamedTuple):
     """One backend server on the platform's list."""
 
@@ -154,12 +164,26 @@
 
 
 class PeerSeen(NamedTuple):
-    """Another entry process answered and named its incarnation."""
+    """Another entry process sent a signed message meant for this very process.
+
+    ``revision`` is the configuration that it has in force. ``body`` is the content of
+    a greeting, None for any other message.
+    """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    revision: int = 0
+    body: Any = None
+
+
+class PeerIntroduced(NamedTuple):
+    """An entry process that does not know this one's incarnation sent a message."""
+
+    name: str
+    zone: str
+    address: str
 
 
 class PeerSilent(NamedTuple):
@@ -222,9 +246,12 @@
     | TimePassed
     | ConfigurationAccepted
     | LoadReportArrived
+    | LoadReportMissing
+    | ProcessPaused
     | ServersListed
     | PeersListed
     | PeerSeen
+    | PeerIntroduced
     | PeerSilent
     | BackupAnswered
     | BackupSilent
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -14,6 +14,7 @@
 KEPT_MS: Final = 1_800_000
 SAME_CRASH_MS: Final = 500
 RESTART_MS: Final = 1_000
+HINT_DELAY_MS: Final = 50
 MAX_CRASHES: Final = 256
 MAX_FINGERPRINTS: Final = 512
 MAX_HINTS: Final = 16
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self.crashes: list[Crash] = []
         self.cleared_ms: dict[str, int] = {}
+        self.alive_ms: dict[str, int] = {}
 
 
 def request_fingerprint(pipeline: str, stage: str, payload: bytes) -> str:
@@ -89,7 +91,13 @@
 
 
 def server_lives(suspects: Suspects, server: str, now_ms: int) -> None:
-    """Forget the latest crash of a server that answers too soon to have restarted."""
+    """Forget the latest crash of a server that answers too soon to have restarted.
+
+    Peers that were told of it may still tell of it.
+    """
+    suspects.alive_ms[server] = now_ms
+    if len(suspects.alive_ms) > MAX_CRASHES:
+        del suspects.alive_ms[next(iter(suspects.alive_ms))]
     suspects.crashes = [
         crash
         for crash in suspects.crashes
@@ -142,8 +150,12 @@
     for hint in hints:
         if not 0 <= hint.age_ms < KEPT_MS:
             continue
+        at_ms = now_ms - hint.age_ms
+        alive_ms = suspects.alive_ms.get(hint.server)
+        if alive_ms is not None and -HINT_DELAY_MS <= alive_ms - at_ms <= RESTART_MS:
+            continue
         fingerprints = frozenset(hint.fingerprints[:MAX_FINGERPRINTS])
-        _add_crash(suspects, Crash(hint.server, fingerprints, now_ms - hint.age_ms))
+        _add_crash(suspects, Crash(hint.server, fingerprints, at_ms))
     _expire(suspects, now_ms)
 
 
--- a/src/bramleyturn/platform/watch_api.py
+++ b/src/bramleyturn/platform/watch_api.py
@@ -9,7 +9,13 @@
 from bramleyturn.core.operator_access import is_same_machine, is_signed
 from bramleyturn.core.revisions import Refused
 from bramleyturn.platform.reader import TARGET_MAC_HEADER
-from bramleyturn.platform.watch_loop import WatchLoop, wait_for_newer
+from bramleyturn.platform.watch_loop import (
+    WatchLoop,
+    look_at_once,
+    wait_for_list,
+    wait_for_newer,
+)
+from bramleyturn.runtime.entry_status import traffic_document
 from bramleyturn.runtime.http_server import header, json_answer, problem
 from bramleyturn.runtime.operator_access import refuse_others, unauthorized
 from bramleyturn.runtime.timeline_api import after_argument, timeline_document
@@ -35,18 +41,28 @@
             return refusal
         after = number(request, b"after")
         wait_ms = number(request, b"wait_ms")
-        if after is None or wait_ms is None:
-            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+        seen = number(request, b"seen")
+        if after is None or wait_ms is None or seen is None:
+            bad = BadRequest(
+                400, "Bad query", "send whole numbers", "after, wait_ms, seen"
+            )
             return problem(request, bad)
+        look_at_once(loop, seen)
         await wait_for_newer(loop, after, min(wait_ms, MAX_WAIT_MS))
         return json_answer(request, config_document(loop, after))
 
     @app.route("/v1/instances", methods=["GET"])
-    def instances(request: HttpRequest) -> bytes:
+    async def instances(request: HttpRequest) -> bytes:
         refusal = refuse_strangers(loop, request)
         if refusal is not None:
             return refusal
-        return json_answer(request, instances_document(loop))
+        after = number(request, b"after")
+        wait_ms = number(request, b"wait_ms")
+        if after is None or wait_ms is None:
+            bad = BadRequest(400, "Bad query", "send whole numbers", "after, wait_ms")
+            return problem(request, bad)
+        await wait_for_list(loop, after, min(wait_ms, MAX_WAIT_MS))
+        return json_answer(request, instances_document(loop, after))
 
     @app.route("/v1/status", methods=["GET"])
     def status(request: HttpRequest) -> bytes:
@@ -130,12 +146,18 @@
     return fault._asdict()
 
 
-def instances_document(loop: WatchLoop) -> dict[str, Any]:
-    """Return the platform's list as this watch last read it."""
-    return {
-        "instances": [instance._asdict() for instance in loop.instances],
+def instances_document(loop: WatchLoop, after: int) -> dict[str, Any]:
+    """Return the platform's list as this watch last read it.
+
+    Its lines are left out for a reader that has this version, named ``after``.
+    """
+    document = {
+        "version": loop.list_version,
         "age_ms": age_ms(loop, loop.instances_read_ms),
     }
+    if after and after == loop.list_version:
+        return document
+    return document | {"instances": [each._asdict() for each in loop.instances]}
 
 
 def status_document(loop: WatchLoop) -> dict[str, Any]:
@@ -150,6 +172,7 @@
         "platform_age_ms": age_ms(loop, loop.platform_read_ms),
         "instances_age_ms": age_ms(loop, loop.instances_read_ms),
         "instances": len(loop.instances),
+        "messages": traffic_document(loop.traffic),
     }
 
 
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from typing import Any, Final
 
@@ -17,14 +18,20 @@
 from bramleyturn.platform.errors import PlatformFailed
 from bramleyturn.platform.reader import read_folder, read_instances
 from bramleyturn.runtime.logs import error_fields, note_revision
+from bramleyturn.runtime.peer_client import Traffic, count_read
 
 WATCH_WAIT_MS: Final = 10_000
 LIST_INTERVAL_MS: Final = 1_000
-PEER_INTERVAL_MS: Final = 1_000
+PEER_INTERVAL_MS: Final = 5_000
+PEER_HURRY_MS: Final = 200
+LIST_BYTES_PER_S: Final = 700
+LIST_LINE_BYTES: Final = 120
+SHORT_LIST_LINES: Final = 128
 BACKOFF_FIRST_MS: Final = 100
 BACKOFF_MOST_MS: Final = 3_000
 PEER_SILENCE_MS: Final = 3_000
 JITTER_PERCENT: Final = 30
+NEAR_SHARE: Final = 0.5
 PERCENT: Final = 100
 MS_PER_S: Final = 1_000
 
@@ -55,8 +62,13 @@
         self.platform_read_ms: int | None = None
         self.asked_everyone = False
         self.timeline = Timeline()
+        self.list_version = 0
         self.waiting: list[Deferred[None]] = []
+        self.waiting_for_list: list[Deferred[None]] = []
         self.is_stopped = False
+        self.seen_revision = 0
+        self.traffic = Traffic()
+        self.hurry: Deferred[None] | None = None
 
 
 def start_watching(loop: WatchLoop) -> None:
@@ -80,6 +92,7 @@
     With several platform addresses the next one is asked after a failure.
     """
     backoff_ms = BACKOFF_FIRST_MS
+    useless_ms = BACKOFF_FIRST_MS
     turn = loop.random.randrange(len(loop.platforms))
     while not loop.is_stopped:
         platform = loop.platforms[turn % len(loop.platforms)]
@@ -89,6 +102,7 @@
             f"http://{platform}/config",
             loop.revisions.revision,
             jittered_ms(loop, WATCH_WAIT_MS),
+            count=partial(count_read, loop.traffic, "platform_config"),
         )
         if isinstance(read, PlatformFailed):
             turn += 1
@@ -99,9 +113,12 @@
         backoff_ms = BACKOFF_FIRST_MS
         loop.platform_read_ms = loop.clock.monotonic_ms()
         took = take_folder(loop, read.revision, read.files, f"platform {platform}")
-        if not took:
-            # A refused or stale revision is answered at once, so wait here instead.
-            await pause(loop, jittered_ms(loop, BACKOFF_FIRST_MS))
+        if took or not read.files:
+            useless_ms = BACKOFF_FIRST_MS
+            continue
+        # A refused revision is answered at once, again and again, so wait here instead.
+        await pause(loop, jittered_ms(loop, useless_ms))
+        useless_ms = min(2 * useless_ms, BACKOFF_MOST_MS)
 
 
 async def watch_list(loop: WatchLoop) -> None:
@@ -109,31 +126,51 @@
     while not loop.is_stopped:
         for platform in loop.platforms:
             read = await read_instances(
-                loop.client, loop.reactor, f"http://{platform}/instances"
+                loop.client,
+                loop.reactor,
+                f"http://{platform}/instances",
+                partial(count_read, loop.traffic, "platform_list"),
             )
             if not isinstance(read, PlatformFailed):
-                loop.instances = read
-                loop.instances_read_ms = loop.clock.monotonic_ms()
+                take_list(loop, read)
                 break
-        await pause(loop, jittered_ms(loop, LIST_INTERVAL_MS))
+        await pause(loop, jittered_ms(loop, list_interval_ms(len(loop.instances))))
+
+
+def take_list(loop: WatchLoop, instances: tuple[ListedInstance, ...]) -> None:
+    """Keep a list that was just read, and tell those who wait if it differs."""
+    loop.instances_read_ms = loop.clock.monotonic_ms()
+    if loop.list_version and instances == loop.instances:
+        return
+    loop.instances = instances
+    loop.list_version += 1
+    wake_all(loop.waiting_for_list)
+
+
+def list_interval_ms(lines: int) -> int:
+    """Return how long to wait between two reads of a list of that many lines.
+
+    The platform sends the whole list each time, so a long one is read less often, at
+    a fixed rate of bytes. What is lost in freshness comes from the peers, whose reads
+    fall at other times, and from the backend servers themselves.
+    """
+    if lines <= SHORT_LIST_LINES:
+        return LIST_INTERVAL_MS
+    return max(LIST_INTERVAL_MS, lines * LIST_LINE_BYTES * MS_PER_S // LIST_BYTES_PER_S)
 
 
 async def watch_peers(loop: WatchLoop) -> None:
     """Ask one other watch at a time for a newer configuration.
 
     A revision that one reader has seen thus reaches those whom the platform does
-    not answer, or answers from a stale replica.
+    not answer, or answers from a stale replica. Watches are asked in quick
+    succession while a newer revision is known to be in force somewhere.
     """
     while not loop.is_stopped:
-        await pause(loop, jittered_ms(loop, PEER_INTERVAL_MS))
-        peers = [
-            instance
-            for instance in loop.instances
-            if instance.role == "watch" and instance.name != loop.name
-        ]
-        if not peers:
+        await pause_unless_hurried(loop)
+        peer = choose_watch(loop)
+        if peer is None:
             continue
-        peer = loop.random.choice(peers)
         read = await read_folder(
             loop.client,
             loop.reactor,
@@ -141,6 +178,7 @@
             loop.revisions.revision,
             0,
             peers_key(loop),
+            partial(count_read, loop.traffic, "watch_config"),
         )
         if not isinstance(read, PlatformFailed):
             take_folder(loop, read.revision, read.files, f"watch {peer.name}")
@@ -152,6 +190,44 @@
     return in_force.configuration.peers.key if in_force is not None else ""
 
 
+def choose_watch(loop: WatchLoop) -> ListedInstance | None:
+    """Return another watch, half the time one of the own availability zone."""
+    watches = [each for each in loop.instances if each.role == "watch"]
+    zones = {each.zone for each in watches if each.name == loop.name}
+    others = [each for each in watches if each.name != loop.name]
+    near = [each for each in others if each.zone in zones]
+    chosen_from = near if near and loop.random.random() < NEAR_SHARE else others
+    return loop.random.choice(chosen_from) if chosen_from else None
+
+
+async def pause_unless_hurried(loop: WatchLoop) -> None:
+    """Wait until it is time to ask another watch."""
+    if loop.seen_revision > loop.revisions.revision:
+        await pause(loop, jittered_ms(loop, PEER_HURRY_MS))
+        return
+    loop.hurry = Deferred()
+    wait_s = jittered_ms(loop, PEER_INTERVAL_MS) / MS_PER_S
+    timer = loop.reactor.callLater(wait_s, end_pause, loop)
+    await loop.hurry
+    if timer.active():
+        timer.cancel()
+
+
+def end_pause(loop: WatchLoop) -> None:
+    """Ask another watch now."""
+    hurry, loop.hurry = loop.hurry, None
+    if hurry is not None:
+        hurry.callback(None)
+
+
+def look_at_once(loop: WatchLoop, seen_revision: int) -> None:
+    """Look for a revision that a local process knows to be in force elsewhere."""
+    if seen_revision <= max(loop.seen_revision, loop.revisions.revision):
+        return
+    loop.seen_revision = seen_revision
+    end_pause(loop)
+
+
 def take_folder(
     loop: WatchLoop, revision: int, files: dict[str, str], source: str
 ) -> bool:
@@ -171,7 +247,7 @@
             detail=f"revision {revision} from {source}",
             cause=f"revision-{revision}",
         )
-        wake_waiting(loop)
+        wake_all(loop.waiting)
         return True
     if isinstance(result, Refused) and len(loop.revisions.refused) > refused_before:
         report_refusal(loop, result, now_ms)
@@ -198,29 +274,42 @@
     )
 
 
-def wake_waiting(loop: WatchLoop) -> None:
-    """Answer everyone who waits for a newer revision."""
-    waiting, loop.waiting = loop.waiting, []
-    for waiter in waiting:
+def wake_all(waiting: list[Deferred[None]]) -> None:
+    """Answer everyone who waits for the same news."""
+    woken = list(waiting)
+    waiting.clear()
+    for waiter in woken:
         waiter.callback(None)
 
 
 async def wait_for_newer(loop: WatchLoop, after: int, wait_ms: int) -> None:
     """Return once a revision above ``after`` is in force, or the time is over."""
-    if loop.revisions.revision > after or wait_ms <= 0:
-        return
+    if loop.revisions.revision <= after and wait_ms > 0:
+        await wait_among(loop, loop.waiting, wait_ms)
+
+
+async def wait_for_list(loop: WatchLoop, after: int, wait_ms: int) -> None:
+    """Return once the list differs from version ``after``, or the time is over."""
+    if loop.list_version == after and wait_ms > 0:
+        await wait_among(loop, loop.waiting_for_list, wait_ms)
+
+
+async def wait_among(
+    loop: WatchLoop, waiting: list[Deferred[None]], wait_ms: int
+) -> None:
+    """Wait with the others of ``waiting`` for as long as ``wait_ms``."""
     waiter: Deferred[None] = Deferred()
-    loop.waiting.append(waiter)
-    timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, loop, waiter)
+    waiting.append(waiter)
+    timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, waiting, waiter)
     await waiter
     if timer.active():
         timer.cancel()
 
 
-def stop_waiting(loop: WatchLoop, waiter: Deferred[None]) -> None:
+def stop_waiting(waiting: list[Deferred[None]], waiter: Deferred[None]) -> None:
     """Answer one of those who wait, because its time is over."""
-    if waiter in loop.waiting:
-        loop.waiting.remove(waiter)
+    if waiter in waiting:
+        waiting.remove(waiter)
         waiter.callback(None)
 
 
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -32,8 +32,15 @@
 from bramleyturn.runtime.callers_api import callers_api
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.entry_status import status_api
+from bramleyturn.runtime.greeter import follow_peers, greet_several
+from bramleyturn.runtime.handing_over import end_entry
 from bramleyturn.runtime.http_client import http_client
-from bramleyturn.runtime.http_server import json_answer, listen, print_ready
+from bramleyturn.runtime.http_server import (
+    OpenServer,
+    json_answer,
+    open_server,
+    print_ready,
+)
 from bramleyturn.runtime.lifecycle import (
     Ending,
     Lifecycle,
@@ -44,25 +51,18 @@
 from bramleyturn.runtime.logs import error_fields, note_revision
 from bramleyturn.runtime.memory import freeze_start_up_objects
 from bramleyturn.runtime.openapi import openapi_api
-from bramleyturn.runtime.peer_client import (
-    MESSAGE_PATH,
-    Identity,
-    PeerClient,
-    say_hello,
-)
+from bramleyturn.runtime.peer_client import MESSAGE_PATH, Identity, PeerClient
 from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
     follow_configuration,
     follow_instances,
+    tell_watch,
 )
 
 INCARNATION_BYTES: Final = 8
-HELLO_INTERVAL_S: Final = 0.5
-HELLO_PEERS: Final = 3
 DRAIN_CHECK_S: Final = 0.05
-LEAVE_DELAY_S: Final = 0.5
 
 logger = logging.getLogger(__name__)
 
@@ -87,10 +87,12 @@
     """Start an entry process that waits for its first configuration."""
     app = Klein()
     configuration = empty_configuration()
-    address = listen(
+    server = open_server(
         reactor, app, settings.listen, lambda path: body_limit(state, path)
     )
-    me = ProcessRef(settings.advertise or address, secrets.token_hex(INCARNATION_BYTES))
+    me = ProcessRef(
+        settings.advertise or server.address, secrets.token_hex(INCARNATION_BYTES)
+    )
     state = entry_state(
         settings.name,
         settings.zone,
@@ -108,12 +110,15 @@
     )
     loop = EntryLoop(reactor, clock, state, peers)
     lifecycle = new_lifecycle(
-        Ending(drain=lambda: drain(loop, lifecycle), end=lambda: leave(loop))
+        Ending(
+            drain=lambda: drain(loop, lifecycle, server),
+            end=lambda: leave(loop, server),
+        )
     )
     add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
-    print_ready(me.address)
+    print_ready(me.address, listen=server.address)
     return loop
 
 
@@ -164,15 +169,21 @@
             freeze_start_up_objects()
         lifecycle.configured()
 
+    def tell_newer(seen_revision: int) -> None:
+        revision = loop.state.configuration.revision
+        told = tell_watch(client, loop.reactor, settings.watch, revision, seen_revision)
+        Deferred.fromCoroutine(told).addErrback(log_end)
+
     for work in (
         follow_configuration(client, loop.reactor, settings.watch, accept),
         follow_instances(
             client, loop.reactor, settings.watch, lambda found: take_list(loop, found)
         ),
         follow_load(loop),
+        follow_peers(loop, tell_newer),
     ):
         Deferred.fromCoroutine(work).addErrback(log_end)
-    LoopingCall(greet_peers, loop).start(HELLO_INTERVAL_S)
+    loop.greet_several = lambda: greet_several(loop)
 
 
 def log_end(failure: Any) -> None:
@@ -198,18 +209,9 @@
     feed(loop, PeersListed(entries))
 
 
-def greet_peers(loop: EntryLoop) -> None:
-    """Ask a few other entry processes who they are."""
-    addresses = list(loop.state.peers.by_address)
-    chosen = loop.state.random.sample(addresses, min(HELLO_PEERS, len(addresses)))
-    for address in chosen:
-        Deferred.fromCoroutine(
-            say_hello(loop.peers, address, lambda event: feed(loop, event))
-        )
-
-
-def drain(loop: EntryLoop, lifecycle: Lifecycle) -> None:
+def drain(loop: EntryLoop, lifecycle: Lifecycle, server: OpenServer) -> None:
     """Take nothing new and end once nothing is in flight."""
+    server.site.is_closing = True
     feed(loop, DrainOrdered())
     checking = LoopingCall(lambda: end_when_idle(loop, lifecycle, checking))
     checking.start(DRAIN_CHECK_S)
@@ -223,9 +225,15 @@
     lifecycle.finished()
 
 
-def leave(loop: EntryLoop) -> None:
-    """Stop the loop after the last answers have been written."""
-    loop.reactor.callLater(LEAVE_DELAY_S, loop.reactor.stop)
+def leave(loop: EntryLoop, server: OpenServer) -> None:
+    """Hand over what is kept and stop the loop once every answer is written."""
+    Deferred.fromCoroutine(end_entry(loop, server)).addErrback(end_anyway, loop)
+
+
+def end_anyway(failure: Any, loop: EntryLoop) -> None:
+    """Stop the loop although ending in good order failed."""
+    log_end(failure)
+    loop.reactor.stop()
 
 
 def main() -> None:
--- a/tests/core/test_poison.py
+++ b/tests/core/test_poison.py
@@ -155,3 +155,11 @@
         connection_lost(suspects, "s1", ["p"], 1_000)
         server_lives(suspects, "s1", 3_000)
         assert isinstance(verdict(suspects, "p", 3_000), Suspect)
+
+    def test_peers_do_not_bring_the_crash_back(self) -> None:
+        suspects = Suspects()
+        connection_lost(suspects, "s1", ["p"], 1_000)
+        hints = export_hints(suspects, 1_001)
+        server_lives(suspects, "s1", 1_010)
+        import_hints(suspects, hints, 1_011)
+        assert verdict(suspects, "p", 1_011) == Clear("p")
