Tell peers that are cut off in a replay; give routing its types a module

A replay reported peers across a partition as neither seen nor silent, so tickets went on naming them as backups. Entries now miss them, as in the runtime.

Tried and reverted: a back-off of 250 ms to 4 s for a server that could not be connected to.

--- a/src/bramleyturn/bench/replay_news.py
+++ b/src/bramleyturn/bench/replay_news.py
@@ -16,6 +16,7 @@
     ListedServer,
     LoadReportArrived,
     PeerSeen,
+    PeerSilent,
     ServersListed,
 )
 
@@ -23,6 +24,7 @@
 REPORT_LAG_MS: Final = 300.0
 REPORT_LOST_SHARE: Final = 0.1
 PEER_INTERVAL_MS: Final = 1_000.0
+PEER_TIMEOUT_MS: Final = 500.0
 LIST_INTERVAL_MS: Final = 2_000.0
 LIST_AGE_MS: Final = 1_000
 
@@ -63,7 +65,7 @@
 
 
 def send_heartbeats(world: World) -> None:
-    """Let every entry see those that it can reach."""
+    """Let every entry see those that it can reach, and miss the others."""
     for entry in world.entries:
         for other in world.entries:
             if other is entry:
@@ -74,6 +76,9 @@
                     state.name, state.zone, state.me.address, state.me.incarnation
                 )
                 later(world, entry, OTHER_ZONE_HOP_MS, seen)
+            else:
+                silent = PeerSilent(state.me.address)
+                later(world, entry, PEER_TIMEOUT_MS, silent)
 
 
 def send_list(world: World) -> None:
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -1,12 +1,10 @@
 """Choose the backend server for an attempt."""
 
-from enum import StrEnum
 from heapq import heappop, heappush
 from math import inf
 from random import Random
 from typing import Final, NamedTuple
 
-from bramleyturn.core.model import Server
 from bramleyturn.core.outliers import (
     eject,
     end_ejection,
@@ -31,6 +29,14 @@
     server_back,
     server_leaving,
 )
+from bramleyturn.core.routing_types import (
+    AttemptEnd,
+    AttemptVerdict,
+    Choice,
+    ChoiceRequest,
+    NoServer,
+    NoServerReason,
+)
 from bramleyturn.core.server_confirmation import is_confirmed
 from bramleyturn.core.server_load import (
     LoadReport,
@@ -81,70 +87,6 @@
 UNCONFIRMED_RETRY_MS: Final = 25
 
 
-class AttemptVerdict(StrEnum):
-    """Name how an attempt ended, as far as its server is concerned."""
-
-    OK = "ok"
-    FAILED = "failed"
-    REFUSED = "refused"
-    CANCELLED = "cancelled"
-    LOST = "lost"
-
-
-class AttemptEnd(NamedTuple):
-    """State how an attempt ended and how long it took.
-
-    ``forecast_ms`` is how long it was expected to take, 0 if nothing was expected.
-    """
-
-    verdict: AttemptVerdict
-    elapsed_ms: int
-    size_tokens: int
-    forecast_ms: float = 0.0
-
-
-class ChoiceRequest(NamedTuple):
-    """Ask for a server of a pool.
-
-    ``prefix`` identifies the start of the prompt and may be empty. ``alone`` asks
-    for a server on which this process has nothing in flight. Of those that may not
-    share one, each takes every ``places``-th server from ``place`` on.
-    """
-
-    pool: str
-    size_tokens: int
-    prefix: str
-    excluded: frozenset[str]
-    alone: bool
-    place: int = 0
-    places: int = 1
-
-
-class Choice(NamedTuple):
-    """Name the server and why it was chosen."""
-
-    server: Server
-    reasons: tuple[str, ...]
-
-
-class NoServerReason(StrEnum):
-    """Name why no server can be chosen."""
-
-    UNKNOWN_POOL = "unknown_pool"
-    NONE_LIVE = "none_live"
-    ALL_EXCLUDED = "all_excluded"
-    ALL_BUSY = "all_busy"
-    NONE_IDLE = "none_idle"
-    UNCONFIRMED = "unconfirmed"
-
-
-class NoServer(NamedTuple):
-    """State why no server can be chosen and when to ask again."""
-
-    reason: NoServerReason
-    retry_after_ms: int
-
-
 class Rating(NamedTuple):
     """Hold the best candidate with its estimated time and utilisation."""
 
