--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -33,6 +33,8 @@
 PLATFORM: Final = "platform"
 CONTROL: Final = "platform-control"
 FAULT_PROXY: Final = "faultproxy"
+LINKS: Final = "links"
+NOWHERE: Final = "127.0.0.1:9"
 
 
 class FleetPlan(NamedTuple):
@@ -43,7 +45,9 @@
     of ``settings`` and may override single keys. ``standin_values`` are further
     keys of every backend server stand-in, ``process_values`` of every other process.
     With ``fault_links`` the entries reach each backend server over a link of a fault
-    proxy that is named after it.
+    proxy that is named after it. ``linked_entries`` puts such a link, named after the
+    entry, in front of what other entries send to it. ``entry_command`` stands in for
+    the entry program where it is not empty.
     """
 
     folder: Path
@@ -56,6 +60,8 @@
     standin_values: Mapping[str, str] = {}
     process_values: Mapping[str, str] = {}
     fault_links: bool = False
+    linked_entries: bool = False
+    entry_command: tuple[str, ...] = ()
 
 
 class Instance(NamedTuple):
@@ -76,6 +82,7 @@
         self.processes = ProcessGroup(plan.folder / "logs")
         self.addresses: dict[str, str] = {}
         self.links: dict[str, str] = {}
+        self.advertised: dict[str, str] = {}
         self.servers: tuple[FleetServer, ...] = ()
         self.files: dict[str, str] = {}
         self.leaving: set[str] = set()
@@ -135,6 +142,8 @@
     """Start every process, publish what it needs, and wait until it is ready."""
     start_standins(fleet)
     _start_instances(fleet, "watch")
+    if fleet.plan.linked_entries:
+        _start_links(fleet)
     _start_instances(fleet, "entry")
     if fleet.plan.admins:
         _start_admins(fleet)
@@ -167,11 +176,17 @@
 def restart(fleet: Fleet, name: str) -> None:
     """Start an ended watch, entry or admin again with its former settings."""
     role = name.partition("-")[0]
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), _path(fleet, name)])
+    fleet.processes.start(name, _command(fleet, role, _path(fleet, name)))
     fleet.addresses[name] = fleet.processes.wait_for_address(name)
+    _point_link(fleet, name)
     publish_instances(fleet)
 
 
+def change_link(fleet: Fleet, name: str, changes: Mapping[str, object]) -> None:
+    """Change the fault proxy's link in front of an entry."""
+    put_json(f"http://{fleet.addresses[LINKS]}/links/{name}", dict(changes))
+
+
 def publish_files(fleet: Fleet) -> None:
     """Publish the folder of the fleet under the next revision."""
     _write_published(fleet)
@@ -203,7 +218,7 @@
             name=name,
             role=role,
             zone=zone,
-            address=fleet.addresses[name],
+            address=fleet.advertised.get(name, fleet.addresses[name]),
             state="leaving" if name in fleet.leaving else "live",
         )
         for name, role, zone in located
@@ -295,6 +310,23 @@
         _start(fleet, name, role, _process_text(fleet, name, role))
     for name in names:
         fleet.addresses[name] = fleet.processes.wait_for_address(name)
+        _point_link(fleet, name)
+
+
+def _start_links(fleet: Fleet) -> None:
+    nowhere = {"listen": ANY_PORT, "target": NOWHERE}
+    links = {f"link {name}": nowhere for name in fleet.entry_names()}
+    _start(fleet, LINKS, "faultproxy", ini_text(links))
+    ready = fleet.processes.wait_for_ready_line(LINKS)
+    fleet.addresses[LINKS] = str(ready["address"])
+    addresses = ready["addresses"]
+    assert isinstance(addresses, dict)
+    fleet.advertised.update(addresses)
+
+
+def _point_link(fleet: Fleet, name: str) -> None:
+    if name in fleet.advertised:
+        change_link(fleet, name, {"target": fleet.addresses[name]})
 
 
 def _start_admins(fleet: Fleet) -> None:
@@ -312,6 +344,8 @@
         values["platform"] = fleet.addresses[PLATFORM]
     else:
         values["watch"] = fleet.addresses[name.replace(role, "watch", 1)]
+    if name in fleet.advertised:
+        values["advertise"] = fleet.advertised[name]
     return ini_text({"process": {**values, **fleet.plan.process_values}})
 
 
@@ -319,7 +353,13 @@
     path = Path(_path(fleet, name))
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(text, "utf-8")
-    fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
+    fleet.processes.start(name, _command(fleet, role, str(path)))
+
+
+def _command(fleet: Fleet, role: str, path: str) -> list[str]:
+    if role == "entry" and fleet.plan.entry_command:
+        return [*fleet.plan.entry_command, path]
+    return [program(f"bramleyturn-{role}"), path]
 
 
 def _path(fleet: Fleet, name: str) -> str:
--- a/src/bramleyturn/core/routing.py
+++ b/src/bramleyturn/core/routing.py
@@ -37,7 +37,11 @@
     NoServer,
     NoServerReason,
 )
-from bramleyturn.core.server_confirmation import is_confirmed
+from bramleyturn.core.server_confirmation import (
+    ask_if_elsewhere,
+    ask_those_that_left,
+    is_confirmed,
+)
 from bramleyturn.core.server_load import (
     LoadReport,
     count_end,
@@ -108,7 +112,12 @@
     After a pause of the process a server is chosen only once it has been heard again.
     """
     chosen = _choose(table, request, now_ms, random)
-    if isinstance(chosen, NoServer) or is_confirmed(table, chosen.server):
+    if isinstance(chosen, NoServer):
+        if chosen.reason is NoServerReason.NONE_LIVE:
+            ask_those_that_left(table, table.pools[request.pool], now_ms)
+        return chosen
+    if is_confirmed(table, chosen.server):
+        ask_if_elsewhere(table, chosen.server, now_ms)
         return chosen
     return NoServer(NoServerReason.UNCONFIRMED, UNCONFIRMED_RETRY_MS)
 
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -118,7 +118,7 @@
     add_routes(loop, app, lifecycle, settings.watch)
     follow(loop, settings, lifecycle)
     stop_on_signals(reactor, lifecycle.asked_to_stop)
-    print_ready(me.address, listen=server.address)
+    print_ready(server.address, advertise=me.address)
     return loop
 
 
--- a/tests/proofs/zones.py
+++ b/tests/proofs/zones.py
@@ -25,7 +25,7 @@
 )
 from scripts.fleet_settings import ANY_PORT, ini_text
 from scripts.process_group import program, wait_until
-from tests.http_calls import Reply, call, connect, receive
+from tests.http_calls import CALL_LIMIT_S, Reply, call, connect, receive
 
 NOWHERE: Final = "127.0.0.1:1"
 PROXY: Final = "faultproxy"
@@ -37,6 +37,10 @@
 LOAD_PAUSE_S: Final = 0.02
 
 
+class NoStatusError(Exception):
+    """Tell that a process gives no status, as it has no configuration yet."""
+
+
 class Zones(NamedTuple):
     """Hold a fleet and the control address of the links between its zones."""
 
@@ -109,7 +113,8 @@
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(ini_text({"process": values | (more or {})}), "utf-8")
     fleet.processes.start(name, [program(f"bramleyturn-{role}"), str(path)])
-    fleet.addresses[name] = fleet.processes.wait_for_address(name)
+    line = fleet.processes.wait_for_ready_line(name)
+    fleet.addresses[name] = str(line["advertise"])
     own = own_address(fleet, name)
     fleet.addresses[f"own-{name}"] = own
     put_links(zones, {link: {"target": own}})
@@ -117,7 +122,7 @@
 
 def own_address(fleet: Fleet, name: str) -> str:
     """Return where a process listens, beside the address that it advertises."""
-    return str(fleet.processes.wait_for_ready_line(name)["listen"])
+    return str(fleet.processes.wait_for_ready_line(name)["address"])
 
 
 def put_links(zones: Zones, links: dict[str, dict[str, Any]]) -> dict[str, Any]:
@@ -161,17 +166,18 @@
     return document
 
 
-def status_of(fleet: Fleet, name: str) -> dict[str, Any]:
+def status_of(fleet: Fleet, name: str, limit_s: float = CALL_LIMIT_S) -> dict[str, Any]:
     """Return the status of an entry or a watch, asked at its own address."""
     address = fleet.addresses[f"own-{name}"]
-    connection = connect(address)
+    connection = connect(address, limit_s)
     try:
         key = {"Authorization": f"Bearer {workspace_key(OPERATORS)}"}
         connection.request("GET", "/v1/status", headers=key)
         reply = receive(connection)
     finally:
         connection.close()
-    assert reply.status == 200, reply.body
+    if reply.status != 200:
+        raise NoStatusError(reply.body)
     document: dict[str, Any] = reply.document
     return document
 
