Say that a starting entry takes no requests yet

Ruled out: the lookup itself, which asks every listed peer. Change: ready needs the configuration and the own line on the platform's list, or 3 s without a list; before the first configuration a request is answered not_run, with when to come back.

--- a/src/bramleyturn/core/intake.py
+++ b/src/bramleyturn/core/intake.py
@@ -28,6 +28,11 @@
     field: str
 
 
+STARTING: Final = BadRequest(
+    503, "Starting", "this process has no configuration yet; send again", ""
+)
+
+
 class CallerHeaders(NamedTuple):
     """Hold the headers of a caller's request as text, empty where absent."""
 
@@ -81,6 +86,9 @@
     key = bearer_key(authorization)
     if isinstance(key, BadRequest):
         return key
+    if table.configuration.revision == 0:
+        # Every key is unknown to a process that has read none.
+        return STARTING
     workspace = table.workspace_by_digest.get(key_digest(key))
     if workspace is None:
         return BadRequest(
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -87,3 +87,7 @@
 def main() -> None:
     """Run the program."""
     cappa.invoke(Admin)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleyturn/programs/cli.py
+++ b/src/bramleyturn/programs/cli.py
@@ -44,3 +44,7 @@
 def main() -> None:
     """Run the command that the arguments name and exit with its code."""
     sys.exit(cappa.invoke(Bramleyturn))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -53,6 +53,7 @@
 from bramleyturn.runtime.openapi import openapi_api
 from bramleyturn.runtime.peer_client import MESSAGE_PATH, Identity, PeerClient
 from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
+from bramleyturn.runtime.start_up import StartUp, note_configuration, note_list
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
@@ -160,14 +161,18 @@
 def follow(loop: EntryLoop, settings: ProcessSettings, lifecycle: Lifecycle) -> None:
     """Start following the watch, the peers and the backend servers' load."""
     client = http_client(loop.reactor)
+    start_up = StartUp(loop.reactor, lambda: take_callers(lifecycle))
 
     def accept(configuration: Configuration) -> None:
         note_revision(configuration.revision)
         loop.access = access_table(configuration)
         feed(loop, ConfigurationAccepted(configuration))
-        if not lifecycle.is_ready():
-            freeze_start_up_objects()
-        lifecycle.configured()
+        note_configuration(start_up)
+
+    def accept_list(found: InstanceList) -> None:
+        take_list(loop, found)
+        if any(each.address == loop.state.me.address for each in found.instances):
+            note_list(start_up)
 
     def tell_newer(seen_revision: int) -> None:
         revision = loop.state.configuration.revision
@@ -176,9 +181,7 @@
 
     for work in (
         follow_configuration(client, loop.reactor, settings.watch, accept),
-        follow_instances(
-            client, loop.reactor, settings.watch, lambda found: take_list(loop, found)
-        ),
+        follow_instances(client, loop.reactor, settings.watch, accept_list),
         follow_load(loop),
         follow_peers(loop, tell_newer),
     ):
@@ -186,6 +189,12 @@
     loop.greet_several = lambda: greet_several(loop)
 
 
+def take_callers(lifecycle: Lifecycle) -> None:
+    """Say that the process is ready for callers."""
+    freeze_start_up_objects()
+    lifecycle.configured()
+
+
 def log_end(failure: Any) -> None:
     """Log that something that should run for ever has ended."""
     logger.error("a background loop ended", extra=error_fields(failure.value))
@@ -239,3 +248,7 @@
 def main() -> None:
     """Run the program."""
     cappa.invoke(Entry)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -60,3 +60,7 @@
 def main() -> None:
     """Run the program."""
     cappa.invoke(Watch)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bramleyturn/runtime/callers_api.py
+++ b/src/bramleyturn/runtime/callers_api.py
@@ -14,6 +14,7 @@
 from bramleyturn.core.events import RequestArrived, WaiterGone
 from bramleyturn.core.intake import (
     MAX_REQUEST_ID_CHARACTERS,
+    STARTING,
     BadRequest,
     CallerHeaders,
     check_request,
@@ -21,7 +22,7 @@
     find_workspace,
 )
 from bramleyturn.core.outcome_json import outcome_document
-from bramleyturn.core.outcomes import Outcome, OutcomeKind
+from bramleyturn.core.outcomes import Outcome, OutcomeKind, not_run
 from bramleyturn.core.ticket_primary import NotIssued
 from bramleyturn.runtime.entry_loop import EntryLoop, WaiterAction, feed, new_waiter
 from bramleyturn.runtime.http_server import (
@@ -35,6 +36,7 @@
 
 STATUS_TICKET_NEEDED: Final = 428
 STATUS_CONFLICT: Final = 409
+STARTING_RETRY_AFTER_MS: Final = 1_000
 REQUEST_ID_HEADER: Final = "Bramleyturn-Request-Id"
 LIMIT_REASONS: Final = frozenset(
     {"rate_limited", "queue_full", "overloaded", "budget_spent"}
@@ -76,6 +78,10 @@
         request.content.read(),
         new_key(loop.state),
     )
+    if checked is STARTING:
+        request_id = header(request, REQUEST_ID_HEADER)
+        refusal = not_run("starting", STARTING_RETRY_AFTER_MS)
+        return answer_document(request, request_id, refusal)
     if isinstance(checked, BadRequest):
         return problem(request, checked)
     answered: Deferred[bytes] = Deferred()
@@ -155,6 +161,8 @@
 def receive_ticket_request(loop: EntryLoop, request: HttpRequest) -> bytes:
     """Issue a ticket. Nothing is started."""
     workspace = find_workspace(loop.access, header(request, "Authorization"))
+    if workspace is STARTING:
+        set_retry_after(request, STARTING_RETRY_AFTER_MS)
     if isinstance(workspace, BadRequest):
         return problem(request, workspace)
     try:
@@ -185,6 +193,8 @@
 ) -> bytes:
     """Give a caller the kept outcome of its request, wherever it is kept."""
     workspace = find_workspace(loop.access, header(request, "Authorization"))
+    if workspace is STARTING:
+        set_retry_after(request, STARTING_RETRY_AFTER_MS)
     if isinstance(workspace, BadRequest):
         return problem(request, workspace)
     if len(request_id) > MAX_REQUEST_ID_CHARACTERS:
--- a/src/bramleyturn/runtime/lifecycle.py
+++ b/src/bramleyturn/runtime/lifecycle.py
@@ -14,7 +14,7 @@
     """Describe what may happen to a process."""
 
     def configured(self) -> None:
-        """Note that a first configuration is in force."""
+        """Note that the process knows enough to take requests."""
 
     def asked_to_stop(self) -> None:
         """Note that the process shall end once its work is done."""
--- /dev/null
+++ b/tests/runtime/test_start_up.py
@@ -0,0 +1,44 @@
+"""Tests of when a process takes callers."""
+
+from twisted.internet.task import Clock
+
+from bramleyturn.runtime.start_up import (
+    LIST_WAIT_S,
+    StartUp,
+    note_configuration,
+    note_list,
+)
+
+
+class TestStartUp:
+    def started(self) -> tuple[Clock, StartUp, list[str]]:
+        clock = Clock()
+        calls: list[str] = []
+        return clock, StartUp(clock, lambda: calls.append("ready")), calls
+
+    def test_is_over_when_configuration_and_list_are_known(self) -> None:
+        _, start_up, calls = self.started()
+        note_configuration(start_up)
+        assert calls == []
+        note_list(start_up)
+        assert calls == ["ready"]
+
+    def test_waits_for_the_configuration_however_long(self) -> None:
+        clock, start_up, calls = self.started()
+        note_list(start_up)
+        clock.advance(100 * LIST_WAIT_S)
+        assert calls == []
+
+    def test_does_without_the_list_after_a_while(self) -> None:
+        clock, start_up, calls = self.started()
+        note_configuration(start_up)
+        clock.advance(LIST_WAIT_S)
+        assert calls == ["ready"]
+
+    def test_is_over_once(self) -> None:
+        clock, start_up, calls = self.started()
+        for _ in range(2):
+            note_list(start_up)
+            note_configuration(start_up)
+        clock.advance(LIST_WAIT_S)
+        assert calls == ["ready"]
