Let a request find out whether a slow pipeline has recovered

Cause: a request with less time than its pipeline took lately was refused before it ran, so nothing was ever learnt again: after a slow spell, callers with short deadlines were refused for good. Found when a proof that needs a request to be written got not_run (servers_busy) after slow cases. Ruled out: a false not_run (the ledger had no run). Change: while no other request of the pipeline runs, one a second may run all the same; admission then no longer refuses it a second time.

--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -106,6 +106,7 @@
     counters: Counters = field(default_factory=Counters)
     choose: ChooseServer = choose_server
     foresee: Foresee = forecast
+    found_out_ms: dict[str, int] = field(default_factory=dict)
     next_number: int = 0
     is_draining: bool = False
 
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -50,6 +50,7 @@
 TYPICAL_PERCENTILE: Final = 50
 DRAIN_RETRY_AFTER_MS: Final = 1_000
 DEADLINE_RETRY_AFTER_MS: Final = 1_000
+FIND_OUT_INTERVAL_MS: Final = 1_000
 CRASHES_SERVERS: Final = "input_crashes_servers"
 
 
@@ -147,34 +148,58 @@
         )
         if isinstance(found, Convicted):
             return Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
+    too_late = refuse_too_late(state, request, len(packed) // BYTES_PER_TOKEN, now_ms)
+    if too_late is not None and not may_find_out(state, request, now_ms):
+        return too_late
+    return hold_budget(state, request, now_ms)
+
+
+def refuse_too_late(
+    state: EntryState, request: RunningRequest, input_tokens: int, now_ms: int
+) -> Outcome | None:
+    """Return why a request is not expected to finish in time, if it is not."""
+    stages = request.pipeline.stages
     left_ms = request.deadline_at_ms - now_ms
-    if not can_finish(
-        state.latencies, request.pipeline, request.pipeline.stages, left_ms
-    ):
+    if not can_finish(state.latencies, request.pipeline, stages, left_ms):
         return not_run("deadline_too_short", DEADLINE_RETRY_AFTER_MS)
-    too_busy = state.foresee(
-        state.routing,
-        request.pipeline.stages,
-        len(packed) // BYTES_PER_TOKEN,
-        left_ms,
-        now_ms,
-    )
-    if too_busy is not None:
-        return not_run("servers_busy", too_busy.retry_after_ms)
-    return hold_budget(state, request, now_ms)
+    too_busy = state.foresee(state.routing, stages, input_tokens, left_ms, now_ms)
+    if too_busy is None:
+        return None
+    return not_run("servers_busy", too_busy.retry_after_ms)
+
+
+def may_find_out(state: EntryState, request: RunningRequest, now_ms: int) -> bool:
+    """Tell whether a request that is expected to be late may run all the same.
+
+    What is known of a pipeline comes from the requests that ran. If every one were
+    refused, a slow time would never be known to be over.
+    """
+    name = request.pipeline.name
+    if any(
+        other.pipeline.name == name and other is not request
+        for other in state.requests.values()
+    ):
+        return False
+    if now_ms - state.found_out_ms.get(name, -FIND_OUT_INTERVAL_MS) < (
+        FIND_OUT_INTERVAL_MS
+    ):
+        return False
+    state.found_out_ms[name] = now_ms
+    return True
 
 
 def admit_request(
     state: EntryState, request: RunningRequest, now_ms: int
 ) -> list[Action]:
     """Ask admission for a place and start the request if it gets one at once."""
+    typical_ms = expected_ms(state, request.pipeline)
     answer = request_admission(
         state.admission,
         AdmissionRequest(
             key=request.key,
             workspace=request.workspace,
             deadline_at_ms=request.deadline_at_ms,
-            expected_ms=expected_ms(state, request.pipeline),
+            expected_ms=min(typical_ms, request.deadline_at_ms - now_ms),
         ),
         now_ms,
     )
--- a/tests/core/test_entry.py
+++ b/tests/core/test_entry.py
@@ -352,3 +352,41 @@
         newer = old._replace(revision=old.revision + 1, limits=limits)
         world.feed(ConfigurationAccepted(newer))
         assert world.state.retry_budget.ratio_percent == 77
+
+
+class TestSlowPast:
+    """A pipeline that has been slow, and callers with less time than it took."""
+
+    def slow_world(self) -> World:
+        world = World()
+        for number in range(20):
+            encode = started(world.send("draft", request_id=f"slow-{number}"))
+            world.advance(900)
+            generate = started(world.output(encode))
+            world.tokens(generate, 0, "a")
+            world.end(generate, 1)
+        return world
+
+    def test_does_not_refuse_short_deadlines_for_ever(self) -> None:
+        world = self.slow_world()
+        encode = started(world.send("draft", request_id="short", left_ms=300))
+        generate = started(world.output(encode))
+        world.tokens(generate, 0, "a")
+        assert answer(world.end(generate, 1)).outcome.kind is OutcomeKind.ANSWERED
+
+    def test_refuses_while_another_request_finds_out(self) -> None:
+        world = self.slow_world()
+        started(world.send("draft", request_id="first", left_ms=300))
+        refused = answer(world.send("draft", request_id="second", left_ms=300))
+        assert refused.outcome.kind is OutcomeKind.NOT_RUN
+
+    def test_finds_out_once_a_second_at_most(self) -> None:
+        world = self.slow_world()
+        encode = started(world.send("draft", request_id="first", left_ms=300))
+        generate = started(world.output(encode))
+        world.tokens(generate, 0, "a")
+        world.end(generate, 1)
+        refused = answer(world.send("draft", request_id="second", left_ms=300))
+        assert refused.outcome.kind is OutcomeKind.NOT_RUN
+        world.advance(1_000)
+        started(world.send("draft", request_id="third", left_ms=300))
