Read the list and another watch in one place, share the proofs' fixture

Cause: the first look of a watch repeated two reads of its loop, three proofs had the same fixture, and a test module carried its configuration as text.

--- a/src/bramleyturn/platform/first_look.py
+++ b/src/bramleyturn/platform/first_look.py
@@ -5,19 +5,18 @@
 
 from twisted.internet.defer import Deferred, DeferredList
 
-from bramleyturn.platform.documents import ListedInstance
 from bramleyturn.platform.errors import PlatformFailed
-from bramleyturn.platform.reader import read_folder, read_instances
+from bramleyturn.platform.reader import read_folder
 from bramleyturn.platform.watch_loop import (
     BACKOFF_FIRST_MS,
     BACKOFF_MOST_MS,
     WatchLoop,
     jittered_ms,
+    look_at_list,
+    look_at_watch,
     other_watches,
     pause,
-    peers_key,
     take_folder,
-    take_list,
     wake_all,
 )
 from bramleyturn.runtime.peer_client import count_read
@@ -67,32 +66,3 @@
     if not isinstance(read, PlatformFailed):
         loop.platform_read_ms = loop.clock.monotonic_ms()
         take_folder(loop, read.revision, read.files, f"platform {platform}")
-
-
-async def look_at_list(loop: WatchLoop) -> None:
-    """Take over the instance list, to know the other watches."""
-    for platform in loop.platforms:
-        read = await read_instances(
-            loop.client,
-            loop.reactor,
-            f"http://{platform}/instances",
-            partial(count_read, loop.traffic, "platform_list"),
-        )
-        if not isinstance(read, PlatformFailed):
-            take_list(loop, read)
-            return
-
-
-async def look_at_watch(loop: WatchLoop, watch: ListedInstance) -> None:
-    """Take over the configuration of another watch if it is newer."""
-    read = await read_folder(
-        loop.client,
-        loop.reactor,
-        f"http://{watch.address}/v1/config",
-        loop.revisions.revision,
-        0,
-        peers_key(loop),
-        partial(count_read, loop.traffic, "watch_config"),
-    )
-    if not isinstance(read, PlatformFailed):
-        take_folder(loop, read.revision, read.files, f"watch {watch.name}")
--- a/src/bramleyturn/platform/watch_loop.py
+++ b/src/bramleyturn/platform/watch_loop.py
@@ -138,19 +138,39 @@
 async def watch_list(loop: WatchLoop) -> None:
     """Read the instance list again and again."""
     while not loop.is_stopped:
-        for platform in loop.platforms:
-            read = await read_instances(
-                loop.client,
-                loop.reactor,
-                f"http://{platform}/instances",
-                partial(count_read, loop.traffic, "platform_list"),
-            )
-            if not isinstance(read, PlatformFailed):
-                take_list(loop, read)
-                break
+        await look_at_list(loop)
         await pause(loop, jittered_ms(loop, list_interval_ms(len(loop.instances))))
 
 
+async def look_at_list(loop: WatchLoop) -> None:
+    """Take over the instance list, to know the other watches."""
+    for platform in loop.platforms:
+        read = await read_instances(
+            loop.client,
+            loop.reactor,
+            f"http://{platform}/instances",
+            partial(count_read, loop.traffic, "platform_list"),
+        )
+        if not isinstance(read, PlatformFailed):
+            take_list(loop, read)
+            return
+
+
+async def look_at_watch(loop: WatchLoop, watch: ListedInstance) -> None:
+    """Take over the configuration of another watch if it is newer."""
+    read = await read_folder(
+        loop.client,
+        loop.reactor,
+        f"http://{watch.address}/v1/config",
+        loop.revisions.revision,
+        0,
+        peers_key(loop),
+        partial(count_read, loop.traffic, "watch_config"),
+    )
+    if not isinstance(read, PlatformFailed):
+        take_folder(loop, read.revision, read.files, f"watch {watch.name}")
+
+
 def take_list(loop: WatchLoop, instances: tuple[ListedInstance, ...]) -> None:
     """Keep a list that was just read, and tell those who wait if it differs."""
     loop.instances_read_ms = loop.clock.monotonic_ms()
@@ -183,19 +203,8 @@
     while not loop.is_stopped:
         await pause_unless_hurried(loop)
         peer = choose_watch(loop)
-        if peer is None:
-            continue
-        read = await read_folder(
-            loop.client,
-            loop.reactor,
-            f"http://{peer.address}/v1/config",
-            loop.revisions.revision,
-            0,
-            peers_key(loop),
-            partial(count_read, loop.traffic, "watch_config"),
-        )
-        if not isinstance(read, PlatformFailed):
-            take_folder(loop, read.revision, read.files, f"watch {peer.name}")
+        if peer is not None:
+            await look_at_watch(loop, peer)
 
 
 def peers_key(loop: WatchLoop) -> str:
--- a/tests/core/entry_world.py
+++ b/tests/core/entry_world.py
@@ -1,5 +1,6 @@
 """Drive one entry process's core in virtual time, its servers played by the test."""
 
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -20,86 +21,7 @@
 from bramleyturn.core.model import Configuration
 from bramleyturn.core.tickets import ProcessRef
 
-FOLDER = {
-    "10.ini": """
-[pool encoders]
-kind = encoder
-model = e
-price_micros_per_call = 10
-[pool drafting]
-kind = engine
-model = d
-price_micros_per_1k_tokens = 1000
-[pool roster]
-kind = plain
-price_micros_per_call = 100
-[server encoder-1]
-pool = encoders
-zone = duluth
-address = 127.0.0.1:9001
-[server encoder-2]
-pool = encoders
-zone = duluth
-address = 127.0.0.1:9002
-[server drafting-1]
-pool = drafting
-zone = duluth
-address = 127.0.0.1:9003
-[server drafting-2]
-pool = drafting
-zone = duluth
-address = 127.0.0.1:9004
-[server roster-1]
-pool = roster
-zone = duluth
-address = 127.0.0.1:9005
-[server roster-2]
-pool = roster
-zone = duluth
-address = 127.0.0.1:9006
-[pipeline draft]
-stages = encode, generate
-deadline_ms = 5000
-[stage draft.encode]
-pool = encoders
-repeatable = yes
-timeout_ms = 1000
-[stage draft.generate]
-pool = drafting
-repeatable = yes
-timeout_ms = 4000
-max_output_tokens = 64
-[pipeline signup]
-stages = enrol
-deadline_ms = 2000
-[stage signup.enrol]
-pool = roster
-repeatable = no
-timeout_ms = 1000
-[pipeline order]
-stages = charge, print
-deadline_ms = 2000
-[stage order.charge]
-pool = roster
-repeatable = no
-timeout_ms = 1000
-[stage order.print]
-pool = roster
-repeatable = no
-timeout_ms = 1000
-[workspace lessons]
-key_sha256 = aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
-pipelines = *
-[workspace rosters]
-key_sha256 = bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb
-pipelines = *
-[tickets]
-key = a-key-of-sixteen-characters
-lifetime_ms = 60000
-[peers]
-key = another-key-of-sixteen-characters
-"""
-}
+FOLDER = {"10.ini": (Path(__file__).parent / "data" / "entry.ini").read_text("utf-8")}
 BACKUP = ProcessRef("127.0.0.1:7002", "backup-incarnation")
 
 
--- a/tests/proofs/test_answers_whole_and_own.py
+++ b/tests/proofs/test_answers_whole_and_own.py
@@ -11,7 +11,6 @@
 from tests.proofs.fleet_calls import (
     ask_for,
     expected,
-    heal,
     ledger,
     send_request,
     servers_of,
@@ -47,12 +46,6 @@
         yield started
 
 
-@pytest.fixture
-def healed(fleet: Fleet) -> Iterator[Fleet]:
-    yield fleet
-    heal(fleet)
-
-
 def assert_answered(fleet: Fleet, values: list[dict[str, Any]], reply: Reply) -> None:
     """Check that a reply is the answer to the last of ``values``."""
     document = reply.document
--- a/tests/proofs/test_not_run_is_true.py
+++ b/tests/proofs/test_not_run_is_true.py
@@ -17,7 +17,6 @@
 from tests.http_calls import Reply, receive, wait_until
 from tests.proofs.fleet_calls import (
     expected,
-    heal,
     ledger,
     new_ticket,
     send_request,
@@ -87,12 +86,6 @@
         yield running
 
 
-@pytest.fixture
-def healed(fleet: Fleet) -> Iterator[Fleet]:
-    yield fleet
-    heal(fleet)
-
-
 class Told(NamedTuple):
     """Hold what a caller was told and how often its stages ran."""
 
--- a/tests/proofs/test_streams_whole.py
+++ b/tests/proofs/test_streams_whole.py
@@ -153,12 +153,6 @@
         yield running
 
 
-@pytest.fixture
-def healed(fleet: Fleet) -> Iterator[Fleet]:
-    yield fleet
-    heal(fleet)
-
-
 def assert_whole(fleet: Fleet, value: dict[str, Any]) -> None:
     """Send an idea and check that its answer is whole."""
     reply = send_request(fleet, fleet.entry_names()[0], PIPELINE, value)
