--- a/src/bramleyturn/runtime/load_reports.py
+++ b/src/bramleyturn/runtime/load_reports.py
@@ -18,7 +18,7 @@
 
 LEAST_INTERVAL_MS: Final = 100
 ZONE_REPORTS_PER_S: Final = 20
-CONFIRM_INTERVAL_MS: Final = 100
+CONFIRM_INTERVAL_MS: Final = 20
 TIMEOUT_MS: Final = 1_000
 MS_PER_S: Final = 1_000
 
