Read process settings in one place and drop an unused function

Cause: the programs read and decoded their settings file by hand, although runtime/settings_file.py does just that, and core/ticket_primary.find_record had no caller. Change: the programs call it; the function is gone. Behaviour is the same: exit code 2 and the reason on standard error, tried on a missing file.

--- a/src/bramleyturn/core/ticket_primary.py
+++ b/src/bramleyturn/core/ticket_primary.py
@@ -27,7 +27,7 @@
     PrimaryGone,
     PrimaryRunning,
 )
-from bramleyturn.core.tickets import ProcessRef, Ticket, TicketRef
+from bramleyturn.core.tickets import ProcessRef, Ticket
 
 
 class StageState(StrEnum):
@@ -377,13 +377,6 @@
     primary.records[record.ticket.number] = record
 
 
-def find_record(primary: TicketPrimary, ticket: TicketRef) -> TicketRecord | None:
-    """Return the record of ``ticket`` if this process is its primary."""
-    if ticket.primary != primary.me:
-        return None
-    return primary.records.get(ticket.number)
-
-
 def forget_records(primary: TicketPrimary, now_ms: int, margin_ms: int) -> int:
     """Forget finished records past expiry and margin; return how many."""
     due: list[Ticket] = []
--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -9,24 +9,19 @@
 
 from bramleyturn.core.clock import monotonic_s
 from bramleyturn.core.fault import describe_fault
-from bramleyturn.core.process_settings import (
-    ProcessSettings,
-    RefusedSettings,
-    parse_process_settings,
-)
+from bramleyturn.core.process_settings import ProcessSettings, RefusedSettings
 from bramleyturn.runtime.logs import start_logging
+from bramleyturn.runtime.settings_file import Unreadable, read_process_settings
 
 EXIT_BAD_SETTINGS: Final = 2
 
 
 def read_settings(path: str, required: Collection[str]) -> ProcessSettings:
     """Return the settings of a process, or end it with every fault on stderr."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"cannot read {path}: {error}", file=sys.stderr)
+    settings = read_process_settings(Path(path), required)
+    if isinstance(settings, Unreadable):
+        print(f"cannot read {path}: {settings.reason}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    settings = parse_process_settings(text, Path(path).name, required)
     if isinstance(settings, RefusedSettings):
         for fault in settings.faults:
             print(describe_fault(fault), file=sys.stderr)
