Order stage work over whole requests, and count room until it is confirmed free

Ruled out: engines (no preemption, first events in 0.35 s) and full servers (0 found full). Change: one instance plans all stage pools; a forecast over all stages of a request decides before its first one; what has begun goes first; hopeless requests are refused at once. Room counts as taken until the server has confirmed the release.

--- a/src/bramleyturn/core/fleet/owners.py
+++ b/src/bramleyturn/core/fleet/owners.py
@@ -1,6 +1,6 @@
-"""Agree on which instance plans the work of a pool.
+"""Agree on which instance does a task for all of them.
 
-Every instance ranks the live ones by a hash of pool and name, so that all agree as
+Every instance ranks the live ones by a hash of task and name, so that all agree as
 far as they agree on who is alive. The owner holds nothing that would have to last:
 when it changes, the asks are repeated to the next one.
 """
@@ -14,16 +14,16 @@
 HASH_BYTES: Final = 8
 
 
-def owner_order(pool: str, members: Iterable[MemberRef]) -> list[MemberRef]:
-    """Return the instances in the order in which they own ``pool``."""
-    return sorted(members, key=lambda member: _rank(pool, member.name))
+def owner_order(task: str, members: Iterable[MemberRef]) -> list[MemberRef]:
+    """Return the instances in the order in which they own a task."""
+    return sorted(members, key=lambda member: _rank(task, member.name))
 
 
-def owner_of(pool: str, members: Iterable[MemberRef]) -> MemberRef | None:
-    """Return the instance that owns ``pool``."""
-    return min(members, key=lambda member: _rank(pool, member.name), default=None)
+def owner_of(task: str, members: Iterable[MemberRef]) -> MemberRef | None:
+    """Return the instance that owns a task."""
+    return min(members, key=lambda member: _rank(task, member.name), default=None)
 
 
-def _rank(pool: str, name: str) -> bytes:
-    text = f"{pool}\0{name}".encode()
+def _rank(task: str, name: str) -> bytes:
+    text = f"{task}\0{name}".encode()
     return hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -36,12 +36,22 @@
     failure: PieceFailure | None
 
 
+class LaterStage(NamedTuple):
+    """Hold a stage that follows: its pool, its pieces and the size of a result."""
+
+    pool: str
+    piece_count: int
+    result_bytes: int
+
+
 class StageAsk(NamedTuple):
     """Ask for all pieces of one stage of a request.
 
-    ``due_ms`` is when the stage must be done for the request to be in time, and
-    ``deadline_ms`` when its results are of no more use. A lower ``urgency`` goes
+    ``due_ms`` is when all stages must be done for the request to be in time, and
+    ``deadline_ms`` when their results are of no more use. A lower ``urgency`` goes
     first. ``near_zone`` is where the results are used, empty if that does not matter.
+    ``has_started`` tells that another stage of the request was done already, and
+    ``later`` names the stages that follow this one.
     """
 
     ask_id: str
@@ -56,15 +66,21 @@
     deadline_ms: int
     urgency: int
     near_zone: str
+    has_started: bool
+    later: tuple[LaterStage, ...]
 
 
 class AskDone(NamedTuple):
-    """Hold the results of an ask in the order of its pieces, or why it failed."""
+    """Hold the results of an ask in the order of its pieces, or why it failed.
+
+    ``wait_ms`` is when a request that could not be in time may come back.
+    """
 
     ask_id: str
     handles: tuple[str, ...]
     zones: tuple[str, ...]
     failure: PieceFailure | None
+    wait_ms: int = 0
 
 
 class StageCall(NamedTuple):
--- /dev/null
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -0,0 +1,247 @@
+"""Order the requests that wait for stages, and refuse those that cannot be served.
+
+Load patterns that it answers: a jump in traffic beyond what the slowest stage of a
+pipeline can do. Without it, the first stages would go on for requests that are stuck
+before a later one, whose results fill the servers' room and expire. Whether a request
+can be in time is forecast over all of its stages before its first one begins; what
+has begun goes before what has not; what can only be late gets what is left over, and
+what cannot be done at all is refused at once with the time to come back.
+"""
+
+import math
+from typing import Final
+
+from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
+from bramleyturn.core.pieces.planner import (
+    AskState,
+    Outcome,
+    Planner,
+    busy_ms,
+    fail_ask,
+    piece_ms,
+    serve_in_order,
+    stage_ms,
+    submit,
+    withdraw,
+)
+
+# Without a server for this long, what waits is told so.
+NO_SERVER_MS: Final = 1_500
+# Asks that were not repeated by their instance for this long are dropped.
+FORGET_ASK_MS: Final = 2_000
+# Finished asks are remembered so that a repeated question gets the same answer.
+KEEP_DONE_MS: Final = 3_000
+# Part of the time for which results are kept that a late request may wait for a later
+# stage once it has begun.
+HELD_PART: Final = 0.4
+# What is forecast to end this short before its time counts as late: calls last longer
+# than their nominal time by the way to the server and by the pieces that join them.
+MARGIN_PART: Final = 0.15
+
+
+# Time over which the work that arrives is averaged.
+ARRIVALS_MS: Final = 3_000.0
+# Late requests are expected to get this part of the servers' time at least.
+LEAST_SPARE: Final = 0.08
+
+
+class Pipeline:
+    """Hold the planners of all stage pools by name.
+
+    ``arriving`` has, by pool, the work that arrived of late in milliseconds of the
+    whole pool, which fades, and when it was last added to.
+    """
+
+    def __init__(self) -> None:
+        self.planners: dict[str, Planner] = {}
+        self.arriving: dict[str, tuple[float, int]] = {}
+
+
+class Forecast:
+    """Collect the work that goes before a request, by pool, in milliseconds."""
+
+    def __init__(self, pipeline: Pipeline, now_ms: int) -> None:
+        self.now_ms = now_ms
+        self.ahead_ms = {
+            name: busy_ms(planner, now_ms)
+            for name, planner in pipeline.planners.items()
+        }
+        self.spare = {
+            name: max(
+                LEAST_SPARE, 1 - _arriving_ms(pipeline, name, now_ms) / ARRIVALS_MS
+            )
+            for name in pipeline.planners
+        }
+
+
+def take_ask(pipeline: Pipeline, ask: StageAsk, now_ms: int) -> AskDone | None:
+    """Take in an ask, or a repetition of one; return its end if it has ended.
+
+    The pool of the ask must have a planner.
+    """
+    planner = pipeline.planners[ask.pool]
+    is_new = ask.ask_id not in planner.asks and ask.ask_id not in planner.done
+    done = submit(planner, ask, now_ms)
+    if is_new and not ask.has_started:
+        _note_arriving(pipeline, planner.asks[ask.ask_id], now_ms)
+    return done
+
+
+def plan(pipeline: Pipeline, now_ms: int) -> dict[str, Outcome]:
+    """Return the calls to make now and the asks that end without them, by pool."""
+    outcomes = {name: Outcome() for name in pipeline.planners}
+    for name, planner in pipeline.planners.items():
+        _forget(planner, outcomes[name], now_ms)
+    order = _order(pipeline, outcomes, now_ms)
+    for name, planner in pipeline.planners.items():
+        own = [state for state in order if state.ask.pool == name]
+        serve_in_order(planner, own, outcomes[name], now_ms)
+    return outcomes
+
+
+def _order(
+    pipeline: Pipeline, outcomes: dict[str, Outcome], now_ms: int
+) -> list[AskState]:
+    """Return the asks that may be served now in their order; refuse the hopeless."""
+    asks = [
+        state
+        for planner in pipeline.planners.values()
+        for state in planner.asks.values()
+    ]
+    asks.sort(key=_rank)
+    forecast = Forecast(pipeline, now_ms)
+    in_time: list[AskState] = []
+    late: list[AskState] = []
+    for state in asks:
+        margin_ms = MARGIN_PART * _work_ms(pipeline, state)
+        if _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms:
+            _add_work(pipeline, forecast, state)
+            in_time.append(state)
+        else:
+            late.append(state)
+    return in_time + _order_late(pipeline, outcomes, forecast, late)
+
+
+def _order_late(
+    pipeline: Pipeline,
+    outcomes: dict[str, Outcome],
+    forecast: Forecast,
+    late: list[AskState],
+) -> list[AskState]:
+    served = []
+    for state in late:
+        ask = state.ask
+        planner = pipeline.planners[ask.pool]
+        waits_ms = _queue_ms(forecast, state)
+        finish_ms = _late_finish_ms(pipeline, forecast, state)
+        is_begun = ask.has_started or bool(state.made) or state.running > 0
+        if finish_ms > ask.deadline_ms and not is_begun:
+            over_ms = int(finish_ms - ask.deadline_ms)
+            fail_ask(
+                planner,
+                state,
+                PieceFailure.LATE,
+                outcomes[ask.pool],
+                forecast.now_ms,
+                over_ms,
+            )
+            continue
+        if state.waiting and _is_hopeless(planner, state, forecast.now_ms):
+            outcome = outcomes[ask.pool]
+            fail_ask(planner, state, PieceFailure.LATE, outcome, forecast.now_ms)
+            continue
+        _add_work(pipeline, forecast, state)
+        if is_begun or waits_ms <= planner.limits.keep_ms * HELD_PART:
+            served.append(state)
+    return served
+
+
+def _rank(state: AskState) -> tuple[bool, int, int]:
+    ask = state.ask
+    return not ask.has_started, ask.urgency, ask.due_ms
+
+
+def _remaining(state: AskState) -> tuple[LaterStage, ...]:
+    ask = state.ask
+    own = LaterStage(ask.pool, len(state.waiting), ask.result_bytes)
+    return (own, *ask.later)
+
+
+def _queue_ms(forecast: Forecast, state: AskState) -> float:
+    """Return how long the request waits for the stage that is the most behind."""
+    return max(
+        (forecast.ahead_ms.get(stage.pool, 0.0) for stage in _remaining(state)),
+        default=0.0,
+    )
+
+
+def _finish_ms(pipeline: Pipeline, forecast: Forecast, state: AskState) -> float:
+    """Return when the last stage of a request is expected to be done."""
+    queue_ms = _queue_ms(forecast, state)
+    return forecast.now_ms + queue_ms + _work_ms(pipeline, state)
+
+
+def _late_finish_ms(pipeline: Pipeline, forecast: Forecast, state: AskState) -> float:
+    """Return when a request is done that gets what those in time leave over."""
+    queue_ms = max(
+        (
+            forecast.ahead_ms.get(stage.pool, 0.0) / forecast.spare.get(stage.pool, 1.0)
+            for stage in _remaining(state)
+            if stage.piece_count
+        ),
+        default=0.0,
+    )
+    return forecast.now_ms + queue_ms + _work_ms(pipeline, state)
+
+
+def _note_arriving(pipeline: Pipeline, state: AskState, now_ms: int) -> None:
+    for stage in _remaining(state):
+        planner = pipeline.planners.get(stage.pool)
+        if planner is not None:
+            added_ms = piece_ms(planner, stage.result_bytes) * stage.piece_count
+            before_ms = _arriving_ms(pipeline, stage.pool, now_ms)
+            pipeline.arriving[stage.pool] = (before_ms + added_ms, now_ms)
+
+
+def _arriving_ms(pipeline: Pipeline, pool: str, now_ms: int) -> float:
+    work_ms, at_ms = pipeline.arriving.get(pool, (0.0, now_ms))
+    return work_ms * math.exp((at_ms - now_ms) / ARRIVALS_MS)
+
+
+def _spare(pipeline: Pipeline, pool: str, now_ms: int) -> float:
+    """Return the part of a pool's time that new requests leave over."""
+    return max(LEAST_SPARE, 1 - _arriving_ms(pipeline, pool, now_ms) / ARRIVALS_MS)
+
+
+def _work_ms(pipeline: Pipeline, state: AskState) -> float:
+    """Return the nominal time of what is left of a request."""
+    return sum(
+        stage_ms(pipeline.planners[stage.pool], stage.piece_count, stage.result_bytes)
+        for stage in _remaining(state)
+        if stage.pool in pipeline.planners and stage.piece_count
+    )
+
+
+def _add_work(pipeline: Pipeline, forecast: Forecast, state: AskState) -> None:
+    for stage in _remaining(state):
+        planner = pipeline.planners.get(stage.pool)
+        if planner is not None:
+            added_ms = piece_ms(planner, stage.result_bytes) * stage.piece_count
+            forecast.ahead_ms[stage.pool] += added_ms
+
+
+def _is_hopeless(planner: Planner, state: AskState, now_ms: int) -> bool:
+    needed_ms = stage_ms(planner, 1, state.ask.result_bytes)
+    return now_ms + needed_ms > state.ask.deadline_ms
+
+
+def _forget(planner: Planner, outcome: Outcome, now_ms: int) -> None:
+    """Drop what nobody asks for any more, and fail what has no server."""
+    for ask_id, (_, ended_ms) in list(planner.done.items()):
+        if now_ms - ended_ms > KEEP_DONE_MS:
+            del planner.done[ask_id]
+    for ask_id, state in list(planner.asks.items()):
+        if now_ms - state.heard_ms > FORGET_ASK_MS:
+            outcome.releases += withdraw(planner, ask_id)
+        elif not planner.servers and now_ms - state.served_since_ms > NO_SERVER_MS:
+            fail_ask(planner, state, PieceFailure.NO_SERVER, outcome, now_ms)
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -5,8 +5,9 @@
 (work waits for a faster one while that is sooner), and full servers (room for the
 results is counted before a call is made).
 
-One planner sees all pieces of its pool. Every piece may be made again, so a planner
-that is wrong or that stands beside another one costs work and nothing else.
+The order of the requests is the pipeline's (core/pieces/pipeline.py). Every piece may
+be made again, so a planner that is wrong or that stands beside another one costs work
+and nothing else.
 """
 
 from collections.abc import Iterable
@@ -35,12 +36,6 @@
 
 # A piece that failed this often makes its request fail.
 MAX_TRIES: Final = 4
-# Without a server for this long, what waits is told so.
-NO_SERVER_MS: Final = 1_500
-# Asks that were not repeated by their instance for this long are dropped.
-FORGET_ASK_MS: Final = 2_000
-# Finished asks are remembered so that a repeated question gets the same answer.
-KEEP_DONE_MS: Final = 3_000
 # How much later a result may be made for it to lie where it is used.
 OTHER_ZONE_MS_PER_MEGABYTE: Final = 25.0
 BYTES_PER_MEGABYTE: Final = 1_000_000
@@ -138,12 +133,16 @@
 
 
 def release(planner: Planner, handles: Iterable[str]) -> list[Release]:
-    """Give up results; return what their servers must be told."""
+    """Give up results; return what their servers must be told.
+
+    Their room counts as taken until the server has confirmed that it is free, since a
+    call that overtakes the release would find it full.
+    """
     by_server: dict[str, list[str]] = {}
     for handle in handles:
         for server_id, server in planner.servers.items():
-            if server.held.pop(handle, None) is not None:
-                server.full_until_ms = 0
+            if handle in server.held and handle not in server.releasing:
+                server.releasing.add(handle)
                 by_server.setdefault(server_id, []).append(handle)
                 break
     return [
@@ -151,18 +150,25 @@
     ]
 
 
-def plan(planner: Planner, now_ms: int) -> Outcome:
-    """Return the calls to make now, and the asks that end without them."""
-    outcome = Outcome()
-    _forget(planner, outcome, now_ms)
-    order = sorted(
-        (state for state in planner.asks.values() if state.waiting),
-        key=lambda state: _rank(planner, state, now_ms),
-    )
-    for state in order:
+def released(planner: Planner, confirmed: Release) -> None:
+    """Take in that a server has given results up."""
+    server = planner.servers.get(confirmed.server_id)
+    if server is None:
+        return
+    server.full_until_ms = 0
+    for handle in confirmed.handles:
+        server.held.pop(handle, None)
+        server.releasing.discard(handle)
+
+
+def serve_in_order(
+    planner: Planner, order: list[AskState], outcome: Outcome, now_ms: int
+) -> None:
+    """Send what waits to idle servers, the first asks first."""
+    waiting = [state for state in order if state.waiting]
+    for state in waiting:
         if state.ask.ask_id in planner.asks:
-            _serve(planner, state, order, outcome, now_ms)
-    return outcome
+            _serve(planner, state, waiting, outcome, now_ms)
 
 
 def call_ended(
@@ -213,31 +219,33 @@
         state.waiting.append(number)
         state.tries += 0 if was_refused else 1
         if state.tries >= MAX_TRIES:
-            _fail(planner, state, PieceFailure.FAILED, outcome, now_ms)
+            fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
     return outcome
 
 
-def expected_wait_ms(planner: Planner, now_ms: int) -> int:
-    """Return how long a new piece would wait for a call, as far as is known."""
-    servers = planner.servers.values()
-    if not servers:
-        return NO_SERVER_MS
+def piece_ms(planner: Planner, result_bytes: int) -> float:
+    """Return the time in which the pool makes one piece while it is busy."""
     limits = planner.limits
-    waiting = sum(
-        len(state.waiting) * _work(planner, state.ask.result_bytes)
-        for state in planner.asks.values()
-    )
-    calls = waiting / limits.batch_items
-    call_ms = limits.call_ms + limits.item_ms * limits.batch_items
-    until_free_ms = min(free_at_ms(server, now_ms) for server in servers) - now_ms
-    return int(until_free_ms + calls * call_ms / len(servers))
+    paces = [1 / server.pace for server in planner.servers.values()]
+    if not paces:
+        return limits.call_ms + limits.item_ms
+    own_ms = limits.item_ms * _work(planner, result_bytes)
+    return (limits.call_ms / limits.batch_items + own_ms) / sum(paces)
+
 
+def stage_ms(planner: Planner, count: int, result_bytes: int) -> float:
+    """Return the nominal time of the pieces of a stage that run side by side."""
+    limits = planner.limits
+    in_call = min(count, limits.batch_items)
+    return limits.call_ms + limits.item_ms * in_call * _work(planner, result_bytes)
 
-def _rank(planner: Planner, state: AskState, now_ms: int) -> tuple[bool, int, int]:
-    # What can't be in time any more goes after what can, whatever its urgency.
-    needed_ms = _nominal_ms(planner, state, len(state.waiting))
-    is_late = now_ms + needed_ms > state.ask.due_ms
-    return is_late, state.ask.urgency, state.ask.due_ms
+
+def busy_ms(planner: Planner, now_ms: int) -> float:
+    """Return for how long the servers are busy with what they have, on average."""
+    servers = planner.servers.values()
+    if not servers:
+        return 0.0
+    return sum(free_at_ms(server, now_ms) - now_ms for server in servers) / len(servers)
 
 
 def _serve(
@@ -262,9 +270,10 @@
     """Return the server at which the ask's next call would end first."""
     ask = state.ask
     count = min(len(state.waiting), planner.limits.batch_items)
-    nominal_ms = _nominal_ms(planner, state, count)
-    elsewhere_ms = ask.result_bytes * count / BYTES_PER_MEGABYTE
-    elsewhere_ms *= OTHER_ZONE_MS_PER_MEGABYTE
+    nominal_ms = stage_ms(planner, count, ask.result_bytes)
+    megabytes = ask.result_bytes * count / BYTES_PER_MEGABYTE
+    spare_ms = max(0.0, ask.due_ms - now_ms - nominal_ms)
+    elsewhere_ms = min(megabytes * OTHER_ZONE_MS_PER_MEGABYTE, spare_ms)
     best: StageServer | None = None
     best_ms = 0.0
     for server in planner.servers.values():
@@ -369,7 +378,7 @@
             _finish(planner, state, outcome, now_ms)
         return True
     if piece.failure in (PieceFailure.LATE, PieceFailure.INPUT_GONE):
-        _fail(planner, state, piece.failure, outcome, now_ms)
+        fail_ask(planner, state, piece.failure, outcome, now_ms)
         return True
     if piece.failure is PieceFailure.NO_ROOM and server is not None:
         note_full(server, now_ms)
@@ -377,7 +386,7 @@
         state.tries += 1
     state.waiting.append(number)
     if state.tries >= MAX_TRIES:
-        _fail(planner, state, PieceFailure.FAILED, outcome, now_ms)
+        fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
     return True
 
 
@@ -388,15 +397,18 @@
     _end(planner, AskDone(state.ask.ask_id, handles, zones, None), outcome, now_ms)
 
 
-def _fail(
+def fail_ask(
     planner: Planner,
     state: AskState,
     failure: PieceFailure,
     outcome: Outcome,
     now_ms: int,
+    wait_ms: int = 0,
 ) -> None:
+    """End an ask without its results."""
     outcome.releases += release(planner, [handle for handle, _ in state.made.values()])
-    _end(planner, AskDone(state.ask.ask_id, (), (), failure), outcome, now_ms)
+    done = AskDone(state.ask.ask_id, (), (), failure, wait_ms)
+    _end(planner, done, outcome, now_ms)
 
 
 def _end(planner: Planner, done: AskDone, outcome: Outcome, now_ms: int) -> None:
@@ -405,32 +417,6 @@
     outcome.done.append(done)
 
 
-def _forget(planner: Planner, outcome: Outcome, now_ms: int) -> None:
-    """Drop what nobody asks for any more, and fail what can't be done."""
-    for ask_id, (_, ended_ms) in list(planner.done.items()):
-        if now_ms - ended_ms > KEEP_DONE_MS:
-            del planner.done[ask_id]
-    for ask_id, state in list(planner.asks.items()):
-        if now_ms - state.heard_ms > FORGET_ASK_MS:
-            outcome.releases += withdraw(planner, ask_id)
-        elif state.waiting and _is_hopeless(planner, state, now_ms):
-            _fail(planner, state, PieceFailure.LATE, outcome, now_ms)
-        elif not planner.servers and now_ms - state.served_since_ms > NO_SERVER_MS:
-            _fail(planner, state, PieceFailure.NO_SERVER, outcome, now_ms)
-
-
-def _is_hopeless(planner: Planner, state: AskState, now_ms: int) -> bool:
-    needed_ms = _nominal_ms(planner, state, min(len(state.waiting), 1))
-    return now_ms + needed_ms > state.ask.deadline_ms
-
-
-def _nominal_ms(planner: Planner, state: AskState, count: int) -> float:
-    limits = planner.limits
-    in_call = min(count, limits.batch_items)
-    work = in_call * _work(planner, state.ask.result_bytes)
-    return limits.call_ms + limits.item_ms * work
-
-
 def _work(planner: Planner, result_bytes: int) -> float:
     """Return the work of a piece relative to what the configuration says.
 
--- a/src/bramleyturn/core/pieces/stage_server.py
+++ b/src/bramleyturn/core/pieces/stage_server.py
@@ -20,7 +20,8 @@
     """Hold what the planner believes of one server.
 
     ``pace`` is the length of its calls relative to what the configuration says.
-    ``held`` has the size and the expiry of every result that was not given up.
+    ``held`` has the size and the expiry of every result that was not given up, and
+    ``releasing`` those that the server has yet to confirm.
     """
 
     def __init__(self, server: BackendServer) -> None:
@@ -29,6 +30,7 @@
         self.busy_until_ms = 0
         self.pace = 1.0
         self.held: dict[str, tuple[int, int]] = {}
+        self.releasing: set[str] = set()
         self.reserved_bytes = 0
         self.full_until_ms = 0
         self.failures = 0
@@ -49,6 +51,7 @@
     ]
     for handle in expired:
         del state.held[handle]
+        state.releasing.discard(handle)
     held = sum(size for size, _ in state.held.values())
     return limits.room_bytes - held - state.reserved_bytes
 
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -9,7 +9,6 @@
 from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.catalog.server_book import is_ready
-from bramleyturn.core.pieces.model import PieceFailure
 from bramleyturn.core.placement.choice import (
     choose_by_load,
     choose_by_prefix,
@@ -21,8 +20,8 @@
 from bramleyturn.core.placement.health import note_answered, note_failed
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, may_repeat
 from bramleyturn.core.repeat.shared_budget import note_request, take_repeat
+from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
 from bramleyturn.core.waiting.retry_after import retry_after_ms
-from bramleyturn.core.waiting.stage_times import first_event_ms, note_first_event
 from bramleyturn.gateway.attempts import (
     Answered,
     AttemptCall,
@@ -178,10 +177,7 @@
         if results.failure is None:
             call.inputs = results.inputs
             return None
-        reason = f"stage_{results.failure}"
-        if results.failure is PieceFailure.FAILED:
-            return Refusal(503, reason, USUAL_WAIT_MS)
-        return Refusal(503, reason, USUAL_WAIT_MS)
+        return Refusal(503, f"stage_{results.failure}", stage_wait_ms(results))
 
     async def _forward(self, call: Call) -> Refusal | None:
         """Send a request to servers until one has answered it."""
@@ -244,7 +240,7 @@
         call.stages.stop()
         results: StageResults = await call.stages.start()
         if results.failure is not None:
-            return Refusal(503, f"stage_{results.failure}", USUAL_WAIT_MS)
+            return Refusal(503, f"stage_{results.failure}", stage_wait_ms(results))
         call.inputs = results.inputs
         return None
 
@@ -474,6 +470,11 @@
     return min(LEAST_URGENT, call.route.priority)
 
 
+def stage_wait_ms(results: StageResults) -> int:
+    """Return after which time a stage that could not be done may be asked again."""
+    return max(USUAL_WAIT_MS, results.wait_ms)
+
+
 def describe_end(ended: AttemptEnd) -> tuple[str, str]:
     """Return the kind of an attempt's end and its detail, for logs and counters."""
     if isinstance(ended, Answered):
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -23,7 +23,7 @@
     SharedBudget,
     note_instances,
 )
-from bramleyturn.core.waiting.stage_times import FirstEventTimes
+from bramleyturn.core.waiting.first_events import FirstEventTimes
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.metrics import Metrics
 from bramleyturn.platform.settings import ServingSettings
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -19,6 +19,8 @@
 
 MS_PER_S: Final = 1_000
 REPEAT_MS: Final = 450
+# One instance plans all stages, because it must see the whole way of a request.
+STAGES: Final = "stages"
 
 logger = logging.getLogger(__name__)
 
@@ -53,7 +55,7 @@
 
     def release(self, pool: str, handles: tuple[str, ...]) -> None:
         """Tell the owner of a pool that results are not needed any more."""
-        owner = owner_of(pool, self.serving.live())
+        owner = owner_of(STAGES, self.serving.live())
         if owner is not None and handles:
             message = {"type": "release", "pool": pool, "handles": list(handles)}
             self.links.send(owner.name, message)
@@ -96,7 +98,7 @@
             done = AskDone(ask.ask_id, (), (), PieceFailure.LATE)
             self.take_done(self.serving.me.name, done)
             return
-        owner = owner_of(ask.pool, self.serving.live())
+        owner = owner_of(STAGES, self.serving.live())
         name = owner.name if owner is not None else self.serving.me.name
         if state.owner and name != state.owner:
             logger.info(
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -5,7 +5,7 @@
 
 from typing import Any
 
-from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
+from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
 
 Message = dict[str, Any]
 
@@ -19,6 +19,7 @@
         "due_in_ms": ask.due_ms - now_ms,
         "left_ms": ask.deadline_ms - now_ms,
         **fields,
+        "later": [list(stage) for stage in ask.later],
     }
 
 
@@ -38,6 +39,11 @@
             deadline_ms=now_ms + int(message["left_ms"]),
             urgency=int(message["urgency"]),
             near_zone=str(message["near_zone"]),
+            has_started=bool(message["has_started"]),
+            later=tuple(
+                LaterStage(str(pool), int(pieces), int(size))
+                for pool, pieces, size in message["later"]
+            ),
         )
     except (KeyError, TypeError, ValueError):
         return None
@@ -58,6 +64,7 @@
             handles=tuple(str(handle) for handle in message["handles"]),
             zones=tuple(str(zone) for zone in message["zones"]),
             failure=None if failure is None else PieceFailure(failure),
+            wait_ms=int(message["wait_ms"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -7,14 +7,14 @@
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
+from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
 from bramleyturn.core.pieces.planner import (
     Outcome,
     Planner,
     call_ended,
     call_failed,
-    plan,
     release,
-    submit,
+    released,
     update_servers,
     withdraw,
 )
@@ -48,7 +48,7 @@
     def __init__(self, serving: Serving, links: PeerLinks) -> None:
         self.serving = serving
         self.links = links
-        self.planners: dict[str, Planner] = {}
+        self.pipeline = Pipeline()
         self.origins: dict[str, str] = {}
         self.is_ticking = False
         serving.on_servers_changed.append(self.servers_changed)
@@ -56,65 +56,68 @@
     def take_ask(self, origin: str, ask: StageAsk) -> None:
         """Take in an ask, new or repeated."""
         planner = self._planner(ask.pool)
+        for later in ask.later:
+            self._planner(later.pool)
         if planner is None:
             logger.info("stage pool unknown", extra={"pool": ask.pool})
             return
         now_ms = self.serving.now_ms()
         self.origins[ask.ask_id] = origin
-        done = submit(planner, ask, now_ms)
+        done = take_ask(self.pipeline, ask, now_ms)
         if done is not None:
             self._tell(done)
             return
-        self._run(planner)
+        self._run()
 
     def take_withdrawal(self, pool: str, ask_id: str) -> None:
         """Drop an ask that nobody waits for."""
-        planner = self.planners.get(pool)
+        planner = self.pipeline.planners.get(pool)
         self.origins.pop(ask_id, None)
         if planner is not None:
-            self._release(withdraw(planner, ask_id))
+            self._release(planner, withdraw(planner, ask_id))
 
     def take_release(self, pool: str, handles: list[str]) -> None:
         """Give up results that were used."""
         planner = self._planner(pool)
         if planner is None:
             return
-        self._release(release(planner, handles))
-        self._run(planner)
+        self._release(planner, release(planner, handles))
 
     def servers_changed(self) -> None:
         """Take over which servers take new work."""
-        for pool, planner in self.planners.items():
+        for pool, planner in self.pipeline.planners.items():
             update_servers(planner, self.serving.ready(pool))
-            self._run(planner)
+        self._run()
 
     def _planner(self, pool: str) -> Planner | None:
-        known = self.planners.get(pool)
+        known = self.pipeline.planners.get(pool)
         published = self.serving.published
         described = published.pools.get(pool) if published is not None else None
         limits = described.batch if described is not None else None
         if limits is None:
             return known
         if known is None:
-            known = self.planners[pool] = Planner(pool, limits)
+            known = self.pipeline.planners[pool] = Planner(pool, limits)
             update_servers(known, self.serving.ready(pool))
         known.limits = limits
         return known
 
-    def _run(self, planner: Planner) -> None:
-        self._carry_out(planner, plan(planner, self.serving.now_ms()))
+    def _run(self) -> None:
+        outcomes = plan(self.pipeline, self.serving.now_ms())
+        for pool, outcome in outcomes.items():
+            self._carry_out(self.pipeline.planners[pool], outcome)
         if not self.is_ticking:
             self.is_ticking = True
             self.serving.reactor.callLater(TICK_MS / MS_PER_S, self._tick)
 
     def _tick(self) -> None:
         self.is_ticking = False
-        for planner in self.planners.values():
-            if planner.asks or planner.done:
-                self._run(planner)
+        planners = self.pipeline.planners.values()
+        if any(planner.asks or planner.done for planner in planners):
+            self._run()
 
     def _carry_out(self, planner: Planner, outcome: Outcome) -> None:
-        self._release(outcome.releases)
+        self._release(planner, outcome.releases)
         for done in outcome.done:
             self._tell(done)
         for ordered in outcome.calls:
@@ -170,24 +173,37 @@
         else:
             outcome = call_ended(planner, ordered.call_id, made, now_ms)
         self._carry_out(planner, outcome)
-        self._run(planner)
+        self._run()
 
-    def _release(self, releases: list[Release]) -> None:
+    def _release(self, planner: Planner, releases: list[Release]) -> None:
         for ordered in releases:
-            entry = self.serving.book.entries.get(ordered.server_id)
-            if entry is None:
-                continue
-            sent = call(
-                self.serving.servers_pool,
-                _peer(entry.server),
-                b"POST",
-                RELEASE_TARGET,
-                call_headers(ordered.server_id),
-                encode_release(ordered.handles),
-                RELEASE_TIMEOUT_MS,
-            )
+            sent = self._call_release(planner, ordered)
             Deferred.fromCoroutine(sent).addErrback(_log_failure)
 
+    async def _call_release(self, planner: Planner, ordered: Release) -> None:
+        """Tell a server to give up results, and plan on with the room."""
+        state = planner.servers.get(ordered.server_id)
+        if state is None:
+            return
+        answer = await call(
+            self.serving.servers_pool,
+            _peer(state.server),
+            b"POST",
+            RELEASE_TARGET,
+            call_headers(ordered.server_id),
+            encode_release(ordered.handles),
+            RELEASE_TIMEOUT_MS,
+        )
+        if isinstance(answer, CallBroken) or answer.status != STATUS_OK:
+            # The results stay counted until the server drops them by itself.
+            logger.info(
+                "results not released",
+                extra={"server": ordered.server_id, "reason": _describe(answer)},
+            )
+            return
+        released(planner, ordered)
+        self._run()
+
 
 def _peer(server: BackendServer) -> Peer:
     return Peer(server.id, server.host, server.port)
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -5,8 +5,8 @@
 from twisted.internet.defer import Deferred
 
 from bramleyturn.core.catalog.model import Route
+from bramleyturn.core.pieces.later import later_stages
 from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
-from bramleyturn.core.waiting.stage_times import time_after_stage_ms
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_asks import StageAsks
 
@@ -36,6 +36,7 @@
     inputs: tuple[str, ...]
     zones: tuple[str, ...]
     failure: PieceFailure | None
+    wait_ms: int = 0
 
 
 class StageWork:
@@ -90,10 +91,6 @@
     def _ask(self, number: int, needed: list[int]) -> None:
         order = self.order
         stage = order.route.stages[number]
-        published = self.serving.published
-        pools = published.pools if published is not None else {}
-        after_ms = time_after_stage_ms(order.route, order.counts, number, pools)
-        is_last = number in self._last_stages()
         ask = StageAsk(
             ask_id=f"{order.attempt_id}.{number}.{self.round}",
             pool=stage.pool,
@@ -105,10 +102,12 @@
                 handle for earlier in needed for handle in self.results[earlier].handles
             ),
             result_bytes=stage.result_bytes,
-            due_ms=order.due_ms - after_ms,
-            deadline_ms=order.deadline_ms - after_ms,
+            due_ms=order.due_ms,
+            deadline_ms=order.deadline_ms,
             urgency=order.urgency,
-            near_zone=order.near_zone if is_last else "",
+            near_zone=order.near_zone,
+            has_started=bool(self.results),
+            later=later_stages(order.route, order.counts, number),
         )
         asked = self.asks.ask(ask)
         self.running[number] = asked
@@ -118,14 +117,14 @@
         if self.running.pop(number, None) is None:
             return
         if done.failure is not None:
-            self._failed(done.failure)
+            self._failed(done.failure, done.wait_ms)
             return
         self.results[number] = done
         self._release_used()
         self._start_ready()
         self._end_if_done()
 
-    def _failed(self, failure: PieceFailure) -> None:
+    def _failed(self, failure: PieceFailure, wait_ms: int) -> None:
         ended = self.ended
         self.stop()
         if failure is PieceFailure.INPUT_GONE and self.round < MAX_ROUNDS:
@@ -135,7 +134,7 @@
             self._start_ready()
             return
         if ended is not None and not ended.called:
-            ended.callback(StageResults((), (), failure))
+            ended.callback(StageResults((), (), failure, wait_ms))
 
     def _release_used(self) -> None:
         """Give up the results that every stage after them has read."""
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -11,6 +11,7 @@
 import orjson
 from twisted.internet.task import deferLater
 
+from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.server_book import drop_lapsed, register, remove
 from bramleyturn.core.fleet.members import newest_holder
 from bramleyturn.core.placement.health import forget_servers
@@ -231,7 +232,13 @@
     if is_news:
         logger.info(
             "backend server",
-            extra={"server": server_id, "state": state, "revision": item.revision},
+            extra={
+                "server": server_id,
+                "state": state,
+                "pool": server.pool if isinstance(server, BackendServer) else None,
+                "zone_of": server.zone if isinstance(server, BackendServer) else None,
+                "revision": item.revision,
+            },
         )
     return is_news
 
--- /dev/null
+++ b/tests/core/pieces/stage_world.py
@@ -0,0 +1,285 @@
+"""Play stages in virtual time: requests arrive, servers work, results take room."""
+
+import heapq
+from collections.abc import Callable, Iterable
+from functools import partial
+from random import Random
+from typing import NamedTuple
+
+from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.pieces.model import (
+    AskDone,
+    LaterStage,
+    MadePiece,
+    PieceFailure,
+    StageAsk,
+    StageCall,
+)
+from bramleyturn.core.pieces.pipeline import Pipeline, take_ask
+from bramleyturn.core.pieces.planner import (
+    Outcome,
+    Planner,
+    call_ended,
+    call_failed,
+    fail_ask,
+    release,
+    released,
+    serve_in_order,
+    update_servers,
+)
+
+TICK_MS = 60
+Policy = Callable[[Pipeline, int], dict[str, Outcome]]
+
+
+class StageNeed(NamedTuple):
+    """Hold one stage of a kind of request; stages follow one another."""
+
+    pool: str
+    piece_count: int
+    result_bytes: int
+
+
+class Kind(NamedTuple):
+    """Hold a kind of request: what it needs, how soon, and what it is worth."""
+
+    name: str
+    stages: tuple[StageNeed, ...]
+    aim_ms: int
+    deadline_ms: int
+    urgency: int
+    worth: float
+    run_ms: int
+
+
+class Arrival(NamedTuple):
+    """Hold when a request of a kind arrives."""
+
+    at_ms: int
+    kind: Kind
+
+
+class Job:
+    """Hold a request in the world."""
+
+    def __init__(self, name: str, arrival: Arrival) -> None:
+        self.name = name
+        self.kind = arrival.kind
+        self.at_ms = arrival.at_ms
+        self.stage = 0
+        self.handles: tuple[str, ...] = ()
+        self.ended_ms: int | None = None
+        self.refused_after_ms: int | None = None
+
+
+class World:
+    """Hold the queue of events, the pipeline under test and the jobs."""
+
+    def __init__(
+        self, limits: dict[str, BatchLimits], servers: int, policy: Policy
+    ) -> None:
+        self.now_ms = 0
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.counter = 0
+        self.policy = policy
+        self.pipeline = Pipeline()
+        self.jobs: dict[str, Job] = {}
+        self.kept: dict[str, int] = {}
+        self.slow: dict[str, float] = {}
+        self.dark: set[str] = set()
+        self.call_count = 0
+        self.unused_pieces = 0
+        for pool, limit in limits.items():
+            planner = Planner(pool, limit)
+            update_servers(planner, [_server(pool, place) for place in range(servers)])
+            self.pipeline.planners[pool] = planner
+
+    def at(self, at_ms: int, what: Callable[[], None]) -> None:
+        """Let something happen at an instant."""
+        self.counter += 1
+        heapq.heappush(self.events, (at_ms, self.counter, what))
+
+    def play(self, arrivals: Iterable[Arrival], until_ms: int) -> "World":
+        """Play all arrivals and what follows from them."""
+        for number, arrival in enumerate(arrivals):
+            job = Job(f"r{number}", arrival)
+            self.jobs[job.name] = job
+            self.at(arrival.at_ms, partial(self.ask, job))
+        for at_ms in range(0, until_ms, TICK_MS):
+            self.at(at_ms, self.run)
+        while self.events and self.events[0][0] <= until_ms:
+            at_ms, _, what = heapq.heappop(self.events)
+            self.now_ms = at_ms
+            what()
+        return self
+
+    def ask(self, job: Job) -> None:
+        """Ask for the next stage of a job."""
+        needs = job.kind.stages
+        need = needs[job.stage]
+        ask = StageAsk(
+            ask_id=f"{job.name}.{job.stage}",
+            pool=need.pool,
+            attempt_id=job.name,
+            stage=job.stage,
+            piece_count=need.piece_count,
+            key=job.name,
+            inputs=job.handles,
+            result_bytes=need.result_bytes,
+            due_ms=job.at_ms + job.kind.aim_ms - job.kind.run_ms,
+            deadline_ms=job.at_ms + job.kind.deadline_ms,
+            urgency=job.kind.urgency,
+            near_zone="",
+            has_started=job.stage > 0,
+            later=tuple(LaterStage(*later) for later in needs[job.stage + 1 :]),
+        )
+        take_ask(self.pipeline, ask, self.now_ms)
+        self.run()
+
+    def run(self) -> None:
+        """Let the policy plan, and carry out what it orders."""
+        for planner in self.pipeline.planners.values():
+            for state in planner.asks.values():
+                state.heard_ms = self.now_ms
+        for pool, outcome in self.policy(self.pipeline, self.now_ms).items():
+            self.carry_out(self.pipeline.planners[pool], outcome)
+
+    def carry_out(self, planner: Planner, outcome: Outcome) -> None:
+        """Carry out what a planner orders."""
+        for ordered in outcome.calls:
+            self.call(planner, ordered)
+        for done in outcome.done:
+            self.done(done)
+
+    def call(self, planner: Planner, ordered: StageCall) -> None:
+        """Let a server work on a call."""
+        self.call_count += 1
+        if ordered.server_id in self.dark:
+            give_up_ms = self.now_ms + ordered.timeout_ms
+            self.at(give_up_ms, lambda: self.lost(planner, ordered))
+            return
+        work_ms = planner.limits.call_ms
+        work_ms += planner.limits.item_ms * len(ordered.pieces)
+        took_ms = int(work_ms * self.slow.get(ordered.server_id, 1.0))
+        if took_ms > ordered.timeout_ms:
+            give_up_ms = self.now_ms + ordered.timeout_ms
+            self.at(give_up_ms, lambda: self.lost(planner, ordered))
+            return
+        self.at(self.now_ms + took_ms, lambda: self.answer(planner, ordered))
+
+    def lost(self, planner: Planner, ordered: StageCall) -> None:
+        """Let a call end without an answer."""
+        outcome = call_failed(planner, ordered.call_id, False, self.now_ms)
+        self.carry_out(planner, outcome)
+        self.run()
+
+    def answer(self, planner: Planner, ordered: StageCall) -> None:
+        """Let a server answer a call; results live for the time that it keeps them."""
+        made = []
+        for piece in ordered.pieces:
+            if any(self.kept.get(handle, 0) < self.now_ms for handle in piece.inputs):
+                made.append(MadePiece("", PieceFailure.INPUT_GONE))
+                continue
+            handle = (
+                f"{ordered.server_id}/{piece.attempt_id}.{piece.stage}.{piece.number}"
+            )
+            self.kept[handle] = self.now_ms + planner.limits.keep_ms
+            made.append(MadePiece(handle, None))
+        outcome = call_ended(planner, ordered.call_id, made, self.now_ms)
+        self.carry_out(planner, outcome)
+        self.run()
+
+    def done(self, done: AskDone) -> None:
+        """Go on with a job whose stage has ended."""
+        job = self.jobs[done.ask_id.partition(".")[0]]
+        before = job.handles
+        if done.failure is not None:
+            job.refused_after_ms = self.now_ms - job.at_ms
+            self.release(before)
+            return
+        job.handles = done.handles
+        job.stage += 1
+        self.release(before)
+        if job.stage < len(job.kind.stages):
+            self.at(self.now_ms, lambda: self.ask(job))
+            return
+        end_ms = self.now_ms + job.kind.run_ms
+        self.at(end_ms, lambda: self.finish(job, end_ms))
+
+    def finish(self, job: Job, end_ms: int) -> None:
+        """End a job and give up its results."""
+        job.ended_ms = end_ms
+        self.release(job.handles)
+        self.run()
+
+    def release(self, handles: tuple[str, ...]) -> None:
+        """Give up results."""
+        for planner in self.pipeline.planners.values():
+            for ordered in release(planner, handles):
+                released(planner, ordered)
+
+    def in_aim(self, kind: str = "") -> float:
+        """Return the part of the worth that was served in time."""
+        jobs = [job for job in self.jobs.values() if kind in ("", job.kind.name)]
+        owed = sum(job.kind.worth for job in jobs)
+        served = sum(
+            job.kind.worth
+            for job in jobs
+            if job.ended_ms is not None and job.ended_ms - job.at_ms <= job.kind.aim_ms
+        )
+        return served / owed if owed else 1.0
+
+    def answered(self, kind: str = "") -> float:
+        """Return the part of the requests that was answered before the deadline."""
+        jobs = [job for job in self.jobs.values() if kind in ("", job.kind.name)]
+        return sum(job.ended_ms is not None for job in jobs) / max(1, len(jobs))
+
+    def refusals_ms(self) -> list[int]:
+        """Return after how long requests were refused."""
+        return sorted(
+            job.refused_after_ms
+            for job in self.jobs.values()
+            if job.refused_after_ms is not None
+        )
+
+
+def first_come(pipeline: Pipeline, now_ms: int) -> dict[str, Outcome]:
+    """Plan as a baseline: in the order of arrival, refusing nothing before its end."""
+    outcomes = {}
+    for name, planner in pipeline.planners.items():
+        outcome = Outcome()
+        for state in list(planner.asks.values()):
+            if now_ms > state.ask.deadline_ms:
+                fail_ask(planner, state, PieceFailure.LATE, outcome, now_ms)
+        order = sorted(planner.asks.values(), key=lambda state: state.served_since_ms)
+        serve_in_order(planner, order, outcome, now_ms)
+        outcomes[name] = outcome
+    return outcomes
+
+
+def poisson(
+    kind: Kind, per_s: float, from_ms: int, until_ms: int, random: Random
+) -> list[Arrival]:
+    """Return arrivals of a kind at a mean rate."""
+    arrivals: list[Arrival] = []
+    at_ms = float(from_ms)
+    while True:
+        at_ms += random.expovariate(per_s) * 1_000
+        if at_ms >= until_ms:
+            return arrivals
+        arrivals.append(Arrival(int(at_ms), kind))
+
+
+def _server(pool: str, place: int) -> BackendServer:
+    return BackendServer(
+        id=f"{pool}-{place}",
+        pool=pool,
+        host="127.0.0.1",
+        port=1 + place,
+        zone=f"zone-{place}",
+        version="v1",
+        slots=1,
+        is_leaving=False,
+        warms_for_ms=0,
+        born_ms=0,
+    )
