Begin a stage only with room for all of its pieces; hand the planning over

Change: gang admission by room, reports of new and full servers, handover of asks and results, silent servers doubted until they report.

--- a/src/bramleyturn/core/fleet/owners.py
+++ b/src/bramleyturn/core/fleet/owners.py
@@ -12,6 +12,8 @@
 from bramleyturn.core.fleet.members import MemberRef
 
 HASH_BYTES: Final = 8
+# One instance plans all stages, because it must see the whole way of a request.
+STAGES: Final = "stages"
 
 
 def owner_order(task: str, members: Iterable[MemberRef]) -> list[MemberRef]:
--- /dev/null
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -0,0 +1,154 @@
+"""Hand the planning of stages over to the instance that owns it now.
+
+Load pattern that it answers: instances that are restarted in turn under load. Without
+it, the next owner would make every piece anew that is in work, and send calls to
+servers that are busy or full.
+"""
+
+from typing import Final, NamedTuple
+
+from bramleyturn.core.pieces.model import StageAsk
+from bramleyturn.core.pieces.pipeline import Pipeline
+from bramleyturn.core.pieces.planner import AskState, Planner
+
+# How much longer than expected a piece of the planner before is waited for.
+AWAIT_EXTRA_MS: Final = 300
+
+
+class HeldResult(NamedTuple):
+    """Hold a result that lies on a server: its size and for how long it is kept."""
+
+    handle: str
+    size: int
+    left_ms: int
+
+
+class ServerHandover(NamedTuple):
+    """Hold what is known of one server."""
+
+    server_id: str
+    busy_ms: int
+    pace: float
+    held: tuple[HeldResult, ...]
+
+
+class MadeResult(NamedTuple):
+    """Hold a piece of an ask that is made."""
+
+    number: int
+    handle: str
+    zone: str
+
+
+class AwaitedPiece(NamedTuple):
+    """Hold a piece that is being made, and how long that may still take."""
+
+    number: int
+    left_ms: int
+
+
+class AskHandover(NamedTuple):
+    """Hold an ask, who asked, and how far it is."""
+
+    ask: StageAsk
+    origin: str
+    made: tuple[MadeResult, ...]
+    awaited: tuple[AwaitedPiece, ...]
+
+
+class Handover(NamedTuple):
+    """Hold what the next owner needs to know of one pool."""
+
+    pool: str
+    servers: tuple[ServerHandover, ...]
+    asks: tuple[AskHandover, ...]
+
+
+def give_over(
+    pipeline: Pipeline, origins: dict[str, str], now_ms: int
+) -> list[Handover]:
+    """Return what the next owner needs, and begin nothing new for these asks."""
+    return [
+        Handover(
+            planner.pool,
+            tuple(
+                _give_server(planner, server_id, now_ms)
+                for server_id in planner.servers
+            ),
+            tuple(
+                _give_ask(planner, state, origins.get(ask_id, ""), now_ms)
+                for ask_id, state in planner.asks.items()
+                if not state.is_moved
+            ),
+        )
+        for planner in pipeline.planners.values()
+        if planner.asks or any(server.held for server in planner.servers.values())
+    ]
+
+
+def take_over(planner: Planner, handover: Handover, now_ms: int) -> None:
+    """Go on from where the owner before was."""
+    for given in handover.servers:
+        server = planner.servers.get(given.server_id)
+        if server is None:
+            continue
+        server.needs_report = False
+        server.foreign_bytes = 0
+        server.pace = given.pace
+        if server.call_id is None:
+            server.busy_until_ms = now_ms + given.busy_ms
+        for result in given.held:
+            server.held[result.handle] = (result.size, now_ms + result.left_ms)
+    for each in handover.asks:
+        _take_ask(planner, each, now_ms)
+
+
+def _give_server(planner: Planner, server_id: str, now_ms: int) -> ServerHandover:
+    server = planner.servers[server_id]
+    held = tuple(
+        HeldResult(handle, size, until_ms - now_ms)
+        for handle, (size, until_ms) in server.held.items()
+        if until_ms > now_ms and handle not in server.releasing
+    )
+    server.held = {
+        handle: kept
+        for handle, kept in server.held.items()
+        if handle in server.releasing
+    }
+    busy_ms = max(0, server.busy_until_ms - now_ms)
+    return ServerHandover(server_id, busy_ms, server.pace, held)
+
+
+def _give_ask(
+    planner: Planner, state: AskState, origin: str, now_ms: int
+) -> AskHandover:
+    state.is_moved = True
+    state.waiting = []
+    awaited = [
+        AwaitedPiece(number, max(0, _end_ms(planner, call_id) - now_ms))
+        for call_id, running in planner.calls.items()
+        for ask_id, number in running.parts
+        if ask_id == state.ask.ask_id
+    ]
+    made = [MadeResult(number, *result) for number, result in state.made.items()]
+    return AskHandover(state.ask, origin, tuple(made), tuple(awaited))
+
+
+def _end_ms(planner: Planner, call_id: int) -> int:
+    running = planner.calls[call_id]
+    return running.sent_ms + running.call.timeout_ms
+
+
+def _take_ask(planner: Planner, given: AskHandover, now_ms: int) -> None:
+    ask = given.ask
+    state = planner.asks.get(ask.ask_id)
+    if state is None:
+        state = planner.asks[ask.ask_id] = AskState(ask, now_ms)
+    for made in given.made:
+        state.made.setdefault(made.number, (made.handle, made.zone))
+    for awaited in given.awaited:
+        if awaited.number in state.waiting:
+            until_ms = now_ms + awaited.left_ms + AWAIT_EXTRA_MS
+            state.awaited[awaited.number] = until_ms
+    known = state.made.keys() | state.awaited.keys()
+    state.waiting = [number for number in state.waiting if number not in known]
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -18,10 +18,12 @@
     Planner,
     busy_ms,
     fail_ask,
+    is_begun,
     piece_ms,
     serve_in_order,
     stage_ms,
     submit,
+    wait_no_more,
     withdraw,
 )
 
@@ -91,6 +93,7 @@
     """Return the calls to make now and the asks that end without them, by pool."""
     outcomes = {name: Outcome() for name in pipeline.planners}
     for name, planner in pipeline.planners.items():
+        wait_no_more(planner, now_ms)
         _forget(planner, outcomes[name], now_ms)
     order = _order(pipeline, outcomes, now_ms)
     for name, planner in pipeline.planners.items():
@@ -107,19 +110,25 @@
         state
         for planner in pipeline.planners.values()
         for state in planner.asks.values()
+        if not state.is_moved
     ]
     asks.sort(key=_rank)
     forecast = Forecast(pipeline, now_ms)
     in_time: list[AskState] = []
     late: list[AskState] = []
+    begun = [state for state in asks if is_begun(state)]
+    for state in begun:
+        _add_work(pipeline, forecast, state)
     for state in asks:
+        if is_begun(state):
+            continue
         margin_ms = MARGIN_PART * _work_ms(pipeline, state)
         if _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms:
             _add_work(pipeline, forecast, state)
             in_time.append(state)
         else:
             late.append(state)
-    return in_time + _order_late(pipeline, outcomes, forecast, late)
+    return begun + in_time + _order_late(pipeline, outcomes, forecast, late)
 
 
 def _order_late(
@@ -134,8 +143,8 @@
         planner = pipeline.planners[ask.pool]
         waits_ms = _queue_ms(forecast, state)
         finish_ms = _late_finish_ms(pipeline, forecast, state)
-        is_begun = ask.has_started or bool(state.made) or state.running > 0
-        if finish_ms > ask.deadline_ms and not is_begun:
+        has_begun = ask.has_started or is_begun(state)
+        if finish_ms > ask.deadline_ms and not has_begun:
             over_ms = int(finish_ms - ask.deadline_ms)
             fail_ask(
                 planner,
@@ -151,7 +160,7 @@
             fail_ask(planner, state, PieceFailure.LATE, outcome, forecast.now_ms)
             continue
         _add_work(pipeline, forecast, state)
-        if is_begun or waits_ms <= planner.limits.keep_ms * HELD_PART:
+        if has_begun or waits_ms <= planner.limits.keep_ms * HELD_PART:
             served.append(state)
     return served
 
@@ -241,7 +250,11 @@
         if now_ms - ended_ms > KEEP_DONE_MS:
             del planner.done[ask_id]
     for ask_id, state in list(planner.asks.items()):
-        if now_ms - state.heard_ms > FORGET_ASK_MS:
+        if now_ms - state.heard_ms > FORGET_ASK_MS and not state.is_moved:
             outcome.releases += withdraw(planner, ask_id)
+        elif state.is_moved and not state.running:
+            del planner.asks[ask_id]
+        elif state.is_moved:
+            continue
         elif not planner.servers and now_ms - state.served_since_ms > NO_SERVER_MS:
             fail_ask(planner, state, PieceFailure.NO_SERVER, outcome, now_ms)
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -11,7 +11,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
 from bramleyturn.core.pieces.model import (
@@ -28,9 +28,10 @@
     free_at_ms,
     free_bytes,
     is_idle,
-    note_failure,
     note_full,
     note_pace,
+    note_refused,
+    note_silent,
     overdue_ms,
 )
 
@@ -39,6 +40,10 @@
 # How much later a result may be made for it to lie where it is used.
 OTHER_ZONE_MS_PER_MEGABYTE: Final = 25.0
 BYTES_PER_MEGABYTE: Final = 1_000_000
+# A request that needs more than this part of all room begins when that much is free.
+LARGE_PART: Final = 0.7
+# Results this many times smaller than those that wait for room may pass them.
+SMALL_FACTOR: Final = 10
 # Weight of the newest call in the running mean of the work of a piece.
 WORK_WEIGHT: Final = 0.3
 MIN_WORK: Final = 0.05
@@ -46,7 +51,12 @@
 
 
 class AskState:
-    """Hold how far the pieces of one ask are."""
+    """Hold how far the pieces of one ask are.
+
+    ``is_moved`` tells that another planner has taken it over: nothing new is begun
+    here. ``awaited`` has the pieces that the planner before this one still has made,
+    and until when.
+    """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
         self.ask = ask
@@ -54,6 +64,8 @@
         self.waiting = list(range(ask.piece_count))
         self.running = 0
         self.made: dict[int, tuple[str, str]] = {}
+        self.awaited: dict[int, int] = {}
+        self.is_moved = False
         self.tries = 0
         self.served_since_ms = now_ms
 
@@ -90,6 +102,17 @@
         self.next_call_id = 1
 
 
+class MovedPiece(NamedTuple):
+    """Tell the next planner what became of a piece; no handle stands for a failure."""
+
+    pool: str
+    ask_id: str
+    number: int
+    handle: str
+    server_id: str
+    zone: str
+
+
 class Outcome:
     """Collect what a step of the planner asks of its surroundings."""
 
@@ -97,6 +120,7 @@
         self.calls: list[StageCall] = []
         self.done: list[AskDone] = []
         self.releases: list[Release] = []
+        self.moved: list[MovedPiece] = []
 
 
 def update_servers(planner: Planner, servers: Iterable[BackendServer]) -> None:
@@ -107,7 +131,9 @@
     for server_id, server in by_id.items():
         known = planner.servers.get(server_id)
         if known is None or known.server.born_ms != server.born_ms:
-            planner.servers[server_id] = StageServer(server)
+            fresh = planner.servers[server_id] = StageServer(server)
+            # Another planner may have filled it.
+            fresh.needs_report = True
         else:
             known.server = server
 
@@ -150,6 +176,49 @@
     ]
 
 
+def release_foreign(
+    planner: Planner, server_id: str, handles: Iterable[str], size: int
+) -> Release | None:
+    """Give up results that another planner had made on a server."""
+    server = planner.servers.get(server_id)
+    if server is None:
+        return None
+    unknown = tuple(handle for handle in handles if handle not in server.held)
+    server.foreign_bytes = max(0, server.foreign_bytes - size * len(unknown))
+    return Release(server_id, unknown) if unknown else None
+
+
+def take_moved(planner: Planner, moved: MovedPiece, now_ms: int) -> Outcome:
+    """Take in what became of a piece that the planner before this one had made."""
+    outcome = Outcome()
+    state = planner.asks.get(moved.ask_id)
+    server = planner.servers.get(moved.server_id)
+    if moved.handle and server is not None:
+        size = state.ask.result_bytes if state is not None else 0
+        server.held[moved.handle] = (size, now_ms + planner.limits.keep_ms)
+    if state is None or moved.number not in state.awaited:
+        return outcome
+    del state.awaited[moved.number]
+    if not moved.handle:
+        state.waiting.append(moved.number)
+        return outcome
+    state.made[moved.number] = (moved.handle, moved.zone)
+    if len(state.made) == state.ask.piece_count:
+        _finish(planner, state, outcome, now_ms)
+    return outcome
+
+
+def wait_no_more(planner: Planner, now_ms: int) -> None:
+    """Make anew the pieces that the planner before this one did not bring."""
+    for state in planner.asks.values():
+        overdue = [
+            number for number, until_ms in state.awaited.items() if until_ms <= now_ms
+        ]
+        for number in overdue:
+            del state.awaited[number]
+            state.waiting.append(number)
+
+
 def released(planner: Planner, confirmed: Release) -> None:
     """Take in that a server has given results up."""
     server = planner.servers.get(confirmed.server_id)
@@ -161,14 +230,61 @@
         server.releasing.discard(handle)
 
 
+def is_begun(state: AskState) -> bool:
+    """Return whether a piece of the ask was begun, so that its results take room."""
+    return bool(state.made) or state.running > 0 or bool(state.awaited)
+
+
 def serve_in_order(
     planner: Planner, order: list[AskState], outcome: Outcome, now_ms: int
 ) -> None:
-    """Send what waits to idle servers, the first asks first."""
+    """Send what waits to idle servers, the first asks first.
+
+    An ask only begins when there is room for all of its pieces beside what has begun.
+    Otherwise asks could fill the room with parts, none of which can be completed.
+    """
     waiting = [state for state in order if state.waiting]
-    for state in waiting:
+    serve_all(planner, _with_room(planner, waiting, now_ms), outcome, now_ms)
+
+
+def serve_all(
+    planner: Planner, order: list[AskState], outcome: Outcome, now_ms: int
+) -> None:
+    """Send what waits to idle servers, whether or not it can be completed."""
+    for state in order:
         if state.ask.ask_id in planner.asks:
-            _serve(planner, state, waiting, outcome, now_ms)
+            _serve(planner, state, order, outcome, now_ms)
+
+
+def _with_room(
+    planner: Planner, waiting: list[AskState], now_ms: int
+) -> list[AskState]:
+    """Return the asks that have begun, and the others for which there is room."""
+    limits = planner.limits
+    servers = planner.servers.values()
+    left = sum(max(0, free_bytes(server, limits, now_ms)) for server in servers)
+    left -= sum(_needed_bytes(state) for state in waiting if is_begun(state))
+    most = int(limits.room_bytes * len(servers) * LARGE_PART)
+    blocked_bytes = 0
+    admitted = []
+    for state in waiting:
+        if is_begun(state):
+            admitted.append(state)
+            continue
+        size = state.ask.result_bytes
+        if blocked_bytes and size * SMALL_FACTOR >= blocked_bytes:
+            continue
+        needed = min(_needed_bytes(state), most)
+        if needed > left:
+            blocked_bytes = size
+            continue
+        left -= needed
+        admitted.append(state)
+    return admitted
+
+
+def _needed_bytes(state: AskState) -> int:
+    return len(state.waiting) * state.ask.result_bytes
 
 
 def call_ended(
@@ -210,12 +326,19 @@
     server = planner.servers.get(running.call.server_id)
     if server is not None:
         _free_slot(server, running)
-        note_failure(server, now_ms)
+        if was_refused:
+            note_refused(server, now_ms)
+        else:
+            took_ms = now_ms - running.sent_ms
+            note_silent(server, running.nominal_ms, took_ms)
     for ask_id, number in running.parts:
         state = planner.asks.get(ask_id)
         if state is None:
             continue
         state.running -= 1
+        if state.is_moved:
+            outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
+            continue
         state.waiting.append(number)
         state.tries += 0 if was_refused else 1
         if state.tries >= MAX_TRIES:
@@ -269,6 +392,7 @@
 def _best_server(planner: Planner, state: AskState, now_ms: int) -> StageServer | None:
     """Return the server at which the ask's next call would end first."""
     ask = state.ask
+    size = max(1, ask.result_bytes)
     count = min(len(state.waiting), planner.limits.batch_items)
     nominal_ms = stage_ms(planner, count, ask.result_bytes)
     megabytes = ask.result_bytes * count / BYTES_PER_MEGABYTE
@@ -277,9 +401,13 @@
     best: StageServer | None = None
     best_ms = 0.0
     for server in planner.servers.values():
-        if free_bytes(server, planner.limits, now_ms) < ask.result_bytes:
+        if free_bytes(server, planner.limits, now_ms) < size:
             continue
+        fitting = min(count, free_bytes(server, planner.limits, now_ms) // size)
         end_ms = free_at_ms(server, now_ms) + nominal_ms * server.pace
+        if fitting < count:
+            # The rest takes another call.
+            end_ms += stage_ms(planner, count - fitting, size)
         if ask.near_zone and server.server.zone != ask.near_zone:
             end_ms += elsewhere_ms
         if best is None or end_ms < best_ms:
@@ -371,8 +499,13 @@
     if state is None:
         return False
     state.running -= 1
+    zone = server.server.zone if server is not None else ""
+    if state.is_moved:
+        server_id = running.call.server_id
+        moved = MovedPiece(planner.pool, ask_id, number, piece.handle, server_id, zone)
+        outcome.moved.append(moved)
+        return True
     if piece.failure is None:
-        zone = server.server.zone if server is not None else ""
         state.made[number] = (piece.handle, zone)
         if len(state.made) == state.ask.piece_count:
             _finish(planner, state, outcome, now_ms)
--- a/src/bramleyturn/core/pieces/stage_server.py
+++ b/src/bramleyturn/core/pieces/stage_server.py
@@ -10,8 +10,14 @@
 OVERDUE_FACTOR: Final = 2.5
 OVERDUE_EXTRA_MS: Final = 200
 MAX_PACE: Final = 12.0
+# A call that was given up would have taken longer still.
+SILENT_PACE_FACTOR: Final = 1.5
 FIRST_BACKOFF_MS: Final = 400
 MAX_BACKOFF_MS: Final = 3_200
+# A server that did not answer is not counted on within this time.
+DOUBTED_MS: Final = 1_500
+# A report is some hundred milliseconds old, so asking more often says nothing new.
+REPORT_EVERY_MS: Final = 400
 # A server that said it has no room is asked again after this time at the latest.
 FULL_MS: Final = 250
 
@@ -21,7 +27,10 @@
 
     ``pace`` is the length of its calls relative to what the configuration says.
     ``held`` has the size and the expiry of every result that was not given up, and
-    ``releasing`` those that the server has yet to confirm.
+    ``releasing`` those that the server has yet to confirm. ``foreign_bytes`` is room
+    that results of another planner take until ``foreign_until_ms`` at the latest.
+    The server's own report is wanted while ``needs_report`` is set, and nothing is sent
+    before it while the server ``is_doubted``.
     """
 
     def __init__(self, server: BackendServer) -> None:
@@ -32,6 +41,11 @@
         self.held: dict[str, tuple[int, int]] = {}
         self.releasing: set[str] = set()
         self.reserved_bytes = 0
+        self.foreign_bytes = 0
+        self.foreign_until_ms = 0
+        self.needs_report = False
+        self.report_asked_ms = -REPORT_EVERY_MS
+        self.is_doubted = False
         self.full_until_ms = 0
         self.failures = 0
         self.away_until_ms = 0
@@ -39,7 +53,9 @@
 
 def is_idle(state: StageServer, now_ms: int) -> bool:
     """Return whether a call may be sent now."""
-    return state.call_id is None and state.away_until_ms <= now_ms
+    if state.call_id is not None or state.is_doubted:
+        return False
+    return max(state.away_until_ms, state.busy_until_ms) <= now_ms
 
 
 def free_bytes(state: StageServer, limits: BatchLimits, now_ms: int) -> int:
@@ -52,12 +68,19 @@
     for handle in expired:
         del state.held[handle]
         state.releasing.discard(handle)
-    held = sum(size for size, _ in state.held.values())
-    return limits.room_bytes - held - state.reserved_bytes
+    foreign = state.foreign_bytes if state.foreign_until_ms > now_ms else 0
+    return limits.room_bytes - held_bytes(state) - state.reserved_bytes - foreign
+
+
+def held_bytes(state: StageServer) -> int:
+    """Return the size of the results that this planner knows of."""
+    return sum(size for size, _ in state.held.values())
 
 
 def free_at_ms(state: StageServer, now_ms: int) -> int:
     """Return when the server is expected to take the next call."""
+    if state.is_doubted:
+        return now_ms + DOUBTED_MS
     return max(now_ms, state.busy_until_ms, state.away_until_ms)
 
 
@@ -70,16 +93,49 @@
     state.failures = 0
 
 
-def note_failure(state: StageServer, now_ms: int) -> None:
-    """Leave a server alone for a time that doubles with each failure in a row."""
+def note_refused(state: StageServer, now_ms: int) -> None:
+    """Leave a full server alone for a time that doubles with each refusal in a row."""
     backoff_ms = min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << min(state.failures, 10))
     state.failures += 1
     state.away_until_ms = now_ms + backoff_ms
 
 
+def note_silent(state: StageServer, nominal_ms: float, took_ms: int) -> None:
+    """Doubt a server whose call brought nothing in ``took_ms``.
+
+    It is slow or away. Its report tells that it is there, and its pace, which grows
+    with each such call, for how long the next one may last.
+    """
+    state.is_doubted = True
+    state.needs_report = True
+    if nominal_ms > 0:
+        seen = took_ms * SILENT_PACE_FACTOR / nominal_ms
+        state.pace = min(MAX_PACE, max(state.pace, seen))
+
+
 def note_full(state: StageServer, now_ms: int) -> None:
-    """Note that the server had no room for a result."""
+    """Note that the server had no room for a result, against what is known of it."""
     state.full_until_ms = now_ms + FULL_MS
+    state.needs_report = True
+
+
+def wants_report(state: StageServer, now_ms: int) -> bool:
+    """Return whether the server should be asked for its room now."""
+    return state.needs_report and now_ms - state.report_asked_ms >= REPORT_EVERY_MS
+
+
+def note_report(
+    state: StageServer, limits: BatchLimits, reported_free_bytes: int, now_ms: int
+) -> None:
+    """Take in the room that a server reports.
+
+    What is taken and not known here belongs to results of another planner.
+    """
+    state.needs_report = False
+    state.is_doubted = False
+    known = held_bytes(state) + state.reserved_bytes
+    state.foreign_bytes = max(0, limits.room_bytes - reported_free_bytes - known)
+    state.foreign_until_ms = now_ms + limits.keep_ms
 
 
 def overdue_ms(expected_ms: float) -> int:
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -7,7 +7,12 @@
 from bramleyturn.gateway.http1_server import Exchange
 from bramleyturn.gateway.peer_links import MESSAGES_TARGET, Message, decode_messages
 from bramleyturn.gateway.stage_asks import StageAsks
-from bramleyturn.gateway.stage_messages import decode_ask, decode_done
+from bramleyturn.gateway.stage_messages import (
+    decode_ask,
+    decode_done,
+    decode_handover,
+    decode_moved,
+)
 from bramleyturn.gateway.stage_owner import StageOwner
 from bramleyturn.gateway.store_reader import RELAY_TARGET, StoreReader, relay_document
 
@@ -57,10 +62,23 @@
             return
         elif kind == "release" and isinstance(message.get("handles"), list):
             handles: list[Any] = message["handles"]
+            size = message.get("size")
             self.owner.take_release(
-                str(message.get("pool")), [str(handle) for handle in handles]
+                str(message.get("pool")),
+                [str(handle) for handle in handles],
+                size if isinstance(size, int) else 0,
             )
             return
+        elif kind == "moved":
+            moved = decode_moved(message)
+            if moved is not None:
+                self.owner.take_moved(moved)
+                return
+        elif kind == "handover":
+            handover = decode_handover(message, now_ms)
+            if handover is not None:
+                self.owner.take_handover(sender, handover)
+                return
         logger.warning("message not used", extra={"peer": sender, "kind": str(kind)})
 
     def _take_messages(self, exchange: Exchange) -> None:
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from typing import Any, Final
 
 import orjson
@@ -31,27 +32,31 @@
 class Heartbeats(DatagramProtocol):
     """Send and receive heartbeats."""
 
-    def __init__(self, serving: Serving) -> None:
+    def __init__(self, serving: Serving, revision: Callable[[], int]) -> None:
         self.serving = serving
+        self.revision = revision
         self.known_live: frozenset[str] = frozenset()
-        self.revision = 0
 
     def beat(self) -> None:
-        """Tell the own heartbeat and some others, and look who fell silent."""
+        """Tell the own heartbeat at intervals, and look who fell silent."""
+        self.tell()
+        self._note_changes(self.serving.now_ms())
+        jitter = 0.75 + 0.25 * self.serving.random.random()
+        self.serving.reactor.callLater(HEARTBEAT_MS * jitter / MS_PER_S, self.beat)
+
+    def tell(self) -> None:
+        """Tell the own heartbeat and some others now."""
         serving = self.serving
         now_ms = serving.now_ms()
         serving.members.is_ending = serving.is_ending
         told, addresses = next_heartbeat(
-            serving.members, self.revision, serving.random, now_ms
+            serving.members, self.revision(), serving.random, now_ms
         )
         data = orjson.dumps([_encode(heartbeat) for heartbeat in told])
         transport: Any = self.transport
         for address in addresses:
             host, _, port = address.partition(":")
             transport.write(data, (host, int(port)))
-        self._note_changes(now_ms)
-        jitter = 0.75 + 0.25 * serving.random.random()
-        serving.reactor.callLater(HEARTBEAT_MS * jitter / MS_PER_S, self.beat)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take in what another instance tells."""
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.defer import Deferred
 
-from bramleyturn.core.fleet.owners import owner_of
+from bramleyturn.core.fleet.owners import STAGES, owner_of
 from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
@@ -19,8 +19,6 @@
 
 MS_PER_S: Final = 1_000
 REPEAT_MS: Final = 450
-# One instance plans all stages, because it must see the whole way of a request.
-STAGES: Final = "stages"
 
 logger = logging.getLogger(__name__)
 
@@ -53,11 +51,16 @@
         self._send(state)
         return ended
 
-    def release(self, pool: str, handles: tuple[str, ...]) -> None:
+    def release(self, pool: str, handles: tuple[str, ...], size: int) -> None:
         """Tell the owner of a pool that results are not needed any more."""
         owner = owner_of(STAGES, self.serving.live())
         if owner is not None and handles:
-            message = {"type": "release", "pool": pool, "handles": list(handles)}
+            message = {
+                "type": "release",
+                "pool": pool,
+                "handles": list(handles),
+                "size": size,
+            }
             self.links.send(owner.name, message)
 
     def take_done(self, sender: str, done: AskDone) -> None:
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -5,17 +5,29 @@
 
 from typing import Any
 
+from bramleyturn.core.pieces.handover import (
+    AskHandover,
+    AwaitedPiece,
+    Handover,
+    HeldResult,
+    MadeResult,
+    ServerHandover,
+)
 from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
+from bramleyturn.core.pieces.planner import MovedPiece
 
 Message = dict[str, Any]
 
 
 def encode_ask(ask: StageAsk, now_ms: int) -> Message:
     """Return the message that asks for a stage."""
+    return {"type": "ask", **_ask_fields(ask, now_ms)}
+
+
+def _ask_fields(ask: StageAsk, now_ms: int) -> Message:
     fields = ask._asdict()
     del fields["due_ms"], fields["deadline_ms"]
     return {
-        "type": "ask",
         "due_in_ms": ask.due_ms - now_ms,
         "left_ms": ask.deadline_ms - now_ms,
         **fields,
@@ -68,3 +80,88 @@
         )
     except (KeyError, TypeError, ValueError):
         return None
+
+
+def encode_moved(moved: MovedPiece) -> Message:
+    """Return the message that tells the next owner of a piece."""
+    return {"type": "moved", **moved._asdict()}
+
+
+def decode_moved(message: Message) -> MovedPiece | None:
+    """Return the piece of a message, None if the message is malformed."""
+    try:
+        return MovedPiece(
+            pool=str(message["pool"]),
+            ask_id=str(message["ask_id"]),
+            number=int(message["number"]),
+            handle=str(message["handle"]),
+            server_id=str(message["server_id"]),
+            zone=str(message["zone"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def encode_handover(handover: Handover, now_ms: int) -> Message:
+    """Return the message that hands a pool over."""
+    return {
+        "type": "handover",
+        "pool": handover.pool,
+        "servers": [
+            [
+                each.server_id,
+                each.busy_ms,
+                each.pace,
+                [list(held) for held in each.held],
+            ]
+            for each in handover.servers
+        ],
+        "asks": [
+            {
+                "ask": _ask_fields(each.ask, now_ms),
+                "origin": each.origin,
+                "made": [list(made) for made in each.made],
+                "awaited": [list(awaited) for awaited in each.awaited],
+            }
+            for each in handover.asks
+        ],
+    }
+
+
+def decode_handover(message: Message, now_ms: int) -> Handover | None:
+    """Return the handover of a message, None if the message is malformed."""
+    try:
+        servers = tuple(
+            ServerHandover(
+                str(server_id),
+                int(busy_ms),
+                float(pace),
+                tuple(
+                    HeldResult(str(handle), int(size), int(left_ms))
+                    for handle, size, left_ms in held
+                ),
+            )
+            for server_id, busy_ms, pace, held in message["servers"]
+        )
+        asks = tuple(_decode_given(given, now_ms) for given in message["asks"])
+        return Handover(str(message["pool"]), servers, asks)
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _decode_given(given: Message, now_ms: int) -> AskHandover:
+    ask = decode_ask(given["ask"], now_ms)
+    if ask is None:
+        raise ValueError("a malformed ask")
+    return AskHandover(
+        ask,
+        str(given["origin"]),
+        tuple(
+            MadeResult(int(number), str(handle), str(zone))
+            for number, handle, zone in given["made"]
+        ),
+        tuple(
+            AwaitedPiece(int(number), int(left_ms))
+            for number, left_ms in given["awaited"]
+        ),
+    )
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -5,32 +5,49 @@
 
 from twisted.internet.defer import Deferred
 
-from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.model import BackendServer, server_address
+from bramleyturn.core.fleet.owners import STAGES, owner_of
+from bramleyturn.core.pieces.handover import Handover, give_over, take_over
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
 from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
 from bramleyturn.core.pieces.planner import (
+    MovedPiece,
     Outcome,
     Planner,
     call_ended,
     call_failed,
     release,
+    release_foreign,
     released,
+    take_moved,
     update_servers,
     withdraw,
 )
+from bramleyturn.core.pieces.stage_server import (
+    StageServer,
+    note_report,
+    wants_report,
+)
 from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
-from bramleyturn.gateway.stage_messages import encode_done
+from bramleyturn.gateway.stage_messages import (
+    encode_done,
+    encode_handover,
+    encode_moved,
+)
 from bramleyturn.platform.answers import read_answer_head
 from bramleyturn.platform.stage_calls import (
     RELEASE_TARGET,
+    REPORT_TARGET,
     RUN_TARGET,
     call_headers,
+    decode_free_bytes,
     decode_run,
     encode_release,
     encode_run,
+    handle_address,
 )
 
 MS_PER_S: Final = 1_000
@@ -38,6 +55,9 @@
 # How often waiting work is looked at when nothing else happens.
 TICK_MS: Final = 60
 RELEASE_TIMEOUT_MS: Final = 1_000
+# Whoever was just handed the stages keeps them for this long: instances learn of a
+# change of owner one after the other.
+KEEP_MS: Final = 1_000
 
 logger = logging.getLogger(__name__)
 
@@ -51,6 +71,8 @@
         self.pipeline = Pipeline()
         self.origins: dict[str, str] = {}
         self.is_ticking = False
+        self.successor = ""
+        self.keep_until_ms = 0
         serving.on_servers_changed.append(self.servers_changed)
 
     def take_ask(self, origin: str, ask: StageAsk) -> None:
@@ -76,12 +98,79 @@
         if planner is not None:
             self._release(planner, withdraw(planner, ask_id))
 
-    def take_release(self, pool: str, handles: list[str]) -> None:
-        """Give up results that were used."""
+    def take_release(self, pool: str, handles: list[str], size: int) -> None:
+        """Give up results of ``size`` bytes each that were used."""
         planner = self._planner(pool)
         if planner is None:
             return
         self._release(planner, release(planner, handles))
+        self._release(planner, self._foreign(planner, handles, size))
+
+    def take_moved(self, moved: MovedPiece) -> None:
+        """Take in a piece that the owner before this one had made."""
+        planner = self._planner(moved.pool)
+        if planner is not None:
+            now_ms = self.serving.now_ms()
+            self._carry_out(planner, take_moved(planner, moved, now_ms))
+            self._run()
+
+    def take_handover(self, sender: str, handover: Handover) -> None:
+        """Go on from where the owner before this one was."""
+        planner = self._planner(handover.pool)
+        if planner is None:
+            return
+        for given in handover.asks:
+            self.origins.setdefault(given.ask.ask_id, given.origin)
+        if not self.serving.is_ending:
+            self.keep_until_ms = self.serving.now_ms() + KEEP_MS
+        take_over(planner, handover, self.serving.now_ms())
+        logger.info(
+            "stages taken over",
+            extra={
+                "pool": handover.pool,
+                "owner_before": sender,
+                "asks": len(handover.asks),
+            },
+        )
+        self._run()
+
+    def _hand_over(self) -> None:
+        """Hand everything over if another instance owns the stages now."""
+        serving = self.serving
+        owner = owner_of(STAGES, serving.live())
+        now_ms = serving.now_ms()
+        if owner is None or owner.name == serving.me.name:
+            self.successor = ""
+            return
+        if now_ms < self.keep_until_ms:
+            return
+        handovers = give_over(self.pipeline, self.origins, now_ms)
+        if not handovers:
+            return
+        self.successor = owner.name
+        for handover in handovers:
+            self.links.send(owner.name, encode_handover(handover, now_ms))
+        logger.info(
+            "stages handed over",
+            extra={
+                "owner": owner.name,
+                "asks": sum(len(handover.asks) for handover in handovers),
+            },
+        )
+
+    def _foreign(
+        self, planner: Planner, handles: list[str], size: int
+    ) -> list[Release]:
+        """Return the releases of results that another owner had made."""
+        by_address: dict[str, list[str]] = {}
+        for handle in handles:
+            by_address.setdefault(handle_address(handle), []).append(handle)
+        releases = [
+            release_foreign(planner, server_id, by_address[address], size)
+            for server_id, state in planner.servers.items()
+            if (address := server_address(state.server)) in by_address
+        ]
+        return [each for each in releases if each is not None]
 
     def servers_changed(self) -> None:
         """Take over which servers take new work."""
@@ -103,15 +192,18 @@
         return known
 
     def _run(self) -> None:
-        outcomes = plan(self.pipeline, self.serving.now_ms())
+        now_ms = self.serving.now_ms()
+        outcomes = plan(self.pipeline, now_ms)
         for pool, outcome in outcomes.items():
             self._carry_out(self.pipeline.planners[pool], outcome)
+        self._ask_reports(now_ms)
         if not self.is_ticking:
             self.is_ticking = True
             self.serving.reactor.callLater(TICK_MS / MS_PER_S, self._tick)
 
     def _tick(self) -> None:
         self.is_ticking = False
+        self._hand_over()
         planners = self.pipeline.planners.values()
         if any(planner.asks or planner.done for planner in planners):
             self._run()
@@ -120,6 +212,9 @@
         self._release(planner, outcome.releases)
         for done in outcome.done:
             self._tell(done)
+        for moved in outcome.moved:
+            if self.successor:
+                self.links.send(self.successor, encode_moved(moved))
         for ordered in outcome.calls:
             made = self._call(planner, ordered)
             Deferred.fromCoroutine(made).addErrback(_log_failure)
@@ -175,6 +270,44 @@
         self._carry_out(planner, outcome)
         self._run()
 
+    def _ask_reports(self, now_ms: int) -> None:
+        for planner in self.pipeline.planners.values():
+            if not planner.asks:
+                continue
+            for state in planner.servers.values():
+                if wants_report(state, now_ms):
+                    state.report_asked_ms = now_ms
+                    asked = self._read_report(planner, state)
+                    Deferred.fromCoroutine(asked).addErrback(_log_failure)
+
+    async def _read_report(self, planner: Planner, state: StageServer) -> None:
+        """Ask a server for its room, which results of another owner may take."""
+        count(self.serving.metrics, "stage_reports", planner.pool)
+        answer = await call(
+            self.serving.servers_pool,
+            _peer(state.server),
+            b"GET",
+            REPORT_TARGET,
+            call_headers(state.server.id),
+            b"",
+            RELEASE_TIMEOUT_MS,
+        )
+        free = None
+        if isinstance(answer, WholeAnswer) and answer.status == STATUS_OK:
+            free = decode_free_bytes(answer.body)
+        if free is not None:
+            now_ms = self.serving.now_ms()
+            note_report(state, planner.limits, free, now_ms)
+            logger.info(
+                "stage server report",
+                extra={
+                    "server": state.server.id,
+                    "free_bytes": free,
+                    "foreign_bytes": state.foreign_bytes,
+                },
+            )
+            self._run()
+
     def _release(self, planner: Planner, releases: list[Release]) -> None:
         for ordered in releases:
             sent = self._call_release(planner, ordered)
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -151,8 +151,9 @@
         if number in self.released:
             return
         self.released.add(number)
-        pool = self.order.route.stages[number].pool
-        self.asks.release(pool, self.results[number].handles)
+        stage = self.order.route.stages[number]
+        handles = self.results[number].handles
+        self.asks.release(stage.pool, handles, stage.result_bytes)
 
     def _last_stages(self) -> list[int]:
         """Return the stages whose results the request itself needs."""
--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -6,9 +6,12 @@
 import orjson
 
 from bramleyturn.core.pieces.model import MadePiece, Piece, PieceFailure
+from bramleyturn.platform.fields import number_field
 
 RUN_TARGET: Final = "/bramleyturn/stage-run"
 RELEASE_TARGET: Final = "/bramleyturn/stage-free"
+REPORT_TARGET: Final = "/bramleyturn/report"
+BYTES_PER_MEGABYTE: Final = 1_000_000
 MAX_HANDLE_CHARACTERS: Final = 200
 FAILURES: Final = {
     # The time left had passed when the call's turn came.
@@ -70,3 +73,20 @@
         (b"Content-Type", b"application/json"),
         (b"Bramleyturn-Expected-Instance", server_id.encode()),
     ]
+
+
+def decode_free_bytes(body: bytes) -> int | None:
+    """Return the room for results in a server's report, None for a broken one."""
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(document, dict):
+        return None
+    free = number_field(document, "freeMb")
+    return None if free is None else int(free * BYTES_PER_MEGABYTE)
+
+
+def handle_address(handle: str) -> str:
+    """Return the address, IP:PORT, of the server that holds a result."""
+    return handle.partition("/")[0]
--- a/src/bramleyturn/programs/serve.py
+++ b/src/bramleyturn/programs/serve.py
@@ -71,7 +71,7 @@
         self.asks = StageAsks(serving, self.links)
         self.reader = StoreReader(serving)
         self.flow = RequestFlow(serving, self.asks)
-        self.heartbeats = Heartbeats(serving)
+        self.heartbeats = Heartbeats(serving, lambda: self.reader.revision)
         self.api = control_api(self.owner, self.asks, self.reader)
         self.front = self._server(self.flow.handle)
         self.ready = self._server(self.answer_readiness)
@@ -169,6 +169,7 @@
         self.stopping_ms = serving.now_ms()
         serving.is_ending = True
         self.front.is_closing = True
+        self.heartbeats.tell()
         logger.info("stopping", extra={"in_progress": serving.in_progress})
         self.check_stopped()
 
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -24,9 +24,14 @@
     fail_ask,
     release,
     released,
-    serve_in_order,
+    serve_all,
     update_servers,
 )
+from bramleyturn.core.pieces.stage_server import (
+    held_bytes,
+    note_report,
+    wants_report,
+)
 
 TICK_MS = 60
 Policy = Callable[[Pipeline, int], dict[str, Outcome]]
@@ -141,6 +146,10 @@
         for planner in self.pipeline.planners.values():
             for state in planner.asks.values():
                 state.heard_ms = self.now_ms
+            for server_id, server in planner.servers.items():
+                if wants_report(server, self.now_ms) and server_id not in self.dark:
+                    free_bytes = planner.limits.room_bytes - held_bytes(server)
+                    note_report(server, planner.limits, free_bytes, self.now_ms)
         for pool, outcome in self.policy(self.pipeline, self.now_ms).items():
             self.carry_out(self.pipeline.planners[pool], outcome)
 
@@ -252,7 +261,7 @@
             if now_ms > state.ask.deadline_ms:
                 fail_ask(planner, state, PieceFailure.LATE, outcome, now_ms)
         order = sorted(planner.asks.values(), key=lambda state: state.served_since_ms)
-        serve_in_order(planner, order, outcome, now_ms)
+        serve_all(planner, order, outcome, now_ms)
         outcomes[name] = outcome
     return outcomes
 
