Stand in for the platform with one program; whole paths through real processes

Also: requests are ranked by workspace and then by route. Late requests are refused only where 0.3 of the servers' time would not do; 0.08 refused what could be served.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -44,7 +44,7 @@
 # Time over which the work that arrives is averaged.
 ARRIVALS_MS: Final = 3_000.0
 # Late requests are expected to get this part of the servers' time at least.
-LEAST_SPARE: Final = 0.08
+LEAST_SPARE: Final = 0.3
 
 
 class Pipeline:
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -55,6 +55,8 @@
 NO_CONFIGURATION_WAIT_MS: Final = 500
 STATUS_CONFLICT: Final = 409
 LEAST_URGENT: Final = 9
+# A workspace's rank goes before all ranks of routes.
+URGENCY_STEP: Final = LEAST_URGENT + 1
 # Servers that refuse are tried up to this many for one request.
 MAX_REFUSALS: Final = 3
 
@@ -272,7 +274,7 @@
             wait_ms=wait_ms,
             workspace=call.workspace.name if call.workspace is not None else "",
             inputs=call.inputs,
-            urgency=urgency_of(call) if call.route.keeps_prefix else None,
+            urgency=engine_urgency(call) if call.route.keeps_prefix else None,
             resume_after=resume_after,
         )
         exchange = call.exchange
@@ -470,10 +472,14 @@
 
 
 def urgency_of(call: Call) -> int:
-    """Return the urgency of a request: its workspace's, or its route's."""
+    """Return the rank of a request: by its workspace, then by its route."""
     workspace = call.workspace
-    if workspace is not None and workspace.priority is not None:
-        return min(LEAST_URGENT, workspace.priority)
+    own = workspace.priority if workspace is not None else None
+    return min(LEAST_URGENT, own or 0) * URGENCY_STEP + engine_urgency(call)
+
+
+def engine_urgency(call: Call) -> int:
+    """Return the rank of a request among those at one engine, from 0 to 9."""
     return min(LEAST_URGENT, call.route.priority)
 
 
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -115,7 +115,7 @@
             "revision": revision,
             "version_before": known.version if known else None,
             "routes": len(published.routes),
-            "workspaces": len(published.workspaces),
+            "workspaces": {each.name: each.priority for each in published.workspaces},
         },
     )
     return True
--- /dev/null
+++ b/src/bramleyturn/programs/standin_site.py
@@ -0,0 +1,40 @@
+"""Run stand-ins of the users' platform, for tests and trials."""
+
+import signal
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+import orjson
+from twisted.internet import reactor
+
+from bramleyturn.core.clock import system_clock
+from bramleyturn.programs.start import run, use_monotonic_time
+from bramleyturn.standin.site.site import start_site
+
+
+@cappa.command(name="bramleyturn-standin-site")
+@dataclass
+class StandinSite:
+    """Run a store, engines, stage servers and plain services on one address.
+
+    Prints one JSON line with the address of each when all listen.
+    """
+
+    host: Annotated[str, cappa.Arg(help="The IP number to listen on.")]
+
+
+def main() -> None:
+    """Run the program."""
+    command = cappa.parse(StandinSite)
+    loop: Any = reactor
+    use_monotonic_time(loop)
+    _, addresses = start_site(loop, system_clock().monotonic_ms, command.host)
+    ready = {"ready": True, "addresses": addresses}
+    print(orjson.dumps(ready).decode(), flush=True)
+    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(loop.stop))
+    run(loop)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyturn/standin/site/servers.py
@@ -0,0 +1,188 @@
+"""Stand in for the platform's backend servers: plain services, engines and stages.
+
+Each keeps a ledger of what it ran, by which tests judge what the system did.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import orjson
+
+from bramleyturn.gateway.http1_server import Exchange, Headers
+
+MS_PER_S: Final = 1_000
+RUN_TARGET: Final = b"/bramleyturn/stage-run"
+RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
+REPORT_TARGET: Final = b"/bramleyturn/report"
+NOT_RUN: Final = (b"Bramleyturn-Not-Executed", b"1")
+STATUS_MISDIRECTED: Final = 421
+
+
+class Ran:
+    """Record one request that a server ran."""
+
+    def __init__(self, attempt_id: str, exchange: Exchange) -> None:
+        self.attempt_id = attempt_id
+        self.method = exchange.method.decode()
+        self.target = exchange.target.decode()
+        self.headers = {
+            name.decode(): value.decode() for name, value in exchange.headers
+        }
+        self.body_bytes = len(exchange.body)
+
+
+class SiteServer:
+    """Hold one server: who it is, what it does and what it ran.
+
+    ``fault`` names how it misbehaves: ``shed`` refuses, ``reset`` closes after it ran,
+    ``cut`` breaks off in the middle, ``error`` answers 500, ``hang`` never answers.
+    """
+
+    def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
+        self.reactor = reactor
+        self.id = server_id
+        self.pool = pool
+        self.address = address
+        self.fault = ""
+        self.work_ms = 10
+        self.ran: list[Ran] = []
+        self.running = 0
+        self.results: dict[str, str] = {}
+        self.made = 0
+        self.room_bytes = 1_000_000
+
+
+def plain_handler(server: SiteServer) -> Callable[[Exchange], None]:
+    """Return what answers the requests to a plain service."""
+
+    def handle(exchange: Exchange) -> None:
+        if _refused(server, exchange):
+            return
+        attempt_id = _note_run(server, exchange)
+        server.running += 1
+        server.reactor.callLater(server.work_ms / MS_PER_S, end, exchange, attempt_id)
+
+    def end(exchange: Exchange, attempt_id: str) -> None:
+        server.running -= 1
+        _answer_plain(server, exchange, attempt_id)
+
+    return handle
+
+
+def engine_handler(
+    server: SiteServer, events: int = 8, gap_ms: int = 10
+) -> Callable[[Exchange], None]:
+    """Return what answers the requests to an engine with a stream of events."""
+
+    def handle(exchange: Exchange) -> None:
+        if exchange.target == REPORT_TARGET:
+            report = {"waiting": 0, "running": server.running}
+            exchange.answer(200, [], orjson.dumps(report))
+            return
+        if _refused(server, exchange):
+            return
+        attempt_id = _note_run(server, exchange)
+        last = exchange.header(b"last-event-id")
+        first = int(last) + 1 if last else 0
+        server.running += 1
+        headers = _answer_headers(server, attempt_id)
+        headers.append((b"Content-Type", b"text/event-stream"))
+        exchange.start(200, headers)
+        send(exchange, first)
+
+    def send(exchange: Exchange, number: int) -> None:
+        if exchange.is_gone:
+            server.running -= 1
+            return
+        if server.fault == "cut" and number == events // 2:
+            server.running -= 1
+            exchange.send(b"id: %d\nda" % number)
+            exchange.cut()
+            return
+        if number == events:
+            server.running -= 1
+            exchange.finish()
+            return
+        exchange.send(b"id: %d\ndata: token-%d\n\n" % (number, number))
+        server.reactor.callLater(gap_ms / MS_PER_S, send, exchange, number + 1)
+
+    return handle
+
+
+def stage_handler(server: SiteServer) -> Callable[[Exchange], None]:
+    """Return what answers the calls to a server of a stage, one after the other."""
+
+    def handle(exchange: Exchange) -> None:
+        if exchange.target == REPORT_TARGET:
+            report = {"waiting": 0, "busy": server.running, "freeMb": 1.0}
+            exchange.answer(200, [], orjson.dumps(report))
+        elif exchange.target == RELEASE_TARGET:
+            for handle in orjson.loads(exchange.body)["handles"]:
+                server.results.pop(handle, None)
+            exchange.answer(200, [], b"")
+        elif exchange.target == RUN_TARGET and not _refused(server, exchange):
+            if server.running:
+                exchange.answer(503, [NOT_RUN], b"")
+                return
+            server.running += 1
+            wait_s = server.work_ms / MS_PER_S
+            server.reactor.callLater(wait_s, run, exchange)
+
+    def run(exchange: Exchange) -> None:
+        server.running -= 1
+        items = orjson.loads(exchange.body)["items"]
+        exchange.answer(
+            200, [], orjson.dumps({"items": [_make(server, item) for item in items]})
+        )
+
+    return handle
+
+
+def _make(server: SiteServer, item: dict[str, Any]) -> dict[str, str]:
+    server.made += 1
+    handle = f"{server.address}/{server.made:x}"
+    server.results[handle] = f"{item['id']}.{item['stage']}.{item['piece']}"
+    return {"handle": handle}
+
+
+def _refused(server: SiteServer, exchange: Exchange) -> bool:
+    expected = exchange.header(b"bramleyturn-expected-instance")
+    if expected and expected != server.id:
+        identity = (b"Bramleyturn-Instance-Id", server.id.encode())
+        exchange.answer(STATUS_MISDIRECTED, [identity], b"")
+        return True
+    if server.fault == "shed":
+        exchange.answer(503, [NOT_RUN], b"")
+        return True
+    return False
+
+
+def _note_run(server: SiteServer, exchange: Exchange) -> str:
+    attempt_id = exchange.header(b"bramleyturn-attempt-id")
+    server.ran.append(Ran(attempt_id, exchange))
+    return attempt_id
+
+
+def _answer_plain(server: SiteServer, exchange: Exchange, attempt_id: str) -> None:
+    if server.fault == "hang":
+        return
+    if server.fault == "reset":
+        exchange.cut()
+        return
+    body = b"answer to " + attempt_id.encode()
+    headers = _answer_headers(server, attempt_id)
+    if server.fault == "cut":
+        exchange.start(200, headers)
+        exchange.send(body[:5])
+        exchange.cut()
+        return
+    exchange.answer(500 if server.fault == "error" else 200, headers, body)
+
+
+def _answer_headers(server: SiteServer, attempt_id: str) -> Headers:
+    load = f"{server.running},0,6".encode()
+    return [
+        (b"Bramleyturn-Attempt-Id", attempt_id.encode()),
+        (b"Bramleyturn-Response-Signature", f"signed-by-{server.id}".encode()),
+        (b"Bramleyturn-Instance-Load", load),
+    ]
--- /dev/null
+++ b/src/bramleyturn/standin/site/site.py
@@ -0,0 +1,198 @@
+"""Run a whole small site of stand-ins on one address, and let a test steer it.
+
+The control address takes `POST /fault`, `/leave`, `/remove`, `/store` and
+`/configuration`, and answers `GET /ledger`.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import orjson
+
+from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
+from bramleyturn.gateway.http1_server import Exchange, HttpServer
+from bramleyturn.standin.site.servers import (
+    SiteServer,
+    engine_handler,
+    plain_handler,
+    stage_handler,
+)
+from bramleyturn.standin.site.store import (
+    Store,
+    delete,
+    forget_history,
+    put,
+    store_handler,
+)
+
+HANDLERS: Final[dict[str, Callable[[SiteServer], Callable[[Exchange], None]]]] = {
+    "members": plain_handler,
+    "drafts": engine_handler,
+    "books": stage_handler,
+}
+SERVERS_PER_POOL: Final = 2
+ZONES: Final = ("north", "south")
+KEY: Final = "key-of-north"
+
+
+class Site:
+    """Hold the stand-ins of a site by id."""
+
+    def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
+        self.reactor = reactor
+        self.now_ms = now_ms
+        self.store = Store(reactor)
+        self.servers: dict[str, SiteServer] = {}
+        self.version = 1
+
+
+def start_site(
+    reactor: Any, now_ms: Callable[[], int], host: str
+) -> tuple[Site, dict[str, str]]:
+    """Listen for a site; return it with its addresses by name."""
+    site = Site(reactor, now_ms)
+    addresses = {
+        "store": _listen(site, host, store_handler(site.store)),
+        "control": _listen(site, host, _control(site)),
+    }
+    for pool, new_handler in HANDLERS.items():
+        for place in range(SERVERS_PER_POOL):
+            server = SiteServer(reactor, f"i-{pool}-{place}", pool, "")
+            server.address = _listen(site, host, new_handler(server))
+            site.servers[server.id] = server
+            addresses[server.id] = server.address
+            register(site, server, ZONES[place % len(ZONES)])
+    put(site.store, "op/config", orjson.dumps(configuration(site.version)))
+    return site, addresses
+
+
+def register(site: Site, server: SiteServer, zone: str, state: str = "ready") -> None:
+    """Write a server's entry."""
+    entry = {
+        "service": server.pool,
+        "address": server.address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+    put(site.store, f"servers/{server.id}", orjson.dumps(entry))
+
+
+def configuration(version: int, **changes: Any) -> dict[str, Any]:
+    """Return a configuration of three routes as the operators publish it."""
+    shared = {"host": "site.example", "maxAttempts": 2, "public": False}
+    routes = [
+        shared
+        | {
+            "name": "lookup",
+            "prefix": "/lookup/",
+            "kind": "idempotent",
+            "service": "members",
+            "timeoutMs": 2_000,
+            "targetLatencyMs": 100,
+            "priority": 2,
+        },
+        shared
+        | {
+            "name": "order",
+            "prefix": "/order/",
+            "kind": "non_idempotent",
+            "service": "members",
+            "timeoutMs": 2_000,
+            "targetLatencyMs": 100,
+            "priority": 2,
+            "maxAttempts": 1,
+        },
+        shared
+        | {
+            "name": "draft",
+            "prefix": "/draft/",
+            "kind": "streaming",
+            "service": "drafts",
+            "timeoutMs": 8_000,
+            "targetLatencyMs": 1_500,
+            "priority": 1,
+            "resumable": True,
+            "sticky": True,
+            "gapAimMs": 250,
+            "stages": [{"service": "books", "after": [], "bytes": 8_000}],
+        },
+    ]
+    pieces = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "callMs": 10.0,
+        "itemMs": 2.0,
+        "headroomMb": 1.0,
+        "handleS": 4.0,
+        "linkMbps": 1000,
+    }
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "members", "healthPath": "/health", "maxConnections": 200},
+            {"name": "drafts", "engine": {"slots": 64, "kvCapacityTokens": 500_000}},
+            {"name": "books", "pieces": pieces},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 65_536,
+            "headerTimeoutMs": 3_000,
+            "idleTimeoutMs": 15_000,
+        },
+        "tenants": [{"name": "north", "apiKeys": [KEY], "priority": 0}],
+    }
+    return document | changes
+
+
+def _listen(site: Site, host: str, handle: Callable[[Exchange], None]) -> str:
+    server = HttpServer(
+        site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, handle
+    )
+    port = site.reactor.listenTCP(0, server.factory(), interface=host)
+    return f"{host}:{port.getHost().port}"
+
+
+def _control(site: Site) -> Callable[[Exchange], None]:
+    def handle(exchange: Exchange) -> None:
+        target = exchange.target.decode()
+        asked = orjson.loads(exchange.body) if exchange.body else {}
+        if target == "/fault":
+            site.servers[asked["server"]].fault = asked["fault"]
+        elif target == "/leave":
+            server = site.servers[asked["server"]]
+            register(site, server, ZONES[0], state="draining")
+        elif target == "/remove":
+            delete(site.store, f"servers/{asked['server']}")
+        elif target == "/store":
+            site.store.refuses = asked.get("refuses", 0)
+            site.store.is_silent = asked.get("silent", False)
+            if asked.get("forget"):
+                forget_history(site.store)
+        elif target == "/configuration":
+            site.version += 1
+            document = configuration(site.version, **asked)
+            put(site.store, "op/config", orjson.dumps(document))
+        answer = orjson.dumps(_ledger(site)) if target == "/ledger" else b"{}"
+        exchange.answer(200, [], answer)
+
+    return handle
+
+
+def _ledger(site: Site) -> dict[str, Any]:
+    return {
+        "store_calls": site.store.calls,
+        "servers": {
+            server.id: {
+                "ran": [vars(ran) for ran in server.ran],
+                "made": server.made,
+                "kept": len(server.results),
+            }
+            for server in site.servers.values()
+        },
+    }
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Final
@@ -82,8 +82,12 @@
     tmp_path: Path,
     name: str = "",
     environment: Mapping[str, str] | None = None,
+    arguments: Sequence[str] | None = None,
 ) -> RunningProcess:
-    """Start a program without waiting for its ready line."""
+    """Start a program without waiting for its ready line.
+
+    Without ``arguments`` its argument is the settings file.
+    """
     name = name or _free_name(program_module.rpartition(".")[2], tmp_path)
     settings_file = tmp_path / f"{name}.ini"
     settings_file.write_text(settings_text, encoding="utf-8")
@@ -93,7 +97,12 @@
         (tmp_path / f"{name}.err").open("wb") as errors,
     ):
         process = subprocess.Popen(
-            [sys.executable, "-m", program_module, str(settings_file)],
+            [
+                sys.executable,
+                "-m",
+                program_module,
+                *(arguments or [str(settings_file)]),
+            ],
             stdin=subprocess.DEVNULL,
             stdout=output,
             stderr=errors,
--- /dev/null
+++ b/tests/site/site_fleet.py
@@ -0,0 +1,229 @@
+"""Run a site of stand-ins with entry processes before it, and call them."""
+
+import http.client
+import itertools
+import json
+import os
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+from bramleyturn.standin.site.site import KEY
+from tests.processes import RunningProcess, kill, launch, output_of, wait_ready
+
+LIMIT_S: Final = 20.0
+POLL_S: Final = 0.02
+HOSTS: Final = ("127.0.0.2", "127.0.0.3")
+_ids = itertools.count(1)
+
+
+class Answer(NamedTuple):
+    """Hold what a caller got. ``is_whole`` is False for a cut answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class SiteFleet:
+    """Hold the processes of a site."""
+
+    def __init__(self, site: RunningProcess, entries: list[RunningProcess]) -> None:
+        self.site = site
+        self.entries = entries
+        self.ports: dict[str, int] = {}
+
+    def call(
+        self,
+        path: str,
+        method: str = "GET",
+        entry: int = 0,
+        body: bytes = b"",
+        wait_ms: int = 2_000,
+        attempt_id: str = "",
+        key: str = KEY,
+        more: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send one request to an entry and return the answer."""
+        headers = {
+            "Host": "site.example",
+            "Bramleyturn-Attempt-Id": attempt_id or f"a{next(_ids):08x}",
+            "Bramleyturn-Deadline-Ms": str(wait_ms),
+            "Authorization": f"Bearer {key}",
+            **(more or {}),
+        }
+        connection = http.client.HTTPConnection(
+            HOSTS[entry], self.ports["front"], timeout=LIMIT_S
+        )
+        try:
+            connection.request(method, path, body=body or None, headers=headers)
+            response = connection.getresponse()
+            found = {name.lower(): value for name, value in response.getheaders()}
+            try:
+                return Answer(response.status, found, response.read(), True)
+            except http.client.IncompleteRead as cut:
+                return Answer(response.status, found, cut.partial, False)
+        finally:
+            connection.close()
+
+    def draft(self, **options: Any) -> Answer:
+        """Ask for a stream with two pieces of a stage."""
+        more = {
+            "Bramleyturn-Pieces": "2",
+            "Bramleyturn-Piece-Key": "7c1e",
+            "Bramleyturn-Token-Counts": "100,20",
+            "Bramleyturn-Prompt-Prefix": "aa:80,bb:20",
+            "Bramleyturn-Model": "m",
+        }
+        options.setdefault("wait_ms", 8_000)
+        return self.call("/draft/1", method="POST", body=b"x", more=more, **options)
+
+    def steer(self, target: str, **asked: Any) -> dict[str, Any]:
+        """Steer the stand-ins, or read their ledger."""
+        host, _, port = self.site.addresses["control"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=LIMIT_S)
+        try:
+            connection.request("POST", target, body=json.dumps(asked))
+            document: dict[str, Any] = json.loads(connection.getresponse().read())
+            return document
+        finally:
+            connection.close()
+
+    def ran(self, attempt_id: str) -> list[dict[str, Any]]:
+        """Return every run of a request that any server records."""
+        servers = self.steer("/ledger")["servers"].values()
+        return [
+            ran
+            for server in servers
+            for ran in server["ran"]
+            if ran["attempt_id"] == attempt_id
+        ]
+
+    def is_ready(self, entry: int) -> bool:
+        """Return whether an entry says that it is ready."""
+        try:
+            return self.get(entry, "ready", "/bramleyturn/readiness")[0] == 200
+        except OSError:
+            return False
+
+    def get(self, entry: int, port: str, path: str) -> tuple[int, bytes]:
+        """Read a page of an entry."""
+        connection = http.client.HTTPConnection(HOSTS[entry], self.ports[port])
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read()
+        finally:
+            connection.close()
+
+    def events(self, entry: int, event: str) -> list[dict[str, Any]]:
+        """Return the log lines of an entry that tell of ``event``."""
+        text = self.entries[entry].output_file.read_text()
+        lines = [json.loads(line) for line in text.splitlines() if line]
+        return [line for line in lines if line["event"] == event]
+
+    def stop_entry(self, entry: int) -> None:
+        """Ask an entry to stop."""
+        os.kill(self.entries[entry].pid, signal.SIGTERM)
+
+
+def until(is_so: Callable[[], bool], what: str, limit_s: float = LIMIT_S) -> None:
+    """Wait until something is so."""
+    end_s = time.monotonic() + limit_s
+    while not is_so():
+        assert time.monotonic() < end_s, f"not within {limit_s} s: {what}"
+        time.sleep(POLL_S)
+
+
+@contextmanager
+def running_fleet(folder: Path, entries: int = 2) -> Iterator[SiteFleet]:
+    """Run a site with entries until the block ends."""
+    started = []
+    try:
+        site = launch(
+            "bramleyturn.programs.standin_site", "", folder, arguments=["127.0.0.1"]
+        )
+        started.append(site)
+        wait_ready(site)
+        fleet = SiteFleet(site, [])
+        fleet.ports = _free_ports()
+        for place in range(entries):
+            entry = _launch_entry(fleet, folder, place)
+            started.append(entry)
+            fleet.entries.append(entry)
+        for place in range(entries):
+            until(partial(fleet.is_ready, place), output_of(started[-1]))
+        yield fleet
+    finally:
+        for running in started:
+            kill(running)
+
+
+def _launch_entry(fleet: SiteFleet, folder: Path, place: int) -> RunningProcess:
+    host, ports = HOSTS[place], fleet.ports
+    control = ports["control"]
+    lines = {
+        "nodeName": f"front-{place}",
+        "zone": ("north", "south")[place],
+        "listen.front": f"{host}:{ports['front']}",
+        "listen.ready": f"{host}:{ports['ready']}",
+        "listen.control": f"{host}:{control}",
+        "internalPortRange": f"{ports['internal']},{ports['internal']}",
+        "seeds": ",".join(f"{each}:{control}" for each in HOSTS),
+        "heartbeatMs": "1200",
+        "limits.cpuShare": "1",
+        "limits.memoryMb": "222",
+        "limits.fileDescriptors": "1535",
+        "platform.address": fleet.site.addresses["store"],
+        "bounds.drainMs": "2000",
+        "bounds.configApplyMs": "2000",
+        "bounds.graceS": "8",
+        "bounds.retryBudgetRatio": "0.2",
+        "bounds.retryBudgetSlack": "108",
+        "bounds.budgetWindowS": "10",
+        "bounds.passMs": "120",
+    }
+    settings = folder / f"local-{place}.conf"
+    settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
+    return launch(
+        "bramleyturn.programs.serve",
+        "",
+        folder,
+        f"entry-{place}",
+        environment={"BRAMLEYTURN_CONFIG": str(settings)},
+        arguments=[str(ports["metrics"])],
+    )
+
+
+def _free_ports() -> dict[str, int]:
+    """Return ports that are free at every address of the fleet."""
+    names = ("front", "ready", "control", "metrics", "internal")
+    ports: dict[str, int] = {}
+    for name in names:
+        ports[name] = _free_port(set(ports.values()))
+    return ports
+
+
+def _free_port(taken: set[int]) -> int:
+    for _ in range(100):
+        with socket.socket() as probe:
+            probe.bind((HOSTS[0], 0))
+            port: int = probe.getsockname()[1]
+            if port not in taken and _is_free(port):
+                return port
+    raise AssertionError("no port is free at every address")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOSTS[1], port))
+        except OSError:
+            return False
+    return True
