Believe reports of room only where they can be true

Cause: a report is some hundred milliseconds old, so it showed room as taken by results that had just been given up; the planner took that for results of another planner and left the room unused for four seconds. Change: only a planner younger than the results' life counts foreign ones, and what was given up within 800 ms counts as known.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -36,7 +36,7 @@
 KEEP_DONE_MS: Final = 3_000
 # Part of the time for which results are kept that a late request may wait for a later
 # stage once it has begun.
-HELD_PART: Final = 0.1
+HELD_PART: Final = 0.4
 # What is forecast to end this short before its time counts as late: calls last longer
 # than their nominal time by the way to the server and by the pieces that join them.
 MARGIN_PART: Final = 0.15
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -81,6 +81,8 @@
                 "pool": state.ask.pool,
                 "pieces": state.ask.piece_count,
                 "owner": sender,
+                "near_zone": state.ask.near_zone,
+                "zones": sorted(set(done.zones)),
                 "took_ms": took_ms,
                 "due_in_ms": state.ask.due_ms - self.serving.now_ms(),
                 "outcome": str(done.failure or "made"),
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -127,7 +127,10 @@
     def _failed(self, failure: PieceFailure, wait_ms: int) -> None:
         ended = self.ended
         self.stop()
-        if failure is PieceFailure.INPUT_GONE and self.round < MAX_ROUNDS:
+        # Results that expired while a late request waited would expire again.
+        is_late = self.serving.now_ms() > self.order.due_ms
+        is_again = failure is PieceFailure.INPUT_GONE and self.round < MAX_ROUNDS
+        if is_again and not is_late:
             self.round += 1
             self.results = {}
             self.released = set()
--- a/src/bramleyturn/programs/commands_settings.py
+++ b/src/bramleyturn/programs/commands_settings.py
@@ -16,10 +16,18 @@
 )
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.settings_reference import settings_reference
+from bramleyturn.platform.settings import (
+    RefusedServingSettings,
+    parse_serving_settings,
+)
 from bramleyturn.runtime.settings_file import Unreadable, read_folder
 
 Folder = Annotated[
-    Path, cappa.Arg(help="Folder of .ini files, merged in the order of their names.")
+    Path,
+    cappa.Arg(
+        help="Folder of .ini files, merged in the order of their names; for `check` "
+        "also the settings file of a process on the users' platform."
+    ),
 ]
 
 
@@ -32,7 +40,9 @@
 
 
 def run_check(command: "Check") -> int:
-    """Print every fault of a folder, or what it configures."""
+    """Print every fault of a folder or file, or what it configures."""
+    if command.folder.is_file():
+        return check_process_file(command.folder)
     files = _read_or_exit(command.folder)
     loaded = load_configuration(revision=1, files=files)
     if isinstance(loaded, RefusedConfiguration):
@@ -48,6 +58,18 @@
     return ExitCode.OK
 
 
+def check_process_file(file: Path) -> int:
+    """Print every fault of a settings file that the platform lays for a process."""
+    settings = parse_serving_settings(file.read_text("utf-8", "replace"), str(file))
+    if isinstance(settings, RefusedServingSettings):
+        for fault in settings.faults:
+            print(describe_fault(fault))
+        print(f"{len(settings.faults)} fault(s) in {file}", file=sys.stderr)
+        return ExitCode.FAULTS
+    print(f"{file} is sound: instance {settings.name} in {settings.zone}")
+    return ExitCode.OK
+
+
 def run_explain(command: "Explain") -> int:
     """Print each effective value of a folder and where it comes from."""
     files = _read_or_exit(command.folder)
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -99,7 +99,8 @@
         self.unused_pieces = 0
         for pool, limit in limits.items():
             planner = Planner(pool, limit)
-            update_servers(planner, [_server(pool, place) for place in range(servers)])
+            known = [_server(pool, place) for place in range(servers)]
+            update_servers(planner, known, 0)
             self.pipeline.planners[pool] = planner
 
     def at(self, at_ms: int, what: Callable[[], None]) -> None:
@@ -228,7 +229,7 @@
         """Give up results."""
         for planner in self.pipeline.planners.values():
             for ordered in release(planner, handles):
-                released(planner, ordered)
+                released(planner, ordered, self.now_ms)
 
     def in_aim(self, kind: str = "") -> float:
         """Return the part of the worth that was served in time."""
--- /dev/null
+++ b/tests/core/pieces/test_stage_server.py
@@ -0,0 +1,61 @@
+"""Believe what servers report of their room, as far as it can be true."""
+
+from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.pieces.stage_server import (
+    REPORT_AGE_MS,
+    StageServer,
+    free_bytes,
+    is_idle,
+    note_freed,
+    note_report,
+    note_silent,
+    wants_report,
+)
+
+LIMITS = BatchLimits(1, 2, 4, 150.0, 32.0, 1_000, 4_000)
+
+
+def server(now_ms: int = 0) -> StageServer:
+    """Return what is known of a server since ``now_ms``."""
+    backend = BackendServer("s", "p", "10.0.0.1", 80, "z", "v", 1, False, 0, 0)
+    return StageServer(backend, now_ms)
+
+
+class TestReports:
+    """Room that results of another planner take."""
+
+    def test_new_planner_counts_what_it_did_not_make(self) -> None:
+        state = server()
+        note_report(state, LIMITS, 400, 100)
+        assert free_bytes(state, LIMITS, 100) == 400
+        assert free_bytes(state, LIMITS, 100 + LIMITS.keep_ms) == 1_000
+
+    def test_what_was_just_given_up_is_not_foreign(self) -> None:
+        state = server()
+        state.held["h"] = (600, 4_000)
+        note_freed(state, "h", 100)
+        note_report(state, LIMITS, 400, 100 + REPORT_AGE_MS)
+        assert free_bytes(state, LIMITS, 900) == 1_000
+
+    def test_known_planner_trusts_its_own_account(self) -> None:
+        state = server()
+        now_ms = LIMITS.keep_ms + 1
+        note_report(state, LIMITS, 100, now_ms)
+        assert free_bytes(state, LIMITS, now_ms) == 1_000
+
+
+class TestDoubt:
+    """Servers whose calls brought nothing."""
+
+    def test_nothing_is_sent_before_a_report(self) -> None:
+        state = server()
+        note_silent(state, 200.0, 700)
+        assert not is_idle(state, 10_000)
+        assert wants_report(state, 10_000)
+        note_report(state, LIMITS, 1_000, 10_000)
+        assert is_idle(state, 10_000)
+
+    def test_pace_grows_with_each_silent_call(self) -> None:
+        state = server()
+        note_silent(state, 200.0, 700)
+        assert state.pace > 3.5
--- a/tests/programs/test_cli.py
+++ b/tests/programs/test_cli.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bramleyturn.programs.cli import main
+from tests.platform.test_settings import TEXT as PLATFORM_SETTINGS
 from tests.settings_cases import CASES, EXPECTED, SOUND, read_faulty_case
 
 SETTINGS_PAGE = Path(__file__).parents[2] / "docs" / "SETTINGS.md"
@@ -39,6 +40,19 @@
         expected = (CASES / "dangling-references" / EXPECTED).read_text()
         assert capsys.readouterr().out == expected
 
+    def test_settings_of_a_process_on_the_platform(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+        tmp_path: Path,
+    ) -> None:
+        file = tmp_path / "local.conf"
+        file.write_text(PLATFORM_SETTINGS)
+        assert run(monkeypatch, "check", str(file)) == 0
+        file.write_text(PLATFORM_SETTINGS.replace("graceS=8", "graceS=soon"))
+        assert run(monkeypatch, "check", str(file)) == 1
+        assert "bounds.graceS: expected a number" in capsys.readouterr().out
+
     def test_a_folder_that_cannot_be_read(
         self, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
     ) -> None:
