--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -99,7 +99,7 @@
         self.unused_pieces = 0
         for pool, limit in limits.items():
             planner = Planner(pool, limit)
-            known = [_server(pool, place) for place in range(servers)]
+            known = [site_server(pool, place) for place in range(servers)]
             update_servers(planner, known, 0)
             self.pipeline.planners[pool] = planner
 
@@ -283,7 +283,8 @@
         arrivals.append(Arrival(int(at_ms), kind))
 
 
-def _server(pool: str, place: int) -> BackendServer:
+def site_server(pool: str, place: int) -> BackendServer:
+    """Return a server of a pool."""
     return BackendServer(
         id=f"{pool}-{place}",
         pool=pool,
--- /dev/null
+++ b/tests/core/pieces/test_handover.py
@@ -0,0 +1,92 @@
+"""Hand the planning over without losing or repeating work."""
+
+from bramleyturn.core.pieces.handover import give_over, take_over
+from bramleyturn.core.pieces.model import MadePiece, StageAsk
+from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
+from bramleyturn.core.pieces.planner import (
+    MovedPiece,
+    Planner,
+    call_ended,
+    call_failed,
+    take_moved,
+    update_servers,
+)
+from tests.core.pieces.diary_load import LIMITS
+from tests.core.pieces.stage_world import site_server
+
+POOL = "bridge"
+
+
+def ask(name: str, pieces: int = 6) -> StageAsk:
+    """Return an ask with time to spare."""
+    return StageAsk(
+        ask_id=f"{name}.0",
+        pool=POOL,
+        attempt_id=name,
+        stage=0,
+        piece_count=pieces,
+        key="k",
+        inputs=(),
+        result_bytes=60_000,
+        due_ms=2_000,
+        deadline_ms=9_000,
+        urgency=0,
+        near_zone="",
+        has_started=False,
+        later=(),
+    )
+
+
+def pipeline() -> tuple[Pipeline, Planner]:
+    """Return a pipeline of one pool with three servers."""
+    made = Pipeline()
+    planner = made.planners[POOL] = Planner(POOL, LIMITS[POOL])
+    update_servers(planner, [site_server(POOL, place) for place in range(3)], 0)
+    return made, planner
+
+
+class TestHandover:
+    """An owner that ends while calls are in progress."""
+
+    def test_next_owner_waits_for_running_pieces(self) -> None:
+        before, old = pipeline()
+        after, new = pipeline()
+        take_ask(before, ask("r"), 0)
+        calls = plan(before, 0)[POOL].calls
+        (handover,) = give_over(before, {"r.0": "front-1"}, 10)
+        take_over(new, handover, 10)
+        assert plan(after, 20)[POOL].calls == []
+
+        moved: list[MovedPiece] = []
+        for call in calls:
+            made = [MadePiece(f"h{piece.number}", None) for piece in call.pieces]
+            moved += call_ended(old, call.call_id, made, 300).moved
+        done = [done for each in moved for done in take_moved(new, each, 310).done]
+        assert [len(each.handles) for each in done] == [6]
+
+    def test_piece_that_failed_is_made_anew(self) -> None:
+        before, old = pipeline()
+        after, new = pipeline()
+        take_ask(before, ask("r", pieces=1), 0)
+        (call,) = plan(before, 0)[POOL].calls
+        (handover,) = give_over(before, {"r.0": "front-1"}, 10)
+        take_over(new, handover, 10)
+        (moved,) = call_failed(old, call.call_id, False, 200).moved
+        take_moved(new, moved, 210)
+        assert len(plan(after, 220)[POOL].calls) == 1
+
+    def test_piece_that_never_comes_is_made_anew(self) -> None:
+        before, _ = pipeline()
+        after, new = pipeline()
+        take_ask(before, ask("r", pieces=1), 0)
+        plan(before, 0)
+        (handover,) = give_over(before, {"r.0": "front-1"}, 10)
+        take_over(new, handover, 10)
+        assert len(plan(after, 1_900)[POOL].calls) == 1
+
+    def test_owner_before_begins_nothing_more(self) -> None:
+        before, _ = pipeline()
+        take_ask(before, ask("r", pieces=40), 0)
+        plan(before, 0)
+        give_over(before, {}, 10)
+        assert plan(before, 20)[POOL].calls == []
