--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -29,7 +29,6 @@
     free_at_ms,
     free_bytes,
     is_idle,
-    note_freed,
     note_full,
     note_pace,
     note_refused,
@@ -135,9 +134,7 @@
         self.refused: list[Refused] = []
 
 
-def update_servers(
-    planner: Planner, servers: Iterable[BackendServer], now_ms: int
-) -> None:
+def update_servers(planner: Planner, servers: Iterable[BackendServer]) -> None:
     """Take over which servers take new work."""
     by_id = {server.id: server for server in servers}
     for server_id in planner.servers.keys() - by_id.keys():
@@ -145,7 +142,7 @@
     for server_id, server in by_id.items():
         known = planner.servers.get(server_id)
         if known is None or known.server.born_ms != server.born_ms:
-            fresh = planner.servers[server_id] = StageServer(server, now_ms)
+            fresh = planner.servers[server_id] = StageServer(server)
             # Another planner may have filled it.
             fresh.needs_report = True
         else:
@@ -233,14 +230,15 @@
             state.waiting.append(number)
 
 
-def released(planner: Planner, confirmed: Release, now_ms: int) -> None:
+def released(planner: Planner, confirmed: Release) -> None:
     """Take in that a server has given results up."""
     server = planner.servers.get(confirmed.server_id)
     if server is None:
         return
     server.full_until_ms = 0
     for handle in confirmed.handles:
-        note_freed(server, handle, now_ms)
+        server.held.pop(handle, None)
+        server.releasing.discard(handle)
 
 
 def is_begun(state: AskState) -> bool:
--- a/src/bramleyturn/core/pieces/stage_server.py
+++ b/src/bramleyturn/core/pieces/stage_server.py
@@ -1,6 +1,5 @@
 """Know how busy, fast and full one server of a stage is."""
 
-from collections import deque
 from typing import Final
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
@@ -17,8 +16,6 @@
 MAX_BACKOFF_MS: Final = 3_200
 # A server that did not answer is not counted on within this time.
 DOUBTED_MS: Final = 1_500
-# Reports are this old at the most.
-REPORT_AGE_MS: Final = 800
 # A report is some hundred milliseconds old, so asking more often says nothing new.
 REPORT_EVERY_MS: Final = 400
 # A server that said it has no room is asked again after this time at the latest.
@@ -32,21 +29,20 @@
     ``held`` has the size and the expiry of every result that was not given up, and
     ``releasing`` those that the server has yet to confirm. ``foreign_bytes`` is room
     that results of another planner take until ``foreign_until_ms`` at the latest.
-    ``freed`` has what was given up of late, and when. The server's own report is
-    wanted while ``needs_report`` is set, and nothing is sent
-    before it while the server ``is_doubted``.
+    It is what the server's first report shows. A report is wanted while
+    ``needs_report`` is set, and nothing is sent before it while the server
+    ``is_doubted``.
     """
 
-    def __init__(self, server: BackendServer, now_ms: int = 0) -> None:
+    def __init__(self, server: BackendServer) -> None:
         self.server = server
-        self.known_since_ms = now_ms
+        self.has_reported = False
         self.call_id: int | None = None
         self.busy_until_ms = 0
         self.pace = 1.0
         self.held: dict[str, tuple[int, int]] = {}
         self.releasing: set[str] = set()
         self.reserved_bytes = 0
-        self.freed: deque[tuple[int, int]] = deque()
         self.foreign_bytes = 0
         self.foreign_until_ms = 0
         self.needs_report = False
@@ -78,13 +74,6 @@
     return limits.room_bytes - held_bytes(state) - state.reserved_bytes - foreign
 
 
-def note_freed(state: StageServer, handle: str, now_ms: int) -> None:
-    """Note that the server has given up a result."""
-    size, _ = state.held.pop(handle, (0, 0))
-    state.releasing.discard(handle)
-    state.freed.append((now_ms, size))
-
-
 def held_bytes(state: StageServer) -> int:
     """Return the size of the results that this planner knows of."""
     return sum(size for size, _ in state.held.values())
@@ -142,19 +131,17 @@
 ) -> None:
     """Take in the room that a server reports.
 
-    What is taken and not known here belongs to results of another planner, if this one
-    is new enough for such results to live. The report is of a while ago, so what was
-    given up since then counts as known.
+    What the first report shows as taken and is not known here belongs to results of
+    another planner. Later ones only tell that the server is there: they are some
+    hundred milliseconds old, and would show results of this planner as foreign that
+    were given up meanwhile.
     """
     state.needs_report = False
     state.is_doubted = False
-    while state.freed and now_ms - state.freed[0][0] > REPORT_AGE_MS:
-        state.freed.popleft()
-    if now_ms - state.known_since_ms > limits.keep_ms:
-        state.foreign_bytes = 0
+    if state.has_reported:
         return
+    state.has_reported = True
     known = held_bytes(state) + state.reserved_bytes
-    known += sum(size for _, size in state.freed)
     state.foreign_bytes = max(0, limits.room_bytes - reported_free_bytes - known)
     state.foreign_until_ms = now_ms + limits.keep_ms
 
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -175,7 +175,7 @@
     def servers_changed(self) -> None:
         """Take over which servers take new work."""
         for pool, planner in self.pipeline.planners.items():
-            update_servers(planner, self.serving.ready(pool), self.serving.now_ms())
+            update_servers(planner, self.serving.ready(pool))
         self._run()
 
     def _planner(self, pool: str) -> Planner | None:
@@ -187,7 +187,7 @@
             return known
         if known is None:
             known = self.pipeline.planners[pool] = Planner(pool, limits)
-            update_servers(known, self.serving.ready(pool), self.serving.now_ms())
+            update_servers(known, self.serving.ready(pool))
         known.limits = limits
         return known
 
@@ -338,7 +338,7 @@
                 extra={"server": ordered.server_id, "reason": _describe(answer)},
             )
             return
-        released(planner, ordered, self.serving.now_ms())
+        released(planner, ordered)
         self._run()
 
 
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -100,7 +100,7 @@
         for pool, limit in limits.items():
             planner = Planner(pool, limit)
             known = [site_server(pool, place) for place in range(servers)]
-            update_servers(planner, known, 0)
+            update_servers(planner, known)
             self.pipeline.planners[pool] = planner
 
     def at(self, at_ms: int, what: Callable[[], None]) -> None:
@@ -229,7 +229,7 @@
         """Give up results."""
         for planner in self.pipeline.planners.values():
             for ordered in release(planner, handles):
-                released(planner, ordered, self.now_ms)
+                released(planner, ordered)
 
     def in_aim(self, kind: str = "") -> float:
         """Return the part of the worth that was served in time."""
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -41,7 +41,7 @@
     """Return a pipeline of one pool with three servers."""
     made = Pipeline()
     planner = made.planners[POOL] = Planner(POOL, LIMITS[POOL])
-    update_servers(planner, [site_server(POOL, place) for place in range(3)], 0)
+    update_servers(planner, [site_server(POOL, place) for place in range(3)])
     return made, planner
 
 
--- a/tests/core/pieces/test_stage_server.py
+++ b/tests/core/pieces/test_stage_server.py
@@ -2,11 +2,9 @@
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
 from bramleyturn.core.pieces.stage_server import (
-    REPORT_AGE_MS,
     StageServer,
     free_bytes,
     is_idle,
-    note_freed,
     note_report,
     note_silent,
     wants_report,
@@ -15,10 +13,10 @@
 LIMITS = BatchLimits(1, 2, 4, 150.0, 32.0, 1_000, 4_000)
 
 
-def server(now_ms: int = 0) -> StageServer:
-    """Return what is known of a server since ``now_ms``."""
+def server() -> StageServer:
+    """Return what is known of a new server."""
     backend = BackendServer("s", "p", "10.0.0.1", 80, "z", "v", 1, False, 0, 0)
-    return StageServer(backend, now_ms)
+    return StageServer(backend)
 
 
 class TestReports:
@@ -30,18 +28,21 @@
         assert free_bytes(state, LIMITS, 100) == 400
         assert free_bytes(state, LIMITS, 100 + LIMITS.keep_ms) == 1_000
 
-    def test_what_was_just_given_up_is_not_foreign(self) -> None:
+    def test_own_results_are_not_foreign(self) -> None:
         state = server()
         state.held["h"] = (600, 4_000)
-        note_freed(state, "h", 100)
-        note_report(state, LIMITS, 400, 100 + REPORT_AGE_MS)
-        assert free_bytes(state, LIMITS, 900) == 1_000
+        note_report(state, LIMITS, 400, 100)
+        assert free_bytes(state, LIMITS, 100) == 400
+        state.held.clear()
+        assert free_bytes(state, LIMITS, 200) == 1_000
 
-    def test_known_planner_trusts_its_own_account(self) -> None:
+    def test_old_news_of_own_results_takes_no_room(self) -> None:
         state = server()
-        now_ms = LIMITS.keep_ms + 1
-        note_report(state, LIMITS, 100, now_ms)
-        assert free_bytes(state, LIMITS, now_ms) == 1_000
+        note_report(state, LIMITS, 1_000, 100)
+        state.held["h"] = (600, 4_000)
+        state.held.clear()
+        note_report(state, LIMITS, 400, 300)
+        assert free_bytes(state, LIMITS, 300) == 1_000
 
 
 class TestDoubt:
