--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -76,7 +76,10 @@
 
 
 def decode_free_bytes(body: bytes) -> int | None:
-    """Return the room for results in a server's report, None for a broken one."""
+    """Return the most room that a server's report may mean, None for a broken one.
+
+    ``freeMb`` is rounded down to whole megabytes, which is all the room of some servers.
+    """
     try:
         document = orjson.loads(body)
     except orjson.JSONDecodeError:
@@ -84,7 +87,7 @@
     if not isinstance(document, dict):
         return None
     free = number_field(document, "freeMb")
-    return None if free is None else int(free * BYTES_PER_MEGABYTE)
+    return None if free is None else int((free + 1) * BYTES_PER_MEGABYTE)
 
 
 def handle_address(handle: str) -> str:
--- /dev/null
+++ b/tests/platform/test_stage_calls.py
@@ -0,0 +1,59 @@
+"""Word the calls to the servers of a stage and read their answers."""
+
+import orjson
+import pytest
+
+from bramleyturn.core.pieces.model import MadePiece, Piece, PieceFailure
+from bramleyturn.platform.stage_calls import (
+    decode_free_bytes,
+    decode_run,
+    encode_run,
+    handle_address,
+)
+
+
+class TestRun:
+    """Calls that make pieces."""
+
+    def test_first_stage_sends_its_key_and_others_their_inputs(self) -> None:
+        first = Piece("a", 0, 2, "7c1e", (), 1_900)
+        later = Piece("b", 2, 0, "7c1e", ("10.0.0.1:80/x",), 900)
+        items = orjson.loads(encode_run([first, later], 1_000))["items"]
+        assert items[0] == {
+            "id": "a",
+            "stage": 0,
+            "piece": 2,
+            "leftMs": 900,
+            "key": "7c1e",
+        }
+        assert items[1]["inputs"] == ["10.0.0.1:80/x"]
+        assert "key" not in items[1]
+        assert items[1]["leftMs"] == 1
+
+    def test_outcomes(self) -> None:
+        items = [{"handle": "h"}, {"reason": "gone"}, {"reason": "new"}, 3]
+        assert decode_run(orjson.dumps({"items": items}), 4) == [
+            MadePiece("h", None),
+            MadePiece("", PieceFailure.INPUT_GONE),
+            MadePiece("", PieceFailure.FAILED),
+            MadePiece("", PieceFailure.FAILED),
+        ]
+
+    @pytest.mark.parametrize("body", [b"x", b"[]", b'{"items":[]}'])
+    def test_answer_that_does_not_match_is_none(self, body: bytes) -> None:
+        assert decode_run(body, 1) is None
+
+
+class TestReport:
+    """Room for results."""
+
+    def test_rounded_down_room_may_be_all_there_is(self) -> None:
+        assert decode_free_bytes(b'{"freeMb": 0}') == 1_000_000
+        assert decode_free_bytes(b'{"freeMb": 17}') == 18_000_000
+
+    def test_broken_report(self) -> None:
+        assert decode_free_bytes(b'{"freeMb": "1"}') is None
+        assert decode_free_bytes(b"no") is None
+
+    def test_address_of_a_handle(self) -> None:
+        assert handle_address("10.0.0.1:80/5c1e") == "10.0.0.1:80"
