--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -78,7 +78,7 @@
 def decode_free_bytes(body: bytes) -> int | None:
     """Return the most room that a server's report may mean, None for a broken one.
 
-    ``freeMb`` is rounded down to whole megabytes, which is all the room of some servers.
+    ``freeMb`` is rounded down to whole megabytes, and some servers have less than one.
     """
     try:
         document = orjson.loads(body)
