Answer 503 to what reached no server before its time was over

A try was taken for a send. Change: what counts is whether the request was written to a server. A test of a request whose time ends before any server fails without it (504).

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -95,6 +95,7 @@
         self.first_sent_ms = exchange.arrived_ms
         self.deadline_ms = exchange.arrived_ms + wait_ms
         self.may_have_run = False
+        self.is_at_server = False
         self.tried: list[str] = []
         self.last_event_id = head.last_event_id
         self.first_event_ms: int | None = None
@@ -211,6 +212,7 @@
             if isinstance(ended, Answered):
                 is_error = ended.head.status >= FIRST_SERVER_ERROR
                 runs += 1
+                call.may_have_run = True
                 if is_error and self._may_run_again(call, runs):
                     failed_answer = ended
                     continue
@@ -293,16 +295,22 @@
             take_head=lambda answer: self._take_head(server, answer),
         )
         may_reuse = may_repeat(call.route)
+
+        def may_send() -> bool:
+            call.is_at_server = is_ready(serving.book, server.id, serving.now_ms())
+            return call.is_at_server
+
         note_sent(serving.loads, server.id)
         try:
             ended = await run_attempt(
                 serving.servers_pool,
                 attempt,
                 may_reuse,
-                lambda: is_ready(serving.book, server.id, serving.now_ms()),
+                may_send,
             )
         finally:
             note_ended(serving.loads, server.id)
+        call.is_at_server = False
         self._note_attempt(call, server, ended, sent_ms)
         return ended
 
@@ -459,8 +467,11 @@
         )
 
     def _given_up(self, call: Call) -> Refusal:
-        """Return the answer to a request whose time is over."""
-        if not call.tried:
+        """Return the answer to a request whose time is over.
+
+        Only what no server can have begun may be sent again by its caller.
+        """
+        if not call.may_have_run and not call.is_at_server:
             return Refusal(503, "no_time_left", 0)
         return Refusal(504, "no_time_left", None)
 
--- a/tests/site/test_whole_path.py
+++ b/tests/site/test_whole_path.py
@@ -79,6 +79,13 @@
         answer = healed.call("/order/1", method="POST", body=b"x", wait_ms=400)
         assert answer.status == 504
 
+    def test_time_over_before_any_server_was_reached_is_not_run(
+        self, healed: SiteFleet
+    ) -> None:
+        answer = healed.draft(attempt_id="p5", wait_ms=16)
+        assert answer.status == 503
+        assert healed.ran("p5") == []
+
 
 class TestStreams:
     """Streams with a stage before them."""
