Split the planner and the request flow; keep a workspace without keys closed

Change: core/pieces is planner, dispatch, timing, releases and call_results; gateway/caller_request holds a request on its way. Whether keys are asked for depends on the workspaces of the configuration, not on their keys; a test fails without (200 for 401).

--- /dev/null
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -0,0 +1,193 @@
+"""Take in what became of calls, and end the asks that they complete."""
+
+from typing import Final
+
+from bramleyturn.core.pieces.model import AskDone, MadePiece, PieceFailure
+from bramleyturn.core.pieces.planner import (
+    AskState,
+    MovedPiece,
+    Outcome,
+    Planner,
+    RunningCall,
+)
+from bramleyturn.core.pieces.releases import release
+from bramleyturn.core.pieces.stage_server import (
+    StageServer,
+    note_full,
+    note_pace,
+    note_refused,
+    note_silent,
+)
+from bramleyturn.core.pieces.timing import learn_work
+
+# A piece that failed this often makes its request fail.
+MAX_TRIES: Final = 4
+
+
+def call_ended(
+    planner: Planner, call_id: int, made: list[MadePiece], now_ms: int
+) -> Outcome:
+    """Take in the answer of a server."""
+    outcome = Outcome()
+    closed = _close(planner, call_id)
+    if closed is None:
+        return outcome
+    running, server = closed
+    if server is not None:
+        took_ms = now_ms - running.sent_ms
+        if any(piece.failure is None for piece in made):
+            learn_work(planner, server, running, took_ms)
+            note_pace(server, running.nominal_ms, took_ms)
+    unused: list[str] = []
+    for part, piece, size in zip(
+        running.parts, made, running.result_bytes, strict=True
+    ):
+        if piece.failure is None and server is not None:
+            until_ms = now_ms + planner.limits.keep_ms
+            server.held[piece.handle] = (size, until_ms)
+        if not _take(planner, running, part, piece, server, outcome, now_ms):
+            unused += [piece.handle] if piece.failure is None else []
+    outcome.releases += release(planner, unused)
+    return outcome
+
+
+def call_failed(
+    planner: Planner, call_id: int, was_refused: bool, now_ms: int
+) -> Outcome:
+    """Take in that a call brought no answer. A full server refuses it at once."""
+    outcome = Outcome()
+    closed = _close(planner, call_id)
+    if closed is None:
+        return outcome
+    running, server = closed
+    if server is not None:
+        if was_refused:
+            note_refused(server, now_ms)
+        else:
+            took_ms = now_ms - running.sent_ms
+            note_silent(server, running.nominal_ms, took_ms)
+    for ask_id, number in running.parts:
+        state = planner.asks.get(ask_id)
+        if state is None:
+            continue
+        state.running -= 1
+        if state.is_moved:
+            outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
+            continue
+        state.waiting.append(number)
+        state.tries += 0 if was_refused else 1
+        if state.tries >= MAX_TRIES:
+            fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
+    return outcome
+
+
+def take_moved(planner: Planner, moved: MovedPiece, now_ms: int) -> Outcome:
+    """Take in what became of a piece that the planner before this one had made."""
+    outcome = Outcome()
+    state = planner.asks.get(moved.ask_id)
+    server = planner.servers.get(moved.server_id)
+    if moved.handle and server is not None:
+        size = state.ask.result_bytes if state is not None else 0
+        server.held[moved.handle] = (size, now_ms + planner.limits.keep_ms)
+    if state is None or moved.number not in state.awaited:
+        return outcome
+    del state.awaited[moved.number]
+    if not moved.handle:
+        state.waiting.append(moved.number)
+        return outcome
+    state.made[moved.number] = (moved.handle, moved.zone)
+    if len(state.made) == state.ask.piece_count:
+        _finish(planner, state, outcome, now_ms)
+    return outcome
+
+
+def wait_no_more(planner: Planner, now_ms: int) -> None:
+    """Make anew the pieces that the planner before this one did not bring."""
+    for state in planner.asks.values():
+        overdue = [
+            number for number, until_ms in state.awaited.items() if until_ms <= now_ms
+        ]
+        for number in overdue:
+            del state.awaited[number]
+            state.waiting.append(number)
+
+
+def _close(
+    planner: Planner, call_id: int
+) -> tuple[RunningCall, StageServer | None] | None:
+    """Free the slot of a call that is over; None for a call that is not known."""
+    running = planner.calls.pop(call_id, None)
+    if running is None:
+        return None
+    server = planner.servers.get(running.call.server_id)
+    if server is not None and server.call_id == call_id:
+        server.call_id = None
+        server.busy_until_ms = 0
+        server.reserved_bytes = 0
+    return running, server
+
+
+def _take(
+    planner: Planner,
+    running: RunningCall,
+    part: tuple[str, int],
+    piece: MadePiece,
+    server: StageServer | None,
+    outcome: Outcome,
+    now_ms: int,
+) -> bool:
+    """Take in one piece; return whether its result is wanted."""
+    ask_id, number = part
+    state = planner.asks.get(ask_id)
+    if state is None:
+        return False
+    state.running -= 1
+    zone = server.server.zone if server is not None else ""
+    if state.is_moved:
+        server_id = running.call.server_id
+        moved = MovedPiece(planner.pool, ask_id, number, piece.handle, server_id, zone)
+        outcome.moved.append(moved)
+        return True
+    if piece.failure is None:
+        state.made[number] = (piece.handle, zone)
+        if len(state.made) == state.ask.piece_count:
+            _finish(planner, state, outcome, now_ms)
+        return True
+    if piece.failure in (PieceFailure.LATE, PieceFailure.INPUT_GONE):
+        fail_ask(planner, state, piece.failure, outcome, now_ms)
+        return True
+    if piece.failure is PieceFailure.NO_ROOM and server is not None:
+        note_full(server, now_ms)
+    else:
+        state.tries += 1
+    state.waiting.append(number)
+    if state.tries >= MAX_TRIES:
+        fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
+    return True
+
+
+def _finish(planner: Planner, state: AskState, outcome: Outcome, now_ms: int) -> None:
+    made = [state.made[number] for number in range(state.ask.piece_count)]
+    handles = tuple(handle for handle, _ in made)
+    zones = tuple(zone for _, zone in made)
+    _end(planner, AskDone(state.ask.ask_id, handles, zones, None), outcome, now_ms)
+
+
+def fail_ask(
+    planner: Planner,
+    state: AskState,
+    failure: PieceFailure,
+    outcome: Outcome,
+    now_ms: int,
+    wait_ms: int = 0,
+) -> None:
+    """End an ask without its results."""
+    outcome.releases += release(planner, [handle for handle, _ in state.made.values()])
+    done = AskDone(state.ask.ask_id, (), (), failure, wait_ms)
+    _end(planner, done, outcome, now_ms)
+
+
+def _end(planner: Planner, done: AskDone, outcome: Outcome, now_ms: int) -> None:
+    planner.asks.pop(done.ask_id, None)
+    planner.done[done.ask_id] = (done, now_ms)
+    outcome.done.append(done)
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -11,22 +11,12 @@
 import math
 from typing import Final
 
+from bramleyturn.core.pieces.call_results import fail_ask, wait_no_more
+from bramleyturn.core.pieces.dispatch import is_begun, serve_in_order
 from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
-from bramleyturn.core.pieces.planner import (
-    AskState,
-    Outcome,
-    Planner,
-    Refused,
-    busy_ms,
-    fail_ask,
-    is_begun,
-    piece_ms,
-    serve_in_order,
-    stage_ms,
-    submit,
-    wait_no_more,
-    withdraw,
-)
+from bramleyturn.core.pieces.planner import AskState, Outcome, Planner, Refused, submit
+from bramleyturn.core.pieces.releases import withdraw
+from bramleyturn.core.pieces.timing import busy_ms, piece_ms, stage_ms
 
 # Without a server for this long, what waits is told so.
 NO_SERVER_MS: Final = 1_500
--- /dev/null
+++ b/src/bramleyturn/core/pieces/releases.py
@@ -0,0 +1,59 @@
+"""Give results up, so that their room can be used again."""
+
+from collections.abc import Iterable
+
+from bramleyturn.core.pieces.model import (
+    Release,
+)
+from bramleyturn.core.pieces.planner import (
+    Planner,
+)
+
+
+def withdraw(planner: Planner, ask_id: str) -> list[Release]:
+    """Drop an ask that nobody waits for; return the results to give up."""
+    state = planner.asks.pop(ask_id, None)
+    if state is None:
+        return []
+    return release(planner, [handle for handle, _ in state.made.values()])
+
+
+def release(planner: Planner, handles: Iterable[str]) -> list[Release]:
+    """Give up results; return what their servers must be told.
+
+    Their room counts as taken until the server has confirmed that it is free, since a
+    call that overtakes the release would find it full.
+    """
+    by_server: dict[str, list[str]] = {}
+    for handle in handles:
+        for server_id, server in planner.servers.items():
+            if handle in server.held and handle not in server.releasing:
+                server.releasing.add(handle)
+                by_server.setdefault(server_id, []).append(handle)
+                break
+    return [
+        Release(server_id, tuple(handles)) for server_id, handles in by_server.items()
+    ]
+
+
+def release_foreign(
+    planner: Planner, server_id: str, handles: Iterable[str], size: int
+) -> Release | None:
+    """Give up results that another planner had made on a server."""
+    server = planner.servers.get(server_id)
+    if server is None:
+        return None
+    unknown = tuple(handle for handle in handles if handle not in server.held)
+    server.foreign_bytes = max(0, server.foreign_bytes - size * len(unknown))
+    return Release(server_id, unknown) if unknown else None
+
+
+def released(planner: Planner, confirmed: Release) -> None:
+    """Take in that a server has given results up."""
+    server = planner.servers.get(confirmed.server_id)
+    if server is None:
+        return
+    server.full_until_ms = 0
+    for handle in confirmed.handles:
+        server.held.pop(handle, None)
+        server.releasing.discard(handle)
--- /dev/null
+++ b/src/bramleyturn/core/pieces/timing.py
@@ -0,0 +1,64 @@
+"""Estimate how long calls take, from the configuration and from what calls took."""
+
+from typing import Final
+
+from bramleyturn.core.pieces.planner import Planner, RunningCall
+from bramleyturn.core.pieces.stage_server import DOUBTED_MS, StageServer, free_at_ms
+
+# Weight of the newest call in the running mean of the work of a piece.
+WORK_WEIGHT: Final = 0.3
+MIN_WORK: Final = 0.05
+MAX_WORK: Final = 4.0
+
+
+def piece_ms(planner: Planner, result_bytes: int) -> float:
+    """Return the time in which the pool makes one piece while it is busy."""
+    limits = planner.limits
+    paces = [1 / server.pace for server in _answering(planner)]
+    if not paces:
+        return limits.call_ms + limits.item_ms
+    own_ms = limits.item_ms * work_of(planner, result_bytes)
+    return (limits.call_ms / limits.batch_items + own_ms) / sum(paces)
+
+
+def stage_ms(planner: Planner, count: int, result_bytes: int) -> float:
+    """Return the nominal time of the pieces of a stage that run side by side."""
+    limits = planner.limits
+    in_call = min(count, limits.batch_items)
+    return limits.call_ms + limits.item_ms * in_call * work_of(planner, result_bytes)
+
+
+def busy_ms(planner: Planner, now_ms: int) -> float:
+    """Return for how long the servers are busy with what they have, on average."""
+    servers = _answering(planner)
+    if not servers:
+        return DOUBTED_MS
+    return sum(free_at_ms(server, now_ms) - now_ms for server in servers) / len(servers)
+
+
+def _answering(planner: Planner) -> list[StageServer]:
+    """Return the servers that are counted on."""
+    return [server for server in planner.servers.values() if not server.is_doubted]
+
+
+def work_of(planner: Planner, result_bytes: int) -> float:
+    """Return the work of a piece relative to what the configuration says.
+
+    Stages that share a pool differ in it; the size of their results tells them apart.
+    """
+    return planner.work.get(result_bytes, 1.0)
+
+
+def learn_work(
+    planner: Planner, server: StageServer, running: RunningCall, took_ms: int
+) -> None:
+    """Learn the work of a piece from a call whose pieces are alike."""
+    sizes = set(running.result_bytes)
+    limits = planner.limits
+    if len(sizes) != 1 or limits.item_ms <= 0 or server.pace <= 0:
+        return
+    size = running.result_bytes[0]
+    item_ms = (took_ms / server.pace - limits.call_ms) / len(running.result_bytes)
+    seen = min(MAX_WORK, max(MIN_WORK, item_ms / limits.item_ms))
+    known = planner.work.get(size, 1.0)
+    planner.work[size] = known + WORK_WEIGHT * (seen - known)
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -1,12 +1,12 @@
 """Carry a caller's request from its arrival to its answer."""
 
 import logging
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import orjson
 from twisted.internet.defer import CancelledError, Deferred
 
-from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
+from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.catalog.server_book import is_ready
 from bramleyturn.core.placement.choice import (
@@ -32,6 +32,15 @@
     Streamed,
     run_attempt,
 )
+from bramleyturn.gateway.caller_request import (
+    USUAL_WAIT_MS,
+    Call,
+    Refusal,
+    describe_end,
+    engine_urgency,
+    stage_wait_ms,
+    urgency_of,
+)
 from bramleyturn.gateway.http1_client import Headers
 from bramleyturn.gateway.http1_server import Exchange
 from bramleyturn.gateway.metrics import count, observe
@@ -40,8 +49,9 @@
 from bramleyturn.gateway.stage_work import StageOrder, StageResults, StageWork
 from bramleyturn.platform.answers import AnswerHead, caller_headers
 from bramleyturn.platform.requests import (
+    ATTEMPT_ID,
+    PIECES,
     BadHead,
-    CallerHead,
     ServerHead,
     read_caller_head,
     server_headers,
@@ -50,60 +60,14 @@
 MS_PER_S: Final = 1_000
 # An answer given this long before the caller leaves still reaches it.
 ANSWER_MARGIN_MS: Final = 15
-# What a refused caller is told to wait where no better estimate is known.
-USUAL_WAIT_MS: Final = 300
 NO_CONFIGURATION_WAIT_MS: Final = 500
 STATUS_CONFLICT: Final = 409
-LEAST_URGENT: Final = 9
-# A step of a workspace's rank weighs as much as this many steps of a route's.
-URGENCY_STEP: Final = 5
 # Servers that refuse are tried up to this many for one request.
 MAX_REFUSALS: Final = 3
 
 logger = logging.getLogger(__name__)
 
 
-class Refusal(NamedTuple):
-    """Hold an answer of this system's own, and its reason.
-
-    ``wait_ms`` is after which time the caller may come back, None for not at all.
-    """
-
-    status: int
-    reason: str
-    wait_ms: int | None
-
-
-class Call:
-    """Hold a request on its way."""
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        head: CallerHead,
-        route: Route,
-        workspace: Workspace | None,
-        pool: str,
-        wait_ms: int,
-    ) -> None:
-        self.exchange = exchange
-        self.head = head
-        self.route = route
-        self.workspace = workspace
-        self.pool = pool
-        self.arrived_ms = exchange.arrived_ms
-        self.first_sent_ms = exchange.arrived_ms
-        self.deadline_ms = exchange.arrived_ms + wait_ms
-        self.may_have_run = False
-        self.is_at_server = False
-        self.tried: list[str] = []
-        self.last_event_id = head.last_event_id
-        self.first_event_ms: int | None = None
-        self.is_timed_out = False
-        self.stages: StageWork | None = None
-        self.inputs: tuple[str, ...] = ()
-
-
 class RequestFlow:
     """Hold what is needed to serve requests."""
 
@@ -141,7 +105,8 @@
         if isinstance(head, BadHead):
             return Refusal(400, f"bad_header {head.header}", None)
         workspace = serving.workspaces.get(head.key)
-        if workspace is None and serving.workspaces and not route.is_public:
+        needs_key = bool(serving.published.workspaces) and not route.is_public
+        if workspace is None and needs_key:
             return Refusal(401, "unknown_key", None)
         wait_ms = route.timeout_ms if head.wait_ms is None else head.wait_ms
         wait_ms = min(wait_ms, route.timeout_ms)
@@ -149,7 +114,7 @@
         note_request(serving.budget, pool, serving.now_ms())
         count(serving.metrics, "requests", route.name)
         if len(head.piece_counts) != len(route.stages) and any(head.piece_counts):
-            return Refusal(400, "bad_header Bramleyturn-Pieces", None)
+            return Refusal(400, f"bad_header {PIECES.decode()}", None)
         call = Call(exchange, head, route, workspace, pool, wait_ms)
         if head.wait_ms is not None:
             spent_ms = time_spent_ms(serving.longest_waits, route.name, head.wait_ms)
@@ -402,7 +367,7 @@
         logger.info(
             "request refused",
             extra={
-                "request_id": exchange.header(b"bramleyturn-attempt-id"),
+                "request_id": exchange.header(ATTEMPT_ID),
                 "status": refusal.status,
                 "reason": refusal.reason,
                 "retry_after_ms": wait_ms,
@@ -480,31 +445,3 @@
 
     def _log(self, call: Call, event: str, fields: dict[str, Any]) -> None:
         logger.info(event, extra={"request_id": call.head.attempt_id, **fields})
-
-
-def urgency_of(call: Call) -> int:
-    """Return the rank of a request: by its workspace, then by its route."""
-    workspace = call.workspace
-    own = workspace.priority if workspace is not None else None
-    return min(LEAST_URGENT, own or 0) * URGENCY_STEP + engine_urgency(call)
-
-
-def engine_urgency(call: Call) -> int:
-    """Return the rank of a request among those at one engine, from 0 to 9."""
-    return min(LEAST_URGENT, call.route.priority)
-
-
-def stage_wait_ms(results: StageResults) -> int:
-    """Return after which time a stage that could not be done may be asked again."""
-    return max(USUAL_WAIT_MS, results.wait_ms)
-
-
-def describe_end(ended: AttemptEnd) -> tuple[str, str]:
-    """Return the kind of an attempt's end and its detail, for logs and counters."""
-    if isinstance(ended, Answered):
-        return "answered", str(ended.head.status)
-    if isinstance(ended, Streamed):
-        return "streamed", str(ended.head.status)
-    if isinstance(ended, NotRun):
-        return "not_run", str(ended.status or "not connected")
-    return "broken", str(ended.reason)
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -7,20 +7,15 @@
 
 from bramleyturn.core.catalog.model import BackendServer, server_address
 from bramleyturn.core.fleet.owners import STAGES, owner_of
+from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import Handover, give_over, take_over
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
 from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
-from bramleyturn.core.pieces.planner import (
-    MovedPiece,
-    Outcome,
-    Planner,
-    call_ended,
-    call_failed,
+from bramleyturn.core.pieces.planner import MovedPiece, Outcome, Planner, update_servers
+from bramleyturn.core.pieces.releases import (
     release,
     release_foreign,
     released,
-    take_moved,
-    update_servers,
     withdraw,
 )
 from bramleyturn.core.pieces.stage_server import (
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.pieces.call_results import call_ended, call_failed, fail_ask
+from bramleyturn.core.pieces.dispatch import serve_all
 from bramleyturn.core.pieces.model import (
     AskDone,
     LaterStage,
@@ -16,17 +18,8 @@
     StageCall,
 )
 from bramleyturn.core.pieces.pipeline import Pipeline, take_ask
-from bramleyturn.core.pieces.planner import (
-    Outcome,
-    Planner,
-    call_ended,
-    call_failed,
-    fail_ask,
-    release,
-    released,
-    serve_all,
-    update_servers,
-)
+from bramleyturn.core.pieces.planner import Outcome, Planner, update_servers
+from bramleyturn.core.pieces.releases import release, released
 from bramleyturn.core.pieces.stage_server import (
     held_bytes,
     note_report,
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -1,16 +1,10 @@
 """Hand the planning over without losing or repeating work."""
 
+from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import give_over, take_over
 from bramleyturn.core.pieces.model import MadePiece, StageAsk
 from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
-from bramleyturn.core.pieces.planner import (
-    MovedPiece,
-    Planner,
-    call_ended,
-    call_failed,
-    take_moved,
-    update_servers,
-)
+from bramleyturn.core.pieces.planner import MovedPiece, Planner, update_servers
 from tests.core.pieces.diary_load import LIMITS
 from tests.core.pieces.stage_world import site_server
 
--- a/tests/site/test_whole_path.py
+++ b/tests/site/test_whole_path.py
@@ -137,6 +137,14 @@
         for entry in range(2):
             until(partial(has_status, entry, 401), "closed again")
 
+    def test_workspace_that_lost_all_keys_is_closed(self, site: SiteFleet) -> None:
+        closed = [{"name": "north", "apiKeys": []}]
+        site.steer("/configuration", tenants=closed)
+        until(lambda: site.call("/lookup/1").status == 401, "keys taken away")
+        assert site.call("/lookup/1", key="").status == 401
+        site.steer("/configuration")
+        until(lambda: site.call("/lookup/1").status == 200, "open again")
+
     def test_forgotten_history_is_read_anew(self, healed: SiteFleet) -> None:
         healed.steer("/store", forget=True)
         healed.steer("/configuration", tenants=[])
