Bound what an entry remembers of requests, loads and asks

Cause: reading the change as a newcomer. The budget kept the instant of every request of a pool that needs no repeats, the owner the origin of every ask, the load book every server that ever reported. Change: the window is cut whenever a request is counted; origins end with their ask; loads end with their server. Tests of the first and the last.

--- a/src/bramleyturn/core/catalog/routes.py
+++ b/src/bramleyturn/core/catalog/routes.py
@@ -2,11 +2,12 @@
 
 import hashlib
 from collections.abc import Iterable
+from typing import Final
 
 from bramleyturn.core.catalog.model import Published, Route, Workspace
 
-HASH_BYTES = 8
-HASH_SPAN = 2 ** (8 * HASH_BYTES)
+HASH_BYTES: Final = 8
+HASH_SPAN: Final = 2 ** (8 * HASH_BYTES)
 
 
 class RouteIndex:
--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -61,6 +61,14 @@
     book.sent_since[server_id] = 0
 
 
+def forget_loads(book: LoadBook, kept: frozenset[str]) -> None:
+    """Drop what was reported of servers that are no longer registered."""
+    for server_id in book.reported.keys() - kept:
+        del book.reported[server_id]
+    for server_id in book.sent_since.keys() - kept:
+        del book.sent_since[server_id]
+
+
 def load_of(book: LoadBook, server_id: str, now_ms: int) -> float:
     """Return the requests that a server is believed to have."""
     own = book.in_flight.get(server_id, 0)
--- a/src/bramleyturn/core/repeat/shared_budget.py
+++ b/src/bramleyturn/core/repeat/shared_budget.py
@@ -36,7 +36,7 @@
 
 def note_request(budget: SharedBudget, pool: str, now_ms: int) -> None:
     """Count a caller's request for a pool."""
-    budget.requests.setdefault(pool, deque()).append(now_ms)
+    _within(budget, budget.requests, pool, now_ms).append(now_ms)
 
 
 def note_instances(budget: SharedBudget, live: int) -> None:
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -200,6 +200,9 @@
         self.is_ticking = False
         self._hand_over()
         planners = self.pipeline.planners.values()
+        open_asks = {ask_id for planner in planners for ask_id in planner.asks}
+        for ask_id in self.origins.keys() - open_asks:
+            del self.origins[ask_id]
         if any(planner.asks or planner.done for planner in planners):
             self._run()
 
@@ -219,7 +222,8 @@
             Deferred.fromCoroutine(made).addErrback(_log_failure)
 
     def _tell(self, done: AskDone) -> None:
-        origin = self.origins.get(done.ask_id)
+        # A repeated ask names its origin again.
+        origin = self.origins.pop(done.ask_id, None)
         if origin is not None:
             self.links.send(origin, encode_done(done))
 
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -14,6 +14,7 @@
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.server_book import drop_lapsed, register, remove
 from bramleyturn.core.fleet.members import newest_holder
+from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
 from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
 from bramleyturn.gateway.connection_pool import ConnectionPool, drop_idle
@@ -248,6 +249,7 @@
     serving = reader.serving
     known = frozenset(serving.book.entries)
     forget_servers(serving.health, known)
+    forget_loads(serving.loads, known)
     for name in set(serving.servers_pool.idle) - known:
         drop_idle(serving.servers_pool, name)
     servers_changed(serving)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -9,6 +9,7 @@
     LoadBook,
     choose_by_load,
     choose_by_prefix,
+    forget_loads,
     load_of,
     note_ended,
     note_report,
@@ -107,6 +108,14 @@
         note_ended(book, "s1")
         assert load_of(book, "s1", 0) == 0
 
+    def test_servers_that_are_gone_are_forgotten(self) -> None:
+        book = LoadBook()
+        note_sent(book, "s1")
+        note_report(book, "s1", 3, 0)
+        note_ended(book, "s1")
+        forget_loads(book, frozenset())
+        assert (book.reported, book.sent_since) == ({}, {})
+
     def test_nobody(self) -> None:
         assert choose_by_load([], LoadBook(), Random(1), 0) is None
 
--- a/tests/core/repeat/test_shared_budget.py
+++ b/tests/core/repeat/test_shared_budget.py
@@ -46,6 +46,12 @@
         note_request(budget, "members", 0)
         assert take_repeat(budget, "members", 1)
 
+    def test_requests_of_long_ago_are_forgotten(self) -> None:
+        budget = SharedBudget(LIMITS)
+        for at_ms in range(0, 100_000, 10):
+            note_request(budget, "members", at_ms)
+        assert len(budget.requests["members"]) <= LIMITS.window_ms / 10
+
     def test_pools_do_not_share(self) -> None:
         budget = SharedBudget(BudgetLimits(0.0, 8.0, 10_000))
         note_instances(budget, 4)
