--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -30,8 +30,6 @@
 # What is forecast to end this short before its time counts as late: calls last longer
 # than their nominal time by the way to the server and by the pieces that join them.
 MARGIN_PART: Final = 0.15
-
-
 # How much earlier a request is due for each step of its urgency. The longest bias
 # between the kinds of one workspace stays below the usual aim of a pipeline.
 URGENCY_MS: Final = 100
