--- a/src/bramleyturn/core/placement/health.py
+++ b/src/bramleyturn/core/placement/health.py
@@ -24,7 +24,6 @@
         self.ejections = 0
         self.ejected_until_ms = 0
         self.failure_rate = 0.0
-        self.first_byte_ms = 0.0
 
 
 class HealthBook:
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -58,7 +58,6 @@
         self.is_lost = False
         self.idle_since_ms = 0
         self.idle_limit_ms: int | None = None
-        self.uses = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send small requests at once."""
@@ -76,7 +75,6 @@
         """Send a whole request; ``listener`` takes in the answer."""
         transport: Any = self.transport
         self.listener = listener
-        self.uses += 1
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.http.send(request)
         if body:
--- a/src/bramleyturn/platform/fields.py
+++ b/src/bramleyturn/platform/fields.py
@@ -1,7 +1,6 @@
 """Read single fields of decoded documents, with a check of their types."""
 
 import math
-from collections.abc import Iterable
 from typing import Any, Final
 
 # Larger figures are no durations, sizes or counts that the platform could mean.
@@ -55,8 +54,3 @@
     if not isinstance(values, list):
         return False
     return all(type(value) is int and value >= 0 for value in values)
-
-
-def all_present(values: Iterable[Any]) -> bool:
-    """Return whether none of ``values`` is None."""
-    return all(value is not None for value in values)
--- a/src/bramleyturn/platform/store.py
+++ b/src/bramleyturn/platform/store.py
@@ -37,12 +37,12 @@
     revision: int
 
 
-def range_target(prefix: str, after: str = "", is_stale_ok: bool = False) -> str:
+def range_target(prefix: str, after: str = "") -> str:
     """Return the request target that lists the items below ``prefix``."""
     target = f"/bramleyturn/kv-range?prefix={quote(prefix, safe='')}"
     if after:
         target += f"&after={quote(after, safe='')}"
-    return target + ("&staleOk=1" if is_stale_ok else "")
+    return target
 
 
 def watch_target(prefix: str, after_revision: int, wait_ms: int) -> str:
