Give lost-backup cases tickets of the backup as it runs now

Cause: the case takes a ticket right after the backup was restarted. A primary that has not yet heard of the new run names the earlier one; such a ticket allows nothing, the caller is told not_run at once, and the wait for the run lasts until its limit. Six restarts in a row with a ticket at once: two tickets named the earlier run and both were answered not_run, the other four were answered. Change: the fleet waits for a ticket of the backup's present run. That a ticket of an earlier run runs nothing is still checked by the case of a backup that was killed before the intent.

--- a/tests/proofs/ticket_fleet.py
+++ b/tests/proofs/ticket_fleet.py
@@ -111,7 +111,12 @@
         return {"text": f"case {self.cases}"}
 
     def ticket(self, primary: str, backup: str, pipeline: str) -> Ticket:
-        """Return a ticket of these two entries."""
+        """Return a ticket of these two entries as they run now.
+
+        A primary names the run of the backup that it last heard from. A ticket of an
+        earlier run allows nothing, so that a case that needs a run would wait for it
+        in vain.
+        """
         names = {address: name for name, address in self.fleet.advertised.items()}
         found = Ticket("", "", "")
 
@@ -122,7 +127,9 @@
             fields = json.loads(base64.urlsafe_b64decode(padded)[MAC_BYTES:])
             held_by = names[fields[5][0]] if fields[5] else ""
             found = Ticket(text, names[fields[4][0]], held_by)
-            return held_by == backup
+            if held_by != backup:
+                return False
+            return bool(fields[5][1] == self.status(backup)["incarnation"])
 
         wait_until(is_found, f"a ticket of {primary} with {backup} as its backup")
         return found
