--- a/src/bramleyturn/core/catalog/prompt.py
+++ b/src/bramleyturn/core/catalog/prompt.py
@@ -13,3 +13,8 @@
 def shared_prefix(prompt: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
     """Return the parts that other requests may share: all but the last."""
     return prompt[:-1]
+
+
+def own_tokens(parts: tuple[PromptPart, ...]) -> int:
+    """Return the tokens of the part that no other request shares."""
+    return parts[-1].tokens if parts else 0
--- a/src/bramleyturn/core/fleet/members.py
+++ b/src/bramleyturn/core/fleet/members.py
@@ -22,12 +22,16 @@
 
 
 class MemberRef(NamedTuple):
-    """Name one run of an instance: its name, zone, address and incarnation."""
+    """Name one run of an instance: its name, zone, address and incarnation.
+
+    ``capacity`` is its processor time in hundredths of a core.
+    """
 
     name: str
     zone: str
     address: str
     incarnation: str
+    capacity: int = 100
 
 
 class Heartbeat(NamedTuple):
@@ -138,8 +142,14 @@
     return [own, *(state.heartbeat for state in told)], sorted(targets)
 
 
-def newest_holder(members: Members, revision: int, now_ms: int) -> MemberRef | None:
-    """Return a live instance that knows a newer revision of the store, if any."""
+def newest_holder(
+    members: Members, revision: int, random: Random, now_ms: int
+) -> MemberRef | None:
+    """Return a live instance that knows the newest revision of the store.
+
+    None stands for nobody who knows a newer one than ``revision``. Instances of the
+    own zone are preferred, and any of several by chance.
+    """
     newer = [
         state.heartbeat
         for name, state in members.others.items()
@@ -147,7 +157,10 @@
     ]
     if not newer:
         return None
-    return max(newer, key=lambda heartbeat: heartbeat.revision).member
+    newest = max(heartbeat.revision for heartbeat in newer)
+    holders = [each.member for each in newer if each.revision == newest]
+    near = [member for member in holders if member.zone == members.me.zone]
+    return random.choice(near or holders)
 
 
 def _addresses_to_find(members: Members, random: Random, now_ms: int) -> list[str]:
--- a/src/bramleyturn/core/fleet/owners.py
+++ b/src/bramleyturn/core/fleet/owners.py
@@ -22,8 +22,11 @@
 
 
 def owner_of(task: str, members: Iterable[MemberRef]) -> MemberRef | None:
-    """Return the instance that owns a task."""
-    return min(members, key=lambda member: _rank(task, member.name), default=None)
+    """Return the instance that owns a task: one of those with the most capacity."""
+    known = list(members)
+    most = max((member.capacity for member in known), default=0)
+    able = [member for member in known if member.capacity == most]
+    return min(able, key=lambda member: _rank(task, member.name), default=None)
 
 
 def _rank(task: str, name: str) -> bytes:
--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from bramleyturn.core.pieces.held_results import keep
 from bramleyturn.core.pieces.model import AskDone, MadePiece, PieceFailure
 from bramleyturn.core.pieces.planner import (
     AskState,
@@ -44,7 +45,7 @@
     ):
         if piece.failure is None and server is not None:
             until_ms = now_ms + planner.limits.keep_ms
-            server.held[piece.handle] = (size, until_ms)
+            keep(server.results, piece.handle, size, until_ms)
         if not _take(planner, running, part, piece, server, outcome, now_ms):
             unused += [piece.handle] if piece.failure is None else []
     outcome.releases += release(planner, unused)
@@ -88,7 +89,8 @@
     server = planner.servers.get(moved.server_id)
     if moved.handle and server is not None:
         size = state.ask.result_bytes if state is not None else 0
-        server.held[moved.handle] = (size, now_ms + planner.limits.keep_ms)
+        until_ms = now_ms + planner.limits.keep_ms
+        keep(server.results, moved.handle, size, until_ms)
     if state is None or moved.number not in state.awaited:
         return outcome
     del state.awaited[moved.number]
--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -7,6 +7,7 @@
 
 from typing import Final, NamedTuple
 
+from bramleyturn.core.pieces.held_results import drop_where_not_releasing, keep
 from bramleyturn.core.pieces.model import StageAsk
 from bramleyturn.core.pieces.pipeline import Pipeline
 from bramleyturn.core.pieces.planner import AskState, Planner
@@ -82,7 +83,8 @@
             ),
         )
         for planner in pipeline.planners.values()
-        if planner.asks or any(server.held for server in planner.servers.values())
+        if planner.asks
+        or any(server.results.by_handle for server in planner.servers.values())
     ]
 
 
@@ -98,7 +100,8 @@
         if server.call_id is None:
             server.busy_until_ms = now_ms + given.busy_ms
         for result in given.held:
-            server.held[result.handle] = (result.size, now_ms + result.left_ms)
+            until_ms = now_ms + result.left_ms
+            keep(server.results, result.handle, result.size, until_ms)
     for each in handover.asks:
         _take_ask(planner, each, now_ms)
 
@@ -106,15 +109,11 @@
 def _give_server(planner: Planner, server_id: str, now_ms: int) -> ServerHandover:
     server = planner.servers[server_id]
     held = tuple(
-        HeldResult(handle, size, until_ms - now_ms)
-        for handle, (size, until_ms) in server.held.items()
-        if until_ms > now_ms and handle not in server.releasing
+        HeldResult(handle, kept.size, kept.until_ms - now_ms)
+        for handle, kept in server.results.by_handle.items()
+        if kept.until_ms > now_ms and handle not in server.results.releasing
     )
-    server.held = {
-        handle: kept
-        for handle, kept in server.held.items()
-        if handle in server.releasing
-    }
+    drop_where_not_releasing(server.results)
     busy_ms = max(0, server.busy_until_ms - now_ms)
     return ServerHandover(server_id, busy_ms, server.pace, held)
 
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -50,6 +50,7 @@
     ``due_ms`` is when all stages must be done for the request to be in time, and
     ``deadline_ms`` when their results are of no more use. A lower ``urgency`` goes
     first. ``near_zone`` is where the results are used, empty if that does not matter.
+    ``route`` and ``size`` tell what the request is worth beside others of its route.
     ``has_started`` tells that another stage of the request was done already, and
     ``later`` names the stages that follow this one.
     """
@@ -68,6 +69,8 @@
     near_zone: str
     has_started: bool
     later: tuple[LaterStage, ...]
+    route: str = ""
+    size: int = 0
 
 
 class AskDone(NamedTuple):
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -17,6 +17,7 @@
 from bramleyturn.core.pieces.planner import AskState, Outcome, Planner, Refused, submit
 from bramleyturn.core.pieces.releases import withdraw
 from bramleyturn.core.pieces.timing import busy_ms, piece_ms, stage_ms
+from bramleyturn.core.waiting.request_worth import UsualSizes, note_size, worth_of
 
 # Without a server for this long, what waits is told so.
 NO_SERVER_MS: Final = 1_500
@@ -37,18 +38,23 @@
 ARRIVALS_MS: Final = 3_000.0
 # Late requests are expected to get this part of the servers' time at least.
 LEAST_SPARE: Final = 0.1
+# A request only displaces others that are worth less than this part of it: what was
+# forecast for them may still change.
+DISPLACED_PART: Final = 0.8
 
 
 class Pipeline:
     """Hold the planners of all stage pools by name.
 
     ``arriving`` has, by pool, the work that arrived of late in milliseconds of the
-    whole pool, which fades, and when it was last added to.
+    whole pool, which fades, and when it was last added to. ``sizes`` has how large the
+    requests of each route usually are.
     """
 
     def __init__(self) -> None:
         self.planners: dict[str, Planner] = {}
         self.arriving: dict[str, tuple[float, int]] = {}
+        self.sizes = UsualSizes()
 
 
 class Forecast:
@@ -77,7 +83,11 @@
     is_new = ask.ask_id not in planner.asks and ask.ask_id not in planner.done
     done = submit(planner, ask, now_ms)
     if is_new and not ask.has_started:
+        note_size(pipeline.sizes, ask.route, ask.size)
         _note_arriving(pipeline, planner.asks[ask.ask_id], now_ms)
+    if is_new:
+        state = planner.asks[ask.ask_id]
+        state.worth = worth_of(pipeline.sizes, ask.route, ask.size)
     return done
 
 
@@ -114,15 +124,49 @@
     for state in asks:
         if is_begun(state):
             continue
-        margin_ms = MARGIN_PART * _work_ms(pipeline, state)
-        if _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms:
-            _add_work(pipeline, forecast, state)
-            in_time.append(state)
-        else:
-            late.append(state)
+        if not _is_in_time(pipeline, forecast, state):
+            worse = _displaced(pipeline, forecast, in_time, state)
+            if not worse:
+                late.append(state)
+                continue
+            in_time = [each for each in in_time if each not in worse]
+            late += worse
+        _add_work(pipeline, forecast, state)
+        in_time.append(state)
+    late.sort(key=_rank)
     return begun + in_time + _order_late(pipeline, outcomes, forecast, late)
 
 
+def _is_in_time(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
+    margin_ms = MARGIN_PART * _work_ms(pipeline, state)
+    return _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms
+
+
+def _displaced(
+    pipeline: Pipeline, forecast: Forecast, in_time: list[AskState], state: AskState
+) -> list[AskState]:
+    """Return the requests that are to be late so that ``state`` is in time.
+
+    Together they are worth less, and none is more urgent. Their work is taken out of
+    the forecast; if there are none, the forecast stays as it is.
+    """
+    worse: list[AskState] = []
+    left = state.worth * DISPLACED_PART
+    for other in sorted(in_time, key=lambda each: each.worth):
+        if other.worth > left:
+            break
+        if other.ask.has_started or other.ask.urgency < state.ask.urgency:
+            continue
+        left -= other.worth
+        worse.append(other)
+        _add_work(pipeline, forecast, other, sign=-1)
+        if _is_in_time(pipeline, forecast, state):
+            return worse
+    for other in worse:
+        _add_work(pipeline, forecast, other)
+    return []
+
+
 def _order_late(
     pipeline: Pipeline,
     outcomes: dict[str, Outcome],
@@ -238,12 +282,14 @@
     )
 
 
-def _add_work(pipeline: Pipeline, forecast: Forecast, state: AskState) -> None:
+def _add_work(
+    pipeline: Pipeline, forecast: Forecast, state: AskState, sign: int = 1
+) -> None:
     for stage in _remaining(state):
         planner = pipeline.planners.get(stage.pool)
         if planner is not None:
             added_ms = piece_ms(planner, stage.result_bytes) * stage.piece_count
-            forecast.ahead_ms[stage.pool] += added_ms
+            forecast.ahead_ms[stage.pool] += sign * added_ms
 
 
 def _is_hopeless(planner: Planner, state: AskState, now_ms: int) -> bool:
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -20,7 +20,7 @@
 
     ``is_moved`` tells that another planner has taken it over: nothing new is begun
     here. ``awaited`` has the pieces that the planner before this one still has made,
-    and until when.
+    and until when. ``worth`` is that of the request beside one of usual size.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -33,6 +33,7 @@
         self.is_moved = False
         self.tries = 0
         self.served_since_ms = now_ms
+        self.worth = 1.0
 
 
 class RunningCall:
--- a/src/bramleyturn/core/pieces/releases.py
+++ b/src/bramleyturn/core/pieces/releases.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Iterable
 
-from bramleyturn.core.pieces.model import (
-    Release,
-)
-from bramleyturn.core.pieces.planner import (
-    Planner,
-)
+from bramleyturn.core.pieces.held_results import drop
+from bramleyturn.core.pieces.model import Release
+from bramleyturn.core.pieces.planner import Planner
 
 
 def withdraw(planner: Planner, ask_id: str) -> list[Release]:
@@ -27,8 +24,9 @@
     by_server: dict[str, list[str]] = {}
     for handle in handles:
         for server_id, server in planner.servers.items():
-            if handle in server.held and handle not in server.releasing:
-                server.releasing.add(handle)
+            results = server.results
+            if handle in results.by_handle and handle not in results.releasing:
+                results.releasing.add(handle)
                 by_server.setdefault(server_id, []).append(handle)
                 break
     return [
@@ -43,7 +41,8 @@
     server = planner.servers.get(server_id)
     if server is None:
         return None
-    unknown = tuple(handle for handle in handles if handle not in server.held)
+    known = server.results.by_handle
+    unknown = tuple(handle for handle in handles if handle not in known)
     server.foreign_bytes = max(0, server.foreign_bytes - size * len(unknown))
     return Release(server_id, unknown) if unknown else None
 
@@ -55,5 +54,4 @@
         return
     server.full_until_ms = 0
     for handle in confirmed.handles:
-        server.held.pop(handle, None)
-        server.releasing.discard(handle)
+        drop(server.results, handle)
--- a/src/bramleyturn/core/pieces/stage_server.py
+++ b/src/bramleyturn/core/pieces/stage_server.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.pieces.held_results import HeldResults, drop_expired
 
 # Weight of the newest call in the running mean of a server's pace.
 PACE_WEIGHT: Final = 0.3
@@ -26,9 +27,8 @@
     """Hold what the planner believes of one server.
 
     ``pace`` is the length of its calls relative to what the configuration says.
-    ``held`` has the size and the expiry of every result that was not given up, and
-    ``releasing`` those that the server has yet to confirm. ``foreign_bytes`` is room
-    that results of another planner take until ``foreign_until_ms`` at the latest.
+    ``results`` are those that it keeps. ``foreign_bytes`` is room that results of
+    another planner take until ``foreign_until_ms`` at the latest.
     It is what the server's first report shows. A report is wanted while
     ``needs_report`` is set, and nothing is sent before it while the server
     ``is_doubted``.
@@ -40,8 +40,7 @@
         self.call_id: int | None = None
         self.busy_until_ms = 0
         self.pace = 1.0
-        self.held: dict[str, tuple[int, int]] = {}
-        self.releasing: set[str] = set()
+        self.results = HeldResults()
         self.reserved_bytes = 0
         self.foreign_bytes = 0
         self.foreign_until_ms = 0
@@ -64,19 +63,10 @@
     """Return the room for results that is believed to be free."""
     if state.full_until_ms > now_ms:
         return 0
-    expired = [
-        handle for handle, (_, until_ms) in state.held.items() if until_ms <= now_ms
-    ]
-    for handle in expired:
-        del state.held[handle]
-        state.releasing.discard(handle)
+    drop_expired(state.results, now_ms)
     foreign = state.foreign_bytes if state.foreign_until_ms > now_ms else 0
-    return limits.room_bytes - held_bytes(state) - state.reserved_bytes - foreign
-
-
-def held_bytes(state: StageServer) -> int:
-    """Return the size of the results that this planner knows of."""
-    return sum(size for size, _ in state.held.values())
+    taken = state.results.total_bytes + state.reserved_bytes + foreign
+    return limits.room_bytes - taken
 
 
 def free_at_ms(state: StageServer, now_ms: int) -> int:
@@ -141,7 +131,7 @@
     if state.has_reported:
         return
     state.has_reported = True
-    known = held_bytes(state) + state.reserved_bytes
+    known = state.results.total_bytes + state.reserved_bytes
     state.foreign_bytes = max(0, limits.room_bytes - reported_free_bytes - known)
     state.foreign_until_ms = now_ms + limits.keep_ms
 
--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -2,8 +2,8 @@
 
 Load patterns that it answers: many requests that share a long prompt prefix (they go
 to one engine, which reads it once), one prefix that gets much of the traffic (its
-engine is passed over while it has far more to do than the others), and servers that
-differ in speed or report a load that others caused.
+engine is passed over once waiting there costs more than reading the prefix again),
+and servers that differ in speed or report a load that others caused.
 """
 
 import hashlib
@@ -15,10 +15,11 @@
 from bramleyturn.core.catalog.prompt import PromptPart, shared_prefix
 from bramleyturn.core.placement.health import HealthBook, is_avoided
 
-# An engine is passed over for a shared prefix while its load is above this many
-# times the mean, and by at least this many requests.
-LOAD_FACTOR: Final = 1.5
-LOAD_EXTRA: Final = 4.0
+# How much later a prompt is read for each request that the engine has: reading the
+# prompts of others and the steps of their outputs go in between.
+REQUEST_MS: Final = 40.0
+# How long an engine takes to read a token of a prefix that it does not keep.
+TOKEN_MS: Final = 1 / 60
 # A reported load this old says nothing of the load now.
 REPORT_KEEP_MS: Final = 1_000
 HASH_BYTES: Final = 8
@@ -117,23 +118,22 @@
     random: Random,
     now_ms: int,
 ) -> BackendServer | None:
-    """Return the server that all instances first choose for a shared prefix.
+    """Return the server that is expected to have read the prompt first.
 
-    Servers are ranked by a hash of the prefix and their id. One that has far more to
-    do than the others is passed over.
+    All instances take the same server for the one that keeps a prefix: the first by a
+    hash of both. Only the last shared part counts, since those before it are shared by
+    so many requests that every engine keeps them.
     """
     shared = shared_prefix(prompt)
-    if not shared:
+    if not shared or not servers:
         return choose_by_load(servers, book, random, now_ms)
-    loads = {server.id: load_of(book, server.id, now_ms) for server in servers}
-    if not loads:
-        return None
-    bound = LOAD_FACTOR * sum(loads.values()) / len(loads) + LOAD_EXTRA
     ranked = sorted(servers, key=lambda server: _rank(shared[-1].id, server.id))
-    for server in ranked:
-        if loads[server.id] <= bound:
-            return server
-    return ranked[0]
+    read_ms = shared[-1].tokens * TOKEN_MS
+    costs = [
+        load_of(book, server.id, now_ms) * REQUEST_MS + (read_ms if place else 0.0)
+        for place, server in enumerate(ranked)
+    ]
+    return ranked[costs.index(min(costs))]
 
 
 def _rank(prefix_id: str, server_id: str) -> bytes:
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -5,12 +5,12 @@
 """
 
 import logging
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import orjson
 from twisted.internet.protocol import DatagramProtocol
 
+from bramleyturn.core.fleet.freshness import age_ms, note_confirmed
 from bramleyturn.core.fleet.members import (
     HEARTBEAT_MS,
     Heartbeat,
@@ -32,9 +32,8 @@
 class Heartbeats(DatagramProtocol):
     """Send and receive heartbeats."""
 
-    def __init__(self, serving: Serving, revision: Callable[[], int]) -> None:
+    def __init__(self, serving: Serving) -> None:
         self.serving = serving
-        self.revision = revision
         self.known_live: frozenset[str] = frozenset()
 
     def beat(self) -> None:
@@ -50,9 +49,13 @@
         now_ms = serving.now_ms()
         serving.members.is_ending = serving.is_ending
         told, addresses = next_heartbeat(
-            serving.members, self.revision(), serving.random, now_ms
+            serving.members, serving.freshness.revision, serving.random, now_ms
         )
-        data = orjson.dumps([_encode(heartbeat) for heartbeat in told])
+        document = {
+            "store_age_ms": age_ms(serving.freshness, now_ms),
+            "heartbeats": [_encode(heartbeat) for heartbeat in told],
+        }
+        data = orjson.dumps(document)
         transport: Any = self.transport
         for address in addresses:
             host, _, port = address.partition(":")
@@ -60,11 +63,17 @@
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Take in what another instance tells."""
-        heartbeats = decode_heartbeats(datagram)
-        if heartbeats is None:
+        told = decode_heartbeats(datagram)
+        if told is None:
             count(self.serving.metrics, "heartbeats_malformed")
             return
-        hear(self.serving.members, heartbeats, self.serving.now_ms())
+        now_ms = self.serving.now_ms()
+        hear(self.serving.members, told.heartbeats, now_ms)
+        sender = told.heartbeats[0]
+        at_ms = now_ms - told.store_age_ms
+        # What is newer has to be fetched before it is known.
+        if sender.revision == self.serving.freshness.revision:
+            note_confirmed(self.serving.freshness, sender.revision, at_ms)
 
     def _note_changes(self, now_ms: int) -> None:
         members = self.serving.members
@@ -84,15 +93,30 @@
         gauge(self.serving.metrics, "live_instances", len(live) + 1)
 
 
-def decode_heartbeats(datagram: bytes) -> list[Heartbeat] | None:
-    """Return the heartbeats of a datagram, None if it is malformed."""
+class Told(NamedTuple):
+    """Hold what a datagram tells: its sender's heartbeat first, then others.
+
+    ``store_age_ms`` is how long ago the store had nothing newer than the sender knows.
+    """
+
+    store_age_ms: int
+    heartbeats: list[Heartbeat]
+
+
+def decode_heartbeats(datagram: bytes) -> Told | None:
+    """Return what a datagram tells, None if it is malformed."""
     if len(datagram) > MAX_DATAGRAM_BYTES:
         return None
     try:
-        rows = orjson.loads(datagram)
-        return [_decode(row) for row in rows[:MAX_HEARTBEATS]]
+        document = orjson.loads(datagram)
+        store_age_ms = document["store_age_ms"]
+        rows = document["heartbeats"][:MAX_HEARTBEATS]
+        heartbeats = [_decode(row) for row in rows]
     except (ValueError, TypeError, KeyError, IndexError):
         return None
+    if not isinstance(store_age_ms, int) or store_age_ms < 0 or not heartbeats:
+        return None
+    return Told(store_age_ms, heartbeats)
 
 
 def _encode(heartbeat: Heartbeat) -> list[Any]:
@@ -105,10 +129,11 @@
 
 
 def _decode(row: Any) -> Heartbeat:
-    name, zone, address, incarnation, beats, revision, is_ending = row
+    name, zone, address, incarnation, capacity, beats, revision, is_ending = row
     texts = (name, zone, address, incarnation)
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError("a text is missing")
     if not address.rpartition(":")[2].isdigit():
         raise ValueError("no address")
-    return Heartbeat(MemberRef(*texts), int(beats), int(revision), bool(is_ending))
+    member = MemberRef(*texts, int(capacity))
+    return Heartbeat(member, int(beats), int(revision), bool(is_ending))
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.prompt import own_tokens
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.catalog.server_book import is_ready
 from bramleyturn.core.placement.choice import (
@@ -21,6 +22,7 @@
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, may_repeat
 from bramleyturn.core.repeat.shared_budget import note_request, take_repeat
 from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
+from bramleyturn.core.waiting.request_worth import request_size
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.time_spent import time_spent_ms
 from bramleyturn.gateway.attempts import (
@@ -135,7 +137,8 @@
             return None
         serving = self.serving
         engine = self._choose(call, frozenset())
-        run_ms = first_event_ms(serving.first_events, call.route.name)
+        tokens = own_tokens(call.head.prompt)
+        run_ms = first_event_ms(serving.first_events, call.pool, tokens)
         order = StageOrder(
             route=call.route,
             attempt_id=call.head.attempt_id,
@@ -145,6 +148,7 @@
             deadline_ms=call.deadline_ms,
             urgency=urgency_of(call),
             near_zone=engine.zone if engine is not None else "",
+            size=request_size(call.head.prompt_tokens, call.head.output_tokens),
         )
         call.stages = StageWork(serving, self.asks, order)
         results: StageResults = await call.stages.start()
@@ -303,7 +307,10 @@
             now_ms = self.serving.now_ms()
             call.first_event_ms = now_ms
             note_first_event(
-                self.serving.first_events, call.route.name, now_ms - sent_ms
+                self.serving.first_events,
+                call.pool,
+                own_tokens(call.head.prompt),
+                now_ms - sent_ms,
             )
             observe(
                 self.serving.metrics,
@@ -417,6 +424,9 @@
             "request ended",
             {
                 "route": call.route.name,
+                "prompt_tokens": call.head.prompt_tokens,
+                "output_tokens": call.head.output_tokens,
+                "own_tokens": own_tokens(call.head.prompt),
                 "took_ms": took_ms,
                 "aim_ms": call.route.aim_ms,
                 "spent_before_ms": call.arrived_ms - call.first_sent_ms,
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -15,6 +15,7 @@
 from bramleyturn.core.catalog.routes import RouteIndex, workspaces_by_key
 from bramleyturn.core.catalog.server_book import ServerBook, ready_servers
 from bramleyturn.core.clock import Clock
+from bramleyturn.core.fleet.freshness import Freshness
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
 from bramleyturn.core.placement.choice import LoadBook
 from bramleyturn.core.placement.health import HealthBook
@@ -62,6 +63,7 @@
         self.servers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         self.peers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         self.members = Members(me, seed_addresses(settings), now_ms)
+        self.freshness = Freshness(now_ms)
         self.is_ending = False
         self.in_progress = 0
         self.on_servers_changed: list[Callable[[], None]] = []
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -56,6 +56,8 @@
                 LaterStage(str(pool), int(pieces), int(size))
                 for pool, pieces, size in message["later"]
             ),
+            route=str(message["route"]),
+            size=int(message["size"]),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -50,6 +50,9 @@
 # How often waiting work is looked at when nothing else happens.
 TICK_MS: Final = 60
 RELEASE_TIMEOUT_MS: Final = 1_000
+# Planning takes time in proportion to the asks that wait. So many of them are counted
+# for each millisecond between two plans, which leaves most of a core for the calls.
+ASKS_PLANNED_PER_MS: Final = 16
 # Whoever was just handed the stages keeps them for this long: instances learn of a
 # change of owner one after the other.
 KEEP_MS: Final = 1_000
@@ -66,6 +69,8 @@
         self.pipeline = Pipeline()
         self.origins: dict[str, str] = {}
         self.is_ticking = False
+        self.planned_ms = serving.now_ms()
+        self.plan_timer: Any = None
         self.successor = ""
         self.keep_until_ms = 0
         serving.on_servers_changed.append(self.servers_changed)
@@ -187,7 +192,18 @@
         return known
 
     def _run(self) -> None:
-        now_ms = self.serving.now_ms()
+        """Plan soon. What comes up until then is planned together."""
+        if self.plan_timer is not None:
+            return
+        open_asks = sum(len(each.asks) for each in self.pipeline.planners.values())
+        next_ms = self.planned_ms + open_asks // ASKS_PLANNED_PER_MS
+        wait_ms = max(0, next_ms - self.serving.now_ms())
+        reactor = self.serving.reactor
+        self.plan_timer = reactor.callLater(wait_ms / MS_PER_S, self._plan)
+
+    def _plan(self) -> None:
+        self.plan_timer = None
+        now_ms = self.planned_ms = self.serving.now_ms()
         outcomes = plan(self.pipeline, now_ms)
         for pool, outcome in outcomes.items():
             self._carry_out(self.pipeline.planners[pool], outcome)
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -28,6 +28,7 @@
     deadline_ms: int
     urgency: int
     near_zone: str
+    size: int
 
 
 class StageResults(NamedTuple):
@@ -108,6 +109,8 @@
             near_zone=order.near_zone,
             has_started=bool(self.results),
             later=later_stages(order.route, order.counts, number),
+            route=order.route.name,
+            size=order.size,
         )
         asked = self.asks.ask(ask)
         self.running[number] = asked
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -1,18 +1,21 @@
 """Follow the platform's store: one waiting watch covers everything published.
 
-While the store does not answer this instance, what others know is taken over from
-them. The copies are the store's own items, so that there is one way to read them.
+Only some instances watch (core/fleet/freshness.py). The others take over what those
+know, as does every instance that the store does not answer. The copies are the store's
+own items, so that there is one way to read them.
 """
 
 import base64
 import logging
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
 
 import orjson
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.server_book import drop_lapsed, register, remove
+from bramleyturn.core.fleet.freshness import age_ms, note_confirmed, should_watch
 from bramleyturn.core.fleet.members import newest_holder
 from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
@@ -35,18 +38,20 @@
 STATUS_OK: Final = 200
 STATUS_GONE: Final = 410
 # A watch waits for less than any bound on a configuration, because a connection may
-# go silent and only the missing answer shows it.
-WATCH_WAIT_MS: Final = 1_300
+# go silent and only the missing answer shows it. Others count on what it confirms.
+WATCH_WAIT_MS: Final = 700
+# How often an instance that does not watch looks whether it should.
+IDLE_MS: Final = 100
 CALL_TIMEOUT_MS: Final = 600
 FIRST_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 800
-# Without an answer of the store for this long, other instances are asked.
-RELAY_AFTER_MS: Final = 400
-RELAY_INTERVAL_MS: Final = 250
+# How often an instance looks who knows something newer. Changes that come together
+# are taken over together.
+RELAY_INTERVAL_MS: Final = 100
 RELAY_TIMEOUT_MS: Final = 500
 RELAY_TARGET: Final = "/v1/store-items"
-# After this long without an answer, entries may have lapsed meanwhile.
-OUTAGE_MS: Final = 1_200
+# When nothing was known to be fresh for this long, entries may have lapsed meanwhile.
+OUTAGE_MS: Final = 2_000
 # Servers register again within about two seconds of the store's return.
 RETURN_MS: Final = 2_500
 MAX_PAGES: Final = 200
@@ -61,11 +66,16 @@
         self.serving = serving
         self.pool = ConnectionPool(serving.reactor, serving.now_ms)
         self.items: dict[str, StoreItem] = {}
-        self.revision = 0
         self.has_list = False
         self.answered_ms = serving.now_ms()
         self.returned_ms: int | None = None
         self.is_lost = False
+        self.on_news: Callable[[], None] = lambda: None
+
+    @property
+    def revision(self) -> int:
+        """Return up to where the store is known."""
+        return self.serving.freshness.revision
 
     def store(self) -> Peer:
         """Return the store as a party to call."""
@@ -75,14 +85,21 @@
 
 async def follow_store(reader: StoreReader) -> None:
     """Read everything once, then every change, for as long as the process runs."""
+    serving = reader.serving
     backoff_ms = FIRST_BACKOFF_MS
     while True:
+        now_ms = serving.now_ms()
+        if reader.has_list and not should_watch(
+            serving.freshness, serving.me, serving.live(), now_ms
+        ):
+            await deferLater(serving.reactor, IDLE_MS / MS_PER_S)
+            continue
         is_read = await (watch(reader) if reader.has_list else read_all(reader))
         if is_read:
             backoff_ms = FIRST_BACKOFF_MS
             continue
-        jitter = 0.5 + reader.serving.random.random()
-        await deferLater(reader.serving.reactor, backoff_ms * jitter / MS_PER_S)
+        jitter = 0.5 + serving.random.random()
+        await deferLater(serving.reactor, backoff_ms * jitter / MS_PER_S)
         backoff_ms = min(2 * backoff_ms, MAX_BACKOFF_MS)
 
 
@@ -154,7 +171,7 @@
     if isinstance(answer, CallBroken) or answer.status not in (STATUS_OK, STATUS_GONE):
         note_refused(reader, answer, now_ms)
         return None if isinstance(answer, CallBroken) else answer
-    if now_ms - reader.answered_ms > timeout_ms + OUTAGE_MS or reader.is_lost:
+    if reader.is_lost:
         reader.returned_ms = now_ms
         logger.info(
             "store answers again",
@@ -255,10 +272,14 @@
     servers_changed(serving)
 
 
-def note_revision(reader: StoreReader, revision: int) -> None:
-    """Note up to where the store is known."""
-    reader.revision = max(reader.revision, revision)
-    gauge(reader.serving.metrics, "store_revision", reader.revision)
+def note_revision(reader: StoreReader, revision: int, age_ms: int = 0) -> None:
+    """Note up to where the store is known, and tell the others of news at once."""
+    serving = reader.serving
+    is_news = revision > reader.revision
+    note_confirmed(serving.freshness, revision, serving.now_ms() - age_ms)
+    gauge(serving.metrics, "store_revision", reader.revision)
+    if is_news:
+        reader.on_news()
 
 
 def log_malformed(malformed: Malformed) -> None:
@@ -277,16 +298,14 @@
 
 
 async def relay_store(reader: StoreReader) -> None:
-    """Take over what others know for as long as the store does not answer."""
+    """Take over what others know and this instance does not."""
     serving = reader.serving
     while True:
         await deferLater(serving.reactor, RELAY_INTERVAL_MS / MS_PER_S)
         drop_lapsed_servers(reader)
-        now_ms = serving.now_ms()
-        away_ms = now_ms - reader.answered_ms
-        if not reader.is_lost and (reader.has_list or away_ms < RELAY_AFTER_MS):
-            continue
-        holder = newest_holder(serving.members, reader.revision, now_ms)
+        holder = newest_holder(
+            serving.members, reader.revision, serving.random, serving.now_ms()
+        )
         if holder is not None:
             await take_over(reader, holder.name, holder.address)
 
@@ -306,15 +325,22 @@
     if relayed is None:
         logger.warning("relayed items not used", extra={"peer": name})
         return
-    items, revision = relayed
     before = reader.revision
-    take_items(reader, items)
+    if age_ms(serving.freshness, serving.now_ms()) > OUTAGE_MS:
+        # Others were answered again first.
+        reader.returned_ms = serving.now_ms()
+    take_items(reader, relayed.items)
     # The watch goes on from here, because the items cover all changes until then.
-    note_revision(reader, revision)
+    note_revision(reader, relayed.revision, relayed.age_ms)
     reader.has_list = True
     logger.info(
         "store items taken over",
-        extra={"peer": name, "revision_before": before, "revision": revision},
+        extra={
+            "peer": name,
+            "revision_before": before,
+            "revision": relayed.revision,
+            "age_ms": relayed.age_ms,
+        },
     )
 
 
@@ -329,14 +355,26 @@
         for item in reader.items.values()
         if item.revision > after
     ]
-    return orjson.dumps({"revision": reader.revision, "items": items})
+    serving = reader.serving
+    age = age_ms(serving.freshness, serving.now_ms())
+    document = {"revision": reader.revision, "age_ms": age, "items": items}
+    return orjson.dumps(document)
+
 
+class Relayed(NamedTuple):
+    """Hold relayed items, the revision that they reach and how old that is."""
 
-def decode_relayed(body: bytes) -> tuple[list[StoreItem], int] | None:
-    """Return relayed items and the revision that they reach, None if malformed."""
+    items: list[StoreItem]
+    revision: int
+    age_ms: int
+
+
+def decode_relayed(body: bytes) -> Relayed | None:
+    """Return what an instance relayed, None if it is malformed."""
     try:
         document = orjson.loads(body)
         revision = document["revision"]
+        age = document["age_ms"]
         items = [
             StoreItem(
                 str(key),
@@ -347,4 +385,6 @@
         ]
     except (ValueError, TypeError, KeyError):
         return None
-    return (items, revision) if isinstance(revision, int) else None
+    if not isinstance(revision, int) or not isinstance(age, int) or age < 0:
+        return None
+    return Relayed(items, revision, age)
--- a/src/bramleyturn/platform/settings.py
+++ b/src/bramleyturn/platform/settings.py
@@ -7,31 +7,28 @@
 from bramleyturn.core.fault import Fault, quote
 
 SETTINGS_VARIABLE: Final = "BRAMLEYTURN_CONFIG"
+PERCENT: Final = 100
 
 
 class ServingBounds(NamedTuple):
     """Hold the bounds that the platform sets for this deployment.
 
-    A server that leaves gets nothing new after ``drain_ms``. A configuration is in
-    force ``config_apply_ms`` after it was acknowledged. A process is killed
-    ``grace_ms`` after it was asked to stop. In any ``budget_window_ms``, repeated
-    attempts stay within ``retry_ratio`` of the requests and ``retry_slack`` more,
-    over all instances together. An event of a stream is passed on in ``pass_ms``.
+    A process is killed ``grace_ms`` after it was asked to stop. In any
+    ``budget_window_ms``, repeated attempts stay within ``retry_ratio`` of the requests
+    and ``retry_slack`` more, over all instances together.
     """
 
-    drain_ms: int
-    config_apply_ms: int
     grace_ms: int
     retry_ratio: float
     retry_slack: float
     budget_window_ms: int
-    pass_ms: int
 
 
 class ServingSettings(NamedTuple):
     """Hold the settings of one process on the platform.
 
-    ``internal_port`` is the same on all instances.
+    ``internal_port`` is the same on all instances. ``capacity`` is the processor time
+    that the instance has, in hundredths of a core.
     """
 
     name: str
@@ -42,10 +39,7 @@
     store: Address
     seeds: tuple[Address, ...]
     internal_port: int
-    heartbeat_ms: int
-    cpu_share: float
-    memory_mb: int
-    file_descriptors: int
+    capacity: int
     bounds: ServingBounds
 
 
@@ -84,10 +78,10 @@
             return Address("", 0)
         return address
 
-    def number(self, key: str) -> float:
+    def number(self, key: str, default: str = "") -> float:
         """Return a number that is not negative."""
         try:
-            number = float(self.values.get(key, (0, ""))[1])
+            number = float(self.values.get(key, (0, default))[1])
         except ValueError:
             number = -1.0
         if not 0 <= number < float("inf"):
@@ -129,6 +123,8 @@
         values[key.strip()] = (number, value.strip())
     reader = _Reader(file, values)
     reader.faults += faults
+    # The share is one of a core that is so many times as fast as a usual one.
+    speed = reader.number("limits.cpuShare") * reader.number("limits.cores", "1")
     settings = ServingSettings(
         name=reader.text("nodeName"),
         zone=reader.text("zone"),
@@ -138,10 +134,7 @@
         store=reader.address("platform.address"),
         seeds=reader.addresses("seeds"),
         internal_port=reader.first_port("internalPortRange"),
-        heartbeat_ms=int(reader.number("heartbeatMs")),
-        cpu_share=reader.number("limits.cpuShare"),
-        memory_mb=int(reader.number("limits.memoryMb")),
-        file_descriptors=int(reader.number("limits.fileDescriptors")),
+        capacity=int(PERCENT * speed),
         bounds=_bounds(reader),
     )
     if reader.faults:
@@ -152,11 +145,8 @@
 def _bounds(reader: _Reader) -> ServingBounds:
     ms_per_s = 1_000
     return ServingBounds(
-        drain_ms=int(reader.number("bounds.drainMs")),
-        config_apply_ms=int(reader.number("bounds.configApplyMs")),
         grace_ms=int(reader.number("bounds.graceS") * ms_per_s),
         retry_ratio=reader.number("bounds.retryBudgetRatio"),
         retry_slack=reader.number("bounds.retryBudgetSlack"),
         budget_window_ms=int(reader.number("bounds.budgetWindowS") * ms_per_s),
-        pass_ms=int(reader.number("bounds.passMs")),
     )
--- a/src/bramleyturn/programs/serve.py
+++ b/src/bramleyturn/programs/serve.py
@@ -71,7 +71,8 @@
         self.asks = StageAsks(serving, self.links)
         self.reader = StoreReader(serving)
         self.flow = RequestFlow(serving, self.asks)
-        self.heartbeats = Heartbeats(serving, lambda: self.reader.revision)
+        self.heartbeats = Heartbeats(serving)
+        self.reader.on_news = self.heartbeats.tell
         self.api = control_api(self.owner, self.asks, self.reader)
         self.front = self._server(self.flow.handle)
         self.ready = self._server(self.answer_readiness)
@@ -226,7 +227,9 @@
     """Return a process that is ready to start."""
     incarnation = f"{clock.wall_ms():013d}-{secrets.token_hex(4)}"
     address = f"{settings.control.host}:{settings.internal_port}"
-    me = MemberRef(settings.name, settings.zone, address, incarnation)
+    me = MemberRef(
+        settings.name, settings.zone, address, incarnation, settings.capacity
+    )
     log = start_event_log(loop, clock, settings.name, settings.zone)
     return Process(Serving(loop, clock, Random(), settings, me), log)
 
--- a/tests/core/fleet/test_members.py
+++ b/tests/core/fleet/test_members.py
@@ -102,10 +102,10 @@
     def test_newest_holder(self) -> None:
         known = members()
         hear(known, [beat("a", 1, revision=4), beat("b", 1, revision=9)], 0)
-        holder = newest_holder(known, 5, 10)
+        holder = newest_holder(known, 5, Random(1), 10)
         assert holder is not None
         assert holder.name == "b"
-        assert newest_holder(known, 9, 10) is None
+        assert newest_holder(known, 9, Random(1), 10) is None
 
 
 class TestOwners:
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -21,7 +21,6 @@
 from bramleyturn.core.pieces.planner import Outcome, Planner, update_servers
 from bramleyturn.core.pieces.releases import release, released
 from bramleyturn.core.pieces.stage_server import (
-    held_bytes,
     note_report,
     wants_report,
 )
@@ -58,6 +57,7 @@
 
     at_ms: int
     kind: Kind
+    size: int = 0
 
 
 class Job:
@@ -67,6 +67,7 @@
         self.name = name
         self.kind = arrival.kind
         self.at_ms = arrival.at_ms
+        self.size = arrival.size
         self.stage = 0
         self.handles: tuple[str, ...] = ()
         self.ended_ms: int | None = None
@@ -134,6 +135,8 @@
             near_zone="",
             has_started=job.stage > 0,
             later=tuple(LaterStage(*later) for later in needs[job.stage + 1 :]),
+            route=job.kind.name,
+            size=job.size,
         )
         take_ask(self.pipeline, ask, self.now_ms)
         self.run()
@@ -145,7 +148,7 @@
                 state.heard_ms = self.now_ms
             for server_id, server in planner.servers.items():
                 if wants_report(server, self.now_ms) and server_id not in self.dark:
-                    free_bytes = planner.limits.room_bytes - held_bytes(server)
+                    free_bytes = planner.limits.room_bytes - server.results.total_bytes
                     note_report(server, planner.limits, free_bytes, self.now_ms)
         for pool, outcome in self.policy(self.pipeline, self.now_ms).items():
             self.carry_out(self.pipeline.planners[pool], outcome)
--- a/tests/core/pieces/test_stage_server.py
+++ b/tests/core/pieces/test_stage_server.py
@@ -1,6 +1,7 @@
 """Believe what servers report of their room, as far as it can be true."""
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.pieces.held_results import drop, keep
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
     free_bytes,
@@ -30,17 +31,17 @@
 
     def test_own_results_are_not_foreign(self) -> None:
         state = server()
-        state.held["h"] = (600, 4_000)
+        keep(state.results, "h", 600, 4_000)
         note_report(state, LIMITS, 400, 100)
         assert free_bytes(state, LIMITS, 100) == 400
-        state.held.clear()
+        drop(state.results, "h")
         assert free_bytes(state, LIMITS, 200) == 1_000
 
     def test_old_news_of_own_results_takes_no_room(self) -> None:
         state = server()
         note_report(state, LIMITS, 1_000, 100)
-        state.held["h"] = (600, 4_000)
-        state.held.clear()
+        keep(state.results, "h", 600, 4_000)
+        drop(state.results, "h")
         note_report(state, LIMITS, 400, 300)
         assert free_bytes(state, LIMITS, 300) == 1_000
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -16,6 +16,7 @@
 seeds=10.0.0.1:8628,10.0.0.2:8628
 heartbeatMs=1200
 limits.cpuShare=0.731
+limits.cores=1
 limits.memoryMb=222
 limits.fileDescriptors=1535
 platform.address=10.9.0.1:8624
