Make pieces where their inputs lie; one lost call is one failure; know zones that are cut off

The planner only weighed where the result would be used. - A call of five pieces that was lost counted as five failures, so that one crashed server failed the request at once (MAX_TRIES 4).

--- a/src/bramleyturn/core/catalog/server_book.py
+++ b/src/bramleyturn/core/catalog/server_book.py
@@ -9,9 +9,8 @@
 
 from bramleyturn.core.catalog.model import BackendServer
 
-# Within the time in which servers register again after an outage of the store, and
-# shorter than any drain time of the platform.
-LAPSE_GRACE_MS: Final = 1_200
+# Servers that live register again within about two seconds of the store's return.
+LAPSE_GRACE_MS: Final = 2_200
 
 
 class BookEntry(NamedTuple):
--- a/src/bramleyturn/core/fleet/members.py
+++ b/src/bramleyturn/core/fleet/members.py
@@ -5,6 +5,7 @@
 pause of this process itself nobody has been silent: the pause is made up for.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from random import Random
 from typing import Final, NamedTuple
@@ -12,6 +13,10 @@
 # Two and a half times the longest time between two heartbeats of one instance.
 SILENT_MS: Final = 1_250
 FORGET_MS: Final = 60_000
+# A zone is cut off or lost if this many instances of it were heard this long ago at
+# the latest, and none of them now.
+LATELY_MS: Final = 15_000
+SILENT_TOGETHER: Final = 2
 # A longer time between two turns means that this process was stopped.
 PAUSE_MS: Final = 1_000
 HEARTBEAT_MS: Final = 400
@@ -114,6 +119,31 @@
     return live if members.is_ending else [members.me, *live]
 
 
+def silent_zones(members: Members, now_ms: int) -> frozenset[str]:
+    """Return the zones that all of their instances have fallen silent in of late.
+
+    There are none for an instance that hears nobody of its own zone either: then it is
+    cut off itself.
+    """
+    live: set[str] = set()
+    heard: Counter[str] = Counter()
+    for name, state in members.others.items():
+        if state.heartbeat.is_ending or now_ms - state.heard_ms > LATELY_MS:
+            continue
+        zone = state.heartbeat.member.zone
+        heard[zone] += 1
+        if is_live(members, name, now_ms):
+            live.add(zone)
+    own_zone = members.me.zone
+    if not live or (heard[own_zone] and own_zone not in live):
+        return frozenset()
+    return frozenset(
+        zone
+        for zone, count in heard.items()
+        if count >= SILENT_TOGETHER and zone not in live and zone != own_zone
+    )
+
+
 def next_heartbeat(
     members: Members, revision: int, random: Random, now_ms: int
 ) -> tuple[list[Heartbeat], list[str]]:
--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -1,5 +1,6 @@
 """Take in what became of calls, and end the asks that they complete."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from bramleyturn.core.pieces.held_results import keep
@@ -21,7 +22,7 @@
 )
 from bramleyturn.core.pieces.timing import learn_work
 
-# A piece that failed this often makes its request fail.
+# A request of which this many calls failed fails.
 MAX_TRIES: Final = 4
 
 
@@ -40,6 +41,7 @@
             learn_work(planner, server, running, took_ms)
             note_pace(server, running.nominal_ms, took_ms)
     unused: list[str] = []
+    failed: dict[str, AskState] = {}
     for part, piece, size in zip(
         running.parts, made, running.result_bytes, strict=True
     ):
@@ -48,6 +50,10 @@
             keep(server.results, piece.handle, size, until_ms)
         if not _take(planner, running, part, piece, server, outcome, now_ms):
             unused += [piece.handle] if piece.failure is None else []
+        state = planner.asks.get(part[0])
+        if piece.failure is PieceFailure.FAILED and state is not None:
+            failed[part[0]] = state
+    _count_tries(planner, failed.values(), outcome, now_ms)
     outcome.releases += release(planner, unused)
     return outcome
 
@@ -67,6 +73,7 @@
         else:
             took_ms = now_ms - running.sent_ms
             note_silent(server, running.nominal_ms, took_ms)
+    failed: dict[str, AskState] = {}
     for ask_id, number in running.parts:
         state = planner.asks.get(ask_id)
         if state is None:
@@ -76,9 +83,9 @@
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
         state.waiting.append(number)
-        state.tries += 0 if was_refused else 1
-        if state.tries >= MAX_TRIES:
-            fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
+        failed[ask_id] = state
+    if not was_refused:
+        _count_tries(planner, failed.values(), outcome, now_ms)
     return outcome
 
 
@@ -160,14 +167,20 @@
         return True
     if piece.failure is PieceFailure.NO_ROOM and server is not None:
         note_full(server, now_ms)
-    else:
-        state.tries += 1
     state.waiting.append(number)
-    if state.tries >= MAX_TRIES:
-        fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
     return True
 
 
+def _count_tries(
+    planner: Planner, failed: Iterable[AskState], outcome: Outcome, now_ms: int
+) -> None:
+    """Count a call that failed once for each request, however many pieces it had."""
+    for state in failed:
+        state.tries += 1
+        if state.tries >= MAX_TRIES:
+            fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
+
+
 def _finish(planner: Planner, state: AskState, outcome: Outcome, now_ms: int) -> None:
     made = [state.made[number] for number in range(state.ask.piece_count)]
     handles = tuple(handle for handle, _ in made)
--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -23,7 +23,7 @@
 )
 from bramleyturn.core.pieces.timing import stage_ms, work_of
 
-# How much later a result may be made for it to lie where it is used.
+# How much later a piece may be made for its inputs or its result to stay in a zone.
 OTHER_ZONE_MS_PER_MEGABYTE: Final = 25.0
 BYTES_PER_MEGABYTE: Final = 1_000_000
 # A request that needs more than this part of all room begins when that much is free.
@@ -113,9 +113,7 @@
     size = max(1, ask.result_bytes)
     count = min(len(state.waiting), planner.limits.batch_items)
     nominal_ms = stage_ms(planner, count, ask.result_bytes)
-    megabytes = ask.result_bytes * count / BYTES_PER_MEGABYTE
     spare_ms = max(0.0, ask.due_ms - now_ms - nominal_ms)
-    elsewhere_ms = min(megabytes * OTHER_ZONE_MS_PER_MEGABYTE, spare_ms)
     best: StageServer | None = None
     best_ms = 0.0
     for server in planner.servers.values():
@@ -126,13 +124,21 @@
         if fitting < count:
             # The rest takes another call.
             end_ms += stage_ms(planner, count - fitting, size)
-        if ask.near_zone and server.server.zone != ask.near_zone:
-            end_ms += elsewhere_ms
+        moved = _moved_bytes(ask, server.server.zone) * count / BYTES_PER_MEGABYTE
+        end_ms += min(moved * OTHER_ZONE_MS_PER_MEGABYTE, spare_ms)
         if best is None or end_ms < best_ms:
             best, best_ms = server, end_ms
     return best
 
 
+def _moved_bytes(ask: StageAsk, zone: str) -> int:
+    """Return what crosses zones for a piece that is made in ``zone``."""
+    moved = sum(size for held_in, size in ask.input_bytes if held_in != zone)
+    if ask.near_zone and ask.near_zone != zone:
+        moved += ask.result_bytes
+    return moved
+
+
 def _fill(
     planner: Planner,
     server: StageServer,
--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -95,6 +95,7 @@
         if server is None:
             continue
         server.needs_report = False
+        server.is_doubted = False
         server.foreign_bytes = 0
         server.pace = given.pace
         if server.call_id is None:
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -51,6 +51,8 @@
     ``deadline_ms`` when their results are of no more use. A lower ``urgency`` goes
     first. ``near_zone`` is where the results are used, empty if that does not matter.
     ``route`` and ``size`` tell what the request is worth beside others of its route.
+    ``input_bytes`` has how much of the inputs lies in each availability zone; every
+    piece reads all of it.
     ``has_started`` tells that another stage of the request was done already, and
     ``later`` names the stages that follow this one.
     """
@@ -71,6 +73,7 @@
     later: tuple[LaterStage, ...]
     route: str = ""
     size: int = 0
+    input_bytes: tuple[tuple[str, int], ...] = ()
 
 
 class AskDone(NamedTuple):
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -108,8 +108,9 @@
         known = planner.servers.get(server_id)
         if known is None or known.server.born_ms != server.born_ms:
             fresh = planner.servers[server_id] = StageServer(server)
-            # Another planner may have filled it.
+            # Another planner may have filled it, and it may be out of reach.
             fresh.needs_report = True
+            fresh.is_doubted = True
         else:
             known.server = server
 
--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -86,14 +86,17 @@
     tried: frozenset[str],
     health: HealthBook,
     now_ms: int,
+    silent_zones: frozenset[str] = frozenset(),
 ) -> list[BackendServer]:
     """Return the servers to choose from: those not tried, and in doubt all of them.
 
-    Servers that are avoided count only if no other one is left.
+    Servers that are avoided count only if no other one is left, and before them those
+    in zones that can't be reached.
     """
     untried = [server for server in servers if server.id not in tried]
     sound = [server for server in untried if not is_avoided(health, server.id, now_ms)]
-    return sound or untried
+    near = [server for server in sound if server.zone not in silent_zones]
+    return near or sound or untried
 
 
 def choose_by_load(
--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -11,7 +11,7 @@
 
 # A connection that is not open after this time counts as refused. Instances and
 # servers are milliseconds apart, and a lost opening packet is sent again after 1 s.
-CONNECT_TIMEOUT_S: Final = 0.7
+CONNECT_TIMEOUT_S: Final = 0.3
 # A server that does not say how long it keeps idle connections is expected to do so
 # for this long at least.
 DEFAULT_IDLE_MS: Final = 1_500
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -18,6 +18,7 @@
     hear,
     is_live,
     next_heartbeat,
+    silent_zones,
 )
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.serving import Serving
@@ -89,9 +90,23 @@
                 "instance silent",
                 extra={"peer": name, "age_ms": age_ms, "live": len(live)},
             )
+        self._note_zones(now_ms)
         self.known_live = live
         gauge(self.serving.metrics, "live_instances", len(live) + 1)
 
+    def _note_zones(self, now_ms: int) -> None:
+        serving = self.serving
+        silent = silent_zones(serving.members, now_ms)
+        if silent != serving.silent_zones:
+            logger.info(
+                "silent zones",
+                extra={
+                    "before": sorted(serving.silent_zones),
+                    "zones": sorted(silent),
+                },
+            )
+        serving.silent_zones = silent
+
 
 class Told(NamedTuple):
     """Hold what a datagram tells: its sender's heartbeat first, then others.
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -227,7 +227,11 @@
         serving = self.serving
         now_ms = serving.now_ms()
         servers = usable_servers(
-            serving.ready(call.pool), tried, serving.health, now_ms
+            serving.ready(call.pool),
+            tried,
+            serving.health,
+            now_ms,
+            serving.silent_zones,
         )
         if call.route.keeps_prefix:
             return choose_by_prefix(
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -64,6 +64,7 @@
         self.peers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         self.members = Members(me, seed_addresses(settings), now_ms)
         self.freshness = Freshness(now_ms)
+        self.silent_zones: frozenset[str] = frozenset()
         self.is_ending = False
         self.in_progress = 0
         self.on_servers_changed: list[Callable[[], None]] = []
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -32,6 +32,7 @@
         "left_ms": ask.deadline_ms - now_ms,
         **fields,
         "later": [list(stage) for stage in ask.later],
+        "input_bytes": [list(each) for each in ask.input_bytes],
     }
 
 
@@ -58,6 +59,9 @@
             ),
             route=str(message["route"]),
             size=int(message["size"]),
+            input_bytes=tuple(
+                (str(zone), int(size)) for zone, size in message["input_bytes"]
+            ),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -111,11 +111,21 @@
             later=later_stages(order.route, order.counts, number),
             route=order.route.name,
             size=order.size,
+            input_bytes=self._input_bytes(needed),
         )
         asked = self.asks.ask(ask)
         self.running[number] = asked
         asked.addCallback(lambda done: self._take(number, done))
 
+    def _input_bytes(self, needed: list[int]) -> tuple[tuple[str, int], ...]:
+        """Return how much of the results of earlier stages lies in each zone."""
+        by_zone: dict[str, int] = {}
+        for earlier in needed:
+            size = self.order.route.stages[earlier].result_bytes
+            for zone in self.results[earlier].zones:
+                by_zone[zone] = by_zone.get(zone, 0) + size
+        return tuple(sorted(by_zone.items()))
+
     def _take(self, number: int, done: AskDone) -> None:
         if self.running.pop(number, None) is None:
             return
--- a/tests/core/fleet/test_members.py
+++ b/tests/core/fleet/test_members.py
@@ -13,6 +13,7 @@
     live_members,
     newest_holder,
     next_heartbeat,
+    silent_zones,
 )
 from bramleyturn.core.fleet.owners import owner_of, owner_order
 
@@ -123,3 +124,45 @@
 
     def test_nobody(self) -> None:
         assert owner_of("stages", []) is None
+
+
+class TestSilentZones:
+    """A zone that is cut off from the others, or lost."""
+
+    def known(self) -> Members:
+        """Return what an instance of the north knows of three zones."""
+        known = members()
+        for name, zone in (("n", "north"), ("e1", "east"), ("e2", "east"), ("s", "w")):
+            member = MemberRef(name, zone, f"{name}:7740", "1")
+            hear(known, [Heartbeat(member, 1, 0, False)], 0)
+        return known
+
+    def hear_again(self, known: Members, *names: str, now_ms: int) -> None:
+        """Hear some instances once more."""
+        for name in names:
+            heartbeat = known.others[name].heartbeat
+            again = heartbeat._replace(beats=heartbeat.beats + 1)
+            hear(known, [again], now_ms)
+
+    def test_none_while_one_instance_of_each_is_heard(self) -> None:
+        known = self.known()
+        self.hear_again(known, "n", "e2", "s", now_ms=2_000)
+        assert silent_zones(known, 2_000) == frozenset()
+
+    def test_a_zone_of_which_nobody_is_heard(self) -> None:
+        known = self.known()
+        self.hear_again(known, "n", "s", now_ms=2_000)
+        assert silent_zones(known, 2_000) == {"east"}
+
+    def test_one_silent_instance_says_nothing_of_its_zone(self) -> None:
+        known = self.known()
+        self.hear_again(known, "n", "e1", now_ms=2_000)
+        assert silent_zones(known, 2_000) == frozenset()
+
+    def test_an_instance_that_hears_nobody_is_cut_off_itself(self) -> None:
+        assert silent_zones(self.known(), 2_000) == frozenset()
+
+    def test_a_zone_that_left_long_ago_is_forgotten(self) -> None:
+        known = self.known()
+        self.hear_again(known, "n", "s", now_ms=40_000)
+        assert silent_zones(known, 40_000) == frozenset()
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -2,9 +2,10 @@
 
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import give_over, take_over
-from bramleyturn.core.pieces.model import MadePiece, StageAsk
+from bramleyturn.core.pieces.model import MadePiece, PieceFailure, StageAsk
 from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
 from bramleyturn.core.pieces.planner import MovedPiece, Planner, update_servers
+from bramleyturn.core.pieces.stage_server import note_report
 from tests.core.pieces.diary_load import LIMITS
 from tests.core.pieces.stage_world import site_server
 
@@ -36,6 +37,8 @@
     made = Pipeline()
     planner = made.planners[POOL] = Planner(POOL, LIMITS[POOL])
     update_servers(planner, [site_server(POOL, place) for place in range(3)])
+    for server in planner.servers.values():
+        note_report(server, planner.limits, planner.limits.room_bytes, 0)
     return made, planner
 
 
@@ -84,3 +87,48 @@
         plan(before, 0)
         give_over(before, {}, 10)
         assert plan(before, 20)[POOL].calls == []
+
+
+class TestLostCall:
+    """A server that is lost with a call of many pieces."""
+
+    def test_one_call_is_one_failure_however_many_pieces_it_had(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=5), 0)
+        (call,) = plan(whole, 0)[POOL].calls
+        assert len(call.pieces) == 5
+        outcome = call_failed(planner, call.call_id, False, 200)
+        assert outcome.done == []
+        assert len(plan(whole, 220)[POOL].calls) == 1
+
+    def test_pieces_that_fail_together_are_one_failure(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=5), 0)
+        (call,) = plan(whole, 0)[POOL].calls
+        made = [MadePiece("", PieceFailure.FAILED)] * 5
+        assert call_ended(planner, call.call_id, made, 200).done == []
+
+    def test_a_request_whose_calls_always_fail_fails(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=1), 0)
+        done = []
+        for now_ms in range(0, 6_000, 300):
+            for server in planner.servers.values():
+                note_report(server, planner.limits, 0, now_ms)
+            for call in plan(whole, now_ms)[POOL].calls:
+                done += call_failed(planner, call.call_id, False, now_ms + 200).done
+        assert [each.failure for each in done] == [PieceFailure.FAILED]
+
+
+class TestNewServer:
+    """A server that nobody has heard from yet."""
+
+    def test_gets_nothing_before_its_first_report(self) -> None:
+        whole = Pipeline()
+        planner = whole.planners[POOL] = Planner(POOL, LIMITS[POOL])
+        update_servers(planner, [site_server(POOL, 0)])
+        take_ask(whole, ask("r"), 0)
+        assert plan(whole, 0)[POOL].calls == []
+        (server,) = planner.servers.values()
+        note_report(server, planner.limits, planner.limits.room_bytes, 5)
+        assert len(plan(whole, 5)[POOL].calls) == 1
