Ask every pool for reports while any stage has work

Cause: a stage server gets nothing before its first report, and reports were asked for in pools with asks only. Change: the pipeline says which servers to ask; the replay world uses the same function. A test failed before.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -16,6 +16,7 @@
 from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
 from bramleyturn.core.pieces.planner import AskState, Outcome, Planner, Refused, submit
 from bramleyturn.core.pieces.releases import withdraw
+from bramleyturn.core.pieces.stage_server import StageServer, wants_report
 from bramleyturn.core.pieces.timing import busy_ms, piece_ms, stage_ms
 from bramleyturn.core.waiting.request_worth import UsualSizes, note_size, worth_of
 
@@ -104,6 +105,25 @@
     return outcomes
 
 
+def reports_wanted(
+    pipeline: Pipeline, now_ms: int
+) -> list[tuple[Planner, StageServer]]:
+    """Return the servers to ask for their room while any stage has work.
+
+    Pools that nothing waits for are among them: a request is only begun if its later
+    stages are expected to serve it.
+    """
+    planners = pipeline.planners.values()
+    if not any(planner.asks for planner in planners):
+        return []
+    return [
+        (planner, state)
+        for planner in planners
+        for state in planner.servers.values()
+        if wants_report(state, now_ms)
+    ]
+
+
 def _order(
     pipeline: Pipeline, outcomes: dict[str, Outcome], now_ms: int
 ) -> list[AskState]:
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -10,7 +10,12 @@
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import Handover, give_over, take_over
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
-from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
+from bramleyturn.core.pieces.pipeline import (
+    Pipeline,
+    plan,
+    reports_wanted,
+    take_ask,
+)
 from bramleyturn.core.pieces.planner import MovedPiece, Outcome, Planner, update_servers
 from bramleyturn.core.pieces.releases import (
     release,
@@ -18,11 +23,7 @@
     released,
     withdraw,
 )
-from bramleyturn.core.pieces.stage_server import (
-    StageServer,
-    note_report,
-    wants_report,
-)
+from bramleyturn.core.pieces.stage_server import StageServer, note_report
 from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
@@ -290,14 +291,10 @@
         self._run()
 
     def _ask_reports(self, now_ms: int) -> None:
-        for planner in self.pipeline.planners.values():
-            if not planner.asks:
-                continue
-            for state in planner.servers.values():
-                if wants_report(state, now_ms):
-                    state.report_asked_ms = now_ms
-                    asked = self._read_report(planner, state)
-                    Deferred.fromCoroutine(asked).addErrback(_log_failure)
+        for planner, state in reports_wanted(self.pipeline, now_ms):
+            state.report_asked_ms = now_ms
+            asked = self._read_report(planner, state)
+            Deferred.fromCoroutine(asked).addErrback(_log_failure)
 
     async def _read_report(self, planner: Planner, state: StageServer) -> None:
         """Ask a server for its room, which results of another owner may take."""
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -17,13 +17,10 @@
     StageAsk,
     StageCall,
 )
-from bramleyturn.core.pieces.pipeline import Pipeline, take_ask
+from bramleyturn.core.pieces.pipeline import Pipeline, reports_wanted, take_ask
 from bramleyturn.core.pieces.planner import Outcome, Planner, update_servers
 from bramleyturn.core.pieces.releases import release, released
-from bramleyturn.core.pieces.stage_server import (
-    note_report,
-    wants_report,
-)
+from bramleyturn.core.pieces.stage_server import note_report
 
 TICK_MS = 60
 # The way of a call to a server and back, and of an ask to the planner and back.
@@ -146,10 +143,10 @@
         for planner in self.pipeline.planners.values():
             for state in planner.asks.values():
                 state.heard_ms = self.now_ms
-            for server_id, server in planner.servers.items():
-                if wants_report(server, self.now_ms) and server_id not in self.dark:
-                    free_bytes = planner.limits.room_bytes - server.results.total_bytes
-                    note_report(server, planner.limits, free_bytes, self.now_ms)
+        for planner, server in reports_wanted(self.pipeline, self.now_ms):
+            if server.server.id not in self.dark:
+                free_bytes = planner.limits.room_bytes - server.results.total_bytes
+                note_report(server, planner.limits, free_bytes, self.now_ms)
         for pool, outcome in self.policy(self.pipeline, self.now_ms).items():
             self.carry_out(self.pipeline.planners[pool], outcome)
 
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -3,7 +3,7 @@
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import give_over, take_over
 from bramleyturn.core.pieces.model import MadePiece, PieceFailure, StageAsk
-from bramleyturn.core.pieces.pipeline import Pipeline, plan, take_ask
+from bramleyturn.core.pieces.pipeline import Pipeline, plan, reports_wanted, take_ask
 from bramleyturn.core.pieces.planner import MovedPiece, Planner, update_servers
 from bramleyturn.core.pieces.stage_server import note_report
 from tests.core.pieces.diary_load import LIMITS
@@ -132,3 +132,13 @@
         (server,) = planner.servers.values()
         note_report(server, planner.limits, planner.limits.room_bytes, 5)
         assert len(plan(whole, 5)[POOL].calls) == 1
+
+    def test_is_asked_for_its_report_while_only_an_earlier_stage_has_work(self) -> None:
+        whole = Pipeline()
+        for name in ("roster", POOL):
+            planner = whole.planners[name] = Planner(name, LIMITS[name])
+            update_servers(planner, [site_server(name, 0)])
+        assert reports_wanted(whole, 0) == []
+        take_ask(whole, ask("r")._replace(pool="roster"), 0)
+        wanted = {state.server.id for _, state in reports_wanted(whole, 0)}
+        assert wanted == {"roster-0", f"{POOL}-0"}
