--- /dev/null
+++ b/tests/core/placement/engine_world.py
@@ -0,0 +1,134 @@
+"""Play requests with shared prompts against engines that read them, in virtual time."""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.prompt import PromptPart, shared_prefix
+from bramleyturn.core.placement.choice import (
+    LoadBook,
+    choose_by_load,
+    choose_by_prefix,
+    note_ended,
+    note_report,
+    note_sent,
+)
+
+ENTRIES = 10
+ENGINES = 5
+# As engines read prompts and write outputs.
+TOKENS_PER_MS = 60.0
+OUTPUT_MS = 900
+Choice = Callable[[list[BackendServer], "Request", LoadBook, Random, int], int]
+
+
+class Request(NamedTuple):
+    """Hold a request: when it comes to which entry, and its prompt."""
+
+    at_ms: int
+    entry: int
+    prompt: tuple[PromptPart, ...]
+
+
+class Engine:
+    """Hold what an engine keeps, what it has to read and how many requests it has."""
+
+    def __init__(self) -> None:
+        self.kept: set[str] = set()
+        self.free_ms = 0.0
+        self.requests = 0
+
+
+def engine_server(place: int) -> BackendServer:
+    """Return an engine as it is registered."""
+    return BackendServer(
+        f"e{place}", "drafts", "10.0.0.1", 80 + place, "z", "v", 64, False, 0, 0
+    )
+
+
+def requests(
+    seed: int, per_s: float, subjects: int, hot_part: float = 0.0
+) -> list[Request]:
+    """Return requests of half a minute about subjects, one of which may be hot."""
+    random = Random(seed)
+    made = []
+    at_ms = 0.0
+    for number in range(int(30 * per_s)):
+        at_ms += random.expovariate(per_s) * 1_000
+        is_hot = random.random() < hot_part
+        subject = 0 if is_hot else random.randrange(subjects)
+        own = int(3_700 * random.lognormvariate(-0.6, 1.1))
+        prompt = (PromptPart(f"s{subject}", 13_300), PromptPart(f"own{number}", own))
+        made.append(Request(int(at_ms), random.randrange(ENTRIES), prompt))
+    return made
+
+
+def first_event_times_ms(played: list[Request], choose: Choice) -> list[int]:
+    """Return how long each request took to its first event."""
+    servers = [engine_server(place) for place in range(ENGINES)]
+    engines = [Engine() for _ in servers]
+    books = [LoadBook() for _ in range(ENTRIES)]
+    random = Random(1)
+    ends: list[tuple[float, int, int]] = []
+    times = []
+    for request in played:
+        while ends and ends[0][0] <= request.at_ms:
+            _, entry, place = heapq.heappop(ends)
+            engines[place].requests -= 1
+            note_ended(books[entry], servers[place].id)
+        book = books[request.entry]
+        place = choose(servers, request, book, random, request.at_ms)
+        engine = engines[place]
+        note_report(book, servers[place].id, engine.requests, request.at_ms)
+        note_sent(book, servers[place].id)
+        engine.requests += 1
+        tokens = request.prompt[-1].tokens + sum(
+            part.tokens
+            for part in shared_prefix(request.prompt)
+            if part.id not in engine.kept
+        )
+        engine.kept.update(part.id for part in request.prompt)
+        begin_ms = max(float(request.at_ms), engine.free_ms)
+        engine.free_ms = begin_ms + tokens / TOKENS_PER_MS
+        times.append(int(engine.free_ms - request.at_ms))
+        heapq.heappush(ends, (engine.free_ms + OUTPUT_MS, request.entry, place))
+    return times
+
+
+def by_reading_cost(
+    servers: list[BackendServer],
+    request: Request,
+    book: LoadBook,
+    random: Random,
+    now_ms: int,
+) -> int:
+    """Choose as entries do."""
+    chosen = choose_by_prefix(servers, request.prompt, book, random, now_ms)
+    assert chosen is not None
+    return servers.index(chosen)
+
+
+def by_least_load(
+    servers: list[BackendServer],
+    request: Request,
+    book: LoadBook,
+    random: Random,
+    now_ms: int,
+) -> int:
+    """Choose by load alone."""
+    chosen = choose_by_load(servers, book, random, now_ms)
+    assert chosen is not None
+    return servers.index(chosen)
+
+
+def by_prefix_alone(
+    servers: list[BackendServer],
+    request: Request,
+    book: LoadBook,
+    random: Random,
+    now_ms: int,
+) -> int:
+    """Choose the engine that keeps the prefix, whatever it has to do."""
+    return by_reading_cost(servers, request, LoadBook(), random, now_ms)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -154,3 +154,25 @@
         note_answered(book, "s1")
         tried = frozenset({"s0"})
         assert server(0) not in usable_servers(SERVERS, tried, book, 1)
+
+
+class TestSilentZone:
+    """A zone of which no instance is heard."""
+
+    def test_its_servers_come_last(self) -> None:
+        far = [each._replace(zone="far") for each in SERVERS[:3]]
+        near = SERVERS[3:]
+        silent = frozenset({"far"})
+        health = HealthBook()
+        assert usable_servers(far + near, frozenset(), health, 0, silent) == near
+        tried = frozenset(each.id for each in near)
+        assert usable_servers(far + near, tried, health, 0, silent) == far
+
+    def test_they_go_before_a_server_that_is_avoided(self) -> None:
+        far = [each._replace(zone="far") for each in SERVERS[:3]]
+        health = HealthBook()
+        note_failed(health, SERVERS[3].id, 0, is_certain=True)
+        chosen = usable_servers(
+            [*far, SERVERS[3]], frozenset(), health, 1, frozenset({"far"})
+        )
+        assert chosen == far
