Serve what is worth most while more arrives than can be in time; share pieces out evenly

In lasting overload requests were admitted in the order of arrival, whatever their size; what fell behind was refused, often twice. Change: above the load that calls can carry, and while a queue stands, only the requests above a quantile of worth are to be in time. The late ones' forecast counts calls as full as they are on average. Pieces of one request are shared out evenly while servers are idle.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -5,7 +5,8 @@
 before a later one, whose results fill the servers' room and expire. Whether a request
 can be in time is forecast over all of its stages before its first one begins; what
 has begun goes before what has not; what can only be late gets what is left over, and
-what cannot be done at all is refused at once with the time to come back.
+what cannot be done at all is refused at once with the time to come back. While more
+arrives than can be in time, the requests that are worth most go first.
 """
 
 import math
@@ -18,7 +19,13 @@
 from bramleyturn.core.pieces.releases import withdraw
 from bramleyturn.core.pieces.stage_server import StageServer, wants_report
 from bramleyturn.core.pieces.timing import busy_ms, piece_ms, stage_ms
-from bramleyturn.core.waiting.request_worth import UsualSizes, note_size, worth_of
+from bramleyturn.core.waiting.request_worth import (
+    UsualSizes,
+    least_worth,
+    note_size,
+    note_worth,
+    worth_of,
+)
 
 # Without a server for this long, what waits is told so.
 NO_SERVER_MS: Final = 1_500
@@ -39,9 +46,12 @@
 ARRIVALS_MS: Final = 3_000.0
 # Late requests are expected to get this part of the servers' time at least.
 LEAST_SPARE: Final = 0.1
-# A request only displaces others that are worth less than this part of it: what was
-# forecast for them may still change.
-DISPLACED_PART: Final = 0.8
+# Work arrives as if all calls were full; as many are on average while there is a queue.
+FULL_CALLS_PART: Final = 0.77
+# A queue this long does not clear with the next calls, which last less each.
+SELECTIVE_MS: Final = 300
+# At most half of the requests are passed over for being worth little.
+MOST_LOAD: Final = 2.0
 
 
 class Pipeline:
@@ -68,9 +78,7 @@
             for name, planner in pipeline.planners.items()
         }
         self.spare = {
-            name: max(
-                LEAST_SPARE, 1 - _arriving_ms(pipeline, name, now_ms) / ARRIVALS_MS
-            )
+            name: max(LEAST_SPARE, 1 - _load(pipeline, name, now_ms))
             for name in pipeline.planners
         }
 
@@ -84,11 +92,11 @@
     is_new = ask.ask_id not in planner.asks and ask.ask_id not in planner.done
     done = submit(planner, ask, now_ms)
     if is_new and not ask.has_started:
-        note_size(pipeline.sizes, ask.route, ask.size)
-        _note_arriving(pipeline, planner.asks[ask.ask_id], now_ms)
-    if is_new:
         state = planner.asks[ask.ask_id]
+        note_size(pipeline.sizes, ask.route, ask.size)
         state.worth = worth_of(pipeline.sizes, ask.route, ask.size)
+        note_worth(pipeline.sizes, state.worth)
+        _note_arriving(pipeline, planner.asks[ask.ask_id], now_ms)
     return done
 
 
@@ -144,47 +152,40 @@
     for state in asks:
         if is_begun(state):
             continue
-        if not _is_in_time(pipeline, forecast, state):
-            worse = _displaced(pipeline, forecast, in_time, state)
-            if not worse:
-                late.append(state)
-                continue
-            in_time = [each for each in in_time if each not in worse]
-            late += worse
-        _add_work(pipeline, forecast, state)
-        in_time.append(state)
-    late.sort(key=_rank)
+        is_chosen = ask_has_begun(state) or _is_chosen(pipeline, forecast, state)
+        if is_chosen and _is_in_time(pipeline, forecast, state):
+            _add_work(pipeline, forecast, state)
+            in_time.append(state)
+        else:
+            late.append(state)
     return begun + in_time + _order_late(pipeline, outcomes, forecast, late)
 
 
-def _is_in_time(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
-    margin_ms = MARGIN_PART * _work_ms(pipeline, state)
-    return _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms
+def ask_has_begun(state: AskState) -> bool:
+    """Return whether results of the request would be lost if it were late."""
+    return state.ask.has_started or is_begun(state)
 
 
-def _displaced(
-    pipeline: Pipeline, forecast: Forecast, in_time: list[AskState], state: AskState
-) -> list[AskState]:
-    """Return the requests that are to be late so that ``state`` is in time.
+def _is_chosen(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
+    """Return whether a request is worth enough to be in time as long as more arrive.
 
-    Together they are worth less, and none is more urgent. Their work is taken out of
-    the forecast; if there are none, the forecast stays as it is.
+    While more work arrives than a pool can do and its queue has built up, only as many
+    of the requests that use it are to be in time as it can do: those worth most. The
+    others get the time that is left over, as if they were late.
     """
-    worse: list[AskState] = []
-    left = state.worth * DISPLACED_PART
-    for other in sorted(in_time, key=lambda each: each.worth):
-        if other.worth > left:
-            break
-        if other.ask.has_started or other.ask.urgency < state.ask.urgency:
-            continue
-        left -= other.worth
-        worse.append(other)
-        _add_work(pipeline, forecast, other, sign=-1)
-        if _is_in_time(pipeline, forecast, state):
-            return worse
-    for other in worse:
-        _add_work(pipeline, forecast, other)
-    return []
+    load = 1.0
+    queue_ms = 0.0
+    for stage in _remaining(state):
+        load = max(load, _load(pipeline, stage.pool, forecast.now_ms))
+        queue_ms = max(queue_ms, forecast.ahead_ms.get(stage.pool, 0.0))
+    if queue_ms < SELECTIVE_MS:
+        return True
+    return state.worth >= least_worth(pipeline.sizes, min(load, MOST_LOAD))
+
+
+def _is_in_time(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
+    margin_ms = MARGIN_PART * _work_ms(pipeline, state)
+    return _finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms
 
 
 def _order_late(
@@ -199,7 +200,7 @@
         planner = pipeline.planners[ask.pool]
         waits_ms = _queue_ms(forecast, state)
         finish_ms = _finish_ms(pipeline, forecast, state, is_late=True)
-        has_begun = ask.has_started or is_begun(state)
+        has_begun = ask_has_begun(state)
         if finish_ms > ask.deadline_ms and not has_begun:
             over_ms = int(finish_ms - ask.deadline_ms)
             queue_ms = {
@@ -260,7 +261,7 @@
             continue
         queue_ms = forecast.ahead_ms.get(stage.pool, 0.0)
         if is_late:
-            queue_ms /= forecast.spare.get(stage.pool, 1.0)
+            queue_ms /= FULL_CALLS_PART * forecast.spare.get(stage.pool, 1.0)
         own_ms = stage_ms(planner, stage.piece_count, stage.result_bytes)
         elapsed_ms = max(elapsed_ms, queue_ms) + own_ms
     return forecast.now_ms + elapsed_ms
@@ -288,9 +289,9 @@
     return work_ms * math.exp((at_ms - now_ms) / ARRIVALS_MS)
 
 
-def _spare(pipeline: Pipeline, pool: str, now_ms: int) -> float:
-    """Return the part of a pool's time that new requests leave over."""
-    return max(LEAST_SPARE, 1 - _arriving_ms(pipeline, pool, now_ms) / ARRIVALS_MS)
+def _load(pipeline: Pipeline, pool: str, now_ms: int) -> float:
+    """Return the work that arrives for a pool as a part of what it can do."""
+    return _arriving_ms(pipeline, pool, now_ms) / ARRIVALS_MS / FULL_CALLS_PART
 
 
 def _work_ms(pipeline: Pipeline, state: AskState) -> float:
@@ -302,14 +303,12 @@
     )
 
 
-def _add_work(
-    pipeline: Pipeline, forecast: Forecast, state: AskState, sign: int = 1
-) -> None:
+def _add_work(pipeline: Pipeline, forecast: Forecast, state: AskState) -> None:
     for stage in _remaining(state):
         planner = pipeline.planners.get(stage.pool)
         if planner is not None:
             added_ms = piece_ms(planner, stage.result_bytes) * stage.piece_count
-            forecast.ahead_ms[stage.pool] += sign * added_ms
+            forecast.ahead_ms[stage.pool] += added_ms
 
 
 def _is_hopeless(planner: Planner, state: AskState, now_ms: int) -> bool:
--- a/tests/core/pieces/test_pipeline.py
+++ b/tests/core/pieces/test_pipeline.py
@@ -123,3 +123,55 @@
         world = played(plan, [Arrival(0, PAGE) for _ in range(2)])
         assert world.in_aim() == 1.0
         assert len(CHAIN) == 3
+
+
+def of_varied_size(arrivals: list[Arrival], seed: int) -> list[Arrival]:
+    """Return the arrivals with sizes that vary, and what each is then worth."""
+    random = Random(seed)
+    made = []
+    for arrival in arrivals:
+        size = int(20_000 * random.lognormvariate(-0.4, 0.9))
+        worth = min(4.0, 0.3 + 0.7 * size / 20_000)
+        kind = arrival.kind._replace(worth=arrival.kind.worth * worth)
+        made.append(Arrival(arrival.at_ms, kind, size))
+    return made
+
+
+class TestLostServerAtPeak:
+    """One server of each pool is lost in a burst, and requests differ in size."""
+
+    SERVERS = 2
+
+    def in_aim(self, seed: int, has_sizes: bool) -> float:
+        """Return the worth in time, with the sizes told or not."""
+        arrivals = of_varied_size(burst(seed), seed)
+        if not has_sizes:
+            arrivals = [arrival._replace(size=0) for arrival in arrivals]
+        return World(LIMITS, self.SERVERS, plan).play(arrivals, END_MS).in_aim()
+
+    def test_more_worth_is_in_time_than_with_sizes_unknown(self) -> None:
+        gains = [self.in_aim(seed, True) - self.in_aim(seed, False) for seed in SEEDS]
+        assert sum(gains) / len(gains) > 0.02, gains
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_small_requests_are_not_starved(self, seed: int) -> None:
+        arrivals = of_varied_size(burst(seed), seed)
+        world = World(LIMITS, self.SERVERS, plan).play(arrivals, END_MS)
+        smallest = sorted(world.jobs.values(), key=lambda job: job.size)
+        smallest = smallest[: len(smallest) // 5]
+        served = sum(job.ended_ms is not None for job in smallest) / len(smallest)
+        assert served >= world.answered() / 4, seed
+
+
+class TestFewPieces:
+    """One request whose pieces need two calls, while servers are idle."""
+
+    def test_its_pieces_are_shared_out_evenly(self) -> None:
+        kind = RECEIPT._replace(stages=(StageNeed("bridge", 6, 60_000),))
+        world = World(LIMITS, SERVERS, plan)
+        world.play([Arrival(0, kind)], 1_000)
+        (job,) = world.jobs.values()
+        assert world.call_count == 2
+        # Three pieces a call: 150 ms and 3 x 25.6 ms, not 5 x 25.6 ms.
+        assert job.ended_ms is not None
+        assert job.ended_ms - kind.run_ms <= 150 + 3 * 25.6 + 20
--- a/tests/core/waiting/test_first_events.py
+++ b/tests/core/waiting/test_first_events.py
@@ -13,7 +13,9 @@
     LEAST_WORTH,
     MOST_WORTH,
     UsualSizes,
+    least_worth,
     note_size,
+    note_worth,
     request_size,
     worth_of,
 )
@@ -79,3 +81,15 @@
 
     def test_output_counts_more_than_prompt(self) -> None:
         assert request_size(100, 20) == 300
+
+    def test_of_twice_the_load_the_better_half_is_chosen(self) -> None:
+        sizes = UsualSizes()
+        for number in range(60):
+            note_worth(sizes, float(number))
+        assert least_worth(sizes, 1.0) == 0.0
+        assert least_worth(sizes, 2.0) == 30.0
+
+    def test_few_requests_do_not_tell(self) -> None:
+        sizes = UsualSizes()
+        note_worth(sizes, 3.0)
+        assert least_worth(sizes, 2.0) == 0.0
