--- a/src/bramleyturn/gateway/peer_links.py
+++ b/src/bramleyturn/gateway/peer_links.py
@@ -10,9 +10,9 @@
 from typing import Any, Final
 
 import orjson
-from twisted.internet.defer import Deferred
 
 from bramleyturn.core.fleet.members import doubt
+from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallBroken, Peer, call
 from bramleyturn.gateway.metrics import count
 from bramleyturn.gateway.serving import Serving
@@ -57,7 +57,7 @@
             serving.reactor.callLater(0, self._start, name)
 
     def _start(self, name: str) -> None:
-        Deferred.fromCoroutine(self._deliver(name)).addErrback(_log_failure)
+        run_in_background(self._deliver(name), "a link to an instance")
 
     async def _deliver(self, name: str) -> None:
         try:
@@ -112,7 +112,3 @@
     if not all(isinstance(message, dict) for message in messages):
         return None
     return sender, messages
-
-
-def _log_failure(failure: Any) -> None:
-    logger.error("a peer link failed", extra={"error": failure.type.__name__})
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -3,8 +3,6 @@
 import logging
 from typing import Any, Final
 
-from twisted.internet.defer import Deferred
-
 from bramleyturn.core.catalog.model import BackendServer, server_address
 from bramleyturn.core.fleet.owners import STAGES, owner_of
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
@@ -24,6 +22,7 @@
     withdraw,
 )
 from bramleyturn.core.pieces.stage_server import StageServer, note_report
+from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
@@ -236,7 +235,7 @@
                 self.links.send(self.successor, encode_moved(moved))
         for ordered in outcome.calls:
             made = self._call(planner, ordered)
-            Deferred.fromCoroutine(made).addErrback(_log_failure)
+            run_in_background(made, "a call to a stage")
 
     def _tell(self, done: AskDone) -> None:
         # A repeated ask names its origin again.
@@ -294,7 +293,7 @@
         for planner, state in reports_wanted(self.pipeline, now_ms):
             state.report_asked_ms = now_ms
             asked = self._read_report(planner, state)
-            Deferred.fromCoroutine(asked).addErrback(_log_failure)
+            run_in_background(asked, "a report of a stage server")
 
     async def _read_report(self, planner: Planner, state: StageServer) -> None:
         """Ask a server for its room, which results of another owner may take."""
@@ -327,7 +326,7 @@
     def _release(self, planner: Planner, releases: list[Release]) -> None:
         for ordered in releases:
             sent = self._call_release(planner, ordered)
-            Deferred.fromCoroutine(sent).addErrback(_log_failure)
+            run_in_background(sent, "a release of results")
 
     async def _call_release(self, planner: Planner, ordered: Release) -> None:
         """Tell a server to give up results, and plan on with the room."""
@@ -368,10 +367,3 @@
     if made is None:
         return []
     return [str(piece.failure) for piece in made if piece.failure is not None]
-
-
-def _log_failure(failure: Any) -> None:
-    logger.error(
-        "a call to a stage failed",
-        extra={"error": failure.type.__name__, "detail": failure.getErrorMessage()},
-    )
--- a/src/bramleyturn/programs/serve.py
+++ b/src/bramleyturn/programs/serve.py
@@ -9,41 +9,36 @@
 from random import Random
 from typing import Any, Final
 
-# The loop is chosen before anything imports it.
-from twisted.internet import epollreactor
-
-epollreactor.install()
-
-from twisted.internet import reactor  # noqa: E402
-from twisted.internet.defer import Deferred  # noqa: E402
-
-from bramleyturn.core.clock import Clock, system_clock  # noqa: E402
-from bramleyturn.core.fault import describe_fault  # noqa: E402
-from bramleyturn.core.fleet.members import MemberRef  # noqa: E402
-from bramleyturn.gateway.connection_pool import drop_old  # noqa: E402
-from bramleyturn.gateway.control_api import control_api  # noqa: E402
-from bramleyturn.gateway.event_log import EventLog, start_event_log  # noqa: E402
-from bramleyturn.gateway.heartbeats import Heartbeats  # noqa: E402
-from bramleyturn.gateway.http1_server import Exchange, HttpServer  # noqa: E402
-from bramleyturn.gateway.metrics import gauge, metrics_page  # noqa: E402
-from bramleyturn.gateway.peer_links import PeerLinks  # noqa: E402
-from bramleyturn.gateway.request_flow import RequestFlow  # noqa: E402
-from bramleyturn.gateway.serving import Serving, seed_addresses  # noqa: E402
-from bramleyturn.gateway.stage_asks import StageAsks  # noqa: E402
-from bramleyturn.gateway.stage_owner import StageOwner  # noqa: E402
-from bramleyturn.gateway.store_reader import (  # noqa: E402
+from twisted.internet import reactor
+
+from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.fault import describe_fault
+from bramleyturn.core.fleet.members import MemberRef
+from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.connection_pool import drop_old
+from bramleyturn.gateway.control_api import control_api
+from bramleyturn.gateway.event_log import EventLog, start_event_log
+from bramleyturn.gateway.heartbeats import Heartbeats
+from bramleyturn.gateway.http1_server import Exchange, HttpServer
+from bramleyturn.gateway.metrics import gauge, metrics_page
+from bramleyturn.gateway.peer_links import PeerLinks
+from bramleyturn.gateway.request_flow import RequestFlow
+from bramleyturn.gateway.serving import Serving, seed_addresses
+from bramleyturn.gateway.stage_asks import StageAsks
+from bramleyturn.gateway.stage_owner import StageOwner
+from bramleyturn.gateway.store_reader import (
     StoreReader,
     follow_store,
     relay_store,
 )
-from bramleyturn.platform.requests import READINESS_PATH  # noqa: E402
-from bramleyturn.platform.settings import (  # noqa: E402
+from bramleyturn.platform.requests import READINESS_PATH
+from bramleyturn.platform.settings import (
     SETTINGS_VARIABLE,
     RefusedServingSettings,
     ServingSettings,
     parse_serving_settings,
 )
-from bramleyturn.runtime.memory import freeze_start_up_objects  # noqa: E402
+from bramleyturn.runtime.memory import freeze_start_up_objects
 
 EXIT_BAD_SETTINGS: Final = 2
 METRICS_PATH: Final = b"/metrics"
@@ -123,8 +118,8 @@
         loop.listenUDP(
             settings.internal_port, self.heartbeats, interface=settings.control.host
         )
-        for work in (follow_store(self.reader), relay_store(self.reader)):
-            Deferred.fromCoroutine(work).addErrback(log_end)
+        run_in_background(follow_store(self.reader), "the reader of the store")
+        run_in_background(relay_store(self.reader), "the relay of the store")
         self.heartbeats.beat()
         self.file_stamp = settings_stamp()
         loop.callLater(HOUSEKEEPING_S, self.keep_house)
@@ -215,14 +210,6 @@
     return parse_serving_settings(path.read_text(), str(path))
 
 
-def log_end(failure: Any) -> None:
-    """Log that something that should run for ever has ended."""
-    logger.error(
-        "a background loop ended",
-        extra={"error": failure.type.__name__, "trace": failure.getTraceback()},
-    )
-
-
 def new_process(loop: Any, clock: Clock, settings: ServingSettings) -> Process:
     """Return a process that is ready to start."""
     incarnation = f"{clock.wall_ms():013d}-{secrets.token_hex(4)}"
