--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -151,29 +151,28 @@
 @contextmanager
 def running_fleet(folder: Path, entries: int = 2) -> Iterator[SiteFleet]:
     """Run a site with entries until the block ends."""
-    started = []
+    site = launch(
+        "bramleyturn.programs.standin_site", "", folder, arguments=["127.0.0.1"]
+    )
+    fleet = SiteFleet(site, [])
     try:
-        site = launch(
-            "bramleyturn.programs.standin_site", "", folder, arguments=["127.0.0.1"]
-        )
-        started.append(site)
         wait_ready(site)
-        fleet = SiteFleet(site, [])
         fleet.ports = _free_ports()
         for place in range(entries):
-            entry = _launch_entry(fleet, folder, place)
-            started.append(entry)
-            fleet.entries.append(entry)
+            fleet.entries.append(launch_entry(fleet, folder, place, f"entry-{place}"))
         for place in range(entries):
             ready = partial(fleet.is_ready, place)
-            until(ready, output_of(started[-1]), READY_LIMIT_S)
+            until(ready, output_of(fleet.entries[-1]), READY_LIMIT_S)
         yield fleet
     finally:
-        for running in started:
+        for running in [site, *fleet.entries]:
             kill(running)
 
 
-def _launch_entry(fleet: SiteFleet, folder: Path, place: int) -> RunningProcess:
+def launch_entry(
+    fleet: SiteFleet, folder: Path, place: int, name: str
+) -> RunningProcess:
+    """Start the entry of a place, without waiting until it is ready."""
     host, ports = HOSTS[place], fleet.ports
     control = ports["control"]
     lines = {
@@ -203,7 +202,7 @@
         "bramleyturn.programs.serve",
         "",
         folder,
-        f"entry-{place}",
+        name,
         environment={"BRAMLEYTURN_CONFIG": str(settings)},
         arguments=[str(ports["metrics"])],
     )
