--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -212,6 +212,7 @@
                 queue_ms,
                 int(finish_ms) - forecast.now_ms,
                 ask.deadline_ms - forecast.now_ms,
+                round(state.worth, 2),
             )
             outcomes[ask.pool].refused.append(refused)
             fail_ask(
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -80,12 +80,16 @@
 
 
 class Refused(NamedTuple):
-    """Say why a request was refused: what it waits for, by pool, and when it ends."""
+    """Say why a request was refused: what it waits for, by pool, and when it ends.
+
+    ``worth`` is that of the request beside one of usual size.
+    """
 
     attempt_id: str
     queue_ms: dict[str, int]
     finish_in_ms: int
     left_ms: int
+    worth: float
 
 
 class Outcome:
