--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -9,8 +9,7 @@
 
 from bramleyturn.core.pieces.held_results import drop_where_not_releasing, keep
 from bramleyturn.core.pieces.model import StageAsk
-from bramleyturn.core.pieces.pipeline import Pipeline
-from bramleyturn.core.pieces.planner import AskState, Planner
+from bramleyturn.core.pieces.planner import AskState, Pipeline, Planner
 
 # How much longer than expected a piece of the planner before is waited for.
 AWAIT_EXTRA_MS: Final = 300
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -10,9 +10,8 @@
     StageAsk,
     StageCall,
 )
-from bramleyturn.core.pieces.stage_server import (
-    StageServer,
-)
+from bramleyturn.core.pieces.stage_server import StageServer
+from bramleyturn.core.waiting.request_worth import UsualSizes
 
 
 class AskState:
@@ -68,6 +67,20 @@
         self.next_call_id = 1
 
 
+class Pipeline:
+    """Hold the planners of all stage pools by name.
+
+    ``arriving`` has, by pool, the work that arrived of late in milliseconds of the
+    whole pool, which fades, and when it was last added to. ``sizes`` has how large the
+    requests of each route usually are.
+    """
+
+    def __init__(self) -> None:
+        self.planners: dict[str, Planner] = {}
+        self.arriving: dict[str, tuple[float, int]] = {}
+        self.sizes = UsualSizes()
+
+
 class MovedPiece(NamedTuple):
     """Tell the next planner what became of a piece; no handle stands for a failure."""
 
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -9,12 +9,17 @@
 from bramleyturn.core.pieces.handover import Handover, give_over, take_over
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
 from bramleyturn.core.pieces.pipeline import (
-    Pipeline,
     plan,
     reports_wanted,
     take_ask,
 )
-from bramleyturn.core.pieces.planner import MovedPiece, Outcome, Planner, update_servers
+from bramleyturn.core.pieces.planner import (
+    MovedPiece,
+    Outcome,
+    Pipeline,
+    Planner,
+    update_servers,
+)
 from bramleyturn.core.pieces.releases import (
     release,
     release_foreign,
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -17,8 +17,8 @@
     StageAsk,
     StageCall,
 )
-from bramleyturn.core.pieces.pipeline import Pipeline, reports_wanted, take_ask
-from bramleyturn.core.pieces.planner import Outcome, Planner, update_servers
+from bramleyturn.core.pieces.pipeline import reports_wanted, take_ask
+from bramleyturn.core.pieces.planner import Outcome, Pipeline, Planner, update_servers
 from bramleyturn.core.pieces.releases import release, released
 from bramleyturn.core.pieces.stage_server import note_report
 
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -3,8 +3,13 @@
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import give_over, take_over
 from bramleyturn.core.pieces.model import MadePiece, PieceFailure, StageAsk
-from bramleyturn.core.pieces.pipeline import Pipeline, plan, reports_wanted, take_ask
-from bramleyturn.core.pieces.planner import MovedPiece, Planner, update_servers
+from bramleyturn.core.pieces.pipeline import plan, reports_wanted, take_ask
+from bramleyturn.core.pieces.planner import (
+    MovedPiece,
+    Pipeline,
+    Planner,
+    update_servers,
+)
 from bramleyturn.core.pieces.stage_server import note_report
 from tests.core.pieces.diary_load import LIMITS
 from tests.core.pieces.stage_world import site_server
