Word of the store's freshness ages on its way

Cause, found on reading: an instance takes another's word for how long ago the store had nothing newer. The time on the way was not counted, so that word going round between instances looked fresher with each step, and a store that is away would have been noticed late. Change: 50 ms are added at each step.

--- a/src/bramleyturn/core/fleet/freshness.py
+++ b/src/bramleyturn/core/fleet/freshness.py
@@ -17,6 +17,9 @@
 WATCHERS_PER_ZONE: Final = 2
 # A watch that waits confirms nothing until it returns, and heartbeats take a while.
 STALE_MS: Final = 1_500
+# What another instance tells may have been on its way for this long. Without it, word
+# that goes round between instances would look fresher with each step.
+WAY_MS: Final = 50
 
 
 class Freshness:
@@ -36,6 +39,18 @@
         freshness.confirmed_ms = max(freshness.confirmed_ms, at_ms)
 
 
+def note_told(
+    freshness: Freshness, revision: int, told_age_ms: int, now_ms: int
+) -> None:
+    """Take in how long ago the store had nothing newer than another instance knows.
+
+    That confirms the own copy only if both are at the same revision: what is newer has
+    to be fetched first.
+    """
+    if revision == freshness.revision:
+        note_confirmed(freshness, revision, now_ms - told_age_ms - WAY_MS)
+
+
 def age_ms(freshness: Freshness, now_ms: int) -> int:
     """Return how long ago the copy was known to be complete."""
     return now_ms - freshness.confirmed_ms
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -10,7 +10,7 @@
 import orjson
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleyturn.core.fleet.freshness import age_ms, note_confirmed
+from bramleyturn.core.fleet.freshness import age_ms, note_told
 from bramleyturn.core.fleet.members import (
     HEARTBEAT_MS,
     Heartbeat,
@@ -71,10 +71,7 @@
         now_ms = self.serving.now_ms()
         hear(self.serving.members, told.heartbeats, now_ms)
         sender = told.heartbeats[0]
-        at_ms = now_ms - told.store_age_ms
-        # What is newer has to be fetched before it is known.
-        if sender.revision == self.serving.freshness.revision:
-            note_confirmed(self.serving.freshness, sender.revision, at_ms)
+        note_told(self.serving.freshness, sender.revision, told.store_age_ms, now_ms)
 
     def _note_changes(self, now_ms: int) -> None:
         members = self.serving.members
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -15,7 +15,12 @@
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.server_book import drop_lapsed, register, remove
-from bramleyturn.core.fleet.freshness import age_ms, note_confirmed, should_watch
+from bramleyturn.core.fleet.freshness import (
+    WAY_MS,
+    age_ms,
+    note_confirmed,
+    should_watch,
+)
 from bramleyturn.core.fleet.members import newest_holder
 from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
@@ -331,7 +336,7 @@
         reader.returned_ms = serving.now_ms()
     take_items(reader, relayed.items)
     # The watch goes on from here, because the items cover all changes until then.
-    note_revision(reader, relayed.revision, relayed.age_ms)
+    note_revision(reader, relayed.revision, relayed.age_ms + WAY_MS)
     reader.has_list = True
     logger.info(
         "store items taken over",
