--- /dev/null
+++ b/tests/gateway/test_peer_input.py
@@ -0,0 +1,96 @@
+"""Read what other instances send, and leave what can't be read."""
+
+from typing import Any
+
+import orjson
+import pytest
+
+from bramleyturn.gateway.heartbeats import decode_heartbeats
+from bramleyturn.gateway.stage_messages import decode_ask, encode_ask
+from bramleyturn.gateway.store_reader import decode_relayed
+from tests.core.pieces.test_handover import ask
+
+HEARTBEAT: list[Any] = ["front-1", "north", "10.0.0.1:7740", "7-ab", 215, 9, 41, 0]
+TOLD: dict[str, Any] = {"store_age_ms": 120, "heartbeats": [HEARTBEAT]}
+RELAYED: dict[str, Any] = {
+    "revision": 7,
+    "age_ms": 30,
+    "items": [["op/config", "e30=", 6], ["servers/i-1", None, 7]],
+}
+
+
+def with_field(document: dict[str, Any], name: str, value: Any) -> bytes:
+    """Return a document with one field changed, as bytes."""
+    return orjson.dumps({**document, name: value})
+
+
+class TestHeartbeats:
+    """Datagrams of other instances."""
+
+    def test_reads_the_sender_first(self) -> None:
+        told = decode_heartbeats(orjson.dumps(TOLD))
+        assert told is not None
+        assert told.store_age_ms == 120
+        sender = told.heartbeats[0]
+        assert (sender.member.capacity, sender.beats, sender.revision) == (215, 9, 41)
+
+    @pytest.mark.parametrize(
+        "datagram",
+        [
+            b"",
+            b"[]",
+            b"{",
+            orjson.dumps([HEARTBEAT]),
+            with_field(TOLD, "store_age_ms", -1),
+            with_field(TOLD, "store_age_ms", "120"),
+            with_field(TOLD, "heartbeats", []),
+            with_field(TOLD, "heartbeats", [HEARTBEAT[:-1]]),
+            with_field(TOLD, "heartbeats", [["", *HEARTBEAT[1:]]]),
+            with_field(TOLD, "heartbeats", [[*HEARTBEAT[:2], "x", *HEARTBEAT[3:]]]),
+            with_field(TOLD, "heartbeats", [HEARTBEAT] * 500),
+        ],
+    )
+    def test_leaves_what_is_malformed(self, datagram: bytes) -> None:
+        assert decode_heartbeats(datagram) is None
+
+
+class TestRelayedItems:
+    """Copies of the store's items."""
+
+    def test_reads_items_and_removals(self) -> None:
+        relayed = decode_relayed(orjson.dumps(RELAYED))
+        assert relayed is not None
+        assert (relayed.revision, relayed.age_ms) == (7, 30)
+        assert [item.value for item in relayed.items] == [b"{}", None]
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"[1]",
+            with_field(RELAYED, "revision", "7"),
+            with_field(RELAYED, "age_ms", -1),
+            with_field(RELAYED, "age_ms", None),
+            with_field(RELAYED, "items", [["op/config", "not base64", 6]]),
+            with_field(RELAYED, "items", [["op/config"]]),
+        ],
+    )
+    def test_leaves_what_is_malformed(self, body: bytes) -> None:
+        assert decode_relayed(body) is None
+
+
+class TestAsk:
+    """Asks for stages."""
+
+    def test_comes_back_as_it_was_sent(self) -> None:
+        sent = ask("r")._replace(route="draft", size=700, input_bytes=(("north", 9),))
+        assert (
+            decode_ask(orjson.loads(orjson.dumps(encode_ask(sent, 100))), 100) == sent
+        )
+
+    @pytest.mark.parametrize("field", sorted(encode_ask(ask("r"), 0)))
+    def test_leaves_one_that_lacks_a_field(self, field: str) -> None:
+        message = encode_ask(ask("r"), 0)
+        del message[field]
+        if field != "type":
+            assert decode_ask(message, 0) is None
