--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -10,7 +10,6 @@
 and nothing else.
 """
 
-import math
 from typing import Final
 
 from bramleyturn.core.pieces.model import Piece, StageAsk, StageCall
@@ -150,19 +149,13 @@
     """Return the pieces of a call: those of ``first``, then of others that wait.
 
     Pieces of others lengthen the call, so they only join when no idle server is left
-    for them. Otherwise the pieces of ``first`` are shared out evenly among as many
-    calls as they need, which ends them sooner at the same cost.
+    for them.
     """
     room = free_bytes(server, planner.limits, now_ms)
     items = planner.limits.batch_items
     idle = sum(is_idle(each, now_ms) for each in planner.servers.values()) - 1
     waiting = sum(1 for each in order if each.waiting and each is not first)
-    joining = [first, *order]
-    if waiting <= idle:
-        joining = [first]
-        calls = math.ceil(len(first.waiting) / items)
-        if calls <= idle + 1:
-            items = math.ceil(len(first.waiting) / calls)
+    joining = [first] if waiting <= idle else [first, *order]
     chosen: list[tuple[AskState, int]] = []
     for state in joining:
         while state.waiting and len(chosen) < items:
--- a/src/bramleyturn/core/pieces/forecast.py
+++ b/src/bramleyturn/core/pieces/forecast.py
@@ -15,8 +15,6 @@
 ARRIVALS_MS: Final = 3_000.0
 # Late requests are expected to get this part of the servers' time at least.
 LEAST_SPARE: Final = 0.1
-# Work arrives as if all calls were full; as many are on average while there is a queue.
-FULL_CALLS_PART: Final = 0.77
 
 
 class Forecast:
@@ -56,7 +54,7 @@
             continue
         queue_ms = forecast.ahead_ms.get(stage.pool, 0.0)
         if is_late:
-            queue_ms /= FULL_CALLS_PART * forecast.spare.get(stage.pool, 1.0)
+            queue_ms /= forecast.spare.get(stage.pool, 1.0)
         own_ms = stage_ms(planner, stage.piece_count, stage.result_bytes)
         elapsed_ms = max(elapsed_ms, queue_ms) + own_ms
     return forecast.now_ms + elapsed_ms
@@ -87,7 +85,7 @@
 
 def pool_load(pipeline: Pipeline, pool: str, now_ms: int) -> float:
     """Return the work that arrives for a pool as a part of what it can do."""
-    return _arriving_ms(pipeline, pool, now_ms) / ARRIVALS_MS / FULL_CALLS_PART
+    return _arriving_ms(pipeline, pool, now_ms) / ARRIVALS_MS
 
 
 def work_left_ms(pipeline: Pipeline, state: AskState) -> float:
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -50,7 +50,6 @@
     ``due_ms`` is when all stages must be done for the request to be in time, and
     ``deadline_ms`` when their results are of no more use. A lower ``urgency`` goes
     first. ``near_zone`` is where the results are used, empty if that does not matter.
-    ``route`` and ``size`` tell what the request is worth beside others of its route.
     ``input_bytes`` has how much of the inputs lies in each availability zone; every
     piece reads all of it.
     ``has_started`` tells that another stage of the request was done already, and
@@ -71,8 +70,6 @@
     near_zone: str
     has_started: bool
     later: tuple[LaterStage, ...]
-    route: str = ""
-    size: int = 0
     input_bytes: tuple[tuple[str, int], ...] = ()
 
 
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -5,8 +5,7 @@
 before a later one, whose results fill the servers' room and expire. Whether a request
 can be in time is forecast over all of its stages before its first one begins; what
 has begun goes before what has not; what can only be late gets what is left over, and
-what cannot be done at all is refused at once with the time to come back. While more
-arrives than can be in time, the requests that are worth most go first.
+what cannot be done at all is refused at once with the time to come back.
 """
 
 from typing import Final
@@ -19,7 +18,6 @@
     expected_finish_ms,
     longest_queue_ms,
     note_arriving,
-    pool_load,
     stages_left,
     work_left_ms,
 )
@@ -35,12 +33,6 @@
 from bramleyturn.core.pieces.releases import withdraw
 from bramleyturn.core.pieces.stage_server import StageServer, wants_report
 from bramleyturn.core.pieces.timing import stage_ms
-from bramleyturn.core.waiting.request_worth import (
-    least_worth,
-    note_size,
-    note_worth,
-    worth_of,
-)
 
 # Without a server for this long, what waits is told so.
 NO_SERVER_MS: Final = 1_500
@@ -57,10 +49,6 @@
 # How much earlier a request is due for each step of its urgency. The longest bias
 # between the kinds of one workspace stays below the usual aim of a pipeline.
 URGENCY_MS: Final = 100
-# A queue this long does not clear with the next calls, which last less each.
-SELECTIVE_MS: Final = 300
-# At most half of the requests are passed over for being worth little.
-MOST_LOAD: Final = 2.0
 
 
 def take_ask(pipeline: Pipeline, ask: StageAsk, now_ms: int) -> AskDone | None:
@@ -72,10 +60,6 @@
     is_new = ask.ask_id not in planner.asks and ask.ask_id not in planner.done
     done = submit(planner, ask, now_ms)
     if is_new and not ask.has_started:
-        state = planner.asks[ask.ask_id]
-        note_size(pipeline.sizes, ask.route, ask.size)
-        state.worth = worth_of(pipeline.sizes, ask.route, ask.size)
-        note_worth(pipeline.sizes, state.worth)
         note_arriving(pipeline, planner.asks[ask.ask_id], now_ms)
     return done
 
@@ -132,8 +116,7 @@
     for state in asks:
         if is_begun(state):
             continue
-        is_chosen = ask_has_begun(state) or _is_chosen(pipeline, forecast, state)
-        if is_chosen and _is_in_time(pipeline, forecast, state):
+        if _is_in_time(pipeline, forecast, state):
             add_work(pipeline, forecast, state)
             in_time.append(state)
         else:
@@ -146,23 +129,6 @@
     return state.ask.has_started or is_begun(state)
 
 
-def _is_chosen(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
-    """Return whether a request is worth enough to be in time as long as more arrive.
-
-    While more work arrives than a pool can do and its queue has built up, only as many
-    of the requests that use it are to be in time as it can do: those worth most. The
-    others get the time that is left over, as if they were late.
-    """
-    load = 1.0
-    queue_ms = 0.0
-    for stage in stages_left(state):
-        load = max(load, pool_load(pipeline, stage.pool, forecast.now_ms))
-        queue_ms = max(queue_ms, forecast.ahead_ms.get(stage.pool, 0.0))
-    if queue_ms < SELECTIVE_MS:
-        return True
-    return state.worth >= least_worth(pipeline.sizes, min(load, MOST_LOAD))
-
-
 def _is_in_time(pipeline: Pipeline, forecast: Forecast, state: AskState) -> bool:
     margin_ms = MARGIN_PART * work_left_ms(pipeline, state)
     return expected_finish_ms(pipeline, forecast, state) + margin_ms <= state.ask.due_ms
@@ -211,7 +177,6 @@
         },
         end_ms - forecast.now_ms,
         ask.deadline_ms - forecast.now_ms,
-        round(state.worth, 2),
     )
     outcome.refused.append(refused)
     over_ms = end_ms - ask.deadline_ms
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -11,7 +11,6 @@
     StageCall,
 )
 from bramleyturn.core.pieces.stage_server import StageServer
-from bramleyturn.core.waiting.request_worth import UsualSizes
 
 
 class AskState:
@@ -19,7 +18,7 @@
 
     ``is_moved`` tells that another planner has taken it over: nothing new is begun
     here. ``awaited`` has the pieces that the planner before this one still has made,
-    and until when. ``worth`` is that of the request beside one of usual size.
+    and until when.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -32,7 +31,6 @@
         self.is_moved = False
         self.tries = 0
         self.served_since_ms = now_ms
-        self.worth = 1.0
 
 
 class RunningCall:
@@ -71,14 +69,12 @@
     """Hold the planners of all stage pools by name.
 
     ``arriving`` has, by pool, the work that arrived of late in milliseconds of the
-    whole pool, which fades, and when it was last added to. ``sizes`` has how large the
-    requests of each route usually are.
+    whole pool, which fades, and when it was last added to.
     """
 
     def __init__(self) -> None:
         self.planners: dict[str, Planner] = {}
         self.arriving: dict[str, tuple[float, int]] = {}
-        self.sizes = UsualSizes()
 
 
 class MovedPiece(NamedTuple):
@@ -93,16 +89,12 @@
 
 
 class Refused(NamedTuple):
-    """Say why a request was refused: what it waits for, by pool, and when it ends.
-
-    ``worth`` is that of the request beside one of usual size.
-    """
+    """Say why a request was refused: what it waits for, by pool, and when it ends."""
 
     attempt_id: str
     queue_ms: dict[str, int]
     finish_in_ms: int
     left_ms: int
-    worth: float
 
 
 class Outcome:
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -22,7 +22,6 @@
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, may_repeat
 from bramleyturn.core.repeat.shared_budget import note_request, take_repeat
 from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
-from bramleyturn.core.waiting.request_worth import request_size
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.time_spent import time_spent_ms
 from bramleyturn.gateway.attempts import (
@@ -148,7 +147,6 @@
             deadline_ms=call.deadline_ms,
             urgency=urgency_of(call),
             near_zone=engine.zone if engine is not None else "",
-            size=request_size(call.head.prompt_tokens, call.head.output_tokens),
         )
         call.stages = StageWork(serving, self.asks, order)
         results: StageResults = await call.stages.start()
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -57,8 +57,6 @@
                 LaterStage(str(pool), int(pieces), int(size))
                 for pool, pieces, size in message["later"]
             ),
-            route=str(message["route"]),
-            size=int(message["size"]),
             input_bytes=tuple(
                 (str(zone), int(size)) for zone, size in message["input_bytes"]
             ),
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -28,7 +28,6 @@
     deadline_ms: int
     urgency: int
     near_zone: str
-    size: int
 
 
 class StageResults(NamedTuple):
@@ -109,8 +108,6 @@
             near_zone=order.near_zone,
             has_started=bool(self.results),
             later=later_stages(order.route, order.counts, number),
-            route=order.route.name,
-            size=order.size,
             input_bytes=self._input_bytes(needed),
         )
         asked = self.asks.ask(ask)
--- a/tests/core/pieces/stage_world.py
+++ b/tests/core/pieces/stage_world.py
@@ -54,7 +54,6 @@
 
     at_ms: int
     kind: Kind
-    size: int = 0
 
 
 class Job:
@@ -64,7 +63,6 @@
         self.name = name
         self.kind = arrival.kind
         self.at_ms = arrival.at_ms
-        self.size = arrival.size
         self.stage = 0
         self.handles: tuple[str, ...] = ()
         self.ended_ms: int | None = None
@@ -132,8 +130,6 @@
             near_zone="",
             has_started=job.stage > 0,
             later=tuple(LaterStage(*later) for later in needs[job.stage + 1 :]),
-            route=job.kind.name,
-            size=job.size,
         )
         take_ask(self.pipeline, ask, self.now_ms)
         self.run()
--- a/tests/core/waiting/test_first_events.py
+++ b/tests/core/waiting/test_first_events.py
@@ -9,16 +9,6 @@
     first_event_ms,
     note_first_event,
 )
-from bramleyturn.core.waiting.request_worth import (
-    LEAST_WORTH,
-    MOST_WORTH,
-    UsualSizes,
-    least_worth,
-    note_size,
-    note_worth,
-    request_size,
-    worth_of,
-)
 
 
 class TestFirstEvents:
@@ -55,41 +45,3 @@
         for _ in range(50):
             note_first_event(times, "p", 1_000, 2_000)
         assert first_event_ms(times, "other", 1_000) == before
-
-
-class TestWorth:
-    """Requests of one route beside each other."""
-
-    def sizes(self) -> UsualSizes:
-        """Return the sizes of a route whose requests have 1,000 on average."""
-        sizes = UsualSizes()
-        for size in (500, 1_500) * 40:
-            note_size(sizes, "r", size)
-        return sizes
-
-    def test_usual_size_is_worth_one(self) -> None:
-        assert abs(worth_of(self.sizes(), "r", 1_000) - 1.0) < 0.05
-
-    def test_grows_with_the_size_between_its_bounds(self) -> None:
-        sizes = self.sizes()
-        assert LEAST_WORTH <= worth_of(sizes, "r", 1) < worth_of(sizes, "r", 2_000)
-        assert worth_of(sizes, "r", 10**9) == MOST_WORTH
-
-    def test_unknown_size_or_route_is_usual(self) -> None:
-        assert worth_of(self.sizes(), "r", 0) == 1.0
-        assert worth_of(self.sizes(), "other", 500) == 1.0
-
-    def test_output_counts_more_than_prompt(self) -> None:
-        assert request_size(100, 20) == 300
-
-    def test_of_twice_the_load_the_better_half_is_chosen(self) -> None:
-        sizes = UsualSizes()
-        for number in range(60):
-            note_worth(sizes, float(number))
-        assert least_worth(sizes, 1.0) == 0.0
-        assert least_worth(sizes, 2.0) == 30.0
-
-    def test_few_requests_do_not_tell(self) -> None:
-        sizes = UsualSizes()
-        note_worth(sizes, 3.0)
-        assert least_worth(sizes, 2.0) == 0.0
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -83,7 +83,7 @@
     """Asks for stages."""
 
     def test_comes_back_as_it_was_sent(self) -> None:
-        sent = ask("r")._replace(route="draft", size=700, input_bytes=(("north", 9),))
+        sent = ask("r")._replace(input_bytes=(("north", 9),))
         assert (
             decode_ask(orjson.loads(orjson.dumps(encode_ask(sent, 100))), 100) == sent
         )
