Count a lost call only for asks that are still open here

A piece that failed could end an ask that had been handed over to the next owner, whose caller was told failed while the pieces were being made, and end once more an ask that another piece of the same call had already ended. Two tests failed before. Ruled out: calls that bring no answer; their loop leaves out what was handed over. Change: both ways name the asks of the failed pieces, and the count itself leaves out those that have ended or moved.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -41,7 +41,6 @@
             learn_work(planner, server, running, took_ms)
             note_pace(server, running.nominal_ms, took_ms)
     unused: list[str] = []
-    failed: dict[str, AskState] = {}
     for part, piece, size in zip(
         running.parts, made, running.result_bytes, strict=True
     ):
@@ -50,10 +49,12 @@
             keep(server.results, piece.handle, size, until_ms)
         if not _take(planner, running, part, piece, server, outcome, now_ms):
             unused += [piece.handle] if piece.failure is None else []
-        state = planner.asks.get(part[0])
-        if piece.failure is PieceFailure.FAILED and state is not None:
-            failed[part[0]] = state
-    _count_tries(planner, failed.values(), outcome, now_ms)
+    failed = [
+        ask_id
+        for (ask_id, _), piece in zip(running.parts, made, strict=True)
+        if piece.failure is PieceFailure.FAILED
+    ]
+    _count_tries(planner, failed, outcome, now_ms)
     outcome.releases += release(planner, unused)
     return outcome
 
@@ -73,7 +74,6 @@
         else:
             took_ms = now_ms - running.sent_ms
             note_silent(server, running.nominal_ms, took_ms)
-    failed: dict[str, AskState] = {}
     for ask_id, number in running.parts:
         state = planner.asks.get(ask_id)
         if state is None:
@@ -83,9 +83,9 @@
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
         state.waiting.append(number)
-        failed[ask_id] = state
     if not was_refused:
-        _count_tries(planner, failed.values(), outcome, now_ms)
+        failed = [ask_id for ask_id, _ in running.parts]
+        _count_tries(planner, failed, outcome, now_ms)
     return outcome
 
 
@@ -172,10 +172,13 @@
 
 
 def _count_tries(
-    planner: Planner, failed: Iterable[AskState], outcome: Outcome, now_ms: int
+    planner: Planner, failed: Iterable[str], outcome: Outcome, now_ms: int
 ) -> None:
-    """Count a call that failed once for each request, however many pieces it had."""
-    for state in failed:
+    """Count a call that failed once for each open ask, however many pieces it had."""
+    for ask_id in dict.fromkeys(failed):
+        state = planner.asks.get(ask_id)
+        if state is None or state.is_moved:
+            continue
         state.tries += 1
         if state.tries >= MAX_TRIES:
             fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -1,6 +1,11 @@
 """Hand the planning over without losing or repeating work."""
 
-from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
+from bramleyturn.core.pieces.call_results import (
+    MAX_TRIES,
+    call_ended,
+    call_failed,
+    take_moved,
+)
 from bramleyturn.core.pieces.handover import give_over, take_over
 from bramleyturn.core.pieces.model import MadePiece, PieceFailure, StageAsk
 from bramleyturn.core.pieces.pipeline import plan, reports_wanted, take_ask
@@ -113,6 +118,29 @@
         made = [MadePiece("", PieceFailure.FAILED)] * 5
         assert call_ended(planner, call.call_id, made, 200).done == []
 
+    def test_a_request_that_was_handed_over_is_not_failed_here(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=1), 0)
+        planner.asks["r.0"].tries = MAX_TRIES - 1
+        (call,) = plan(whole, 0)[POOL].calls
+        give_over(whole, {"r.0": "front-1"}, 10)
+        made = [MadePiece("", PieceFailure.FAILED)]
+        outcome = call_ended(planner, call.call_id, made, 200)
+        assert outcome.done == []
+        assert len(outcome.moved) == 1
+
+    def test_a_request_that_ended_is_not_failed_again(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=2), 0)
+        planner.asks["r.0"].tries = MAX_TRIES - 1
+        (call,) = plan(whole, 0)[POOL].calls
+        made = [
+            MadePiece("", PieceFailure.FAILED),
+            MadePiece("", PieceFailure.INPUT_GONE),
+        ]
+        done = call_ended(planner, call.call_id, made, 200).done
+        assert [each.failure for each in done] == [PieceFailure.INPUT_GONE]
+
     def test_a_request_whose_calls_always_fail_fails(self) -> None:
         whole, planner = pipeline()
         take_ask(whole, ask("r", pieces=1), 0)
