Read an object out of JSON in one place

Cause: five decoders of the adapter each parsed JSON, caught its error and checked for an object; two of the store's answers differed only in the name of their list. Change: fields.read_object serves all five, and pages and changes are decoded alike. A page without items is now called a store answer, as all other faults of one. Ruled out: the decoders between instances, which have a format of their own.

--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -2,8 +2,6 @@
 
 from typing import Any, Final
 
-import orjson
-
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.catalog.model import (
     BatchLimits,
@@ -24,6 +22,7 @@
     is_whole_list,
     number_field,
     objects_field,
+    read_object,
     text_field,
     whole_field,
 )
@@ -40,12 +39,9 @@
 
 def decode_configuration(value: bytes) -> Published | Malformed:
     """Return the configuration in ``value``, or why it cannot be used as a whole."""
-    try:
-        document = orjson.loads(value)
-    except orjson.JSONDecodeError:
-        return Malformed(CONFIGURATION_KEY, "not JSON")
-    if not isinstance(document, dict):
-        return Malformed(CONFIGURATION_KEY, "no object")
+    document = read_object(CONFIGURATION_KEY, value)
+    if isinstance(document, Malformed):
+        return document
     version = whole_field(document, "version")
     if version is None:
         return Malformed(CONFIGURATION_KEY, "no version")
--- a/src/bramleyturn/platform/fields.py
+++ b/src/bramleyturn/platform/fields.py
@@ -3,10 +3,23 @@
 import math
 from typing import Any, Final
 
+import orjson
+
+from bramleyturn.platform.errors import Malformed
+
 # Larger figures are no durations, sizes or counts that the platform could mean.
 MAX_WHOLE: Final = 2**53
 
 
+def read_object(where: str, data: bytes) -> dict[str, Any] | Malformed:
+    """Return the object that ``data`` holds as JSON, or why there is none."""
+    try:
+        document = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return Malformed(where, "not JSON")
+    return document if isinstance(document, dict) else Malformed(where, "no object")
+
+
 def text_field(document: dict[str, Any], name: str) -> str | None:
     """Return a text that is not empty, else None."""
     value = document.get(name)
--- a/src/bramleyturn/platform/servers.py
+++ b/src/bramleyturn/platform/servers.py
@@ -1,13 +1,11 @@
 """Decode what a backend server registers of itself."""
 
-from typing import Any, Final
-
-import orjson
+from typing import Final
 
 from bramleyturn.core.address import parse_address
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.platform.errors import Malformed
-from bramleyturn.platform.fields import text_field, whole_field
+from bramleyturn.platform.fields import read_object, text_field, whole_field
 
 SERVERS_PREFIX: Final = "servers/"
 # The state says whether a server wants new work, not whether it answers.
@@ -16,16 +14,9 @@
 
 def decode_server(key: str, value: bytes) -> BackendServer | Malformed:
     """Return the server that an item registers, or why the item names none."""
-    try:
-        document = orjson.loads(value)
-    except orjson.JSONDecodeError:
-        return Malformed(key, "not JSON")
-    if not isinstance(document, dict):
-        return Malformed(key, "no object")
-    return _decode_document(key, document)
-
-
-def _decode_document(key: str, document: dict[str, Any]) -> BackendServer | Malformed:
+    document = read_object(key, value)
+    if isinstance(document, Malformed):
+        return document
     server_id = key.removeprefix(SERVERS_PREFIX)
     pool = text_field(document, "service")
     zone = text_field(document, "zone")
--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -6,7 +6,8 @@
 import orjson
 
 from bramleyturn.core.pieces.model import MadePiece, Piece, PieceFailure
-from bramleyturn.platform.fields import number_field
+from bramleyturn.platform.errors import Malformed
+from bramleyturn.platform.fields import number_field, read_object
 
 RUN_TARGET: Final = "/bramleyturn/stage-run"
 RELEASE_TARGET: Final = "/bramleyturn/stage-free"
@@ -36,11 +37,10 @@
 
 def decode_run(body: bytes, count: int) -> list[MadePiece] | None:
     """Return what became of each of ``count`` pieces, None for a broken answer."""
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
+    document = read_object("stage call", body)
+    if isinstance(document, Malformed):
         return None
-    items = document.get("items") if isinstance(document, dict) else None
+    items = document.get("items")
     if not isinstance(items, list) or len(items) != count:
         return None
     return [_decode_piece(item) for item in items]
@@ -80,11 +80,8 @@
 
     ``freeMb`` is rounded down to whole megabytes, and some servers have less than one.
     """
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return None
-    if not isinstance(document, dict):
+    document = read_object("report", body)
+    if isinstance(document, Malformed):
         return None
     free = number_field(document, "freeMb")
     return None if free is None else int((free + 1) * BYTES_PER_MEGABYTE)
--- a/src/bramleyturn/platform/store.py
+++ b/src/bramleyturn/platform/store.py
@@ -5,13 +5,17 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
-import orjson
-
 from bramleyturn.platform.errors import Malformed
-from bramleyturn.platform.fields import objects_field, whole_field
+from bramleyturn.platform.fields import (
+    flag_field,
+    objects_field,
+    read_object,
+    whole_field,
+)
 
 # The longest time for which the store keeps a watch waiting.
 MAX_WATCH_MS: Final = 30_000
+STORE_ANSWER: Final = "store answer"
 
 
 class StoreItem(NamedTuple):
@@ -56,43 +60,34 @@
 
 def decode_page(body: bytes) -> StorePage | Malformed:
     """Return a page of items. Single items that can't be read are left out."""
-    document = _decode_object(body)
+    document = read_object(STORE_ANSWER, body)
     if isinstance(document, Malformed):
         return document
-    items = objects_field(document, "items")
-    revision = whole_field(document, "currentRev")
-    if items is None or revision is None:
-        return Malformed("page", "no items or no revision")
-    decoded = _decode_items(items)
-    is_truncated = document.get("truncated") is True and bool(decoded)
-    return StorePage(decoded, revision, decoded[-1].key if is_truncated else None)
+    changes = _decode_changes(document, "items")
+    if isinstance(changes, Malformed):
+        return changes
+    items = changes.items
+    is_truncated = flag_field(document, "truncated") and bool(items)
+    return StorePage(items, changes.revision, items[-1].key if is_truncated else None)
 
 
 def decode_changes(body: bytes) -> StoreChanges | Malformed:
     """Return the changes that a watch reported."""
-    document = _decode_object(body)
+    document = read_object(STORE_ANSWER, body)
     if isinstance(document, Malformed):
         return document
-    events = objects_field(document, "events")
-    revision = whole_field(document, "currentRev")
-    if events is None or revision is None:
-        return Malformed("changes", "no events or no revision")
-    return StoreChanges(_decode_items(events), revision)
+    return _decode_changes(document, "events")
 
 
-def _decode_object(body: bytes) -> Any:
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return Malformed("store answer", "not JSON")
-    if not isinstance(document, dict):
-        return Malformed("store answer", "no object")
-    return document
-
-
-def _decode_items(documents: list[dict[str, Any]]) -> tuple[StoreItem, ...]:
-    decoded = (_decode_item(document) for document in documents)
-    return tuple(item for item in decoded if item is not None)
+def _decode_changes(document: dict[str, Any], name: str) -> StoreChanges | Malformed:
+    """Return the items in a field of an answer, and the revision that they reach."""
+    objects = objects_field(document, name)
+    revision = whole_field(document, "currentRev")
+    if objects is None or revision is None:
+        return Malformed(STORE_ANSWER, f"no {name} or no revision")
+    decoded = (_decode_item(each) for each in objects)
+    items = tuple(item for item in decoded if item is not None)
+    return StoreChanges(items, revision)
 
 
 def _decode_item(document: dict[str, Any]) -> StoreItem | None:
@@ -100,7 +95,7 @@
     revision = whole_field(document, "revision")
     if not isinstance(key, str) or revision is None:
         return None
-    if document.get("tombstone") is True:
+    if flag_field(document, "tombstone"):
         return StoreItem(key, None, revision)
     value = document.get("value")
     if not isinstance(value, str):
