Stop timers and hash names with one function each

Change: runtime/timers.stop_timer and core/short_hash.short_hash serve them all. The hashed texts stay as they were, so that no rank changes. Ruled out: digests that carry a key or a purpose of their own (tickets, peers, poison).

--- a/src/bramleyturn/core/catalog/routes.py
+++ b/src/bramleyturn/core/catalog/routes.py
@@ -1,13 +1,12 @@
 """Find the route, the workspace and the pool of a request."""
 
-import hashlib
 from collections.abc import Iterable
 from typing import Final
 
 from bramleyturn.core.catalog.model import Published, Route, Workspace
+from bramleyturn.core.short_hash import SHORT_HASH_BYTES, short_hash
 
-HASH_BYTES: Final = 8
-HASH_SPAN: Final = 2 ** (8 * HASH_BYTES)
+HASH_SPAN: Final = 2 ** (8 * SHORT_HASH_BYTES)
 
 
 class RouteIndex:
@@ -45,7 +44,7 @@
     targets = [target for target in route.targets if target.weight > 0]
     if len(targets) == 1:
         return targets[0].pool
-    digest = hashlib.blake2b(attempt_id.encode(), digest_size=HASH_BYTES).digest()
+    digest = short_hash(attempt_id)
     total = sum(target.weight for target in targets)
     point = int.from_bytes(digest, "big") / HASH_SPAN * total
     for target in targets:
--- a/src/bramleyturn/core/fleet/owners.py
+++ b/src/bramleyturn/core/fleet/owners.py
@@ -5,13 +5,12 @@
 when it changes, the asks are repeated to the next one.
 """
 
-import hashlib
 from collections.abc import Iterable
 from typing import Final
 
 from bramleyturn.core.fleet.members import MemberRef
+from bramleyturn.core.short_hash import short_hash
 
-HASH_BYTES: Final = 8
 # One instance plans all stages, because it must see the whole way of a request.
 STAGES: Final = "stages"
 
@@ -30,5 +29,4 @@
 
 
 def _rank(task: str, name: str) -> bytes:
-    text = f"{task}\0{name}".encode()
-    return hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
+    return short_hash(f"{task}\0{name}")
--- a/src/bramleyturn/core/membership.py
+++ b/src/bramleyturn/core/membership.py
@@ -10,13 +10,13 @@
 suspicion began declares nobody gone, because it may be the one that is cut off.
 """
 
-import hashlib
 from collections.abc import Iterable
 from enum import StrEnum
 from random import Random
 from typing import Final, NamedTuple
 
 from bramleyturn.core.events import ListedEntry
+from bramleyturn.core.short_hash import short_hash
 from bramleyturn.core.tickets import ProcessRef
 
 MAX_OWN_ZONE: Final = 48
@@ -404,8 +404,7 @@
 
 
 def _rank(membership: Membership, entry: ListedEntry) -> bytes:
-    both = f"{membership.name}\n{entry.name}".encode()
-    return hashlib.blake2b(both, digest_size=8).digest()
+    return short_hash(f"{membership.name}\n{entry.name}")
 
 
 _RANK: Final = {Life.UNPROVEN: 0, Life.ALIVE: 1, Life.SUSPECT: 2, Life.GONE: 3}
--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -6,7 +6,6 @@
 and servers that differ in speed or report a load that others caused.
 """
 
-import hashlib
 from collections.abc import Iterable, Sequence
 from random import Random
 from typing import Final, NamedTuple
@@ -14,6 +13,7 @@
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart, shared_prefix
 from bramleyturn.core.placement.health import HealthBook, is_avoided
+from bramleyturn.core.short_hash import short_hash
 
 # How much later a prompt is read for each request that the engine has: reading the
 # prompts of others and the steps of their outputs go in between.
@@ -22,7 +22,6 @@
 TOKEN_MS: Final = 1 / 60
 # A reported load this old says nothing of the load now.
 REPORT_KEEP_MS: Final = 1_000
-HASH_BYTES: Final = 8
 
 
 class ReportedLoad(NamedTuple):
@@ -140,5 +139,4 @@
 
 
 def _rank(prefix_id: str, server_id: str) -> bytes:
-    text = f"{prefix_id}\0{server_id}".encode()
-    return hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
+    return short_hash(f"{prefix_id}\0{server_id}")
--- /dev/null
+++ b/src/bramleyturn/core/short_hash.py
@@ -0,0 +1,11 @@
+"""Hash texts alike in every process, to rank or spread what they name."""
+
+import hashlib
+from typing import Final
+
+SHORT_HASH_BYTES: Final = 8
+
+
+def short_hash(text: str) -> bytes:
+    """Return a hash of ``text`` that is the same in every process and version."""
+    return hashlib.blake2b(text.encode(), digest_size=SHORT_HASH_BYTES).digest()
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -11,6 +11,7 @@
     take_idle,
 )
 from bramleyturn.gateway.http1_client import BreakReason, Headers, ServerConnection
+from bramleyturn.runtime.timers import stop_timer
 
 MS_PER_S: Final = 1_000
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
@@ -121,5 +122,4 @@
         connection.send(method, target.encode(), sent, body, listener)
         return await ended
     finally:
-        if timer.active():
-            timer.cancel()
+        stop_timer(timer)
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from bramleyturn.core.catalog.model import CallerLimits
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 
 MS_PER_S: Final = 1_000
@@ -322,6 +323,5 @@
         self.timer = self.server.reactor.callLater(wait_ms / MS_PER_S, then)
 
     def _stop_timer(self) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        stop_timer(self.timer)
         self.timer = None
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -57,6 +57,7 @@
     read_caller_head,
     server_headers,
 )
+from bramleyturn.runtime.timers import stop_timer
 
 MS_PER_S: Final = 1_000
 # An answer given this long before the caller leaves still reaches it.
@@ -401,8 +402,7 @@
         work.cancel()
 
     def _end(self, result: Any, call: Call, timer: Any) -> None:
-        if timer.active():
-            timer.cancel()
+        stop_timer(timer)
         self.serving.in_progress -= 1
         if call.stages is not None:
             call.stages.stop()
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -16,6 +16,7 @@
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_messages import encode_ask
+from bramleyturn.runtime.timers import stop_timer
 
 MS_PER_S: Final = 1_000
 REPEAT_MS: Final = 450
@@ -68,8 +69,7 @@
         state = self.open.pop(done.ask_id, None)
         if state is None:
             return
-        if state.timer is not None and state.timer.active():
-            state.timer.cancel()
+        stop_timer(state.timer)
         took_ms = self.serving.now_ms() - state.asked_ms
         observe(self.serving.metrics, "stage", took_ms, state.ask.pool)
         count(self.serving.metrics, "stage_asks", str(done.failure or "made"))
@@ -116,8 +116,7 @@
                 },
             )
         state.owner = name
-        if state.timer is not None and state.timer.active():
-            state.timer.cancel()
+        stop_timer(state.timer)
         state.timer = self.serving.reactor.callLater(
             REPEAT_MS / MS_PER_S, self._send, state
         )
@@ -127,7 +126,6 @@
         state = self.open.pop(ask_id, None)
         if state is None:
             return
-        if state.timer is not None and state.timer.active():
-            state.timer.cancel()
+        stop_timer(state.timer)
         message = {"type": "withdraw", "pool": state.ask.pool, "ask_id": ask_id}
         self.links.send(state.owner, message)
--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -8,6 +8,8 @@
 from twisted.web.resource import Resource
 from zope.interface import provider
 
+from bramleyturn.runtime.timers import stop_timer
+
 IDLE_TIMEOUT_S: Final = 30
 WHOLE_REQUEST_S: Final = 30
 LINGER_S: Final = 1
@@ -140,8 +142,7 @@
         self.transport.loseConnection()
 
     def _request_complete(self) -> None:
-        if self._whole_request is not None and self._whole_request.active():
-            self._whole_request.cancel()
+        stop_timer(self._whole_request)
         self._whole_request = None
 
     def _too_slow(self) -> None:
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -40,6 +40,7 @@
 )
 from bramleyturn.runtime.entry_logs import log_broken, log_outcome, log_started
 from bramleyturn.runtime.peer_client import PeerClient, tell_backup, tell_primary
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 
 MS_PER_S: Final = 1_000
@@ -141,8 +142,7 @@
     wake_at_ms = next_wake_ms(loop.state)
     if wake_at_ms == loop.wake_at_ms and loop.wake_call is not None:
         return
-    if loop.wake_call is not None and loop.wake_call.active():
-        loop.wake_call.cancel()
+    stop_timer(loop.wake_call)
     loop.wake_call = None
     loop.wake_at_ms = wake_at_ms
     if wake_at_ms is None:
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -25,6 +25,7 @@
 from zope.interface import implementer
 
 from bramleyturn.runtime.errors import CallFailed, CallFailure
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import Reactor
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -178,8 +179,7 @@
     except Exception as error:
         return failure_of(error)
     finally:
-        if timer.active():
-            timer.cancel()
+        stop_timer(timer)
 
 
 async def fetch(
--- a/src/bramleyturn/runtime/peers_api.py
+++ b/src/bramleyturn/runtime/peers_api.py
@@ -59,6 +59,7 @@
     message_keys,
     new_message,
 )
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 PRIMARY_WAIT_S: Final = 1.0
@@ -212,8 +213,7 @@
     answered: Deferred[Any] = Deferred()
 
     def reply(action: WaiterAction) -> None:
-        if timer.active():
-            timer.cancel()
+        stop_timer(timer)
         answered.callback(answer_document(primary_answer(action)))
 
     def still_running() -> None:
--- a/src/bramleyturn/standin/backend.py
+++ b/src/bramleyturn/standin/backend.py
@@ -16,6 +16,7 @@
 
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.model import PoolKind
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.standin.answers import canonical, input_digest
 from bramleyturn.standin.behaviour import Behaviour, answer_faults
 from bramleyturn.standin.jobs import (
@@ -25,7 +26,6 @@
     add_job,
     has_place,
     remove_job,
-    stop_timer,
     take_job,
 )
 from bramleyturn.standin.json_http import LEAVING, hang_up
@@ -137,7 +137,7 @@
     if job.state == JobState.ENDED:
         return
     job.state = JobState.ENDED
-    stop_timer(job)
+    stop_timer(job.timer)
     remove_job(server.queue, job)
     if job.entry is None:
         server.counts["never_started"] += 1
@@ -218,7 +218,7 @@
 
 def _crash_job(server: BackendServer, job: Job) -> None:
     job.state = JobState.ENDED
-    stop_timer(job)
+    stop_timer(job.timer)
     if job.entry is not None:
         now_ms = server.clock.monotonic_ms()
         record_end(server.ledger, job.entry, "crashed", now_ms)
--- a/src/bramleyturn/standin/fault_proxy.py
+++ b/src/bramleyturn/standin/fault_proxy.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from bramleyturn.core.clock import Clock
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.standin.link_behaviour import LinkBehaviour, Mode
 from bramleyturn.standin.ports import listen, port_number, stop_listening
 from bramleyturn.standin.settings import Listen
@@ -365,6 +366,5 @@
 
 
 def _stop_timer(side: Side) -> None:
-    if side.timer is not None and side.timer.active():
-        side.timer.cancel()
+    stop_timer(side.timer)
     side.timer = None
--- a/src/bramleyturn/standin/jobs.py
+++ b/src/bramleyturn/standin/jobs.py
@@ -92,9 +92,3 @@
         return
     queue.waiting = [item for item in queue.waiting if item[2] is not job]
     heapq.heapify(queue.waiting)
-
-
-def stop_timer(job: Job) -> None:
-    """Cancel the next step of ``job``, if one is due."""
-    if job.timer is not None and job.timer.active():
-        job.timer.cancel()
--- a/src/bramleyturn/standin/platform_http.py
+++ b/src/bramleyturn/standin/platform_http.py
@@ -8,6 +8,7 @@
 from twisted.internet.posixbase import PosixReactorBase
 from twisted.web.http import Request
 
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.standin.json_http import (
     BadBody,
     answer,
@@ -97,8 +98,7 @@
 
     def finish() -> None:
         watchers.waiting.remove(wake)
-        if timer.active():
-            timer.cancel()
+        stop_timer(timer)
         if not held.called:
             held.callback(_config_answer(platform, request))
 
--- a/src/bramleyturn/watch/watch_loop.py
+++ b/src/bramleyturn/watch/watch_loop.py
@@ -16,6 +16,7 @@
 from bramleyturn.core.timeline import EventKind, Timeline, record
 from bramleyturn.runtime.logs import error_fields, note_revision
 from bramleyturn.runtime.peer_client import Traffic, count_read
+from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.watch.documents import ListedInstance
 from bramleyturn.watch.errors import PlatformFailed
 from bramleyturn.watch.reader import read_folder, read_instances
@@ -244,8 +245,7 @@
     wait_s = jittered_ms(loop, PEER_INTERVAL_MS) / MS_PER_S
     timer = loop.reactor.callLater(wait_s, end_pause, loop)
     await loop.hurry
-    if timer.active():
-        timer.cancel()
+    stop_timer(timer)
 
 
 def end_pause(loop: WatchLoop) -> None:
@@ -339,8 +339,7 @@
     waiting.append(waiter)
     timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, waiting, waiter)
     await waiter
-    if timer.active():
-        timer.cancel()
+    stop_timer(timer)
 
 
 def stop_waiting(waiting: list[Deferred[None]], waiter: Deferred[None]) -> None:
