Wait in the metrics test until the instances have met

Cause: an entry is ready with its first configuration, before it has heard of the other one. The test read the gauge of live instances at once: alone it failed six times of six, also without any other change; it passed where other tests ran before it. Change: it waits until the gauge shows two, within the usual limit; the assertions stay.

--- a/tests/site/test_whole_path.py
+++ b/tests/site/test_whole_path.py
@@ -165,10 +165,13 @@
 
     def test_metrics_page(self, site: SiteFleet) -> None:
         site.call("/lookup/1")
+        met = b"bramleyturn_live_instances 2"
+        # An entry is ready before it has heard from the other one.
+        until(lambda: met in site.get(0, "metrics", "/metrics")[1], "instances meet")
         status, page = site.get(0, "metrics", "/metrics")
         assert status == 200
         assert b"bramleyturn_requests_total" in page
-        assert b"bramleyturn_live_instances 2" in page
+        assert met in page
 
     def test_request_is_followed_by_its_id(self, site: SiteFleet) -> None:
         site.call("/lookup/1", attempt_id="o1")
