Derive what was kept twice; count a server's room once a choice

Cause: the reader of the store kept the time of its last own answer beside the freshness of its copy, and logged the former: on an instance that only watches at times it named an age since its last watch. The planner asked twice for the free room of each server it weighed. A stage server was made without doubt and doubted by its only maker. Two places built the same party to call from a server; a broken call told whether it was sent, which nobody read. Change: ages come from the freshness alone; one count of room; doubt is the first state; calls.peer_of; the field is gone. The logged age of a lost store is now that of the copy. Ruled out: deriving returned_ms, which no other state tells.

--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -117,9 +117,10 @@
     best: StageServer | None = None
     best_ms = 0.0
     for server in planner.servers.values():
-        if free_bytes(server, planner.limits, now_ms) < size:
+        room = free_bytes(server, planner.limits, now_ms)
+        if room < size:
             continue
-        fitting = min(count, free_bytes(server, planner.limits, now_ms) // size)
+        fitting = min(count, room // size)
         end_ms = free_at_ms(server, now_ms) + nominal_ms * server.pace
         if fitting < count:
             # The rest takes another call.
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -116,10 +116,7 @@
     for server_id, server in by_id.items():
         known = planner.servers.get(server_id)
         if known is None or known.server.born_ms != server.born_ms:
-            fresh = planner.servers[server_id] = StageServer(server)
-            # Another planner may have filled it, and it may be out of reach.
-            fresh.needs_report = True
-            fresh.is_doubted = True
+            planner.servers[server_id] = StageServer(server)
         else:
             known.server = server
 
--- a/src/bramleyturn/core/pieces/stage_server.py
+++ b/src/bramleyturn/core/pieces/stage_server.py
@@ -31,7 +31,8 @@
     another planner take until ``foreign_until_ms`` at the latest.
     It is what the server's first report shows. A report is wanted while
     ``needs_report`` is set, and nothing is sent before it while the server
-    ``is_doubted``.
+    ``is_doubted``. Both hold at first: another planner may have filled it, and it may
+    be out of reach.
     """
 
     def __init__(self, server: BackendServer) -> None:
@@ -44,9 +45,9 @@
         self.reserved_bytes = 0
         self.foreign_bytes = 0
         self.foreign_until_ms = 0
-        self.needs_report = False
+        self.needs_report = True
         self.report_asked_ms = -REPORT_EVERY_MS
-        self.is_doubted = False
+        self.is_doubted = True
         self.full_until_ms = 0
         self.failures = 0
         self.away_until_ms = 0
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -8,7 +8,7 @@
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.event_splitter import EventSplitter, split_events
 from bramleyturn.core.placement.verdicts import AnswerVerdict, judge_answer
-from bramleyturn.gateway.calls import MAX_ANSWER_BYTES, CallBroken, Peer, connect
+from bramleyturn.gateway.calls import MAX_ANSWER_BYTES, CallBroken, connect, peer_of
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.http1_client import BreakReason, Headers, ServerConnection
 from bramleyturn.platform.answers import AnswerHead, read_answer_head
@@ -153,8 +153,7 @@
     ``may_send`` is asked when the connection is open, because the server may have
     begun to leave meanwhile. Cancelling the attempt closes its connection.
     """
-    server = call.server
-    peer = Peer(server.id, server.host, server.port)
+    peer = peer_of(call.server)
     connection = await connect(pool, peer, None if may_reuse else 0)
     if isinstance(connection, CallBroken):
         return NotRun(0)
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 
+from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
     open_connection,
@@ -25,6 +26,11 @@
     port: int
 
 
+def peer_of(server: BackendServer) -> Peer:
+    """Return a backend server as a party to call."""
+    return Peer(server.id, server.host, server.port)
+
+
 class WholeAnswer(NamedTuple):
     """Hold a whole answer. Header names are in lower case."""
 
@@ -34,10 +40,9 @@
 
 
 class CallBroken(NamedTuple):
-    """Say why there is no answer, and whether the request was sent at all."""
+    """Say why there is no answer."""
 
     reason: BreakReason
-    was_sent: bool
 
 
 class WholeAnswerListener:
@@ -66,7 +71,7 @@
         if self.ended.called:
             return
         if self.size > MAX_ANSWER_BYTES:
-            self.ended.callback(CallBroken(BreakReason.WRONG_ANSWER, True))
+            self.ended.callback(CallBroken(BreakReason.WRONG_ANSWER))
             return
         answer = WholeAnswer(self.status, self.headers, b"".join(self.parts))
         self.ended.callback(answer)
@@ -74,7 +79,7 @@
     def broken(self, reason: BreakReason) -> None:
         """Hand over that there is no whole answer."""
         if not self.ended.called:
-            self.ended.callback(CallBroken(reason, True))
+            self.ended.callback(CallBroken(reason))
 
 
 async def connect(
@@ -87,7 +92,7 @@
     try:
         return await open_connection(pool, peer.name, peer.host, peer.port)
     except ConnectError:
-        return CallBroken(BreakReason.NOT_CONNECTED, False)
+        return CallBroken(BreakReason.NOT_CONNECTED)
 
 
 async def call(
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -3,7 +3,7 @@
 import logging
 from typing import Any, Final
 
-from bramleyturn.core.catalog.model import BackendServer, server_address
+from bramleyturn.core.catalog.model import server_address
 from bramleyturn.core.fleet.owners import STAGES, owner_of
 from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
 from bramleyturn.core.pieces.handover import Handover, give_over, take_over
@@ -28,7 +28,7 @@
 )
 from bramleyturn.core.pieces.stage_server import StageServer, note_report
 from bramleyturn.gateway.background import run_in_background
-from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
+from bramleyturn.gateway.calls import CallBroken, WholeAnswer, call, peer_of
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
@@ -255,7 +255,7 @@
         sent_ms = serving.now_ms()
         answer = await call(
             serving.servers_pool,
-            _peer(state.server),
+            peer_of(state.server),
             b"POST",
             RUN_TARGET,
             call_headers(ordered.server_id),
@@ -305,7 +305,7 @@
         count(self.serving.metrics, "stage_reports", planner.pool)
         answer = await call(
             self.serving.servers_pool,
-            _peer(state.server),
+            peer_of(state.server),
             b"GET",
             REPORT_TARGET,
             call_headers(state.server.id),
@@ -340,7 +340,7 @@
             return
         answer = await call(
             self.serving.servers_pool,
-            _peer(state.server),
+            peer_of(state.server),
             b"POST",
             RELEASE_TARGET,
             call_headers(ordered.server_id),
@@ -358,10 +358,6 @@
         self._run()
 
 
-def _peer(server: BackendServer) -> Peer:
-    return Peer(server.id, server.host, server.port)
-
-
 def _describe(answer: WholeAnswer | CallBroken) -> str:
     if isinstance(answer, CallBroken):
         return str(answer.reason)
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -72,7 +72,6 @@
         self.pool = ConnectionPool(serving.reactor, serving.now_ms)
         self.items: dict[str, StoreItem] = {}
         self.has_list = False
-        self.answered_ms = serving.now_ms()
         self.returned_ms: int | None = None
         self.is_lost = False
         self.on_news: Callable[[], None] = lambda: None
@@ -88,6 +87,11 @@
         return Peer("store", address.host, address.port)
 
 
+def store_age_ms(reader: StoreReader) -> int:
+    """Return how long ago the store is known to have had nothing newer."""
+    return age_ms(reader.serving.freshness, reader.serving.now_ms())
+
+
 async def follow_store(reader: StoreReader) -> None:
     """Read everything once, then every change, for as long as the process runs."""
     serving = reader.serving
@@ -172,24 +176,20 @@
     answer = await call(
         reader.pool, reader.store(), b"GET", target, [], b"", timeout_ms
     )
-    now_ms = serving.now_ms()
     if isinstance(answer, CallBroken) or answer.status not in (STATUS_OK, STATUS_GONE):
-        note_refused(reader, answer, now_ms)
+        note_refused(reader, answer)
         return None if isinstance(answer, CallBroken) else answer
     if reader.is_lost:
-        reader.returned_ms = now_ms
+        reader.returned_ms = serving.now_ms()
         logger.info(
             "store answers again",
-            extra={"away_ms": now_ms - reader.answered_ms, "revision": reader.revision},
+            extra={"away_ms": store_age_ms(reader), "revision": reader.revision},
         )
     reader.is_lost = False
-    reader.answered_ms = now_ms
     return answer
 
 
-def note_refused(
-    reader: StoreReader, answer: WholeAnswer | CallBroken, now_ms: int
-) -> None:
+def note_refused(reader: StoreReader, answer: WholeAnswer | CallBroken) -> None:
     """Log the first of a row of failed calls."""
     reason = (
         str(answer.reason)
@@ -200,7 +200,7 @@
     if not reader.is_lost:
         logger.warning(
             "store does not answer",
-            extra={"reason": reason, "age_ms": now_ms - reader.answered_ms},
+            extra={"reason": reason, "age_ms": store_age_ms(reader)},
         )
     reader.is_lost = True
     if isinstance(answer, CallBroken):
@@ -331,7 +331,7 @@
         logger.warning("relayed items not used", extra={"peer": name})
         return
     before = reader.revision
-    if age_ms(serving.freshness, serving.now_ms()) > OUTAGE_MS:
+    if store_age_ms(reader) > OUTAGE_MS:
         # Others were answered again first.
         reader.returned_ms = serving.now_ms()
     take_items(reader, relayed.items)
@@ -360,9 +360,11 @@
         for item in reader.items.values()
         if item.revision > after
     ]
-    serving = reader.serving
-    age = age_ms(serving.freshness, serving.now_ms())
-    document = {"revision": reader.revision, "age_ms": age, "items": items}
+    document = {
+        "revision": reader.revision,
+        "age_ms": store_age_ms(reader),
+        "items": items,
+    }
     return orjson.dumps(document)
 
 
