Read the machine's clock outside the core; drop what nobody reads

Cause: core/clock.py read the time, the only input in the core. The adapter decoded health paths, connection limits, engine limits, pauses and closing answers that no part of the system reads. The replay of engines wrapped three choices alike. Change: system_clock and monotonic_s move to runtime/system_clock.py; the fields are gone; the replay takes the choices as they are and looks up the server once. Ruled out: version and warming time of a server: part of what makes an entry news.

--- a/src/bramleyturn/bench/flood.py
+++ b/src/bramleyturn/bench/flood.py
@@ -13,9 +13,9 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.clock import system_clock
 from bramleyturn.runtime.errors import CallFailed
 from bramleyturn.runtime.http_client import call_bytes, http_client
+from bramleyturn.runtime.system_clock import system_clock
 
 HIGHEST_US: Final = 60_000_000
 SIGNIFICANT_FIGURES: Final = 3
--- a/src/bramleyturn/bench/load.py
+++ b/src/bramleyturn/bench/load.py
@@ -28,8 +28,8 @@
 from bramleyturn.bench.requests_mix import PlannedRequest, default_mix, plan_requests
 from bramleyturn.bench.targets import BadTargets, Targets, read_targets
 from bramleyturn.bench.verdicts import Finished, judge
-from bramleyturn.core.clock import system_clock
 from bramleyturn.runtime.http_client import http_client
+from bramleyturn.runtime.system_clock import system_clock
 
 EXIT_FAULTS: Final = 1
 EXIT_BAD_INPUT: Final = 2
--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -34,9 +34,8 @@
 class Route(NamedTuple):
     """Hold where the requests of one host and path prefix go, and how.
 
-    ``priority`` 0 is the most urgent. ``gap_aim_ms`` is the longest pause between
-    two events of a stream that is still in time. ``keeps_prefix`` marks requests that
-    name the parts of their prompt.
+    ``priority`` 0 is the most urgent. ``keeps_prefix`` marks requests that name the
+    parts of their prompt.
     """
 
     name: str
@@ -52,7 +51,6 @@
     is_public: bool
     keeps_prefix: bool
     is_resumable: bool
-    gap_aim_ms: int
 
 
 class BatchLimits(NamedTuple):
@@ -72,21 +70,11 @@
     keep_ms: int
 
 
-class EngineLimits(NamedTuple):
-    """Hold what one engine runs at once and remembers."""
-
-    slots: int
-    cache_tokens: int
-
-
 class Pool(NamedTuple):
-    """Hold a set of equal backend servers."""
+    """Hold a set of equal backend servers; ``batch`` is set for those of a stage."""
 
     name: str
-    health_path: str
-    max_connections: int
     batch: BatchLimits | None
-    engine: EngineLimits | None
 
 
 class CallerLimits(NamedTuple):
--- a/src/bramleyturn/core/clock.py
+++ b/src/bramleyturn/core/clock.py
@@ -1,10 +1,10 @@
-"""Read time in milliseconds."""
+"""Describe clocks that read milliseconds, and one that tests move.
 
-import time
-from collections.abc import Callable
-from typing import Final, NamedTuple
+The clock of the machine is in runtime/system_clock.py.
+"""
 
-NANOSECONDS_PER_MS: Final = 1_000_000
+from collections.abc import Callable
+from typing import NamedTuple
 
 
 class Clock(NamedTuple):
@@ -18,25 +18,6 @@
     wall_ms: Callable[[], int]
 
 
-def system_clock() -> Clock:
-    """Return the clock of this machine.
-
-    The monotonic clock includes time during which the machine was suspended, so
-    that a paused process sees its deadlines as passed when it wakes.
-    """
-    return Clock(
-        monotonic_ms=lambda: (
-            time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOSECONDS_PER_MS
-        ),
-        wall_ms=lambda: time.time_ns() // NANOSECONDS_PER_MS,
-    )
-
-
-def monotonic_s() -> float:
-    """Return the time of the monotonic clock in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class ManualTime:
     """Hold a time that only moves when told to."""
 
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -11,7 +11,7 @@
 
 from twisted.internet import reactor
 
-from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.clock import Clock
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.fleet.members import MemberRef
 from bramleyturn.gateway.background import run_in_background
@@ -39,6 +39,7 @@
     parse_serving_settings,
 )
 from bramleyturn.runtime.memory import freeze_start_up_objects
+from bramleyturn.runtime.system_clock import system_clock
 
 EXIT_BAD_SETTINGS: Final = 2
 METRICS_PATH: Final = b"/metrics"
--- a/src/bramleyturn/platform/answers.py
+++ b/src/bramleyturn/platform/answers.py
@@ -52,7 +52,6 @@
     is_signed: bool
     is_encoded: bool
     was_not_run: bool
-    is_closing: bool
     idle_ms: int | None
     load: ServerLoad | None
 
@@ -66,7 +65,6 @@
         is_signed=bool(by_name.get(SIGNATURE)),
         is_encoded=by_name.get(b"content-encoding", b"identity") != b"identity",
         was_not_run=NOT_EXECUTED in by_name or status == STATUS_MISDIRECTED,
-        is_closing=b"close" in by_name.get(b"connection", b"").lower(),
         idle_ms=_idle_ms(by_name.get(b"keep-alive", b"")),
         load=read_load(by_name.get(INSTANCE_LOAD, b"")),
     )
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -6,7 +6,6 @@
 from bramleyturn.core.catalog.model import (
     BatchLimits,
     CallerLimits,
-    EngineLimits,
     Pool,
     Published,
     Route,
@@ -101,7 +100,6 @@
         # must stay at one server.
         keeps_prefix=flag_field(document, "sticky"),
         is_resumable=flag_field(document, "resumable"),
-        gap_aim_ms=whole_field(document, "gapAimMs") or 0,
     )
 
 
@@ -146,13 +144,9 @@
     if name is None:
         return None
     pieces = document.get("pieces")
-    engine = document.get("engine")
     return Pool(
         name=name,
-        health_path=text_field(document, "healthPath") or "/health",
-        max_connections=whole_field(document, "maxConnections") or 0,
         batch=_decode_batch(pieces) if isinstance(pieces, dict) else None,
-        engine=_decode_engine(engine) if isinstance(engine, dict) else None,
     )
 
 
@@ -170,13 +164,6 @@
     )
 
 
-def _decode_engine(document: dict[str, Any]) -> EngineLimits:
-    return EngineLimits(
-        slots=max(1, whole_field(document, "slots") or 1),
-        cache_tokens=whole_field(document, "kvCapacityTokens") or 0,
-    )
-
-
 def _decode_limits(document: Any) -> CallerLimits:
     if not isinstance(document, dict):
         return DEFAULT_CALLER_LIMITS
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -7,7 +7,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
-from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.clock import Clock
 from bramleyturn.core.model import Configuration
 from bramleyturn.core.process_settings import ProcessSettings
 from bramleyturn.programs.entry import empty_configuration, log_end
@@ -18,6 +18,7 @@
 from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.logs import note_revision
 from bramleyturn.runtime.shutdown import end_when_answered
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.runtime.watch_client import (
     InstanceList,
     follow_configuration,
--- a/src/bramleyturn/programs/commands_operate.py
+++ b/src/bramleyturn/programs/commands_operate.py
@@ -12,7 +12,6 @@
 import orjson
 
 from bramleyturn.core.address import parse_address
-from bramleyturn.core.clock import system_clock
 from bramleyturn.core.intake import MAX_KEY_CHARACTERS
 from bramleyturn.core.since import parse_since_ms
 from bramleyturn.core.timeline_merge import (
@@ -28,6 +27,7 @@
 from bramleyturn.runtime.http_client import JsonAnswer
 from bramleyturn.runtime.one_call import call_each
 from bramleyturn.runtime.settings_file import Unreadable, read_text
+from bramleyturn.runtime.system_clock import system_clock
 
 KEY_VARIABLE: Final = "BRAMLEYTURN_KEY"
 FIRST_REFUSAL: Final = 400
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from bramleyturn.core.clock import Clock, system_clock
+from bramleyturn.core.clock import Clock
 from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
 from bramleyturn.core.entry import start
 from bramleyturn.core.entry_state import EntryState, entry_state
@@ -54,6 +54,7 @@
 from bramleyturn.runtime.peer_client import MESSAGE_PATH, Identity, PeerClient
 from bramleyturn.runtime.peers_api import MAX_MESSAGE_BYTES, peers_api
 from bramleyturn.runtime.start_up import StartUp, note_configuration, note_list
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.runtime.twisted_types import HttpRequest
 from bramleyturn.runtime.watch_client import (
     InstanceList,
--- a/src/bramleyturn/programs/faultproxy.py
+++ b/src/bramleyturn/programs/faultproxy.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.posixbase import PosixReactorBase
 
-from bramleyturn.core.clock import system_clock
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.standin.fault_proxy_http import host_proxy, parse_proxy_settings
 from bramleyturn.standin.process import (
     fail,
--- a/src/bramleyturn/programs/standin.py
+++ b/src/bramleyturn/programs/standin.py
@@ -8,7 +8,7 @@
 from twisted.internet import reactor as default_reactor
 from twisted.internet.posixbase import PosixReactorBase
 
-from bramleyturn.core.clock import system_clock
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.standin.hosting import host_all
 from bramleyturn.standin.process import (
     fail,
--- a/src/bramleyturn/programs/standin_site.py
+++ b/src/bramleyturn/programs/standin_site.py
@@ -8,8 +8,8 @@
 import orjson
 from twisted.internet import reactor
 
-from bramleyturn.core.clock import system_clock
 from bramleyturn.programs.start import run, use_monotonic_time
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.standin.site.site import start_site
 
 
--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -7,11 +7,11 @@
 
 from twisted.internet import reactor
 
-from bramleyturn.core.clock import monotonic_s
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.process_settings import ProcessSettings, RefusedSettings
 from bramleyturn.runtime.logs import start_logging
 from bramleyturn.runtime.settings_file import Unreadable, read_process_settings
+from bramleyturn.runtime.system_clock import monotonic_s
 
 EXIT_BAD_SETTINGS: Final = 2
 
--- a/tests/core/catalog/test_routes.py
+++ b/tests/core/catalog/test_routes.py
@@ -22,7 +22,6 @@
         is_public=False,
         keeps_prefix=False,
         is_resumable=False,
-        gap_aim_ms=0,
     )
 
 
--- a/tests/core/placement/engine_world.py
+++ b/tests/core/placement/engine_world.py
@@ -21,7 +21,9 @@
 # As engines read prompts and write outputs.
 TOKENS_PER_MS = 60.0
 OUTPUT_MS = 900
-Choice = Callable[[list[BackendServer], "Request", LoadBook, Random, int], int]
+Choice = Callable[
+    [list[BackendServer], "Request", LoadBook, Random, int], BackendServer | None
+]
 
 
 class Request(NamedTuple):
@@ -79,10 +81,12 @@
             engines[place].requests -= 1
             note_ended(books[entry], servers[place].id)
         book = books[request.entry]
-        place = choose(servers, request, book, random, request.at_ms)
+        chosen = choose(servers, request, book, random, request.at_ms)
+        assert chosen is not None
+        place = servers.index(chosen)
         engine = engines[place]
-        note_report(book, servers[place].id, engine.requests, request.at_ms)
-        note_sent(book, servers[place].id)
+        note_report(book, chosen.id, engine.requests, request.at_ms)
+        note_sent(book, chosen.id)
         engine.requests += 1
         tokens = request.prompt[-1].tokens + sum(
             part.tokens
@@ -103,32 +107,28 @@
     book: LoadBook,
     random: Random,
     now_ms: int,
-) -> int:
+) -> BackendServer | None:
     """Choose as entries do."""
-    chosen = choose_by_prefix(servers, request.prompt, book, random, now_ms)
-    assert chosen is not None
-    return servers.index(chosen)
+    return choose_by_prefix(servers, request.prompt, book, random, now_ms)
 
 
 def by_least_load(
     servers: list[BackendServer],
-    request: Request,
+    _request: Request,
     book: LoadBook,
     random: Random,
     now_ms: int,
-) -> int:
+) -> BackendServer | None:
     """Choose by load alone."""
-    chosen = choose_by_load(servers, book, random, now_ms)
-    assert chosen is not None
-    return servers.index(chosen)
+    return choose_by_load(servers, book, random, now_ms)
 
 
 def by_prefix_alone(
     servers: list[BackendServer],
     request: Request,
-    book: LoadBook,
+    _book: LoadBook,
     random: Random,
     now_ms: int,
-) -> int:
+) -> BackendServer | None:
     """Choose the engine that keeps the prefix, whatever it has to do."""
     return by_reading_cost(servers, request, LoadBook(), random, now_ms)
--- a/tests/core/test_clock.py
+++ b/tests/core/test_clock.py
@@ -1,6 +1,7 @@
 """Tests of the clock."""
 
-from bramleyturn.core.clock import ManualTime, manual_clock, system_clock
+from bramleyturn.core.clock import ManualTime, manual_clock
+from bramleyturn.runtime.system_clock import system_clock
 
 
 class TestManualClock:
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -9,7 +9,6 @@
 from klein import Klein
 from twisted.internet.task import Clock as Reactor
 
-from bramleyturn.core.clock import system_clock
 from bramleyturn.core.entry_state import entry_state
 from bramleyturn.core.tickets import ProcessRef
 from bramleyturn.programs.entry import add_routes, empty_configuration
@@ -17,6 +16,7 @@
 from bramleyturn.runtime.admin_gather import AdminLoop
 from bramleyturn.runtime.entry_loop import EntryLoop
 from bramleyturn.runtime.lifecycle import Ending, new_lifecycle
+from bramleyturn.runtime.system_clock import system_clock
 from scripts.fleet import Fleet, FleetPlan, workspace_key
 from tests.http_calls import Reply, wait_until
 from tests.openapi_check import (
--- a/tests/watch/test_watch_access.py
+++ b/tests/watch/test_watch_access.py
@@ -9,8 +9,8 @@
 from twisted.internet.error import ConnectionRefusedError as Refused
 from twisted.internet.task import Clock as Reactor
 
-from bramleyturn.core.clock import system_clock
 from bramleyturn.core.intake import key_digest
+from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.watch.reader import read_folder
 from bramleyturn.watch.watch_api import refuse_strangers
 from bramleyturn.watch.watch_loop import WatchLoop, peers_key, take_folder
