Split the attempts at servers from the flow of a request

Change: gateway/caller_attempts.py chooses servers and sends to them; the flow decides what follows. The stages are run by one function, at first and when an input is gone. Ruled out: moving the refusals too; they need the state of the flow.

--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -1,6 +1,7 @@
 """Hold a caller's request on its way, and word how it ends."""
 
-from typing import Final, NamedTuple
+import logging
+from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.catalog.model import Route, Workspace
 from bramleyturn.gateway.attempts import (
@@ -19,6 +20,8 @@
 # A step of a workspace's rank weighs as much as this many steps of a route's.
 URGENCY_STEP: Final = 5
 
+logger = logging.getLogger(__name__)
+
 
 class Refusal(NamedTuple):
     """Hold an answer of this system's own, and its reason.
@@ -87,3 +90,8 @@
     if isinstance(ended, NotRun):
         return "not_run", str(ended.status or "not connected")
     return "broken", str(ended.reason)
+
+
+def log_call(call: Call, event: str, fields: dict[str, Any]) -> None:
+    """Log what became of a request, with its id."""
+    logger.info(event, extra={"request_id": call.head.attempt_id, **fields})
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -6,39 +6,24 @@
 import orjson
 from twisted.internet.defer import CancelledError, Deferred
 
-from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import own_tokens
 from bramleyturn.core.catalog.routes import choose_pool, find_route
-from bramleyturn.core.catalog.server_book import is_ready
-from bramleyturn.core.placement.choice import (
-    choose_by_load,
-    choose_by_prefix,
-    note_ended,
-    note_report,
-    note_sent,
-    usable_servers,
-)
-from bramleyturn.core.placement.health import note_answered, note_failed
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, may_repeat
 from bramleyturn.core.repeat.shared_budget import note_request, take_repeat
-from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
+from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.time_spent import time_spent_ms
 from bramleyturn.gateway.attempts import (
     Answered,
-    AttemptCall,
-    AttemptEnd,
-    Broken,
     NotRun,
     Streamed,
-    run_attempt,
 )
+from bramleyturn.gateway.caller_attempts import CallerAttempts
 from bramleyturn.gateway.caller_request import (
     USUAL_WAIT_MS,
     Call,
     Refusal,
-    describe_end,
-    engine_urgency,
+    log_call,
     stage_wait_ms,
     urgency_of,
 )
@@ -48,14 +33,12 @@
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_asks import StageAsks
 from bramleyturn.gateway.stage_work import StageOrder, StageResults, StageWork
-from bramleyturn.platform.answers import AnswerHead, caller_headers
+from bramleyturn.platform.answers import caller_headers
 from bramleyturn.platform.requests import (
     ATTEMPT_ID,
     PIECES,
     BadHead,
-    ServerHead,
     read_caller_head,
-    server_headers,
 )
 from bramleyturn.runtime.timers import stop_timer
 
@@ -76,6 +59,7 @@
     def __init__(self, serving: Serving, asks: StageAsks) -> None:
         self.serving = serving
         self.asks = asks
+        self.attempts = CallerAttempts(serving)
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request until it is answered or its caller is gone."""
@@ -136,7 +120,7 @@
         if not call.route.stages or not any(counts):
             return None
         serving = self.serving
-        engine = self._choose(call, frozenset())
+        engine = self.attempts.choose(call, frozenset())
         tokens = own_tokens(call.head.prompt)
         run_ms = first_event_ms(serving.first_events, call.pool, tokens)
         order = StageOrder(
@@ -150,11 +134,15 @@
             near_zone=engine.zone if engine is not None else "",
         )
         call.stages = StageWork(serving, self.asks, order)
-        results: StageResults = await call.stages.start()
-        if results.failure is None:
-            call.inputs = results.inputs
-            return None
-        return Refusal(503, f"stage_{results.failure}", stage_wait_ms(results))
+        return await self._run_stages(call, call.stages)
+
+    async def _run_stages(self, call: Call, stages: StageWork) -> Refusal | None:
+        """Run the stages, from their start, and keep what they hand to the request."""
+        results: StageResults = await stages.start()
+        if results.failure is not None:
+            return Refusal(503, f"stage_{results.failure}", stage_wait_ms(results))
+        call.inputs = results.inputs
+        return None
 
     async def _forward(self, call: Call) -> Refusal | None:
         """Send a request to servers until one has answered it."""
@@ -163,17 +151,17 @@
         runs = 0
         failed_answer: Answered | None = None
         while True:
-            server = self._choose(call, frozenset(call.tried))
+            server = self.attempts.choose(call, frozenset(call.tried))
             if server is None:
                 break
             is_repeat = bool(call.tried)
             if is_repeat and not take_repeat(
                 serving.budget, call.pool, serving.now_ms()
             ):
-                self._log(call, "no retry left", {"pool": call.pool})
+                log_call(call, "no retry left", {"pool": call.pool})
                 break
             call.tried.append(server.id)
-            ended = await self._attempt(call, server)
+            ended = await self.attempts.send(call, server)
             if isinstance(ended, Streamed):
                 call.exchange.finish()
                 return None
@@ -189,7 +177,8 @@
             if isinstance(ended, NotRun):
                 refused += 1
                 if ended.status == STATUS_CONFLICT and call.stages is not None:
-                    refusal = await self._remake_inputs(call)
+                    call.stages.stop()
+                    refusal = await self._run_stages(call, call.stages)
                     if refusal is not None:
                         return refusal
                     call.tried.pop()
@@ -212,150 +201,6 @@
     def _may_run_again(self, call: Call, runs: int) -> bool:
         return may_repeat(call.route) and runs < call.route.max_attempts
 
-    async def _remake_inputs(self, call: Call) -> Refusal | None:
-        if call.stages is None:
-            return Refusal(502, "inputs_gone", None)
-        call.stages.stop()
-        results: StageResults = await call.stages.start()
-        if results.failure is not None:
-            return Refusal(503, f"stage_{results.failure}", stage_wait_ms(results))
-        call.inputs = results.inputs
-        return None
-
-    def _choose(self, call: Call, tried: frozenset[str]) -> BackendServer | None:
-        serving = self.serving
-        now_ms = serving.now_ms()
-        servers = usable_servers(
-            serving.ready(call.pool),
-            tried,
-            serving.health,
-            now_ms,
-            serving.silent_zones,
-        )
-        if call.route.keeps_prefix:
-            return choose_by_prefix(
-                servers, call.head.prompt, serving.loads, serving.random, now_ms
-            )
-        return choose_by_load(servers, serving.loads, serving.random, now_ms)
-
-    async def _attempt(self, call: Call, server: BackendServer) -> AttemptEnd:
-        serving = self.serving
-        sent_ms = serving.now_ms()
-        wait_ms = max(1, call.deadline_ms - sent_ms)
-        resume_after = call.last_event_id if call.exchange.is_started else None
-        server_head = ServerHead(
-            server_id=server.id,
-            wait_ms=wait_ms,
-            workspace=call.workspace.name if call.workspace is not None else "",
-            inputs=call.inputs,
-            urgency=engine_urgency(call) if call.route.keeps_prefix else None,
-            resume_after=resume_after,
-        )
-        exchange = call.exchange
-
-        def take_event(headers: Headers, event_id: int | None, data: bytes) -> None:
-            self._take_event(call, sent_ms, headers, event_id, data)
-
-        attempt = AttemptCall(
-            server=server,
-            method=exchange.method,
-            target=exchange.target,
-            headers=server_headers(exchange.headers, server_head, len(exchange.body)),
-            body=exchange.body,
-            attempt_id=call.head.attempt_id,
-            take_event=take_event,
-            take_head=lambda answer: self._take_head(server, answer),
-        )
-        may_reuse = may_repeat(call.route)
-
-        def may_send() -> bool:
-            call.is_at_server = is_ready(serving.book, server.id, serving.now_ms())
-            return call.is_at_server
-
-        note_sent(serving.loads, server.id)
-        try:
-            ended = await run_attempt(
-                serving.servers_pool,
-                attempt,
-                may_reuse,
-                may_send,
-            )
-        finally:
-            note_ended(serving.loads, server.id)
-        call.is_at_server = False
-        self._note_attempt(call, server, ended, sent_ms)
-        return ended
-
-    def _take_head(self, server: BackendServer, answer: AnswerHead) -> None:
-        load = answer.load
-        if load is not None:
-            now_ms = self.serving.now_ms()
-            requests = load.running + load.waiting
-            note_report(self.serving.loads, server.id, requests, now_ms)
-
-    def _take_event(
-        self,
-        call: Call,
-        sent_ms: int,
-        headers: Headers,
-        event_id: int | None,
-        data: bytes,
-    ) -> None:
-        """Pass on an event, unless the caller has it already."""
-        if event_id is not None:
-            if call.last_event_id is not None and event_id <= call.last_event_id:
-                return
-            call.last_event_id = event_id
-        if not call.exchange.is_started:
-            now_ms = self.serving.now_ms()
-            call.first_event_ms = now_ms
-            note_first_event(
-                self.serving.first_events,
-                call.pool,
-                own_tokens(call.head.prompt),
-                now_ms - sent_ms,
-            )
-            observe(
-                self.serving.metrics,
-                "first_event",
-                now_ms - call.arrived_ms,
-                call.route.name,
-            )
-            if call.stages is not None:
-                call.stages.release_all()
-            call.exchange.start(200, caller_headers(headers))
-        call.exchange.send(data)
-
-    def _note_attempt(
-        self, call: Call, server: BackendServer, ended: AttemptEnd, sent_ms: int
-    ) -> None:
-        serving = self.serving
-        now_ms = serving.now_ms()
-        is_avoided = False
-        if isinstance(ended, Broken) or (
-            isinstance(ended, NotRun) and not ended.status
-        ):
-            is_certain = isinstance(ended, NotRun)
-            is_avoided = note_failed(serving.health, server.id, now_ms, is_certain)
-        elif isinstance(ended, NotRun):
-            is_avoided = note_failed(serving.health, server.id, now_ms)
-        else:
-            note_answered(serving.health, server.id)
-        kind, detail = describe_end(ended)
-        count(serving.metrics, "attempts", f"{call.pool} {kind}")
-        self._log(
-            call,
-            "attempt ended",
-            {
-                "server": server.id,
-                "attempt": len(call.tried),
-                "outcome": kind,
-                "detail": detail,
-                "took_ms": now_ms - sent_ms,
-                "server_avoided": is_avoided,
-            },
-        )
-
     def _pass_on(self, call: Call, ended: Answered) -> None:
         call.exchange.answer(
             ended.head.status, caller_headers(ended.headers), ended.body
@@ -397,7 +242,7 @@
         work.cancel()
 
     def _caller_gone(self, call: Call, work: "Deferred[None]") -> None:
-        self._log(call, "caller gone", {"after_ms": self._elapsed_ms(call)})
+        log_call(call, "caller gone", {"after_ms": self._elapsed_ms(call)})
         count(self.serving.metrics, "callers_gone", call.route.name)
         work.cancel()
 
@@ -421,7 +266,7 @@
             self._refuse(call.exchange, self._given_up(call), call)
         took_ms = self._elapsed_ms(call)
         observe(self.serving.metrics, "request", took_ms, call.route.name)
-        self._log(
+        log_call(
             call,
             "request ended",
             {
@@ -454,6 +299,3 @@
 
     def _elapsed_ms(self, call: Call) -> int:
         return self.serving.now_ms() - call.arrived_ms
-
-    def _log(self, call: Call, event: str, fields: dict[str, Any]) -> None:
-        logger.info(event, extra={"request_id": call.head.attempt_id, **fields})
