Name seconds and megabytes once

Cause: 27 modules defined how many milliseconds a second has, three how many bytes a megabyte, two in a local variable. Change: core/units.py; all import from it. Ruled out: constants of other units, which stand once each.

--- a/src/bramleyturn/bench/arrivals.py
+++ b/src/bramleyturn/bench/arrivals.py
@@ -1,9 +1,8 @@
 """Draw the arrival times of an open-loop load."""
 
 import random
-from typing import Final
 
-MS_PER_S: Final = 1000
+from bramleyturn.core.units import MS_PER_S
 
 
 def poisson_arrivals(
--- a/src/bramleyturn/bench/load.py
+++ b/src/bramleyturn/bench/load.py
@@ -15,7 +15,6 @@
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import LoopingCall, deferLater, react
 
-from bramleyturn.bench.arrivals import MS_PER_S
 from bramleyturn.bench.caller import Caller, entries_in_turn, send_request
 from bramleyturn.bench.ledgers import UnreadLedger, read_runs
 from bramleyturn.bench.load_report import (
@@ -28,6 +27,7 @@
 from bramleyturn.bench.requests_mix import PlannedRequest, default_mix, plan_requests
 from bramleyturn.bench.targets import BadTargets, Targets, read_targets
 from bramleyturn.bench.verdicts import Finished, judge
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.system_clock import system_clock
 
--- a/src/bramleyturn/bench/trace_shapes.py
+++ b/src/bramleyturn/bench/trace_shapes.py
@@ -16,8 +16,8 @@
 from bramleyturn.bench.service_times import pool_slots, stage_work_ms
 from bramleyturn.bench.trace import Trace, TraceHeader, TraceRequest
 from bramleyturn.core.model import Configuration
+from bramleyturn.core.units import MS_PER_S
 
-MS_PER_S: Final = 1_000
 PERCENT: Final = 100
 GAP_VARIATION: Final = 1.4
 BURST_FACTOR: Final = 2.5
--- a/src/bramleyturn/core/forecast.py
+++ b/src/bramleyturn/core/forecast.py
@@ -7,9 +7,9 @@
 from bramleyturn.core.model import Stage
 from bramleyturn.core.routing_table import RoutingTable
 from bramleyturn.core.server_load import expected_finish_ms
+from bramleyturn.core.units import MS_PER_S
 
 SERVERS_LOOKED_AT: Final = 32
-MS_PER_S: Final = 1_000
 
 
 class TooBusy(NamedTuple):
--- a/src/bramleyturn/core/gossip.py
+++ b/src/bramleyturn/core/gossip.py
@@ -22,6 +22,7 @@
 from bramleyturn.core.server_load import LoadReport
 from bramleyturn.core.spend import SpendCounter
 from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.core.units import MS_PER_S
 
 VERSION: Final = 1
 RATE_BYTES_PER_S: Final = 600
@@ -31,7 +32,6 @@
 MAX_READERS: Final = 1_024
 MAX_LOADS: Final = 16
 MAX_LOGGED: Final = 16_384
-MS_PER_S: Final = 1_000
 
 Parsed = TypeVar("Parsed")
 
--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -22,10 +22,10 @@
     overdue_ms,
 )
 from bramleyturn.core.pieces.timing import stage_ms, work_of
+from bramleyturn.core.units import BYTES_PER_MEGABYTE
 
 # How much later a piece may be made for its inputs or its result to stay in a zone.
 OTHER_ZONE_MS_PER_MEGABYTE: Final = 25.0
-BYTES_PER_MEGABYTE: Final = 1_000_000
 # A request that needs more than this part of all room begins when that much is free.
 LARGE_PART: Final = 0.7
 # Results this many times smaller than those that wait for room may pass them.
--- a/src/bramleyturn/core/retry_budget.py
+++ b/src/bramleyturn/core/retry_budget.py
@@ -3,13 +3,14 @@
 from random import Random
 from typing import Final
 
+from bramleyturn.core.units import MS_PER_S
+
 PERCENT: Final = 100
 FLOOR_RETRIES: Final = 2.0
 FLOOR_RETRIES_PER_S: Final = 0.2
 MAX_SAVED_RETRIES: Final = 20.0
 RETRY_BASE_MS: Final = 10
 RETRY_MAX_MS: Final = 1_000
-MS_PER_S: Final = 1_000
 
 
 class PoolBudget:
--- a/src/bramleyturn/core/since.py
+++ b/src/bramleyturn/core/since.py
@@ -4,7 +4,8 @@
 from datetime import UTC, datetime
 from typing import Final
 
-MS_PER_S: Final = 1_000
+from bramleyturn.core.units import MS_PER_S
+
 AGE: Final = re.compile(r"([0-9]{1,9})(s|m|h)")
 SECONDS: Final = {"s": 1, "m": 60, "h": 3_600}
 
--- a/src/bramleyturn/core/timeline_page.py
+++ b/src/bramleyturn/core/timeline_page.py
@@ -7,8 +7,7 @@
 
 from bramleyturn.core.fault import printable
 from bramleyturn.core.timeline_merge import MergedEvent
-
-MS_PER_S: Final = 1_000
+from bramleyturn.core.units import MS_PER_S
 
 _STYLE: Final = """
 body { font: 14px/1.4 system-ui, sans-serif; margin: 1rem; color: #1c1c1c; }
--- a/src/bramleyturn/core/token_bucket.py
+++ b/src/bramleyturn/core/token_bucket.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-MS_PER_S: Final = 1_000
+from bramleyturn.core.units import MS_PER_S
+
 NO_RATE_RETRY_MS: Final = 60_000
 
 
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -6,6 +6,7 @@
 from twisted.internet.error import ConnectError
 
 from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
     open_connection,
@@ -14,7 +15,6 @@
 from bramleyturn.gateway.http1_client import BreakReason, Headers, ServerConnection
 from bramleyturn.runtime.timers import stop_timer
 
-MS_PER_S: Final = 1_000
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 
 
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -14,6 +14,7 @@
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.fleet.members import MemberRef
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_old
 from bramleyturn.gateway.control_api import control_api
@@ -44,7 +45,6 @@
 EXIT_BAD_SETTINGS: Final = 2
 METRICS_PATH: Final = b"/metrics"
 METRICS_PORT: Final = 9464
-MS_PER_S: Final = 1_000
 HOUSEKEEPING_S: Final = 1.0
 # How long a stopping process takes new connections: until it is out of rotation.
 ROTATION_MS: Final = 3_000
--- a/src/bramleyturn/gateway/event_log.py
+++ b/src/bramleyturn/gateway/event_log.py
@@ -14,12 +14,12 @@
 import orjson
 
 from bramleyturn.core.clock import Clock
+from bramleyturn.core.units import MS_PER_S
 
 MAX_BUFFERED_LINES: Final = 2_000
 # Lines of one second beyond this number are dropped, warnings excepted.
 MAX_LINES_PER_S: Final = 400
 FLUSH_S: Final = 0.1
-MS_PER_S: Final = 1_000
 STANDARD_OUTPUT: Final = 1
 # What a record has besides the fields that the caller gave.
 PLAIN_FIELDS: Final = frozenset(vars(logging.makeLogRecord({}))) | {
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -20,10 +20,10 @@
     next_heartbeat,
     silent_zones,
 )
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.serving import Serving
 
-MS_PER_S: Final = 1_000
 MAX_DATAGRAM_BYTES: Final = 8_192
 MAX_HEARTBEATS: Final = 64
 
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -14,10 +14,10 @@
 from twisted.python.failure import Failure
 
 from bramleyturn.core.catalog.model import CallerLimits
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 
-MS_PER_S: Final = 1_000
 STATUS_BAD_REQUEST: Final = 400
 STATUS_TIMEOUT: Final = 408
 STATUS_TOO_LARGE: Final = 413
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -10,6 +10,7 @@
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, may_repeat
 from bramleyturn.core.repeat.shared_budget import note_request, take_repeat
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.time_spent import time_spent_ms
@@ -42,7 +43,6 @@
 )
 from bramleyturn.runtime.timers import stop_timer
 
-MS_PER_S: Final = 1_000
 # An answer given this long before the caller leaves still reaches it.
 ANSWER_MARGIN_MS: Final = 15
 NO_CONFIGURATION_WAIT_MS: Final = 500
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -12,13 +12,13 @@
 
 from bramleyturn.core.fleet.owners import STAGES, owner_of
 from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_messages import encode_ask
 from bramleyturn.runtime.timers import stop_timer
 
-MS_PER_S: Final = 1_000
 REPEAT_MS: Final = 450
 
 logger = logging.getLogger(__name__)
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -27,6 +27,7 @@
     withdraw,
 )
 from bramleyturn.core.pieces.stage_server import StageServer, note_report
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallBroken, WholeAnswer, call, peer_of
 from bramleyturn.gateway.metrics import count, observe
@@ -50,7 +51,6 @@
     handle_address,
 )
 
-MS_PER_S: Final = 1_000
 STATUS_OK: Final = 200
 # How often waiting work is looked at when nothing else happens.
 TICK_MS: Final = 60
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -24,6 +24,7 @@
 from bramleyturn.core.fleet.members import newest_holder
 from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.calls import CallBroken, Peer, WholeAnswer, call
 from bramleyturn.gateway.connection_pool import ConnectionPool, drop_idle
 from bramleyturn.gateway.metrics import count, gauge
@@ -39,7 +40,6 @@
     watch_target,
 )
 
-MS_PER_S: Final = 1_000
 STATUS_OK: Final = 200
 STATUS_GONE: Final = 410
 # A watch waits for less than any bound on a configuration, because a connection may
--- a/src/bramleyturn/platform/answers.py
+++ b/src/bramleyturn/platform/answers.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from bramleyturn.core.units import MS_PER_S
+
 Headers = list[tuple[bytes, bytes]]
 
 SIGNATURE: Final = b"bramleyturn-response-signature"
@@ -84,6 +86,5 @@
 
 
 def _idle_ms(value: bytes) -> int | None:
-    ms_per_s = 1_000
     matched = KEEP_ALIVE.search(value.decode("latin-1"))
-    return int(matched[1]) * ms_per_s if matched else None
+    return int(matched[1]) * MS_PER_S if matched else None
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -14,6 +14,7 @@
     WeightedPool,
     Workspace,
 )
+from bramleyturn.core.units import BYTES_PER_MEGABYTE, MS_PER_S
 from bramleyturn.platform.errors import Malformed
 from bramleyturn.platform.fields import (
     flag_field,
@@ -27,8 +28,6 @@
 )
 
 CONFIGURATION_KEY: Final = "op/config"
-BYTES_PER_MEGABYTE: Final = 1_000_000
-MS_PER_S: Final = 1_000
 KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
--- a/src/bramleyturn/platform/settings.py
+++ b/src/bramleyturn/platform/settings.py
@@ -5,6 +5,7 @@
 
 from bramleyturn.core.address import MAX_PORT, Address, parse_address
 from bramleyturn.core.fault import Fault, quote
+from bramleyturn.core.units import MS_PER_S
 
 SETTINGS_VARIABLE: Final = "BRAMLEYTURN_CONFIG"
 PERCENT: Final = 100
@@ -143,10 +144,9 @@
 
 
 def _bounds(reader: _Reader) -> ServingBounds:
-    ms_per_s = 1_000
     return ServingBounds(
-        grace_ms=int(reader.number("bounds.graceS") * ms_per_s),
+        grace_ms=int(reader.number("bounds.graceS") * MS_PER_S),
         retry_ratio=reader.number("bounds.retryBudgetRatio"),
         retry_slack=reader.number("bounds.retryBudgetSlack"),
-        budget_window_ms=int(reader.number("bounds.budgetWindowS") * ms_per_s),
+        budget_window_ms=int(reader.number("bounds.budgetWindowS") * MS_PER_S),
     )
--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -6,13 +6,13 @@
 import orjson
 
 from bramleyturn.core.pieces.model import MadePiece, Piece, PieceFailure
+from bramleyturn.core.units import BYTES_PER_MEGABYTE
 from bramleyturn.platform.errors import Malformed
 from bramleyturn.platform.fields import number_field, read_object
 
 RUN_TARGET: Final = "/bramleyturn/stage-run"
 RELEASE_TARGET: Final = "/bramleyturn/stage-free"
 REPORT_TARGET: Final = "/bramleyturn/report"
-BYTES_PER_MEGABYTE: Final = 1_000_000
 MAX_HANDLE_CHARACTERS: Final = 200
 FAILURES: Final = {
     # The time left had passed when the call's turn came.
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -1,7 +1,7 @@
 """Drive the core of an entry process: feed it events and carry out its actions."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
 from bramleyturn.core.actions import (
     Action,
@@ -31,6 +31,7 @@
 )
 from bramleyturn.core.intake import AccessTable, access_table
 from bramleyturn.core.server_confirmation import PAUSE_MS
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.backend_client import (
     BackendClient,
     cancel_at_server,
@@ -43,8 +44,6 @@
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 
-MS_PER_S: Final = 1_000
-
 WaiterAction = Answer | TicketNeeded | TicketRefused | ForwardAnswer
 Waiter = Callable[[WaiterAction], None]
 BackupReply = Callable[[BackupAnswer], None]
--- a/src/bramleyturn/runtime/greeter.py
+++ b/src/bramleyturn/runtime/greeter.py
@@ -18,6 +18,7 @@
 )
 from bramleyturn.core.peer_message import MessageKind, PeerMessage
 from bramleyturn.core.tickets import ProcessRef
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.peer_client import tell
 
@@ -26,7 +27,6 @@
 FAST_DIVISOR: Final = 5
 JITTER_PERCENT: Final = 20
 PERCENT: Final = 100
-MS_PER_S: Final = 1_000
 
 
 async def follow_peers(loop: EntryLoop, tell_newer: Callable[[int], None]) -> None:
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -24,6 +24,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.errors import CallFailed, CallFailure
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import Reactor
@@ -31,7 +32,6 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 IDLE_CONNECTION_S: Final = 10
 CONNECTIONS_PER_HOST: Final = 64
-MS_PER_S: Final = 1_000
 HeaderMap = dict[bytes | str, bytes | str]
 
 JSON_HEADERS: Final[HeaderMap] = {"Content-Type": "application/json"}
--- a/src/bramleyturn/runtime/http_server.py
+++ b/src/bramleyturn/runtime/http_server.py
@@ -10,11 +10,11 @@
 
 from bramleyturn.core.address import parse_address
 from bramleyturn.core.intake import BadRequest
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.bounded_http import BodyLimit, BoundedSite
 from bramleyturn.runtime.twisted_types import HttpRequest
 
 MAX_BODY_BYTES: Final = 64 * 1024
-MS_PER_S: Final = 1_000
 PROBLEM_TYPE: Final = "application/problem+json"
 JSON_TYPE: Final = "application/json"
 
--- a/src/bramleyturn/runtime/load_reports.py
+++ b/src/bramleyturn/runtime/load_reports.py
@@ -11,6 +11,7 @@
 from bramleyturn.core.membership import Life
 from bramleyturn.core.routing import LoadReport
 from bramleyturn.core.server_confirmation import take_to_confirm
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.errors import CallFailed
 from bramleyturn.runtime.http_client import call_json
@@ -20,7 +21,6 @@
 ZONE_REPORTS_PER_S: Final = 20
 CONFIRM_INTERVAL_MS: Final = 20
 TIMEOUT_MS: Final = 1_000
-MS_PER_S: Final = 1_000
 
 
 async def follow_load(loop: EntryLoop) -> None:
--- a/src/bramleyturn/runtime/watch_client.py
+++ b/src/bramleyturn/runtime/watch_client.py
@@ -13,6 +13,7 @@
     load_in_steps,
 )
 from bramleyturn.core.model import Configuration
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.http_client import call_json
 from bramleyturn.watch.documents import ListedInstance, parse_instances
 from bramleyturn.watch.errors import PlatformFailed
@@ -22,7 +23,6 @@
 RETRY_MS: Final = 200
 LIST_WAIT_MS: Final = 2_000
 LIST_TIMEOUT_MS: Final = 2_000
-MS_PER_S: Final = 1_000
 
 logger = logging.getLogger(__name__)
 
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -8,9 +8,9 @@
 
 import orjson
 
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, Headers
 
-MS_PER_S: Final = 1_000
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
--- a/src/bramleyturn/standin/site/store.py
+++ b/src/bramleyturn/standin/site/store.py
@@ -7,9 +7,9 @@
 
 import orjson
 
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange
 
-MS_PER_S: Final = 1_000
 PAGE_ITEMS: Final = 50
 RANGE_TARGET: Final = "/bramleyturn/kv-range"
 WATCH_TARGET: Final = "/bramleyturn/kv-watch"
--- a/src/bramleyturn/watch/watch_loop.py
+++ b/src/bramleyturn/watch/watch_loop.py
@@ -14,6 +14,7 @@
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.revisions import InForce, Refused, Revisions, offer
 from bramleyturn.core.timeline import EventKind, Timeline, record
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.logs import error_fields, note_revision
 from bramleyturn.runtime.peer_client import Traffic, count_read
 from bramleyturn.runtime.timers import stop_timer
@@ -34,7 +35,6 @@
 JITTER_PERCENT: Final = 30
 NEAR_SHARE: Final = 0.5
 PERCENT: Final = 100
-MS_PER_S: Final = 1_000
 
 logger = logging.getLogger(__name__)
 
