Let servers of the platform's stand-ins crash and start again

A request marked with "crash" in its target, body or piece key ends the server that runs it: its connections are reset, its port refuses connections, and it registers again after 1.2 s, with a new id or its old one. POST /crash does the same without such a request.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -176,7 +176,7 @@
         if self.exchange is not None:
             self.pipelined_bytes += len(data)
             if self.pipelined_bytes > MAX_PIPELINED_BYTES:
-                self._abort()
+                self.abort()
                 return
         if self.first_byte_ms is None:
             self.first_byte_ms = self.server.now_ms()
@@ -228,9 +228,10 @@
         if transport is None or self.is_closed:
             return
         transport.loseConnection()
-        self._start_timer(int(FLUSH_TIMEOUT_S * MS_PER_S), self._abort)
+        self._start_timer(int(FLUSH_TIMEOUT_S * MS_PER_S), self.abort)
 
-    def _abort(self) -> None:
+    def abort(self) -> None:
+        """Close the connection at once, without sending what is buffered."""
         transport: Any = self.transport
         if transport is not None and not self.is_closed:
             transport.abortConnection()
@@ -243,7 +244,7 @@
             data = self.http.send(event)
         except h11.LocalProtocolError as error:
             logger.error("answer could not be sent", extra={"reason": str(error)})
-            self._abort()
+            self.abort()
             return
         if data:
             transport.write(data)
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -16,6 +16,8 @@
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
 NOT_RUN_HEADER: Final = (b"Bramleyturn-Not-Executed", b"1")
+# A request with this in its target, body or piece key crashes the server that runs it.
+CRASH_MARKER: Final = b"crash"
 STATUS_MISDIRECTED: Final = 421
 
 
@@ -37,12 +39,17 @@
 
     ``fault`` names the injected fault: ``shed`` refuses requests, ``reset`` closes the
     connection after the run, ``cut`` closes it in the middle of the answer, ``error``
-    answers 500, ``hang`` never answers.
+    answers 500, ``hang`` never answers. ``crash`` ends the server, which starts again
+    later, and ``crashed_by`` has the attempt that each crash was due to. ``name`` stays
+    the same when the server starts again under another ``id``.
     """
 
     def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
         self.reactor = reactor
+        self.name = server_id
         self.id = server_id
+        self.crash: Callable[[], None] = lambda: None
+        self.crashed_by: list[str] = []
         self.pool = pool
         self.address = address
         self.fault = ""
@@ -61,6 +68,8 @@
         if _refused(server, exchange):
             return
         attempt_id = _record_run(server, exchange)
+        if _crashes(server, exchange.target + exchange.body, attempt_id):
+            return
         server.running += 1
         server.reactor.callLater(
             server.processing_ms / MS_PER_S, end, exchange, attempt_id
@@ -86,6 +95,8 @@
         if _refused(server, exchange):
             return
         attempt_id = _record_run(server, exchange)
+        if _crashes(server, exchange.target + exchange.body, attempt_id):
+            return
         last = exchange.header(b"last-event-id")
         first = int(last) + 1 if last else 0
         server.running += 1
@@ -134,7 +145,12 @@
 
     def run(exchange: Exchange) -> None:
         server.running -= 1
+        if exchange.is_gone:
+            return
         items = orjson.loads(exchange.body)["items"]
+        for item in items:
+            if _crashes(server, str(item.get("key")).encode(), str(item["id"])):
+                return
         exchange.answer(
             200,
             [],
@@ -163,6 +179,15 @@
     return False
 
 
+def _crashes(server: SiteServer, content: bytes, attempt_id: str) -> bool:
+    """Crash the server if the content is marked; return whether it was."""
+    if CRASH_MARKER not in content:
+        return False
+    server.crashed_by.append(attempt_id)
+    server.crash()
+    return True
+
+
 def _record_run(server: SiteServer, exchange: Exchange) -> str:
     attempt_id = exchange.header(b"bramleyturn-attempt-id")
     server.ran.append(RunRecord(attempt_id, exchange))
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -1,7 +1,7 @@
 """Run a small site of stand-ins on one address, controlled by a test.
 
-The control address accepts `POST /fault`, `/leave`, `/remove`, `/store` and
-`/configuration`, and answers `GET /ledger`.
+The control address accepts `POST /fault`, `/crash`, `/restarts`, `/leave`, `/remove`,
+`/store` and `/configuration`, and answers `GET /ledger`.
 """
 
 from collections.abc import Callable
@@ -10,6 +10,7 @@
 import orjson
 
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, HttpServer
 from bramleyturn.standin.site.servers import (
     SiteServer,
@@ -33,10 +34,15 @@
 SERVERS_PER_POOL: Final = 2
 ZONES: Final = ("north", "south")
 API_KEY: Final = "key-of-north"
+DEFAULT_RESTART_MS: Final = 1_200
 
 
 class Site:
-    """Hold the store and the servers, by id, of a site."""
+    """Hold the store and the servers, by name, of a site.
+
+    A server that crashed starts again after ``restart_ms``, with the id that it had if
+    ``keeps_ids``.
+    """
 
     def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
         self.reactor = reactor
@@ -44,6 +50,8 @@
         self.store = Store(reactor)
         self.servers: dict[str, SiteServer] = {}
         self.version = 1
+        self.restart_ms = DEFAULT_RESTART_MS
+        self.keeps_ids = False
 
 
 def start_site(
@@ -58,14 +66,47 @@
     for pool, new_handler in HANDLERS.items():
         for place in range(SERVERS_PER_POOL):
             server = SiteServer(reactor, f"i-{pool}-{place}", pool, "")
-            server.address = _listen(site, host, new_handler(server))
-            site.servers[server.id] = server
-            addresses[server.id] = server.address
-            register(site, server, ZONES[place % len(ZONES)])
+            _start_server(site, server, ZONES[place % len(ZONES)], host, new_handler)
+            site.servers[server.name] = server
+            addresses[server.name] = server.address
     put(site.store, "op/config", orjson.dumps(configuration(site.version)))
     return site, addresses
 
 
+def _start_server(
+    site: Site,
+    server: SiteServer,
+    zone: str,
+    host: str,
+    new_handler: Callable[[SiteServer], Callable[[Exchange], None]],
+) -> None:
+    """Listen at the server's address, or at a free one, and register the server."""
+    http = HttpServer(
+        site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, new_handler(server)
+    )
+    port_number = int(server.address.rpartition(":")[2] or 0)
+    port = site.reactor.listenTCP(port_number, http.factory(), interface=host)
+    server.address = f"{host}:{port.getHost().port}"
+
+    def crash() -> None:
+        server.crash = lambda: None
+        port.stopListening()
+        for connection in list(http.connections):
+            connection.abort()
+        site.reactor.callLater(site.restart_ms / MS_PER_S, restart)
+
+    def restart() -> None:
+        server.running = 0
+        server.results.clear()
+        if not site.keeps_ids:
+            delete(site.store, f"servers/{server.id}")
+            server.id = f"{server.name}.{len(server.crashed_by)}.{site.store.revision}"
+        _start_server(site, server, zone, host, new_handler)
+
+    server.crash = crash
+    register(site, server, zone)
+
+
 def register(site: Site, server: SiteServer, zone: str, state: str = "ready") -> None:
     """Write a server's registry entry to the store."""
     entry = {
@@ -77,6 +118,7 @@
         "state": state,
         "coldRemainingMs": 0,
         "sequence": 1,
+        "born": site.now_ms(),
     }
     put(site.store, f"servers/{server.id}", orjson.dumps(entry))
 
@@ -164,6 +206,11 @@
         body = orjson.loads(exchange.body) if exchange.body else {}
         if target == "/fault":
             site.servers[body["server"]].fault = body["fault"]
+        elif target == "/crash":
+            site.servers[body["server"]].crash()
+        elif target == "/restarts":
+            site.restart_ms = body.get("restart_ms", DEFAULT_RESTART_MS)
+            site.keeps_ids = body.get("keeps_ids", False)
         elif target == "/leave":
             server = site.servers[body["server"]]
             register(site, server, ZONES[0], state="draining")
@@ -188,7 +235,8 @@
     return {
         "store_calls": site.store.calls,
         "servers": {
-            server.id: {
+            server.name: {
+                "crashed_by": server.crashed_by,
                 "ran": [vars(ran) for ran in server.ran],
                 "made": server.made,
                 "kept": len(server.results),
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -79,18 +79,20 @@
         finally:
             connection.close()
 
-    def draft(self, **options: Any) -> Answer:
+    def draft(
+        self, body: bytes = b"x", piece_key: str = "7c1e", **options: Any
+    ) -> Answer:
         """Request a stream with two pieces of a stage."""
         extra_headers = {
             "Bramleyturn-Pieces": "2",
-            "Bramleyturn-Piece-Key": "7c1e",
+            "Bramleyturn-Piece-Key": piece_key,
             "Bramleyturn-Token-Counts": "100,20",
             "Bramleyturn-Prompt-Prefix": "aa:80,bb:20",
             "Bramleyturn-Model": "m",
         }
         options.setdefault("wait_ms", 8_000)
         return self.call(
-            "/draft/1", method="POST", body=b"x", extra_headers=extra_headers, **options
+            "/draft/1", method="POST", body=body, extra_headers=extra_headers, **options
         )
 
     def send_control(self, target: str, **fields: Any) -> dict[str, Any]:
