--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -76,8 +76,17 @@
 
 def request_fingerprint(pipeline: str, stage: str, payload: bytes) -> str:
     """Return a digest of a stage's input, the same for all callers and processes."""
+    return _digest(pipeline.encode(), stage.encode(), payload)
+
+
+def caller_fingerprint(workspace: str, target: bytes, body: bytes) -> str:
+    """Return a digest of a workspace's request, the same for all of its repeats."""
+    return _digest(workspace.encode(), target, body)
+
+
+def _digest(*parts: bytes) -> str:
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (pipeline.encode(), stage.encode(), payload):
+    for part in parts:
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -179,6 +179,7 @@
             {
                 "server": server.id,
                 "attempt": len(request.tried),
+                "fingerprint": request.fingerprint,
                 "outcome": kind,
                 "detail": detail,
                 "took_ms": now_ms - sent_ms,
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -4,6 +4,7 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.catalog.model import Route, Workspace
+from bramleyturn.core.poison import caller_fingerprint
 from bramleyturn.gateway.attempts import (
     Answered,
     AttemptEnd,
@@ -51,6 +52,11 @@
         self.route = route
         self.workspace = workspace
         self.pool = pool
+        self.fingerprint = caller_fingerprint(
+            workspace.name if workspace is not None else "",
+            exchange.target,
+            exchange.body,
+        )
         self.arrived_ms = exchange.arrived_ms
         self.first_sent_ms = exchange.arrived_ms
         self.deadline_ms = exchange.arrived_ms + wait_ms
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -275,6 +275,7 @@
             "request ended",
             {
                 "route": request.route.name,
+                "fingerprint": request.fingerprint,
                 "prompt_tokens": request.head.prompt_tokens,
                 "output_tokens": request.head.output_tokens,
                 "own_tokens": own_tokens(request.head.prompt),
