Keep the pieces of an ask that was on a crashed server out of others' calls

What callers would see: a piece that crashes its server was batched again with the pieces of the same other requests, so that these ended on as many crashed servers as it did. Cause: a failed call's pieces are requeued and batched by order alone. Change: an ask can be marked as suspect; its pieces get calls of their own. fail_asks ends asks that must not be tried again.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -92,6 +92,24 @@
     return outcome
 
 
+def isolate_asks(planner: Planner, ask_ids: Iterable[str]) -> None:
+    """Mark asks as suspects, because they were on a server that crashed."""
+    for ask_id in ask_ids:
+        state = planner.asks.get(ask_id)
+        if state is not None:
+            state.is_suspect = True
+
+
+def fail_asks(planner: Planner, ask_ids: Iterable[str], now_ms: int) -> Outcome:
+    """End asks that must not be tried again with a failure."""
+    outcome = Outcome()
+    for ask_id in ask_ids:
+        state = planner.asks.get(ask_id)
+        if state is not None:
+            fail_ask(planner, state, PieceFailure.FAILED, outcome, now_ms)
+    return outcome
+
+
 def take_moved(planner: Planner, moved: MovedPiece, now_ms: int) -> Outcome:
     """Process the outcome of a piece that the previous planner had started."""
     outcome = Outcome()
--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -153,13 +153,16 @@
     """Return the pieces of a call: those of ``first``, then those of other asks.
 
     Pieces of other asks lengthen the call, so they only join if there is no idle
-    server left for them.
+    server left for them. A suspect stays alone, so that no other ask is on the server
+    if it crashes again.
     """
     available_bytes = free_bytes(server, planner.limits, now_ms)
     items = planner.limits.batch_items
     idle = sum(is_idle(each, now_ms) for each in planner.servers.values()) - 1
     waiting = sum(1 for each in order if each.waiting and each is not first)
-    joining = [first] if waiting <= idle else [first, *order]
+    joining = [first]
+    if waiting > idle and not first.is_suspect:
+        joining += [state for state in order if not state.is_suspect]
     chosen: list[tuple[AskState, int]] = []
     for state in joining:
         while state.waiting and len(chosen) < items:
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -56,6 +56,7 @@
     any will do. ``input_bytes`` is the size of the inputs stored in each zone; every
     piece reads all of them. ``has_started`` is whether another stage of the request
     is already done, and ``later`` has the stages that depend on this one.
+    ``fingerprint`` is the same for all repeats of the request, empty if unknown.
     """
 
     ask_id: str
@@ -73,6 +74,7 @@
     has_started: bool
     later: tuple[LaterStage, ...]
     input_bytes: tuple[tuple[str, int], ...] = ()
+    fingerprint: str = ""
 
 
 class AskDone(NamedTuple):
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -19,7 +19,8 @@
     ``heard_ms`` is when the ask was last repeated, and ``last_served_ms`` when its last
     call started. ``is_moved`` means that the ask was handed over to another planner, so
     that nothing new starts here. ``awaited`` has the pieces that the previous planner
-    still has in progress, and until when they are waited for.
+    still has in progress, and until when they are waited for. The pieces of a suspect,
+    an ask that was on a server when it crashed, are not batched with those of others.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -31,6 +32,7 @@
         self.awaited: dict[int, int] = {}
         self.is_moved = False
         self.failed_calls = 0
+        self.is_suspect = False
         self.last_served_ms = now_ms
 
 
