--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -1,22 +1,29 @@
 """Find poison requests: those that crash the servers they run on.
 
 The state is a set of crashes, each with the requests that were on the server. A
-request that is the only one common to two crashes is quarantined, unless a proven
-poison request, one that was the only suspect of a crash and a suspect in another,
-explains one of them. Peers merge their crashes, so all of them reach the same result
-in whatever order they learn of the crashes.
+request that is the only one common to two crashes is quarantined, and so is any request
+that was on a server in three crashes. Crashes do not count if a proven poison request,
+one that was the only suspect of a crash and a suspect in another, explains them. Peers
+merge their crashes, so all of them reach the same result in whatever order
+they learn of the crashes.
 """
 
 import hashlib
+from collections import Counter
 from collections.abc import Iterable
+from random import Random
 from typing import Final, NamedTuple
 
 DIGEST_BYTES: Final = 16
+# Short, because many of them go into one datagram.
+CALLER_DIGEST_BYTES: Final = 8
 CRASH_RETENTION_MS: Final = 1_800_000
 SAME_CRASH_WINDOW_MS: Final = 500
 MIN_RESTART_MS: Final = 1_000
 HINT_DELAY_MS: Final = 50
 MAX_CRASHES: Final = 256
+# A request on a server in this many crashes is quarantined, whatever else was on them.
+QUARANTINE_CRASHES: Final = 3
 MAX_FINGERPRINTS: Final = 512
 MAX_HINTS: Final = 16
 MAX_CLEARED: Final = 4_096
@@ -66,9 +73,14 @@
 
 
 class Suspects:
-    """Hold recent crashes, and when suspects finished and servers answered."""
+    """Hold recent crashes, and when suspects finished and servers answered.
 
-    def __init__(self) -> None:
+    Reports of crashes of a server within ``same_crash_window_ms`` are about the same
+    crash. If each run of a server has a name of its own, it can only crash once.
+    """
+
+    def __init__(self, same_crash_window_ms: int = SAME_CRASH_WINDOW_MS) -> None:
+        self.same_crash_window_ms = same_crash_window_ms
         self.crashes: list[Crash] = []
         self.cleared_ms: dict[str, int] = {}
         self.alive_ms: dict[str, int] = {}
@@ -76,16 +88,16 @@
 
 def request_fingerprint(pipeline: str, stage: str, payload: bytes) -> str:
     """Return a digest of a stage's input, the same for all callers and processes."""
-    return _digest(pipeline.encode(), stage.encode(), payload)
+    return _digest(DIGEST_BYTES, pipeline.encode(), stage.encode(), payload)
 
 
 def caller_fingerprint(workspace: str, target: bytes, body: bytes) -> str:
     """Return a digest of a workspace's request, the same for all of its repeats."""
-    return _digest(workspace.encode(), target, body)
+    return _digest(CALLER_DIGEST_BYTES, workspace.encode(), target, body)
 
 
-def _digest(*parts: bytes) -> str:
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+def _digest(size_bytes: int, *parts: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=size_bytes)
     for part in parts:
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
@@ -155,6 +167,37 @@
     )
 
 
+def choose_hints(
+    suspects: Suspects, random: Random, max_fingerprints: int, now_ms: int
+) -> tuple[CrashHint, ...]:
+    """Return the newest crashes and a random choice of older ones, to send to peers.
+
+    Sent at intervals, they reach peers that were cut off or started later. If there are
+    too many fingerprints, each crash gets its share: first those that were in other
+    crashes too, then a random choice of the others.
+    """
+    _expire(suspects, now_ms)
+    newest = suspects.crashes[-MAX_HINTS // 2 :]
+    older = suspects.crashes[: -MAX_HINTS // 2]
+    others = random.sample(older, min(len(older), MAX_HINTS - len(newest)))
+    chosen = [*reversed(newest), *others]
+    crashes_of = Counter(
+        fingerprint for crash in suspects.crashes for fingerprint in crash.fingerprints
+    )
+    hints = []
+    left = max_fingerprints
+    for index, crash in enumerate(chosen):
+        blamed = sorted(_crash_suspects(suspects, crash))
+        random.shuffle(blamed)
+        blamed.sort(key=lambda fingerprint: -crashes_of[fingerprint])
+        sent = blamed[: left // (len(chosen) - index)]
+        if sent:
+            left -= len(sent)
+            age_ms = max(0, now_ms - crash.at_ms)
+            hints.append(CrashHint(crash.server, tuple(sorted(sent)), age_ms))
+    return tuple(hints)
+
+
 def import_hints(suspects: Suspects, hints: Iterable[CrashHint], now_ms: int) -> None:
     """Merge the crashes that a peer reported.
 
@@ -180,7 +223,7 @@
     if not crash.fingerprints:
         return
     for index, known in enumerate(suspects.crashes):
-        if _same_crash(known, crash):
+        if _same_crash(known, crash, suspects.same_crash_window_ms):
             suspects.crashes[index] = Crash(
                 known.server,
                 known.fingerprints | crash.fingerprints,
@@ -191,11 +234,11 @@
     suspects.crashes.sort(key=lambda kept: kept.at_ms)
 
 
-def _same_crash(known: Crash, crash: Crash) -> bool:
+def _same_crash(known: Crash, crash: Crash, window_ms: int) -> bool:
     # Processes that share a server lose their connections at about the same time.
     if known.server != crash.server:
         return False
-    return abs(known.at_ms - crash.at_ms) <= SAME_CRASH_WINDOW_MS
+    return abs(known.at_ms - crash.at_ms) <= window_ms
 
 
 def _is_suspect(suspects: Suspects, crash: Crash, fingerprint: str) -> bool:
@@ -232,6 +275,8 @@
     unexplained = [
         crash for crash in crashes if explained_by.isdisjoint(crash.fingerprints)
     ]
+    if len(unexplained) >= QUARANTINE_CRASHES:
+        return True
     if len(unexplained) < 2:
         return False
     by_crash = (_crash_suspects(suspects, crash) for crash in unexplained)
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -27,6 +27,7 @@
     engine_urgency,
     log_request,
 )
+from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.http1_client import Headers
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.serving import Serving
@@ -37,8 +38,9 @@
 class CallerAttempts:
     """Send callers' requests to servers."""
 
-    def __init__(self, serving: Serving) -> None:
+    def __init__(self, serving: Serving, crashes: CrashWatch) -> None:
         self.serving = serving
+        self.crashes = crashes
 
     def choose(
         self, request: CallerRequest, tried: frozenset[str]
@@ -88,7 +90,7 @@
             body=exchange.body,
             attempt_id=request.head.attempt_id,
             on_event=on_event,
-            on_head=lambda answer: self._handle_head(server, answer),
+            on_head=lambda answer: self._handle_head(request, server, answer),
         )
         may_reuse = is_safe_to_retry(request.route)
 
@@ -98,6 +100,8 @@
             )
             return request.is_at_server
 
+        request.server = server
+        request.heard_ms = sent_ms
         note_sent(serving.loads, server.id)
         try:
             ended = await run_attempt(
@@ -110,9 +114,17 @@
             note_ended(serving.loads, server.id)
         request.is_at_server = False
         self._note_attempt(request, server, ended, sent_ms)
+        if isinstance(ended, AttemptFailed):
+            if ended.reason in BROKEN_CONNECTION:
+                await self.crashes.connection_broke(server, [request.fingerprint])
+        elif not isinstance(ended, NotRun):
+            self.crashes.request_finished(request.fingerprint)
         return ended
 
-    def _handle_head(self, server: BackendServer, answer: AnswerHead) -> None:
+    def _handle_head(
+        self, request: CallerRequest, server: BackendServer, answer: AnswerHead
+    ) -> None:
+        request.heard_ms = self.serving.now_ms()
         load = answer.load
         if load is not None:
             now_ms = self.serving.now_ms()
@@ -128,6 +140,7 @@
         data: bytes,
     ) -> None:
         """Forward an event, unless the caller has received it already."""
+        request.heard_ms = self.serving.now_ms()
         if event_id is not None:
             if request.last_event_id is not None and event_id <= request.last_event_id:
                 return
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -3,7 +3,7 @@
 import logging
 from typing import Any, Final, NamedTuple
 
-from bramleyturn.core.catalog.model import Route, Workspace
+from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
 from bramleyturn.core.poison import caller_fingerprint
 from bramleyturn.gateway.attempts import (
     Answered,
@@ -36,7 +36,11 @@
 
 
 class CallerRequest:
-    """Hold the state of a request until it is answered."""
+    """Hold the state of a request until it is answered.
+
+    ``server`` is the server that it was sent to last, and ``heard_ms`` when that server
+    was last heard of.
+    """
 
     def __init__(
         self,
@@ -62,6 +66,8 @@
         self.deadline_ms = exchange.arrived_ms + wait_ms
         self.may_have_run = False
         self.is_at_server = False
+        self.server: BackendServer | None = None
+        self.heard_ms = exchange.arrived_ms
         self.tried: list[str] = []
         self.last_event_id = head.last_event_id
         self.first_event_ms: int | None = None
--- /dev/null
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -0,0 +1,163 @@
+"""Detect crashes of backend servers, and share them with the other instances.
+
+A broken connection alone proves nothing: the server may have reset it, or the network.
+It counts as a crash if the server then accepts no connection.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.task import deferLater
+
+from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.poison import (
+    CrashHint,
+    Quarantined,
+    classify_request,
+    connection_lost,
+    import_hints,
+    request_finished,
+)
+from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.connection_pool import open_connection
+from bramleyturn.gateway.http1_client import FailureReason
+from bramleyturn.gateway.metrics import count, gauge
+from bramleyturn.gateway.serving import Serving
+
+# Reasons that a crash of the server may explain.
+BROKEN_CONNECTION: Final = frozenset({FailureReason.CLOSED, FailureReason.RESET})
+# Servers register every 1.2 s and are removed after three misses.
+EXPIRY_MS: Final = 5_000
+MAX_LOGGED_FINGERPRINTS: Final = 8
+
+logger = logging.getLogger(__name__)
+
+
+class CrashWatch:
+    """Record the crashes of servers and the requests that were on them.
+
+    ``on_crash`` is called for each crash that this instance detected or first heard of.
+    """
+
+    def __init__(self, serving: Serving) -> None:
+        self.serving = serving
+        self.on_crash: Callable[[], None] = lambda: None
+
+    def quarantined_ms(self, fingerprint: str) -> int | None:
+        """Return how much longer a request is quarantined, None if it may be sent."""
+        now_ms = self.serving.now_ms()
+        status = classify_request(self.serving.suspects, fingerprint, now_ms)
+        return status.until_ms - now_ms if isinstance(status, Quarantined) else None
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a request was on a server that crashed."""
+        crashes = self.serving.suspects.crashes
+        return any(fingerprint in crash.fingerprints for crash in crashes)
+
+    def request_finished(self, fingerprint: str) -> None:
+        """Clear a request that a server ran to its end."""
+        request_finished(self.serving.suspects, fingerprint, self.serving.now_ms())
+
+    def connection_broke(
+        self, server: BackendServer, fingerprints: Iterable[str]
+    ) -> "Deferred[None]":
+        """Check a server whose connection broke; the result fires after the check."""
+        checked: Deferred[None] = Deferred()
+        work = self._check_broken(server, frozenset(fingerprints), checked)
+        run_in_background(work, "check of a server")
+        return checked
+
+    def request_abandoned(self, server: BackendServer, fingerprint: str) -> None:
+        """Check a server that had not answered when its request was given up."""
+        work = self._check_silent(server, frozenset((fingerprint,)))
+        run_in_background(work, "check of a server")
+
+    def merge(self, sender: str, hints: Iterable[CrashHint]) -> None:
+        """Merge the crashes that another instance reported."""
+        suspects = self.serving.suspects
+        before = {crash.server for crash in suspects.crashes}
+        import_hints(suspects, hints, self.serving.now_ms())
+        new = [crash for crash in suspects.crashes if crash.server not in before]
+        for crash in new:
+            self._log_crash(crash.server, crash.fingerprints, sender, crash.at_ms)
+        if new:
+            self.on_crash()
+
+    async def _check_broken(
+        self,
+        server: BackendServer,
+        fingerprints: frozenset[str],
+        checked: "Deferred[None]",
+    ) -> None:
+        broke_ms = self.serving.now_ms()
+        try:
+            if await self._connect_failure(server) is not None:
+                self._record(server, fingerprints, broke_ms)
+        finally:
+            if not checked.called:
+                checked.callback(None)
+
+    async def _check_silent(
+        self, server: BackendServer, fingerprints: frozenset[str]
+    ) -> None:
+        silent_ms = self.serving.now_ms()
+        failure = await self._connect_failure(server)
+        if failure is None:
+            return
+        if not isinstance(failure, ConnectionRefusedError):
+            # It may be cut off only; if it has ended, its registration expires.
+            await deferLater(self.serving.reactor, EXPIRY_MS / MS_PER_S)
+            if self._is_registered(server):
+                return
+        self._record(server, fingerprints, silent_ms)
+
+    def _is_registered(self, server: BackendServer) -> bool:
+        entry = self.serving.registry.entries.get(server.id)
+        return entry is not None and entry.server.started_ms == server.started_ms
+
+    async def _connect_failure(self, server: BackendServer) -> ConnectError | None:
+        """Return why a connection to a server can't be opened, None if it can."""
+        pool = self.serving.servers_pool
+        try:
+            connection = await open_connection(
+                pool, server.id, server.host, server.port
+            )
+        except ConnectError as error:
+            return error
+        connection.on_idle(connection)
+        return None
+
+    def _record(
+        self, server: BackendServer, fingerprints: frozenset[str], at_ms: int
+    ) -> None:
+        name = run_name(server)
+        connection_lost(self.serving.suspects, name, fingerprints, at_ms)
+        self._log_crash(name, fingerprints, self.serving.me.name, at_ms)
+        self.on_crash()
+
+    def _log_crash(
+        self, server: str, fingerprints: frozenset[str], reporter: str, at_ms: int
+    ) -> None:
+        serving = self.serving
+        is_own = reporter == serving.me.name
+        count(serving.metrics, "server_crashes", "detected" if is_own else "reported")
+        gauge(serving.metrics, "crashes_known", len(serving.suspects.crashes))
+        logger.info(
+            "server crashed",
+            extra={
+                "server": server,
+                "reporter": reporter,
+                "age_ms": serving.now_ms() - at_ms,
+                "fingerprints": sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
+                "suspects": len(fingerprints),
+            },
+        )
+
+
+def run_name(server: BackendServer) -> str:
+    """Return a name for the current run of a server, which may keep its id."""
+    return f"{server.id}@{server.started_ms}"
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -18,6 +18,7 @@
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_expired
 from bramleyturn.gateway.control_api import control_api
+from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.event_log import EventLog, start_event_log
 from bramleyturn.gateway.heartbeats import Heartbeats
 from bramleyturn.gateway.http1_server import Exchange, HttpServer
@@ -64,11 +65,13 @@
         self.serving = serving
         self.log = log
         self.links = PeerLinks(serving, self.receive)
-        self.owner = StageOwner(serving, self.links)
+        self.crashes = CrashWatch(serving)
+        self.owner = StageOwner(serving, self.links, self.crashes)
         self.asks = StageAsks(serving, self.links)
         self.reader = StoreReader(serving)
-        self.flow = RequestFlow(serving, self.asks)
-        self.heartbeats = Heartbeats(serving)
+        self.flow = RequestFlow(serving, self.asks, self.crashes)
+        self.heartbeats = Heartbeats(serving, self.crashes)
+        self.crashes.on_crash = self.heartbeats.send_soon
         self.reader.on_new_revision = self.heartbeats.send_heartbeats
         self.api = control_api(self.owner, self.asks, self.reader)
         self.front = self._server(self.flow.handle)
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
 
 import orjson
@@ -20,12 +21,19 @@
     next_heartbeat,
     silent_zones,
 )
+from bramleyturn.core.poison import MAX_HINTS, CrashHint, choose_hints
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.serving import Serving
 
 MAX_DATAGRAM_BYTES: Final = 8_192
 MAX_HEARTBEATS: Final = 64
+# A datagram with this many fingerprints stays well below ``MAX_DATAGRAM_BYTES``.
+MAX_SENT_FINGERPRINTS: Final = 128
+# Connections to a server that crashed break one after another: news of them waits for
+# this long, to be sent together.
+NEWS_DELAY_MS: Final = 25
 
 logger = logging.getLogger(__name__)
 
@@ -33,8 +41,10 @@
 class Heartbeats(DatagramProtocol):
     """Send and receive heartbeats."""
 
-    def __init__(self, serving: Serving) -> None:
+    def __init__(self, serving: Serving, crashes: CrashWatch) -> None:
         self.serving = serving
+        self.crashes = crashes
+        self.is_sending_soon = False
         self.logged_live: frozenset[str] = frozenset()
 
     def send_periodically(self) -> None:
@@ -46,6 +56,16 @@
             HEARTBEAT_INTERVAL_MS * jitter / MS_PER_S, self.send_periodically
         )
 
+    def send_soon(self) -> None:
+        """Send heartbeats shortly, because there is news that can't wait."""
+        if not self.is_sending_soon:
+            self.is_sending_soon = True
+            self.serving.reactor.callLater(NEWS_DELAY_MS / MS_PER_S, self._send_news)
+
+    def _send_news(self) -> None:
+        self.is_sending_soon = False
+        self.send_heartbeats()
+
     def send_heartbeats(self) -> None:
         """Send this instance's heartbeat and some of the others' now."""
         serving = self.serving
@@ -57,6 +77,11 @@
         document = {
             "store_age_ms": age_ms(serving.freshness, now_ms),
             "heartbeats": [_encode(heartbeat) for heartbeat in heartbeats],
+            "crashes": encode_hints(
+                choose_hints(
+                    serving.suspects, serving.random, MAX_SENT_FINGERPRINTS, now_ms
+                )
+            ),
         }
         data = orjson.dumps(document)
         transport: Any = self.transport
@@ -73,6 +98,8 @@
         now_ms = self.serving.now_ms()
         merge_heartbeats(self.serving.members, message.heartbeats, now_ms)
         sender = message.heartbeats[0]
+        if message.crashes:
+            self.crashes.merge(sender.member.name, message.crashes)
         note_peer_confirmation(
             self.serving.freshness, sender.revision, message.store_age_ms, now_ms
         )
@@ -113,10 +140,12 @@
     """Hold the contents of a datagram: its sender's heartbeat first, then others.
 
     ``store_age_ms`` is how long ago the store had nothing newer than the sender knows.
+    ``crashes`` are crashes of backend servers that the sender knows of.
     """
 
     store_age_ms: int
     heartbeats: list[Heartbeat]
+    crashes: tuple[CrashHint, ...] = ()
 
 
 def decode_heartbeats(datagram: bytes) -> HeartbeatMessage | None:
@@ -128,11 +157,28 @@
         store_age_ms = document["store_age_ms"]
         rows = document["heartbeats"][:MAX_HEARTBEATS]
         heartbeats = [_decode(row) for row in rows]
+        crashes = decode_hints(document.get("crashes", []))
     except (ValueError, TypeError, KeyError, IndexError):
         return None
     if not isinstance(store_age_ms, int) or store_age_ms < 0 or not heartbeats:
         return None
-    return HeartbeatMessage(store_age_ms, heartbeats)
+    return HeartbeatMessage(store_age_ms, heartbeats, crashes)
+
+
+def encode_hints(hints: Iterable[CrashHint]) -> list[Any]:
+    """Encode reports of crashes."""
+    return [[hint.server, hint.age_ms, list(hint.fingerprints)] for hint in hints]
+
+
+def decode_hints(rows: Any) -> tuple[CrashHint, ...]:
+    """Decode reports of crashes; raise ValueError or TypeError if malformed."""
+    hints = []
+    for server, crashed_ago_ms, fingerprints in rows[:MAX_HINTS]:
+        if not isinstance(server, str) or not isinstance(crashed_ago_ms, int):
+            raise TypeError("a report of a crash is malformed")
+        texts = tuple(str(fingerprint) for fingerprint in fingerprints)
+        hints.append(CrashHint(server, texts, crashed_ago_ms))
+    return tuple(hints)
 
 
 def _encode(heartbeat: Heartbeat) -> list[Any]:
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -28,6 +28,7 @@
     stage_retry_after_ms,
     urgency_of,
 )
+from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.http1_client import Headers
 from bramleyturn.gateway.http1_server import Exchange
 from bramleyturn.gateway.metrics import count, observe
@@ -47,6 +48,8 @@
 ANSWER_MARGIN_MS: Final = 15
 NO_CONFIGURATION_RETRY_AFTER_MS: Final = 500
 STATUS_CONFLICT: Final = 409
+# A server that was silent for longer when its request was given up may have crashed.
+SILENCE_MS: Final = 1_000
 # Attempts that servers may refuse before the request itself is refused.
 MAX_REFUSALS: Final = 3
 
@@ -56,10 +59,11 @@
 class RequestFlow:
     """Serve callers' requests."""
 
-    def __init__(self, serving: Serving, asks: StageAsks) -> None:
+    def __init__(self, serving: Serving, asks: StageAsks, crashes: CrashWatch) -> None:
         self.serving = serving
         self.asks = asks
-        self.attempts = CallerAttempts(serving)
+        self.crashes = crashes
+        self.attempts = CallerAttempts(serving, crashes)
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request until it is answered or its caller is gone."""
@@ -105,6 +109,9 @@
         if head.wait_ms is not None:
             spent_ms = time_spent_ms(serving.longest_waits, route.name, head.wait_ms)
             request.first_sent_ms -= spent_ms
+        quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
+        if quarantined_ms is not None:
+            return Refusal(503, "quarantined", quarantined_ms)
         return request
 
     async def _serve(self, request: CallerRequest) -> None:
@@ -132,6 +139,7 @@
             deadline_ms=request.deadline_ms,
             urgency=urgency_of(request),
             near_zone=engine.zone if engine is not None else "",
+            fingerprint=request.fingerprint,
         )
         request.stages = StageWork(serving, self.asks, spec)
         return await self._run_stages(request, request.stages)
@@ -155,6 +163,11 @@
         runs = 0
         failed_answer: Answered | None = None
         while True:
+            quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
+            if quarantined_ms is not None:
+                if request.exchange.is_started or request.may_have_run:
+                    return Refusal(502, "quarantined", None)
+                return Refusal(503, "quarantined", quarantined_ms)
             server = self.attempts.choose(request, frozenset(request.tried))
             if server is None:
                 break
@@ -243,13 +256,22 @@
 
     def _time_out(self, request: CallerRequest, work: "Deferred[None]") -> None:
         request.is_timed_out = True
+        self._check_silent_server(request)
         work.cancel()
 
     def _caller_gone(self, request: CallerRequest, work: "Deferred[None]") -> None:
         log_request(request, "caller gone", {"after_ms": self._elapsed_ms(request)})
         count(self.serving.metrics, "callers_gone", request.route.name)
+        self._check_silent_server(request)
         work.cancel()
 
+    def _check_silent_server(self, request: CallerRequest) -> None:
+        silent_ms = self.serving.now_ms() - request.heard_ms
+        if not request.is_at_server or silent_ms < SILENCE_MS:
+            return
+        if request.server is not None:
+            self.crashes.request_abandoned(request.server, request.fingerprint)
+
     def _end(self, result: Any, request: CallerRequest, timer: Any) -> None:
         stop_timer(timer)
         self.serving.in_progress -= 1
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -19,6 +19,7 @@
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
 from bramleyturn.core.placement.choice import LoadTracker
 from bramleyturn.core.placement.health import HealthTracker
+from bramleyturn.core.poison import CRASH_RETENTION_MS, Suspects
 from bramleyturn.core.retry.shared_budget import (
     BudgetLimits,
     SharedBudget,
@@ -56,6 +57,8 @@
         self.registry = ServerRegistry()
         self.health = HealthTracker()
         self.loads = LoadTracker()
+        # Crashes are recorded by run of a server, and a run crashes only once.
+        self.suspects = Suspects(CRASH_RETENTION_MS)
         self.first_events = FirstEventTimes()
         self.longest_waits = LongestWaits()
         self.budget = shared_budget(settings)
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -60,6 +60,7 @@
             input_bytes=tuple(
                 (str(zone), int(size)) for zone, size in message["input_bytes"]
             ),
+            fingerprint=str(message.get("fingerprint", "")),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -1,11 +1,18 @@
 """Plan the work of the stage pools that this instance owns, and call their servers."""
 
 import logging
+from collections.abc import Iterable
 from typing import Any, Final
 
 from bramleyturn.core.catalog.model import server_address
 from bramleyturn.core.fleet.owners import STAGES, owner_of
-from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
+from bramleyturn.core.pieces.call_results import (
+    call_ended,
+    call_failed,
+    fail_asks,
+    isolate_asks,
+    take_moved,
+)
 from bramleyturn.core.pieces.handover import Handover, hand_over, take_over
 from bramleyturn.core.pieces.model import AskDone, Release, StageAsk, StageCall
 from bramleyturn.core.pieces.pipeline import (
@@ -30,6 +37,7 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallFailed, WholeAnswer, call, peer_of
+from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
@@ -69,9 +77,10 @@
 class StageOwner:
     """Hold the planners of this instance, and the instance that sent each ask."""
 
-    def __init__(self, serving: Serving, links: PeerLinks) -> None:
+    def __init__(self, serving: Serving, links: PeerLinks, crashes: CrashWatch) -> None:
         self.serving = serving
         self.links = links
+        self.crashes = crashes
         self.pipeline = Pipeline()
         self.origins: dict[str, str] = {}
         self.is_ticking = False
@@ -95,6 +104,9 @@
         if done is not None:
             self._send_done(done)
             return
+        if self.crashes.is_suspect(ask.fingerprint):
+            isolate_asks(planner, [ask.ask_id])
+            self._apply(planner, self._fail_quarantined(planner, [ask.ask_id]))
         self._schedule_plan()
 
     def handle_withdrawal(self, pool: str, ask_id: str) -> None:
@@ -286,15 +298,49 @@
             },
         )
         if made is None:
+            if isinstance(answer, CallFailed) and answer.reason in BROKEN_CONNECTION:
+                await self._connection_broke(planner, stage_call)
             was_refused = isinstance(answer, WholeAnswer) and (
                 read_answer_head(answer.status, answer.headers).was_not_run
             )
             outcome = call_failed(planner, stage_call.call_id, was_refused, now_ms)
+            self._apply(planner, self._fail_quarantined(planner, list(planner.asks)))
         else:
             outcome = call_ended(planner, stage_call.call_id, made, now_ms)
         self._apply(planner, outcome)
         self._schedule_plan()
 
+    async def _connection_broke(self, planner: Planner, stage_call: StageCall) -> None:
+        """Check a server whose connection broke, and isolate the asks on it."""
+        running = planner.calls.get(stage_call.call_id)
+        state = planner.servers.get(stage_call.server_id)
+        if running is None or state is None:
+            return
+        asks = [planner.asks.get(ask_id) for ask_id, _ in running.parts]
+        fingerprints = {each.ask.fingerprint for each in asks if each is not None}
+        await self.crashes.connection_broke(state.server, fingerprints - {""})
+        isolate_asks(
+            planner,
+            [
+                each.ask.ask_id
+                for each in asks
+                if each is not None and self.crashes.is_suspect(each.ask.fingerprint)
+            ],
+        )
+
+    def _fail_quarantined(self, planner: Planner, ask_ids: Iterable[str]) -> Outcome:
+        """End the asks of quarantined requests."""
+        quarantined = [
+            ask_id
+            for ask_id in ask_ids
+            if (state := planner.asks.get(ask_id)) is not None
+            and self.crashes.quarantined_ms(state.ask.fingerprint) is not None
+        ]
+        for ask_id in quarantined:
+            attempt_id = planner.asks[ask_id].ask.attempt_id
+            logger.info("stage quarantined", extra={"request_id": attempt_id})
+        return fail_asks(planner, quarantined, self.serving.now_ms())
+
     def _request_reports(self, now_ms: int) -> None:
         for planner, state in reports_wanted(self.pipeline, now_ms):
             state.report_asked_ms = now_ms
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -28,6 +28,7 @@
     deadline_ms: int
     urgency: int
     near_zone: str
+    fingerprint: str
 
 
 class StageResults(NamedTuple):
@@ -109,6 +110,7 @@
             has_started=bool(self.results),
             later=later_stages(spec.route, spec.counts, number),
             input_bytes=self._input_bytes(needed),
+            fingerprint=spec.fingerprint,
         )
         pending = self.asks.ask(ask)
         self.running[number] = pending
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -88,7 +88,16 @@
             decode_ask(orjson.loads(orjson.dumps(encode_ask(sent, 100))), 100) == sent
         )
 
-    @pytest.mark.parametrize("field", sorted(encode_ask(ask("r"), 0)))
+    def test_ask_of_an_earlier_build_has_no_fingerprint(self) -> None:
+        message = encode_ask(ask("r"), 0)
+        del message["fingerprint"]
+        decoded = decode_ask(message, 0)
+        assert decoded is not None
+        assert decoded == ask("r")._replace(fingerprint="")
+
+    @pytest.mark.parametrize(
+        "field", sorted(encode_ask(ask("r"), 0).keys() - {"fingerprint"})
+    )
     def test_rejects_a_message_that_lacks_a_field(self, field: str) -> None:
         message = encode_ask(ask("r"), 0)
         del message[field]
