--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -1,7 +1,8 @@
 """Run a small site of stand-ins on one address, controlled by a test.
 
-The control address accepts `POST /fault`, `/crash`, `/restarts`, `/leave`, `/remove`,
-`/store` and `/configuration`, and answers `GET /ledger`.
+The control address accepts `POST /fault`, `/crash`, `/swap` (two servers crash and
+start again at each other's address), `/restarts`, `/leave`, `/remove`, `/store` and
+`/configuration`, and answers `GET /ledger`.
 """
 
 from collections.abc import Callable
@@ -208,6 +209,11 @@
             site.servers[body["server"]].fault = body["fault"]
         elif target == "/crash":
             site.servers[body["server"]].crash()
+        elif target == "/swap":
+            one, other = (site.servers[name] for name in body["servers"])
+            one.address, other.address = other.address, one.address
+            one.crash()
+            other.crash()
         elif target == "/restarts":
             site.restart_ms = body.get("restart_ms", DEFAULT_RESTART_MS)
             site.keeps_ids = body.get("keeps_ids", False)
--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -1,7 +1,10 @@
 """Test that a request that crashes its servers is not sent to servers for ever."""
 
+import os
+import signal
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -104,6 +107,73 @@
         assert late_retries(site, send) <= MAX_LATE_RETRIES
 
 
+class TestDisruptions:
+    """Instances and servers are disrupted while a request crashes servers."""
+
+    @staticmethod
+    def send(site: SiteFleet, entry: int) -> Answer:
+        """Send the request that crashes its server."""
+        return site.call("/lookup/crash", entry=entry)
+
+    def test_instance_was_frozen_while_servers_crashed(self, site: SiteFleet) -> None:
+        os.kill(site.entries[1].pid, signal.SIGSTOP)
+        repeat_until_crashes(site, lambda _: self.send(site, 0))
+        time.sleep(2.0)
+        os.kill(site.entries[1].pid, signal.SIGCONT)
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_all_instances_were_restarted_in_turn(
+        self, site: SiteFleet, tmp_path: Path
+    ) -> None:
+        repeat_until_crashes(site, partial(self.send, site))
+        for entry in range(2):
+            site.stop_entry(entry)
+            site.entries[entry].process.wait()
+            site.entries[entry] = launch_entry(site, tmp_path, entry, f"again-{entry}")
+            wait_until(partial(site.is_ready, entry), "ready again")
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_store_was_away(self, site: SiteFleet) -> None:
+        site.send_control("/restarts", keeps_ids=True)
+        site.send_control("/store", silent=True)
+        repeat_until_crashes(site, partial(self.send, site))
+        site.send_control("/store")
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_servers_started_again_at_each_others_address(
+        self, site: SiteFleet
+    ) -> None:
+        for _ in range(3):
+            site.send_control("/swap", servers=["i-members-0", "i-drafts-0"])
+            self.send(site, 0)
+            time.sleep(1.6)
+        repeat_until_crashes(site, partial(self.send, site))
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_servers_were_leaving(self, site: SiteFleet) -> None:
+        for number in range(4):
+            site.send_control("/leave", server=f"i-members-{number % 2}")
+            self.send(site, number % 2)
+            time.sleep(1.6)
+        repeat_until_crashes(site, partial(self.send, site))
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_settings_were_read_again(self, site: SiteFleet) -> None:
+        repeat_until_crashes(site, partial(self.send, site))
+        for entry in site.entries:
+            os.kill(entry.pid, signal.SIGHUP)
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+    def test_server_was_frozen(self, site: SiteFleet) -> None:
+        site.send_control("/fault", server="i-members-0", fault="hang")
+        for number in range(4):
+            site.call("/lookup/crash", entry=number % 2, wait_ms=400)
+            time.sleep(0.4)
+        site.send_control("/fault", server="i-members-0", fault="")
+        repeat_until_crashes(site, partial(self.send, site))
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
+
 class TestOtherRequests:
     """Requests that crash no server are served, whatever happens to their servers."""
 
