Do not clear a request of crashes because a server failed it

What callers saw: a request that crashes servers was sent on if a failing server answered it with 500 in between. Cause: every whole answer counted as a run to its end. A failing server may answer before it runs anything.

--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -12,13 +12,15 @@
     usable_servers,
 )
 from bramleyturn.core.placement.health import note_answered, note_failed
-from bramleyturn.core.placement.verdicts import is_safe_to_retry
+from bramleyturn.core.placement.verdicts import FIRST_REDIRECT, is_safe_to_retry
 from bramleyturn.core.waiting.first_events import note_first_event
 from bramleyturn.gateway.attempts import (
+    Answered,
     AttemptEnd,
     AttemptFailed,
     AttemptRequest,
     NotRun,
+    Streamed,
     run_attempt,
 )
 from bramleyturn.gateway.caller_request import (
@@ -117,7 +119,7 @@
         if isinstance(ended, AttemptFailed):
             if ended.reason in BROKEN_CONNECTION:
                 await self.crashes.connection_broke(server, [request.fingerprint])
-        elif not isinstance(ended, NotRun):
+        elif is_success(ended):
             self.crashes.request_finished(request.fingerprint)
         return ended
 
@@ -199,3 +201,13 @@
                 "server_avoided": is_avoided,
             },
         )
+
+
+def is_success(ended: AttemptEnd) -> bool:
+    """Return whether a server ran the request to a good end.
+
+    A failing server may answer with an error before it runs the request.
+    """
+    if isinstance(ended, Answered):
+        return ended.head.status < FIRST_REDIRECT
+    return isinstance(ended, Streamed)
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -39,9 +39,11 @@
 
     ``fault`` names the injected fault: ``shed`` refuses requests, ``reset`` closes the
     connection after the run, ``cut`` closes it in the middle of the answer, ``error``
-    answers 500, ``hang`` never answers. ``crash`` ends the server, which starts again
-    later, and ``crashed_by`` has the attempt that each crash was due to. ``name`` stays
-    the same when the server starts again under another ``id``.
+    answers 500, ``fail`` does so without a run, ``hang`` never answers.
+
+    ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
+    attempt that each crash was due to. ``name`` stays the same when the server starts
+    again under another ``id``.
     """
 
     def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
@@ -176,6 +178,10 @@
     if server.fault == "shed":
         exchange.answer(503, [NOT_RUN_HEADER], b"")
         return True
+    if server.fault == "fail":
+        attempt_id = exchange.header(b"bramleyturn-attempt-id")
+        exchange.answer(500, _answer_headers(server, attempt_id), b"failed")
+        return True
     return False
 
 
--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -164,6 +164,16 @@
             os.kill(entry.pid, signal.SIGHUP)
         assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
 
+    def test_server_failed_the_request_between_crashes(self, site: SiteFleet) -> None:
+        for number in range(6):
+            for place in range(2):
+                fault = "fail" if place == number % 2 else ""
+                site.send_control("/fault", server=f"i-members-{place}", fault=fault)
+            for entry in range(2):
+                self.send(site, entry)
+            time.sleep(1.6)
+        assert len(crashes(site)) <= MAX_CRASHES
+
     def test_server_was_frozen(self, site: SiteFleet) -> None:
         site.send_control("/fault", server="i-members-0", fault="hang")
         for number in range(4):
