Count a crash also when the server is back before its request is given up

What callers saw: where the network loses the resets of a server that crashed, its request waits until it is given up, and by then the server may accept connections again. The crash was not counted, and repeats went on. Cause: only a refused connection, or a registration gone after one that timed out, counted for a silent server. Change: one check for both: a server that still accepts connections, or can't be reached, has ended if 5 s later that run of it is not registered any more. A request is checked after 0.5 s of silence instead of 1 s, which requests with a deadline of a second never reach.

--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -1,7 +1,8 @@
 """Detect crashes of backend servers, and share them with the other instances.
 
 A broken connection alone proves nothing: the server may have reset it, or the network.
-It counts as a crash if the server then accepts no connection.
+It counts as a crash if the server then accepts no connection, or its registration shows
+that it ended.
 """
 
 import logging
@@ -65,15 +66,18 @@
     def connection_broke(
         self, server: BackendServer, fingerprints: Iterable[str]
     ) -> "Deferred[None]":
-        """Check a server whose connection broke; the result fires after the check."""
+        """Check a server whose connection broke.
+
+        The result fires once it is known whether it accepts connections.
+        """
         checked: Deferred[None] = Deferred()
-        work = self._check_broken(server, frozenset(fingerprints), checked)
+        work = self._check(server, frozenset(fingerprints), True, checked)
         run_in_background(work, "check of a server")
         return checked
 
     def request_abandoned(self, server: BackendServer, fingerprint: str) -> None:
         """Check a server that had not answered when its request was given up."""
-        work = self._check_silent(server, frozenset((fingerprint,)))
+        work = self._check(server, frozenset((fingerprint,)), False, Deferred())
         run_in_background(work, "check of a server")
 
     def merge(self, sender: str, hints: Iterable[CrashHint]) -> None:
@@ -87,33 +91,32 @@
         if new:
             self.on_crash()
 
-    async def _check_broken(
+    async def _check(
         self,
         server: BackendServer,
         fingerprints: frozenset[str],
+        is_broken: bool,
         checked: "Deferred[None]",
     ) -> None:
-        broke_ms = self.serving.now_ms()
-        try:
-            if await self._connect_failure(server) is not None:
-                self._record(server, fingerprints, broke_ms)
-        finally:
-            if not checked.called:
-                checked.callback(None)
-
-    async def _check_silent(
-        self, server: BackendServer, fingerprints: frozenset[str]
-    ) -> None:
-        silent_ms = self.serving.now_ms()
+        """Record a crash if the server ended, now or as its registration shows later.
+
+        A silent server that can't be reached may be cut off only, and one that can be
+        may have started again.
+        """
+        at_ms = self.serving.now_ms()
         failure = await self._connect_failure(server)
-        if failure is None:
+        has_ended = failure is not None and (
+            is_broken or isinstance(failure, ConnectionRefusedError)
+        )
+        if has_ended:
+            self._record(server, fingerprints, at_ms)
+        if not checked.called:
+            checked.callback(None)
+        if has_ended:
             return
-        if not isinstance(failure, ConnectionRefusedError):
-            # It may be cut off only; if it has ended, its registration expires.
-            await deferLater(self.serving.reactor, EXPIRY_MS / MS_PER_S)
-            if self._is_registered(server):
-                return
-        self._record(server, fingerprints, silent_ms)
+        await deferLater(self.serving.reactor, EXPIRY_MS / MS_PER_S)
+        if not self._is_registered(server):
+            self._record(server, fingerprints, at_ms)
 
     def _is_registered(self, server: BackendServer) -> bool:
         entry = self.serving.registry.entries.get(server.id)
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -49,7 +49,7 @@
 NO_CONFIGURATION_RETRY_AFTER_MS: Final = 500
 STATUS_CONFLICT: Final = 409
 # A server that was silent for longer when its request was given up may have crashed.
-SILENCE_MS: Final = 1_000
+SILENCE_MS: Final = 500
 # Attempts that servers may refuse before the request itself is refused.
 MAX_REFUSALS: Final = 3
 
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -42,7 +42,8 @@
     """Hold the store and the servers, by name, of a site.
 
     A server that crashed starts again after ``restart_ms``, with the id that it had if
-    ``keeps_ids``.
+    ``keeps_ids``. If ``loses_resets``, its connections stay open and silent, as if the
+    network had lost the resets.
     """
 
     def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
@@ -53,6 +54,7 @@
         self.version = 1
         self.restart_ms = DEFAULT_RESTART_MS
         self.keeps_ids = False
+        self.loses_resets = False
 
 
 def start_site(
@@ -92,8 +94,10 @@
     def crash() -> None:
         server.crash = lambda: None
         port.stopListening()
+        http.handle = lambda exchange: None
         for connection in list(http.connections):
-            connection.abort()
+            if not site.loses_resets:
+                connection.abort()
         site.reactor.callLater(site.restart_ms / MS_PER_S, restart)
 
     def restart() -> None:
@@ -217,6 +221,7 @@
         elif target == "/restarts":
             site.restart_ms = body.get("restart_ms", DEFAULT_RESTART_MS)
             site.keeps_ids = body.get("keeps_ids", False)
+            site.loses_resets = body.get("loses_resets", False)
         elif target == "/leave":
             server = site.servers[body["server"]]
             register(site, server, ZONES[0], state="draining")
--- a/tests/site/test_crashing_requests.py
+++ b/tests/site/test_crashing_requests.py
@@ -22,6 +22,8 @@
 CONTACT_S = 3.0
 MAX_LATE_RETRIES = 3
 MAX_CRASHES = 3
+# A server that ended in silence is known to have ended when its registration is gone.
+REGISTRATION_EXPIRY_S = 5.0
 REPEATS = 16
 
 
@@ -174,6 +176,15 @@
             time.sleep(1.6)
         assert len(crashes(site)) <= MAX_CRASHES
 
+    @pytest.mark.parametrize("keeps_ids", [False, True])
+    def test_resets_were_lost_and_servers_back_before_the_timeout(
+        self, site: SiteFleet, keeps_ids: bool
+    ) -> None:
+        site.send_control("/restarts", keeps_ids=keeps_ids, loses_resets=True)
+        repeat_until_crashes(site, partial(self.send, site))
+        time.sleep(REGISTRATION_EXPIRY_S)
+        assert late_retries(site, partial(self.send, site)) <= MAX_LATE_RETRIES
+
     def test_server_was_frozen(self, site: SiteFleet) -> None:
         site.send_control("/fault", server="i-members-0", fault="hang")
         for number in range(4):
