Handle SIGTERM before a stand-in prints its ready line

Cause: Twisted's reactor installs its handlers when it starts, after the ready line; until then SIGTERM ends the process. Now handlers are set before the line is written, as in the product's programs.

--- a/src/bramleyturn/programs/standin_site.py
+++ b/src/bramleyturn/programs/standin_site.py
@@ -1,6 +1,5 @@
 """Run stand-ins of the users' platform, for tests and trials."""
 
-import signal
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -9,6 +8,7 @@
 from twisted.internet import reactor
 
 from bramleyturn.programs.start import run, use_monotonic_time
+from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.standin.site.site import start_site
 
@@ -30,9 +30,9 @@
     loop: Any = reactor
     use_monotonic_time(loop)
     _, addresses = start_site(loop, system_clock().monotonic_ms, command.host)
+    stop_on_signals(loop, lambda: loop.stop())
     ready = {"ready": True, "addresses": addresses}
     print(orjson.dumps(ready).decode(), flush=True)
-    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(loop.stop))
     run(loop)
 
 
--- a/src/bramleyturn/standin/process.py
+++ b/src/bramleyturn/standin/process.py
@@ -12,6 +12,8 @@
 from twisted.internet.posixbase import PosixReactorBase
 from twisted.python.log import PythonLoggingObserver
 
+from bramleyturn.runtime.lifecycle import stop_on_signals
+
 BAD_SETTINGS_EXIT_CODE: Final = 2
 CANNOT_LISTEN_EXIT_CODE: Final = 3
 
@@ -46,6 +48,7 @@
         ready = host()
     except CannotListenError as error:
         fail(str(error), CANNOT_LISTEN_EXIT_CODE)
+    stop_on_signals(reactor, reactor.stop)
     sys.stdout.write(orjson.dumps({"ready": True, **ready}).decode() + "\n")
     sys.stdout.flush()
-    reactor.run()
+    reactor.run(installSignalHandlers=False)
