Tell peers which crash suspects have finished

What callers could see: an entry that was told of two crashes with a harmless request in common did not quarantine the poison, as the entry that saw the harmless one finish did, and a third server ended. Cause: finished requests were cleared at the entry that ran them only; hints carried those on the server, and peers merge by union. Change: a crash also holds the suspects that finished after it; hints carry them (a fourth element, which earlier builds ignore). Evidence: test_peers_learn_that_it_is_not_to_blame fails without it.

--- a/src/bramleyturn/core/gossip.py
+++ b/src/bramleyturn/core/gossip.py
@@ -248,7 +248,7 @@
     required_rumours: int,
 ) -> Iterable[Item]:
     for crash, number in zip(message.crashes, crash_numbers, strict=True):
-        yield Item("crashes", [crash.server, crash.fingerprints, crash.age_ms], number)
+        yield Item("crashes", list(crash), number)
     for hint in message.leaving:
         yield Item("leaving", list(hint))
     for rumour in message.rumours[required_rumours:]:
@@ -297,7 +297,14 @@
 
 def _parse_crash(item: list[Any]) -> CrashHint:
     server, fingerprints, age_ms = item[:3]
-    return CrashHint(_text(server), tuple(map(_text, fingerprints)), _count(age_ms))
+    # Peers of earlier builds do not tell which requests have finished.
+    finished = item[3] if len(item) > 3 else ()
+    return CrashHint(
+        _text(server),
+        tuple(map(_text, fingerprints)),
+        _count(age_ms),
+        tuple(map(_text, finished)),
+    )
 
 
 def _parse_leaving(item: list[Any]) -> LeavingHint:
--- a/src/bramleyturn/core/gossip_exchange.py
+++ b/src/bramleyturn/core/gossip_exchange.py
@@ -26,7 +26,7 @@
     record_draining,
     record_heard,
 )
-from bramleyturn.core.poison import Crash, CrashHint, import_hints
+from bramleyturn.core.poison import crash_hint, import_hints
 from bramleyturn.core.routing import load_reported, server_leaving
 from bramleyturn.core.spend import CounterKey, SpendCounter, merge_spend
 from bramleyturn.core.tickets import ProcessRef
@@ -50,7 +50,7 @@
     is_about_receiver = bool(rumours) and rumours[0].address == receiver.address
     message = GossipMessage(
         rumours=tuple(rumours),
-        crashes=tuple(_crash_hint(crash, now_ms) for crash, _ in crashes),
+        crashes=tuple(crash_hint(crash, now_ms) for crash, _ in crashes),
         leaving=_leaving_hints(state, now_ms),
         spend=tuple(counter for counter, _ in counters),
         loads=_loads(state, now_ms) if zone == state.zone else (),
@@ -154,11 +154,6 @@
             del known[crash]
 
 
-def _crash_hint(crash: Crash, now_ms: int) -> CrashHint:
-    fingerprints = tuple(sorted(crash.fingerprints))
-    return CrashHint(crash.server, fingerprints, max(0, now_ms - crash.at_ms))
-
-
 def _merge_crashes(state: EntryState, message: GossipMessage, now_ms: int) -> None:
     if not message.crashes:
         return
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -30,11 +30,15 @@
 
 
 class Crash(NamedTuple):
-    """Record which requests were on a server when its connection was lost."""
+    """Record which requests were on a server when its connection was lost.
+
+    ``finished`` are those that ran to their end afterwards, anywhere.
+    """
 
     server: str
     fingerprints: frozenset[str]
     at_ms: int
+    finished: frozenset[str] = frozenset()
 
 
 class CrashHint(NamedTuple):
@@ -43,6 +47,7 @@
     server: str
     fingerprints: tuple[str, ...]
     age_ms: int
+    finished: tuple[str, ...] = ()
 
 
 class Clear(NamedTuple):
@@ -134,6 +139,12 @@
     suspects.cleared_ms[fingerprint] = now_ms
     if len(suspects.cleared_ms) > MAX_CLEARED:
         del suspects.cleared_ms[next(iter(suspects.cleared_ms))]
+    suspects.crashes = [
+        crash._replace(finished=crash.finished | {fingerprint})
+        if fingerprint in crash.fingerprints
+        else crash
+        for crash in suspects.crashes
+    ]
 
 
 def classify_request(
@@ -161,9 +172,16 @@
 ) -> tuple[CrashHint, ...]:
     """Return the newest crashes, at most ``limit``, to send to peers."""
     _expire(suspects, now_ms)
-    return tuple(
-        CrashHint(crash.server, tuple(sorted(crash.fingerprints)), now_ms - crash.at_ms)
-        for crash in suspects.crashes[-limit:]
+    return tuple(crash_hint(crash, now_ms) for crash in suspects.crashes[-limit:])
+
+
+def crash_hint(crash: Crash, now_ms: int) -> CrashHint:
+    """Return the report of a crash to a peer."""
+    return CrashHint(
+        crash.server,
+        tuple(sorted(crash.fingerprints)),
+        max(0, now_ms - crash.at_ms),
+        tuple(sorted(crash.finished)),
     )
 
 
@@ -215,7 +233,8 @@
         ):
             continue
         fingerprints = frozenset(hint.fingerprints[:MAX_FINGERPRINTS])
-        _add_crash(suspects, Crash(hint.server, fingerprints, at_ms))
+        finished = fingerprints.intersection(hint.finished)
+        _add_crash(suspects, Crash(hint.server, fingerprints, at_ms, finished))
     _expire(suspects, now_ms)
 
 
@@ -228,6 +247,7 @@
                 known.server,
                 known.fingerprints | crash.fingerprints,
                 min(known.at_ms, crash.at_ms),
+                known.finished | crash.finished,
             )
             return
     suspects.crashes.append(crash)
@@ -243,7 +263,7 @@
 
 def _is_suspect(suspects: Suspects, crash: Crash, fingerprint: str) -> bool:
     """Return whether the crash may be due to the request."""
-    if fingerprint not in crash.fingerprints:
+    if fingerprint not in crash.fingerprints or fingerprint in crash.finished:
         return False
     cleared_ms = suspects.cleared_ms.get(fingerprint)
     return cleared_ms is None or cleared_ms < crash.at_ms
--- a/tests/core/test_poison.py
+++ b/tests/core/test_poison.py
@@ -169,3 +169,26 @@
         server_answered(suspects, "s1", 1_010)
         import_hints(suspects, hints, 1_011)
         assert classify_request(suspects, "p", 1_011) == Clear("p")
+
+
+class TestFinishedRequests:
+    """Two crashes have a harmless request in common, which finishes afterwards."""
+
+    def test_peers_learn_that_it_is_not_to_blame(self) -> None:
+        detecting, told = Suspects(), Suspects()
+        for number, server in enumerate(("s1", "s2")):
+            connection_lost(detecting, server, ["p", "n"], 1_000 + number)
+        import_hints(told, export_hints(detecting, 1_010), 1_020)
+        assert isinstance(classify_request(told, "p", 1_020), Suspect)
+        request_finished(detecting, "n", 1_100)
+        import_hints(told, export_hints(detecting, 1_110), 1_120)
+        for suspects in (detecting, told):
+            assert isinstance(classify_request(suspects, "p", 1_120), Quarantined)
+            assert classify_request(suspects, "n", 1_120) == Clear("n")
+
+    def test_later_crash_counts_against_it(self) -> None:
+        suspects = Suspects()
+        connection_lost(suspects, "s1", ["n"], 1_000)
+        request_finished(suspects, "n", 1_100)
+        connection_lost(suspects, "s2", ["n"], 2_000)
+        assert classify_request(suspects, "n", 2_000) == Suspect("n", ("s2",), 0, 1)
