Log which crashes an entry of the own interface knows, and when

One line for each crash that an event adds or changes: server, age, suspects, finished, and the event, which is a peer's message or a lost connection.

--- a/src/bramleyturn/runtime/entry_logs.py
+++ b/src/bramleyturn/runtime/entry_logs.py
@@ -1,11 +1,13 @@
 """Log requests and attempts of an entry process, without their content."""
 
 import logging
+from collections.abc import Iterable
 
 from bramleyturn.core.actions import Answer, StartAttempt
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptFailed
 from bramleyturn.core.outcomes import OutcomeKind
+from bramleyturn.core.poison import Crash
 
 logger = logging.getLogger(__name__)
 
@@ -46,6 +48,21 @@
     )
 
 
+def log_crashes(crashes: Iterable[Crash], event: str, now_ms: int) -> None:
+    """Log the crashes that an event, such as a peer's message, added or changed."""
+    for crash in crashes:
+        logger.info(
+            "server crashed",
+            extra={
+                "server": crash.server,
+                "age_ms": now_ms - crash.at_ms,
+                "suspects": len(crash.fingerprints - crash.finished),
+                "finished": len(crash.finished),
+                "event": event,
+            },
+        )
+
+
 def log_outcome(action: Answer) -> None:
     """Log how a request ended; an answered one at debug level."""
     outcome = action.outcome
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -30,6 +30,7 @@
     TimePassed,
 )
 from bramleyturn.core.intake import AccessTable, access_table
+from bramleyturn.core.poison import Crash
 from bramleyturn.core.server_confirmation import PAUSE_MS
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.backend_client import (
@@ -39,7 +40,12 @@
     probe_server,
     start_attempt,
 )
-from bramleyturn.runtime.entry_logs import log_failed, log_outcome, log_started
+from bramleyturn.runtime.entry_logs import (
+    log_crashes,
+    log_failed,
+    log_outcome,
+    log_started,
+)
 from bramleyturn.runtime.peer_client import (
     PeerClient,
     forward_to_primary,
@@ -69,6 +75,7 @@
         self.backup_replies: dict[str, BackupReply] = {}
         self.next_waiter = 0
         self.last_event_ms = clock.monotonic_ms()
+        self.logged_crashes: frozenset[Crash] = frozenset()
         self.gossip_now: Callable[[], None] = lambda: None
         self.wake_call: DelayedCall | None = None
         self.wake_at_ms: int | None = None
@@ -99,7 +106,12 @@
         loop.last_event_ms = now_ms
         feed(loop, ProcessPaused())
     loop.last_event_ms = now_ms
-    for action in step(loop.state, event, now_ms):
+    actions = step(loop.state, event, now_ms)
+    if loop.state.suspects.crashes or loop.logged_crashes:
+        crashes = frozenset(loop.state.suspects.crashes)
+        log_crashes(crashes - loop.logged_crashes, type(event).__name__, now_ms)
+        loop.logged_crashes = crashes
+    for action in actions:
         perform(loop, action)
     schedule_wake(loop)
 
