Tell peers of a crash at once, however much gossip was sent before

Trace: in a failing run with the new log lines, the crash of encoders-milwaukee-1 at 27.450 s reached one entry at 27.461 s and the other, entry-toledo-1, only at 28.912 s, though it exchanged messages with both in between (28.421 s) and had learned of the first crash in 12 ms. Cause: crashes were left out of a message once the sender's allowance of bytes was used up (600 bytes a second; then 160 a message, less than one crash of seven requests takes). The first crash used it up: peers that differed by the latency of their messages each corrected the time of the crash and told it again at once. Change: crashes have a limit of their own, 8 KiB a message; a time that differs by less than the latency is no news. Evidence: two tests in tests/core/test_gossip.py fail without it: a crash of seven requests is not in the next message, and a peer answers with gossip of its own.

--- a/src/bramleyturn/core/gossip.py
+++ b/src/bramleyturn/core/gossip.py
@@ -1,8 +1,10 @@
 """Encode the gossip that entry processes send with each probe and its answer.
 
-The size of a message is limited. What does not fit is left out in this order: load
-reports first, then spend counters, rumours about third processes, leaving servers,
-crashes. What the sender says about itself and about the receiver always fits.
+The size of a message is limited, and so is the mean rate. Crashes only have a limit of
+their own, because requests may crash more servers until peers know of them. What does
+not fit is left out in this order: load reports first, then spend counters, rumours
+about third processes, leaving servers, crashes. What the sender says about itself and
+about the receiver always fits.
 
 Crashes and spend counters are numbered logs. Each side acknowledges how far it has
 read the other's log, so that a lost message loses no entry and acknowledged entries
@@ -29,6 +31,8 @@
 RATE_BYTES_PER_S: Final = 600
 MIN_MESSAGE_BYTES: Final = 160
 BURST_BYTES: Final = 4_096
+# A message may grow up to this size for crashes when the rate allows less.
+CRASH_BYTES: Final = 8_192
 MAX_ITEMS: Final = 2_048
 MAX_TRACKED_PEERS: Final = 1_024
 MAX_LOADS: Final = 16
@@ -183,9 +187,11 @@
     spend_numbers: Sequence[int],
     required_rumours: int,
     most_bytes: int,
+    crash_bytes: int = 0,
 ) -> dict[str, Any]:
     """Return the document of a message of at most ``most_bytes``.
 
+    With crashes it may have up to ``crash_bytes`` instead, if that is more.
     The first ``required_rumours`` are included even beyond that limit.
     ``crash_numbers`` and ``spend_numbers`` are the log numbers of the crashes and
     counters.
@@ -209,7 +215,8 @@
         added = len(orjson.dumps(item.value)) + 1
         if item.member not in document:
             added += len(item.member) + 6
-        if size + added > most_bytes:
+        limit = max(most_bytes, crash_bytes) if item.member == "crashes" else most_bytes
+        if size + added > limit:
             full.add(item.member)
             continue
         size += added
--- a/src/bramleyturn/core/gossip_exchange.py
+++ b/src/bramleyturn/core/gossip_exchange.py
@@ -4,6 +4,7 @@
 
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.gossip import (
+    CRASH_BYTES,
     MAX_LOADS,
     Acks,
     GossipMessage,
@@ -61,13 +62,14 @@
         spend_upto=acks_received.spend,
         spend_whole=True,
     )
-    most_bytes = state.configuration.peers.message_bytes
+    most_bytes = state.configuration.peers.message_bytes - ENVELOPE_BYTES
     document = pack_gossip(
         message,
         [number for _, number in crashes],
         [number for _, number in counters],
         1 if is_about_receiver else 0,
-        min(bytes_allowed(gossip.allowance, now_ms), most_bytes - ENVELOPE_BYTES),
+        min(bytes_allowed(gossip.allowance, now_ms), most_bytes),
+        min(CRASH_BYTES, most_bytes),
     )
     count_rumour_sends(state.peers, rumours[: len(document["rumours"])])
     return document
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -243,10 +243,14 @@
         return
     for index, known in enumerate(suspects.crashes):
         if _same_crash(known, crash, suspects.same_crash_window_ms):
+            at_ms = min(known.at_ms, crash.at_ms)
+            if known.at_ms - at_ms <= HINT_DELAY_MS:
+                # Peers differ by the latency of their messages.
+                at_ms = known.at_ms
             suspects.crashes[index] = Crash(
                 known.server,
                 known.fingerprints | crash.fingerprints,
-                min(known.at_ms, crash.at_ms),
+                at_ms,
                 known.finished | crash.finished,
             )
             return
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -166,6 +166,22 @@
 
 
 class TestExchange:
+    def test_crash_is_told_at_once_though_the_allowance_is_used_up(self) -> None:
+        simulation, first, second = two_states()
+        bytes_allowed(first.gossip.allowance, simulation.now_ms)
+        spend_bytes(first.gossip.allowance, 10 * BURST_BYTES)
+        names = [f"{number:032x}" for number in range(7)]
+        connection_lost(first.suspects, "gpu-1", names, simulation.now_ms)
+        deliver(simulation, first, second)
+        assert second.suspects.crashes == first.suspects.crashes
+
+    def test_peers_that_disagree_by_the_latency_do_not_repeat_a_crash(self) -> None:
+        simulation, first, second = two_states()
+        connection_lost(first.suspects, "gpu-1", ["aa" * 16], simulation.now_ms)
+        connection_lost(second.suspects, "gpu-1", ["aa" * 16], simulation.now_ms - 9)
+        deliver(simulation, first, second)
+        assert deliver(simulation, second, first) == []
+
     def test_crash_reaches_the_peer_which_sends_gossip_at_once(self) -> None:
         simulation, first, second = two_states()
         connection_lost(first.suspects, "gpu-1", ["aa" * 16], simulation.now_ms)
