--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -5,7 +5,7 @@
 `/configuration`, and answers `GET /ledger`.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import orjson
@@ -128,8 +128,13 @@
     put(site.store, f"servers/{server.id}", orjson.dumps(entry))
 
 
-def configuration(version: int, **changes: Any) -> dict[str, Any]:
-    """Return a configuration of three routes in the format that operators publish."""
+def configuration(
+    version: int, timeouts_ms: Mapping[str, int] | None = None, **changes: Any
+) -> dict[str, Any]:
+    """Return a configuration of three routes in the format that operators publish.
+
+    ``timeouts_ms`` has timeouts by route, ``changes`` other values of the document.
+    """
     shared = {"host": "site.example", "maxAttempts": 2, "public": False}
     routes = [
         shared
@@ -168,6 +173,9 @@
             "stages": [{"service": "books", "after": [], "bytes": 8_000}],
         },
     ]
+    for route in routes:
+        name = str(route["name"])
+        route["timeoutMs"] = (timeouts_ms or {}).get(name, route["timeoutMs"])
     pieces = {
         "slots": 1,
         "queue": 2,
