--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -72,6 +72,7 @@
         self.last_event_id = head.last_event_id
         self.first_event_ms: int | None = None
         self.is_timed_out = False
+        self.is_stopped = False
         self.stages: StageWork | None = None
         self.inputs: tuple[str, ...] = ()
 
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -50,9 +50,11 @@
 # A stopping process accepts connections until the platform has taken it out of
 # rotation.
 LEAVE_ROTATION_MS: Final = 3_000
-# Requests still in progress are cut off this long before the process is killed.
+# Requests still in progress are answered this long before the process is killed, and
+# the process ends later, when the answers have been sent.
 STOP_MARGIN_MS: Final = 250
-STOP_CHECK_INTERVAL_S: Final = 0.1
+EXIT_MARGIN_MS: Final = 80
+STOP_CHECK_INTERVAL_S: Final = 0.05
 LISTEN_BACKLOG: Final = 512
 
 logger = logging.getLogger(__name__)
@@ -179,7 +181,11 @@
         serving = self.serving
         began_ms = self.stopping_ms or serving.now_ms()
         elapsed_ms = serving.now_ms() - began_ms
-        is_over = elapsed_ms >= serving.settings.bounds.grace_ms - STOP_MARGIN_MS
+        left_ms = serving.settings.bounds.grace_ms - elapsed_ms
+        is_over = left_ms <= EXIT_MARGIN_MS
+        if left_ms <= STOP_MARGIN_MS and serving.in_progress:
+            logger.info("requests ended", extra={"in_progress": serving.in_progress})
+            self.flow.end_all()
         if elapsed_ms >= LEAVE_ROTATION_MS:
             self.front.close_idle()
         is_idle = not serving.in_progress and not self.front.connections
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -64,6 +64,7 @@
         self.asks = asks
         self.crashes = crashes
         self.attempts = CallerAttempts(serving, crashes)
+        self.running: dict[CallerRequest, Deferred[None]] = {}
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request until it is answered or its caller is gone."""
@@ -79,9 +80,16 @@
         timer = self.serving.reactor.callLater(
             left_ms / MS_PER_S, self._time_out, admitted, work
         )
+        self.running[admitted] = work
         exchange.on_gone = lambda: self._caller_gone(admitted, work)
         work.addBoth(self._end, admitted, timer)
 
+    def end_all(self) -> None:
+        """Answer every request in progress now, because the process is about to end."""
+        for request, work in list(self.running.items()):
+            request.is_stopped = True
+            self._time_out(request, work)
+
     def _admit(self, exchange: Exchange) -> CallerRequest | Refusal:
         """Find the route and workspace of a request, or refuse it."""
         serving = self.serving
@@ -274,6 +282,7 @@
 
     def _end(self, result: Any, request: CallerRequest, timer: Any) -> None:
         stop_timer(timer)
+        self.running.pop(request, None)
         self.serving.in_progress -= 1
         if request.stages is not None:
             request.stages.stop()
@@ -316,13 +325,14 @@
         )
 
     def _timeout_refusal(self, request: CallerRequest) -> Refusal:
-        """Return the refusal of a request that timed out or failed internally.
+        """Return the refusal of a request that was ended before its answer.
 
         The caller is told to retry only if no server can have started the request.
         """
+        reason = "stopping" if request.is_stopped else "no_time_left"
         if not request.may_have_run and not request.is_at_server:
-            return Refusal(503, "no_time_left", 0)
-        return Refusal(504, "no_time_left", None)
+            return Refusal(503, reason, 0)
+        return Refusal(504, reason, None)
 
     def _elapsed_ms(self, request: CallerRequest) -> int:
         return self.serving.now_ms() - request.arrived_ms
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -26,6 +26,7 @@
 TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.02
 HOSTS: Final = ("127.0.0.2", "127.0.0.3")
+IN_FORCE: Final = "configuration in force"
 _ids = itertools.count(1)
 
 
@@ -139,6 +140,17 @@
         lines = [json.loads(line) for line in text.splitlines() if line]
         return [line for line in lines if line["event"] == event]
 
+    def in_progress(self, entry: int) -> int:
+        """Return how many requests an entry is serving."""
+        page = self.get(entry, "metrics", "/metrics")[1].decode()
+        (line,) = (each for each in page.splitlines() if "requests_in_progress" in each)
+        return int(float(line.split()[-1]))
+
+    def in_force(self, entry: int) -> int:
+        """Return the version of the configuration that an entry has in force."""
+        versions = [line["version"] for line in self.events(entry, IN_FORCE)]
+        return max(versions, default=0)
+
     def stop_entry(self, entry: int) -> None:
         """Ask an entry to stop."""
         os.kill(self.entries[entry].pid, signal.SIGTERM)
--- a/tests/site/test_stopping.py
+++ b/tests/site/test_stopping.py
@@ -34,6 +34,43 @@
             wait_until(lambda: process.poll() is not None, "ended")
             assert process.returncode == 0
 
+    def test_request_that_waits_for_its_stages_is_refused_before_the_end(
+        self, tmp_path: Path
+    ) -> None:
+        with running_fleet(tmp_path) as fleet, ThreadPoolExecutor(2) as callers:
+            for place in range(2):
+                fleet.send_control("/fault", server=f"i-books-{place}", fault="shed")
+            process = fleet.entries[0].process
+            fleet.send_control("/configuration", timeouts_ms={"draft": 20_000})
+            wait_until(lambda: fleet.in_force(0) == 2, "in force")
+            waiting = callers.submit(
+                fleet.draft, entry=0, attempt_id="waits", wait_ms=20_000
+            )
+            wait_until(lambda: fleet.in_progress(0) == 1, "the draft is read")
+            fleet.stop_entry(0)
+            answer = waiting.result()
+            assert (answer.status, answer.is_whole) == (503, True)
+            assert "retry-after" in answer.headers
+            assert fleet.ran("waits") == []
+            wait_until(lambda: process.poll() is not None, "ended")
+            assert process.returncode == 0
+
+    def test_order_at_a_silent_server_is_answered_before_the_end(
+        self, tmp_path: Path
+    ) -> None:
+        with running_fleet(tmp_path) as fleet, ThreadPoolExecutor(2) as callers:
+            for place in range(2):
+                fleet.send_control("/fault", server=f"i-members-{place}", fault="hang")
+            fleet.send_control("/configuration", timeouts_ms={"order": 20_000})
+            wait_until(lambda: fleet.in_force(0) == 2, "in force")
+            order = callers.submit(
+                fleet.call, "/order/1", "POST", 0, b"x", 20_000, "held"
+            )
+            wait_until(lambda: len(fleet.ran("held")) == 1, "the order runs")
+            fleet.stop_entry(0)
+            answer = order.result()
+            assert (answer.status, answer.is_whole) == (504, True)
+
 
 class TestStarting:
     """SIGHUP, which announces new settings, during startup."""
