--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -1,11 +1,26 @@
 """Decode what other instances send, and reject malformed input."""
 
+from random import Random
 from typing import Any
 
 import orjson
 import pytest
 
-from bramleyturn.gateway.heartbeats import decode_heartbeats
+from bramleyturn.core.fleet.members import GOSSIP_MEMBERS
+from bramleyturn.core.poison import (
+    CRASH_RETENTION_MS,
+    MAX_HINTS,
+    CrashHint,
+    Suspects,
+    caller_fingerprint,
+    choose_hints,
+    connection_lost,
+)
+from bramleyturn.gateway.heartbeats import (
+    MAX_SENT_FINGERPRINTS,
+    decode_heartbeats,
+    encode_hints,
+)
 from bramleyturn.gateway.stage_messages import decode_ask, encode_ask
 from bramleyturn.gateway.store_reader import decode_relayed
 from tests.core.pieces.test_handover import ask
@@ -48,11 +63,44 @@
             with_field(MESSAGE, "heartbeats", [["", *HEARTBEAT[1:]]]),
             with_field(MESSAGE, "heartbeats", [[*HEARTBEAT[:2], "x", *HEARTBEAT[3:]]]),
             with_field(MESSAGE, "heartbeats", [HEARTBEAT] * 500),
+            with_field(MESSAGE, "crashes", 7),
+            with_field(MESSAGE, "crashes", [["i-1@9", 40]]),
+            with_field(MESSAGE, "crashes", [["i-1@9", "40", ["f"]]]),
+            with_field(MESSAGE, "crashes", [[None, 40, ["f"]]]),
+            with_field(MESSAGE, "crashes", [["i-1@9", 40, None]]),
         ],
     )
     def test_rejects_malformed_input(self, datagram: bytes) -> None:
         assert decode_heartbeats(datagram) is None
 
+    def test_decodes_crashes(self) -> None:
+        crash = CrashHint("i-1@9", ("f1", "f2"), 40)
+        document = {**MESSAGE, "crashes": encode_hints([crash])}
+        message = decode_heartbeats(orjson.dumps(document))
+        assert message is not None
+        assert message.crashes == (crash,)
+
+    def test_largest_message_fits_in_a_datagram(self) -> None:
+        suspects = Suspects(CRASH_RETENTION_MS)
+        for number in range(2 * MAX_HINTS):
+            names = [
+                caller_fingerprint("north", b"/%d/%d" % (number, each), b"")
+                for each in range(200)
+            ]
+            server = f"i-{number:032x}@{2**41 + number}"
+            connection_lost(suspects, server, names, 1_000)
+        hints = choose_hints(suspects, Random(1), MAX_SENT_FINGERPRINTS, 10_000)
+        heartbeat = ["front-" + "x" * 40, "zone-" + "x" * 20, *HEARTBEAT[2:]]
+        document = {
+            "store_age_ms": 10**9,
+            "heartbeats": [heartbeat] * (GOSSIP_MEMBERS + 1),
+            "crashes": encode_hints(hints),
+        }
+        decoded = decode_heartbeats(orjson.dumps(document))
+        assert decoded is not None
+        assert decoded.crashes == hints
+        assert sum(len(each.fingerprints) for each in hints) == MAX_SENT_FINGERPRINTS
+
 
 class TestRelayedItems:
     """Copies of the store's items."""
