Log how each answer's body was framed and how its connection ended

Change: 'body_end' in 'attempt ended', the counter answer_ends, the framing of stage calls, and 'cut' in 'request ended'; no decision changes.

--- /dev/null
+++ b/src/bramleyturn/core/answer_end.py
@@ -0,0 +1,48 @@
+"""Tell what marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
+
+
+class Framing(StrEnum):
+    """Name what marks the end of a body."""
+
+    NO_BODY = "no_body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class ConnectionEnd(StrEnum):
+    """Name how a connection ended, or that it is still open."""
+
+    OPEN = "open"
+    CLOSED = "closed"
+    RESET = "reset"
+
+
+class BodyEnd(NamedTuple):
+    """Hold what is known about the end of an answer.
+
+    ``events`` are the whole events of a stream, and ``unfinished_bytes`` what followed
+    them.
+    """
+
+    framing: Framing
+    connection: ConnectionEnd
+    events: int
+    unfinished_bytes: int
+
+
+def framing_of(
+    method: bytes, status: int, headers: list[tuple[bytes, bytes]]
+) -> Framing:
+    """Return the framing of an answer's body; header names are in lower case."""
+    if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
+        return Framing.NO_BODY
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
+from bramleyturn.core.answer_end import BodyEnd, Framing
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.event_splitter import EventSplitter, split_events
 from bramleyturn.core.placement.verdicts import AnswerVerdict, judge_answer
@@ -22,12 +23,14 @@
     head: AnswerHead
     headers: Headers
     body: bytes
+    body_end: BodyEnd
 
 
 class Streamed(NamedTuple):
     """Report that a stream was forwarded to its end."""
 
     head: AnswerHead
+    body_end: BodyEnd
 
 
 class NotRun(NamedTuple):
@@ -40,9 +43,13 @@
 
 
 class AttemptFailed(NamedTuple):
-    """Report that the request may have run but has no usable answer."""
+    """Report that the request may have run but has no usable answer.
+
+    ``body_end`` is None if not even the head of an answer arrived.
+    """
 
     reason: FailureReason
+    body_end: BodyEnd | None
 
 
 AttemptEnd = Answered | Streamed | NotRun | AttemptFailed
@@ -79,16 +86,19 @@
         self.connection = connection
         self.answer: AnswerHead | None = None
         self.headers: Headers = []
+        self.framing = Framing.CLOSE
         self.is_stream = False
         self.splitter = EventSplitter()
         self.parts: list[bytes] = []
         self.size = 0
+        self.events = 0
 
-    def head(self, status: int, headers: Headers) -> None:
+    def head(self, status: int, headers: Headers, framing: Framing) -> None:
         """Classify the answer by its head."""
         answer = read_answer_head(status, headers)
         self.answer = answer
         self.headers = headers
+        self.framing = framing
         self.connection.idle_limit_ms = answer.idle_ms
         self.request.on_head(answer)
         is_passed_on = self._verdict(answer) is AnswerVerdict.PASS_ON
@@ -101,6 +111,7 @@
         """Forward the events of a stream, or buffer a part of another answer."""
         if self.is_stream:
             for event in split_events(self.splitter, data):
+                self.events += 1
                 self.request.on_event(self.headers, event.id, event.data)
             return
         self.size += len(data)
@@ -114,24 +125,32 @@
         """End the attempt with the complete answer."""
         if self.ended.called or self.answer is None:
             return
+        body_end = self._body_end()
         if self.is_stream:
             if self.splitter.rest:
                 self.request.on_event(self.headers, None, self.splitter.rest)
-            self.ended.callback(Streamed(self.answer))
+            self.ended.callback(Streamed(self.answer, body_end))
             return
         verdict = self._verdict(self.answer)
         if verdict is AnswerVerdict.NOT_RUN:
             self.ended.callback(NotRun(self.answer.status))
         elif verdict is AnswerVerdict.UNUSABLE:
-            self.ended.callback(AttemptFailed(FailureReason.WRONG_ANSWER))
+            self.ended.callback(AttemptFailed(FailureReason.WRONG_ANSWER, body_end))
         else:
             body = b"".join(self.parts)
-            self.ended.callback(Answered(self.answer, self.headers, body))
+            self.ended.callback(Answered(self.answer, self.headers, body, body_end))
 
     def failed(self, reason: FailureReason) -> None:
         """End the attempt without a complete answer."""
         if not self.ended.called:
-            self.ended.callback(AttemptFailed(reason))
+            body_end = None if self.answer is None else self._body_end()
+            self.ended.callback(AttemptFailed(reason, body_end))
+
+    def _body_end(self) -> BodyEnd:
+        unfinished_bytes = len(self.splitter.rest)
+        return BodyEnd(
+            self.framing, self.connection.ended, self.events, unfinished_bytes
+        )
 
     def _verdict(self, answer: AnswerHead) -> AnswerVerdict:
         return judge_answer(
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -187,7 +187,11 @@
         else:
             note_answered(serving.health, server.id)
         kind, detail = describe_end(ended)
+        body_end = None if isinstance(ended, NotRun) else ended.body_end
         count(serving.metrics, "attempts", f"{request.pool} {kind}")
+        if body_end is not None:
+            how = f"{body_end.framing} {body_end.connection} {kind}"
+            count(serving.metrics, "answer_ends", f"{request.pool} {how}")
         log_request(
             request,
             "attempt ended",
@@ -199,6 +203,7 @@
                 "detail": detail,
                 "took_ms": now_ms - sent_ms,
                 "server_avoided": is_avoided,
+                "body_end": body_end._asdict() if body_end is not None else None,
             },
         )
 
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 
+from bramleyturn.core.answer_end import Framing
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.connection_pool import (
@@ -37,6 +38,7 @@
     status: int
     headers: Headers
     body: bytes
+    framing: Framing
 
 
 class CallFailed(NamedTuple):
@@ -52,13 +54,15 @@
         self.ended = ended
         self.status = 0
         self.headers: Headers = []
+        self.framing = Framing.CLOSE
         self.parts: list[bytes] = []
         self.size = 0
 
-    def head(self, status: int, headers: Headers) -> None:
-        """Store the status and headers."""
+    def head(self, status: int, headers: Headers, framing: Framing) -> None:
+        """Store the status, the headers and the framing."""
         self.status = status
         self.headers = headers
+        self.framing = framing
 
     def data(self, data: bytes) -> None:
         """Buffer a part of the body."""
@@ -73,8 +77,8 @@
         if self.size > MAX_ANSWER_BYTES:
             self.ended.callback(CallFailed(FailureReason.WRONG_ANSWER))
             return
-        answer = WholeAnswer(self.status, self.headers, b"".join(self.parts))
-        self.ended.callback(answer)
+        body = b"".join(self.parts)
+        self.ended.callback(WholeAnswer(self.status, self.headers, body, self.framing))
 
     def failed(self, reason: FailureReason) -> None:
         """End the call with a failure, unless it has ended already."""
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -15,6 +15,8 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from bramleyturn.core.answer_end import ConnectionEnd, Framing, framing_of
+
 MAX_HEAD_BYTES: Final = 64 * 1024
 
 Headers = list[tuple[bytes, bytes]]
@@ -34,8 +36,8 @@
 class AnswerListener(Protocol):
     """Receive the parts of an answer."""
 
-    def head(self, status: int, headers: Headers) -> None:
-        """Handle the status and the headers, whose names are in lower case."""
+    def head(self, status: int, headers: Headers, framing: Framing) -> None:
+        """Handle the status, the headers (in lower case) and the body's framing."""
 
     def data(self, data: bytes) -> None:
         """Handle a part of the body."""
@@ -55,7 +57,8 @@
         self.on_lost: Callable[[ServerConnection], None] | None = None
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.listener: AnswerListener | None = None
-        self.is_lost = False
+        self.method = b""
+        self.ended = ConnectionEnd.OPEN
         self.idle_since_ms = 0
         self.idle_limit_ms: int | None = None
 
@@ -75,6 +78,7 @@
         """Send a request; ``listener`` receives the answer."""
         transport: Any = self.transport
         self.listener = listener
+        self.method = method
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.http.send(request)
         if body:
@@ -82,6 +86,11 @@
         data += self.http.send(h11.EndOfMessage())
         transport.write(data)
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the connection has ended."""
+        return self.ended is not ConnectionEnd.OPEN
+
     def drop(self) -> None:
         """Close the connection at once, without a call to the listener."""
         self.listener = None
@@ -102,12 +111,13 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """End an answer without a length, or report that the answer failed."""
-        self.is_lost = True
+        is_clean = reason.check(ConnectionDone) is not None
+        self.ended = ConnectionEnd.CLOSED if is_clean else ConnectionEnd.RESET
         if self.on_lost is not None:
             self.on_lost(self)
         if self.listener is None:
             return
-        if reason.check(ConnectionDone) is None:
+        if not is_clean:
             self._fail(FailureReason.RESET)
             return
         try:
@@ -125,7 +135,9 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
-                self.listener.head(event.status_code, list(event.headers))
+                headers = list(event.headers)
+                framing = framing_of(self.method, event.status_code, headers)
+                self.listener.head(event.status_code, headers, framing)
             elif isinstance(event, h11.Data):
                 self.listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -53,6 +53,7 @@
         self.arrived_ms = arrived_ms
         self.is_started = False
         self.is_finished = False
+        self.is_cut = False
         self.is_gone = False
         self.on_gone: Callable[[], None] | None = None
 
@@ -99,6 +100,7 @@
         if self.is_gone or self.is_finished:
             return
         self.is_finished = True
+        self.is_cut = True
         self.connection.close()
 
 
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -320,6 +320,7 @@
                 ),
                 "servers": request.tried,
                 "started": request.exchange.is_started,
+                "cut": request.exchange.is_cut,
                 "gone": request.exchange.is_gone,
             },
         )
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -294,6 +294,7 @@
                 "limit_ms": stage_call.timeout_ms,
                 "pace": round(state.pace, 2),
                 "outcome": result,
+                "framing": answer.framing if isinstance(answer, WholeAnswer) else None,
                 "failures": _failures(made),
             },
         )
--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -7,6 +7,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from bramleyturn.core.answer_end import Framing
 from bramleyturn.core.catalog.model import CallerLimits
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
 from bramleyturn.gateway.http1_server import CallerConnection, Exchange, HttpServer
@@ -62,9 +63,11 @@
 
     def __init__(self) -> None:
         self.parts: list[Any] = []
+        self.framing: Framing | None = None
 
-    def head(self, status: int, headers: Headers) -> None:
+    def head(self, status: int, headers: Headers, framing: Framing) -> None:
         """Collect the head."""
+        self.framing = framing
         self.parts.append(("head", status))
 
     def data(self, data: bytes) -> None:
--- a/tests/site/test_whole_path.py
+++ b/tests/site/test_whole_path.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from functools import partial
+from typing import Any
 
 import pytest
 
@@ -203,3 +204,28 @@
             ]
 
         wait_until(lambda: lines() == ["attempt ended", "request ended"], "two lines")
+
+    def test_log_and_metrics_tell_how_an_answer_ended(
+        self, faulty_site: SiteFleet
+    ) -> None:
+        set_fault(faulty_site, "drafts", "cut")
+        faulty_site.draft(attempt_id="o2")
+
+        def ends() -> list[dict[str, Any]]:
+            return [
+                line["body_end"]
+                for line in faulty_site.events(0, "attempt ended")
+                if line["request_id"] == "o2"
+            ]
+
+        wait_until(lambda: len(ends()) == 2, "both engines tried")
+        expected = {"framing": "chunked", "connection": "closed", "events": 4}
+        assert ends()[0] == expected | {"unfinished_bytes": len(b"id: 4\nda")}
+        (ended,) = (
+            line
+            for line in faulty_site.events(0, "request ended")
+            if line["request_id"] == "o2"
+        )
+        assert ended["cut"]
+        _, page = faulty_site.get(0, "metrics", "/metrics")
+        assert b'answer_ends_total{of="drafts chunked closed broken"}' in page
