Reproduce answers that were broken off and reach callers as complete (ORDER)

The stand-ins of the platform can now frame an answer by length, chunks or the end of the connection, break it off in the head, before the first event, inside an event or document or between events, and end it as framed, by a close, by a reset or because the server crashes. No logic changes.

--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -11,6 +11,7 @@
 
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, Headers
+from bramleyturn.standin.site.raw_answers import AnswerShape, BreakPoint, RawAnswer
 
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
@@ -39,7 +40,8 @@
 
     ``fault`` names the injected fault: ``shed`` refuses requests, ``reset`` closes the
     connection after the run, ``cut`` closes it in the middle of the answer, ``error``
-    answers 500, ``fail`` does so without a run, ``hang`` never answers.
+    answers 500, ``fail`` does so without a run, ``hang`` never answers. ``shape`` tells
+    how its answers are framed and broken off, None for whole and framed ones.
 
     ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
     attempt that each crash was due to. ``name`` stays the same when the server starts
@@ -55,6 +57,7 @@
         self.pool = pool
         self.address = address
         self.fault = ""
+        self.shape: AnswerShape | None = None
         self.processing_ms = 10
         self.ran: list[RunRecord] = []
         self.running = 0
@@ -104,9 +107,35 @@
         server.running += 1
         headers = _answer_headers(server, attempt_id)
         headers.append((b"Content-Type", b"text/event-stream"))
+        if server.shape is not None:
+            raw = RawAnswer(server.reactor, exchange, server.shape)
+            stream = [_event(number) for number in range(first, events)]
+            raw.start(200, headers, sum(map(len, stream)))
+            send_raw(raw, stream, first)
+            return
         exchange.start(200, headers)
         send(exchange, first)
 
+    def send_raw(raw: RawAnswer, stream: list[bytes], number: int) -> None:
+        point = raw.shape.break_point
+        is_middle = number >= events // 2
+        if raw.exchange.is_gone:
+            server.running -= 1
+        elif point in (BreakPoint.HEAD, BreakPoint.START) or (
+            is_middle and point is BreakPoint.BETWEEN
+        ):
+            _break_off(server, raw)
+        elif is_middle and point is BreakPoint.INSIDE:
+            raw.send(stream[0][: len(stream[0]) // 2])
+            _break_off(server, raw)
+        elif not stream:
+            server.running -= 1
+            raw.end()
+        else:
+            raw.send(stream[0])
+            gap_s = gap_ms / MS_PER_S
+            server.reactor.callLater(gap_s, send_raw, raw, stream[1:], number + 1)
+
     def send(exchange: Exchange, number: int) -> None:
         if exchange.is_gone:
             server.running -= 1
@@ -120,7 +149,7 @@
             server.running -= 1
             exchange.finish()
             return
-        exchange.send(b"id: %d\ndata: token-%d\n\n" % (number, number))
+        exchange.send(_event(number))
         server.reactor.callLater(gap_ms / MS_PER_S, send, exchange, number + 1)
 
     return handle
@@ -153,15 +182,44 @@
         for item in items:
             if _crashes(server, str(item.get("key")).encode(), str(item["id"])):
                 return
-        exchange.answer(
-            200,
-            [],
-            orjson.dumps({"items": [_create_result(server, item) for item in items]}),
-        )
+        made = {"items": [_create_result(server, item) for item in items]}
+        _answer(server, exchange, 200, [], orjson.dumps(made))
 
     return handle
 
 
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+def _break_off(server: SiteServer, raw: RawAnswer) -> None:
+    server.running -= 1
+    if raw.break_off():
+        server.crashed_by.append(raw.exchange.header(b"bramleyturn-attempt-id"))
+        server.crash()
+
+
+def _answer(
+    server: SiteServer, exchange: Exchange, status: int, headers: Headers, body: bytes
+) -> None:
+    """Answer with a whole body, unless the server's shape says otherwise."""
+    shape = server.shape
+    if shape is None:
+        exchange.answer(status, headers, body)
+        return
+    server.running += 1
+    raw = RawAnswer(server.reactor, exchange, shape)
+    raw.start(status, headers, len(body))
+    if shape.break_point is BreakPoint.NONE:
+        server.running -= 1
+        raw.send(body)
+        raw.end()
+        return
+    if shape.break_point in (BreakPoint.INSIDE, BreakPoint.BETWEEN):
+        raw.send(body[: len(body) // 2])
+    _break_off(server, raw)
+
+
 def _create_result(server: SiteServer, item: dict[str, Any]) -> dict[str, str]:
     server.made += 1
     handle = f"{server.address}/{server.made:x}"
@@ -213,7 +271,10 @@
         exchange.send(body[:5])
         exchange.cut()
         return
-    exchange.answer(500 if server.fault == "error" else 200, headers, body)
+    if server.shape is not None and server.shape.content_type:
+        headers.append((b"Content-Type", server.shape.content_type.encode()))
+        body = orjson.dumps({"answer": body.decode()})
+    _answer(server, exchange, 500 if server.fault == "error" else 200, headers, body)
 
 
 def _answer_headers(server: SiteServer, attempt_id: str) -> Headers:
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -13,6 +13,7 @@
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, HttpServer
+from bramleyturn.standin.site.raw_answers import read_shape
 from bramleyturn.standin.site.servers import (
     SiteServer,
     engine_handler,
@@ -96,7 +97,9 @@
         port.stopListening()
         http.handle = lambda exchange: None
         for connection in list(http.connections):
-            if not site.loses_resets:
+            transport: Any = connection.transport
+            # The answer that the crash broke off is closed by its own end.
+            if not site.loses_resets and not transport.disconnecting:
                 connection.abort()
         site.reactor.callLater(site.restart_ms / MS_PER_S, restart)
 
@@ -172,6 +175,17 @@
             "gapAimMs": 250,
             "stages": [{"service": "books", "after": [], "bytes": 8_000}],
         },
+        shared
+        | {
+            "name": "note",
+            "prefix": "/note/",
+            "kind": "streaming",
+            "service": "drafts",
+            "timeoutMs": 8_000,
+            "targetLatencyMs": 1_500,
+            "priority": 1,
+            "resumable": False,
+        },
     ]
     for route in routes:
         name = str(route["name"])
@@ -218,7 +232,9 @@
         target = exchange.target.decode()
         body = orjson.loads(exchange.body) if exchange.body else {}
         if target == "/fault":
-            site.servers[body["server"]].fault = body["fault"]
+            server = site.servers[body["server"]]
+            server.fault = body["fault"]
+            server.shape = read_shape(body["shape"]) if "shape" in body else None
         elif target == "/crash":
             site.servers[body["server"]].crash()
         elif target == "/swap":
