Treat a stream that ends inside an event, or before its first one, as broken off (ORDER)

What callers saw: a stream with a partial last event, framed as complete. Cause: the end of the body, which for an answer without length or chunks is the end of its connection, was taken for the end of the stream; what was left after the last whole event was forwarded, and the answer finished. Change: core/answer_end.py judges the end of a stream by its framing, by how the connection ended and by what follows the last whole event; an unfinished event is never forwarded, whatever the framing. A close between two events still counts as the end.

--- a/src/bramleyturn/core/answer_end.py
+++ b/src/bramleyturn/core/answer_end.py
@@ -1,4 +1,8 @@
-"""Tell what marks the end of an answer's body (RFC 9112, section 6.3)."""
+"""Decide whether an answer is whole, from what marks its end (RFC 9112, section 6.3).
+
+The end of a connection alone is no end of an answer: a server that fails closes its
+connections as cleanly as one that has finished.
+"""
 
 from enum import StrEnum
 from typing import Final, NamedTuple
@@ -23,6 +27,17 @@
     RESET = "reset"
 
 
+class EndVerdict(StrEnum):
+    """Name whether an answer that has ended is whole.
+
+    ``UNCONFIRMED`` is an answer that nothing but a clean close marks as whole.
+    """
+
+    COMPLETE = "complete"
+    BROKEN_OFF = "broken_off"
+    UNCONFIRMED = "unconfirmed"
+
+
 class BodyEnd(NamedTuple):
     """Hold what is known about the end of an answer.
 
@@ -46,3 +61,14 @@
     if b"transfer-encoding" in names:
         return Framing.CHUNKED
     return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
+def judge_stream_end(end: BodyEnd) -> EndVerdict:
+    """Return whether a stream of events that ended is whole."""
+    if end.unfinished_bytes:
+        return EndVerdict.BROKEN_OFF
+    if end.framing is not Framing.CLOSE:
+        return EndVerdict.COMPLETE
+    if end.connection is not ConnectionEnd.CLOSED or not end.events:
+        return EndVerdict.BROKEN_OFF
+    return EndVerdict.UNCONFIRMED
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -5,7 +5,12 @@
 
 from twisted.internet.defer import Deferred
 
-from bramleyturn.core.answer_end import BodyEnd, Framing
+from bramleyturn.core.answer_end import (
+    BodyEnd,
+    EndVerdict,
+    Framing,
+    judge_stream_end,
+)
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.event_splitter import EventSplitter, split_events
 from bramleyturn.core.placement.verdicts import AnswerVerdict, judge_answer
@@ -30,6 +35,7 @@
     """Report that a stream was forwarded to its end."""
 
     head: AnswerHead
+    headers: Headers
     body_end: BodyEnd
 
 
@@ -122,14 +128,15 @@
         self.parts.append(data)
 
     def end(self) -> None:
-        """End the attempt with the complete answer."""
+        """End the attempt with the answer, if it is whole."""
         if self.ended.called or self.answer is None:
             return
         body_end = self._body_end()
         if self.is_stream:
-            if self.splitter.rest:
-                self.request.on_event(self.headers, None, self.splitter.rest)
-            self.ended.callback(Streamed(self.answer, body_end))
+            if judge_stream_end(body_end) is EndVerdict.BROKEN_OFF:
+                self.failed(FailureReason.BROKEN_OFF)
+                return
+            self.ended.callback(Streamed(self.answer, self.headers, body_end))
             return
         verdict = self._verdict(self.answer)
         if verdict is AnswerVerdict.NOT_RUN:
@@ -147,7 +154,7 @@
             self.ended.callback(AttemptFailed(reason, body_end))
 
     def _body_end(self) -> BodyEnd:
-        unfinished_bytes = len(self.splitter.rest)
+        unfinished_bytes = len(self.splitter.rest.strip(b"\r\n"))
         return BodyEnd(
             self.framing, self.connection.ended, self.events, unfinished_bytes
         )
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -30,7 +30,9 @@
 from bramleyturn.gateway.serving import Serving
 
 # Reasons that a crash of the server may explain.
-BROKEN_CONNECTION: Final = frozenset({FailureReason.CLOSED, FailureReason.RESET})
+BROKEN_CONNECTION: Final = frozenset(
+    {FailureReason.CLOSED, FailureReason.RESET, FailureReason.BROKEN_OFF}
+)
 # Servers register every 1.2 s and are removed after three misses.
 EXPIRY_MS: Final = 5_000
 MAX_LOGGED_FINGERPRINTS: Final = 8
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -1,8 +1,8 @@
 """Send requests over one HTTP/1.1 connection to a server, one at a time.
 
-The h11 library does the framing. An answer without a length is complete only if its
-connection was closed cleanly; after a reset it has failed. Unexpected bytes close the
-connection.
+The h11 library does the framing. After a reset an answer without a length has failed;
+after a clean close the listener decides whether it is whole. Unexpected bytes close
+the connection.
 """
 
 from collections.abc import Callable
@@ -31,6 +31,7 @@
     MALFORMED = "malformed"
     SILENT = "silent"
     WRONG_ANSWER = "wrong_answer"
+    BROKEN_OFF = "broken_off"
 
 
 class AnswerListener(Protocol):
@@ -43,7 +44,7 @@
         """Handle a part of the body."""
 
     def end(self) -> None:
-        """Handle the end of a complete answer."""
+        """Handle the end of the body, as its framing marks it."""
 
     def failed(self, reason: FailureReason) -> None:
         """Handle the failure of the answer."""
