Answer a complete stream that has no events, instead of closing the connection

What callers saw: a closed connection and no answer. Cause: the answer to a caller begins with the first event, and ending an answer that has not begun is an error of the parser. Change: a stream that is framed as complete and has no events is answered with its status, headers and an empty body. Measured: test_stream_without_events failed before with a reset connection and passes now.

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -188,7 +188,7 @@
             request.tried.append(server.id)
             ended = await self.attempts.send(request, server)
             if isinstance(ended, Streamed):
-                request.exchange.finish()
+                self._finish_stream(request, ended)
                 return None
             if isinstance(ended, Answered):
                 is_error = ended.head.status >= FIRST_SERVER_ERROR
@@ -226,6 +226,12 @@
     def _may_run_again(self, request: CallerRequest, runs: int) -> bool:
         return is_safe_to_retry(request.route) and runs < request.route.max_attempts
 
+    def _finish_stream(self, request: CallerRequest, ended: Streamed) -> None:
+        if request.exchange.is_started:
+            request.exchange.finish()
+            return
+        request.exchange.answer(ended.head.status, caller_headers(ended.headers), b"")
+
     def _pass_on(self, request: CallerRequest, ended: Answered) -> None:
         request.exchange.answer(
             ended.head.status, caller_headers(ended.headers), ended.body
--- a/tests/site/test_answers_broken_off.py
+++ b/tests/site/test_answers_broken_off.py
@@ -240,3 +240,9 @@
         answer = order(site)
         assert (answer.status, answer.is_whole) == (200, True)
         assert b"answer to " in answer.body
+
+    def test_stream_without_events(self, site: SiteFleet) -> None:
+        shape = {"framing": "chunked", "break_point": "start", "ending": "framed"}
+        set_shape(site, "drafts", shape)
+        answer = note(site)
+        assert (answer.status, answer.body, answer.is_whole) == (200, b"", True)
