--- a/src/bramleyturn/core/answer_end.py
+++ b/src/bramleyturn/core/answer_end.py
@@ -7,6 +7,10 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+import orjson
+
+JSON_TYPE: Final = b"application/json"
+JSON_SUFFIX: Final = b"+json"
 STATUSES_WITHOUT_BODY: Final = frozenset({204, 304})
 
 
@@ -72,3 +76,28 @@
     if end.connection is not ConnectionEnd.CLOSED or not end.events:
         return EndVerdict.BROKEN_OFF
     return EndVerdict.UNCONFIRMED
+
+
+def judge_body_end(end: BodyEnd, content_type: bytes, body: bytes) -> EndVerdict:
+    """Return whether an answer that is no stream is whole."""
+    if end.framing is not Framing.CLOSE:
+        return EndVerdict.COMPLETE
+    if end.connection is not ConnectionEnd.CLOSED:
+        return EndVerdict.BROKEN_OFF
+    media_type = content_type.partition(b";")[0].strip().lower()
+    if media_type == JSON_TYPE or media_type.endswith(JSON_SUFFIX):
+        return judge_json_end(body)
+    return EndVerdict.UNCONFIRMED
+
+
+def judge_json_end(body: bytes) -> EndVerdict:
+    """Return whether a JSON document without a frame is whole.
+
+    Only a number can lack its end and still be valid.
+    """
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return EndVerdict.BROKEN_OFF
+    is_number = body[-1:].isdigit()
+    return EndVerdict.UNCONFIRMED if is_number else EndVerdict.COMPLETE
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -9,6 +9,7 @@
     BodyEnd,
     EndVerdict,
     Framing,
+    judge_body_end,
     judge_stream_end,
 )
 from bramleyturn.core.catalog.model import BackendServer
@@ -138,13 +139,16 @@
                 return
             self.ended.callback(Streamed(self.answer, self.headers, body_end))
             return
+        body = b"".join(self.parts)
+        content_type = dict(self.headers).get(b"content-type", b"")
         verdict = self._verdict(self.answer)
         if verdict is AnswerVerdict.NOT_RUN:
             self.ended.callback(NotRun(self.answer.status))
         elif verdict is AnswerVerdict.UNUSABLE:
             self.ended.callback(AttemptFailed(FailureReason.WRONG_ANSWER, body_end))
+        elif judge_body_end(body_end, content_type, body) is EndVerdict.BROKEN_OFF:
+            self.failed(FailureReason.BROKEN_OFF)
         else:
-            body = b"".join(self.parts)
             self.ended.callback(Answered(self.answer, self.headers, body, body_end))
 
     def failed(self, reason: FailureReason) -> None:
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -1,11 +1,14 @@
-"""Make HTTP calls: send a request and return its complete answer or the failure."""
+"""Make HTTP calls: send a request and return its complete answer or the failure.
+
+The body of an answer with status 200 is a JSON document, or empty.
+"""
 
 from typing import Final, NamedTuple
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 
-from bramleyturn.core.answer_end import Framing
+from bramleyturn.core.answer_end import EndVerdict, Framing, judge_json_end
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.connection_pool import (
@@ -16,6 +19,7 @@
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
 from bramleyturn.runtime.timers import stop_timer
 
+STATUS_OK: Final = 200
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -78,6 +82,9 @@
             self.ended.callback(CallFailed(FailureReason.WRONG_ANSWER))
             return
         body = b"".join(self.parts)
+        if self._is_broken_off(body):
+            self.ended.callback(CallFailed(FailureReason.BROKEN_OFF))
+            return
         self.ended.callback(WholeAnswer(self.status, self.headers, body, self.framing))
 
     def failed(self, reason: FailureReason) -> None:
@@ -85,6 +92,11 @@
         if not self.ended.called:
             self.ended.callback(CallFailed(reason))
 
+    def _is_broken_off(self, body: bytes) -> bool:
+        if self.framing is not Framing.CLOSE or self.status != STATUS_OK or not body:
+            return False
+        return judge_json_end(body) is EndVerdict.BROKEN_OFF
+
 
 async def connect(
     pool: ConnectionPool, peer: Peer, max_idle_ms: int | None = None
--- a/tests/core/test_answer_end.py
+++ b/tests/core/test_answer_end.py
@@ -8,6 +8,7 @@
     EndVerdict,
     Framing,
     framing_of,
+    judge_body_end,
     judge_stream_end,
 )
 
@@ -73,3 +74,51 @@
     ) -> None:
         end = BodyEnd(Framing.CLOSE, connection, events, unfinished_bytes=0)
         assert judge_stream_end(end) is verdict
+
+
+class TestBodyEnd:
+    """When an answer that is no stream is whole."""
+
+    @staticmethod
+    def judge(
+        body: bytes,
+        content_type: bytes = b"application/json",
+        framing: Framing = Framing.CLOSE,
+        connection: ConnectionEnd = ConnectionEnd.CLOSED,
+    ) -> EndVerdict:
+        """Judge the end of a body."""
+        end = BodyEnd(framing, connection, events=0, unfinished_bytes=0)
+        return judge_body_end(end, content_type, body)
+
+    @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+    def test_frame_decides_alone(self, framing: Framing) -> None:
+        assert self.judge(b"{", framing=framing) is EndVerdict.COMPLETE
+
+    def test_reset_ends_no_answer(self) -> None:
+        verdict = self.judge(b"{}", connection=ConnectionEnd.RESET)
+        assert verdict is EndVerdict.BROKEN_OFF
+
+    def test_every_part_of_a_json_document_is_broken_off(self) -> None:
+        document = b'{"items": [{"handle": "a\\"b/1"}, {"reason": null}], "n": 1}'
+        for cut in range(len(document)):
+            assert self.judge(document[:cut]) is EndVerdict.BROKEN_OFF, cut
+        assert self.judge(document) is EndVerdict.COMPLETE
+
+    @pytest.mark.parametrize("body", [b"12", b"-1.5"])
+    def test_number_may_go_on(self, body: bytes) -> None:
+        assert self.judge(body) is EndVerdict.UNCONFIRMED
+
+    @pytest.mark.parametrize("body", [b"null", b"true", b'"text"', b"12\n"])
+    def test_other_json_values_are_whole(self, body: bytes) -> None:
+        assert self.judge(body) is EndVerdict.COMPLETE
+
+    @pytest.mark.parametrize(
+        "content_type",
+        [b"application/problem+json", b"Application/JSON; charset=utf-8"],
+    )
+    def test_other_names_of_json(self, content_type: bytes) -> None:
+        assert self.judge(b"{", content_type) is EndVerdict.BROKEN_OFF
+
+    @pytest.mark.parametrize("content_type", [b"", b"application/octet-stream"])
+    def test_other_content_shows_no_end(self, content_type: bytes) -> None:
+        assert self.judge(b"{", content_type) is EndVerdict.UNCONFIRMED
--- a/tests/site/test_answers_broken_off.py
+++ b/tests/site/test_answers_broken_off.py
@@ -16,6 +16,7 @@
 ENDINGS = ("closed", "reset", "crashed")
 # Enough streams for one to begin at the engine that breaks it off.
 STARTS = 12
+CRASHES = "server_crashes_total"
 JSON = {"content_type": "application/json"}
 
 Shape = dict[str, str]
@@ -228,6 +229,19 @@
         set_shape(site, "books", {"framing": "close"}, (1,))
         assert_whole_stream(draft(site))
 
+    def test_crash_within_an_unframed_answer_is_known_as_a_crash(
+        self, site: SiteFleet
+    ) -> None:
+        def crashes() -> int:
+            page = site.get(0, "metrics", "/metrics")[1].decode()
+            lines = [each for each in page.splitlines() if CRASHES in each]
+            return int(sum(float(each.split()[-1]) for each in lines))
+
+        before = crashes()
+        shape = {"framing": "close", "break_point": "inside", "ending": "crashed"}
+        set_shape(site, "books", shape, (0,))
+        wait_until(lambda: draft(site).status == 200 and crashes() > before, "a crash")
+
 
 class TestSoundAnswers:
     """Whole answers without a length arrive whole."""
