--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -24,20 +24,22 @@
 
 
 class Answered(NamedTuple):
-    """Hold a complete answer to forward to the caller."""
+    """Hold an answer to forward to the caller, once ``verdict`` is that it is whole."""
 
     head: AnswerHead
     headers: Headers
     body: bytes
     body_end: BodyEnd
+    verdict: EndVerdict
 
 
 class Streamed(NamedTuple):
-    """Report that a stream was forwarded to its end."""
+    """Report that a stream was forwarded to its end, whole if ``verdict`` says so."""
 
     head: AnswerHead
     headers: Headers
     body_end: BodyEnd
+    verdict: EndVerdict
 
 
 class NotRun(NamedTuple):
@@ -134,22 +136,25 @@
             return
         body_end = self._body_end()
         if self.is_stream:
-            if judge_stream_end(body_end) is EndVerdict.BROKEN_OFF:
+            end = judge_stream_end(body_end)
+            if end is EndVerdict.BROKEN_OFF:
                 self.failed(FailureReason.BROKEN_OFF)
                 return
-            self.ended.callback(Streamed(self.answer, self.headers, body_end))
+            self.ended.callback(Streamed(self.answer, self.headers, body_end, end))
             return
         body = b"".join(self.parts)
         content_type = dict(self.headers).get(b"content-type", b"")
+        end = judge_body_end(body_end, content_type, body)
         verdict = self._verdict(self.answer)
         if verdict is AnswerVerdict.NOT_RUN:
             self.ended.callback(NotRun(self.answer.status))
         elif verdict is AnswerVerdict.UNUSABLE:
             self.ended.callback(AttemptFailed(FailureReason.WRONG_ANSWER, body_end))
-        elif judge_body_end(body_end, content_type, body) is EndVerdict.BROKEN_OFF:
+        elif end is EndVerdict.BROKEN_OFF:
             self.failed(FailureReason.BROKEN_OFF)
         else:
-            self.ended.callback(Answered(self.answer, self.headers, body, body_end))
+            answered = Answered(self.answer, self.headers, body, body_end, end)
+            self.ended.callback(answered)
 
     def failed(self, reason: FailureReason) -> None:
         """End the attempt without a complete answer."""
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -1,5 +1,8 @@
 """Choose servers for a caller's request and send it to one after another."""
 
+from typing import TypeGuard
+
+from bramleyturn.core.answer_end import EndVerdict
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import own_tokens
 from bramleyturn.core.catalog.server_registry import is_ready
@@ -30,7 +33,7 @@
     log_request,
 )
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
-from bramleyturn.gateway.http1_client import Headers
+from bramleyturn.gateway.http1_client import FailureReason, Headers
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.platform.answers import AnswerHead, caller_headers
@@ -114,6 +117,8 @@
             )
         finally:
             note_ended(serving.loads, server.id)
+        if is_unconfirmed(ended):
+            ended = await self._confirm(request, server, ended)
         request.is_at_server = False
         self._note_attempt(request, server, ended, sent_ms)
         if isinstance(ended, AttemptFailed):
@@ -123,6 +128,17 @@
             self.crashes.request_finished(request.fingerprint)
         return ended
 
+    async def _confirm(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        ended: Answered | Streamed,
+    ) -> AttemptEnd:
+        """Take a close as the end of an answer only if its server still runs."""
+        if await self.crashes.is_running(server, [request.fingerprint]):
+            return ended
+        return AttemptFailed(FailureReason.UNCONFIRMED, ended.body_end)
+
     def _handle_head(
         self, request: CallerRequest, server: BackendServer, answer: AnswerHead
     ) -> None:
@@ -208,6 +224,13 @@
         )
 
 
+def is_unconfirmed(ended: AttemptEnd) -> TypeGuard[Answered | Streamed]:
+    """Return whether nothing but a clean close marks the end of the answer."""
+    if not isinstance(ended, Answered | Streamed):
+        return False
+    return ended.verdict is EndVerdict.UNCONFIRMED
+
+
 def is_success(ended: AttemptEnd) -> bool:
     """Return whether a server ran the request to a good end.
 
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -10,7 +10,11 @@
 from typing import Final
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectError,
+    ConnectionRefusedError,
+    TimeoutError,
+)
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.catalog.model import BackendServer
@@ -35,6 +39,8 @@
 )
 # Servers register every 1.2 s and are removed after three misses.
 EXPIRY_MS: Final = 5_000
+# Attempts to connect to a server that seems to run but does not respond.
+RUNNING_CHECK_TRIES: Final = 3
 MAX_LOGGED_FINGERPRINTS: Final = 8
 
 logger = logging.getLogger(__name__)
@@ -77,6 +83,20 @@
         run_in_background(work, "check of a server")
         return checked
 
+    def is_running(
+        self, server: BackendServer, fingerprints: Iterable[str]
+    ) -> "Deferred[bool]":
+        """Check a server that closed a connection at what may be an answer's end.
+
+        The result is whether it accepts connections. One that refuses them without
+        having announced that it leaves has crashed; one that can't be reached may be
+        cut off only.
+        """
+        checked: Deferred[bool] = Deferred()
+        work = self._check_running(server, frozenset(fingerprints), checked)
+        run_in_background(work, "check of a server")
+        return checked
+
     def request_abandoned(self, server: BackendServer, fingerprint: str) -> None:
         """Check a server that had not answered when its request was given up."""
         work = self._check(server, frozenset((fingerprint,)), False, Deferred())
@@ -120,6 +140,29 @@
         if not self._is_registered(server):
             self._record(server, fingerprints, at_ms)
 
+    async def _check_running(
+        self,
+        server: BackendServer,
+        fingerprints: frozenset[str],
+        checked: "Deferred[bool]",
+    ) -> None:
+        at_ms = self.serving.now_ms()
+        failure = await self._connect_failure(server)
+        tries = 1
+        # A lost SYN packet shows as a timeout too.
+        while isinstance(failure, TimeoutError) and tries < RUNNING_CHECK_TRIES:
+            failure = await self._connect_failure(server)
+            tries += 1
+        if isinstance(failure, ConnectionRefusedError) and self._is_expected(server):
+            self._record(server, fingerprints, at_ms)
+        if not checked.called:
+            checked.callback(failure is None)
+
+    def _is_expected(self, server: BackendServer) -> bool:
+        """Return whether a server is registered and has not announced its end."""
+        entry = self.serving.registry.entries.get(server.id)
+        return self._is_registered(server) and not (entry and entry.server.is_leaving)
+
     def _is_registered(self, server: BackendServer) -> bool:
         entry = self.serving.registry.entries.get(server.id)
         return entry is not None and entry.server.started_ms == server.started_ms
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -32,6 +32,7 @@
     SILENT = "silent"
     WRONG_ANSWER = "wrong_answer"
     BROKEN_OFF = "broken_off"
+    UNCONFIRMED = "unconfirmed"
 
 
 class AnswerListener(Protocol):
--- a/tests/site/test_answers_broken_off.py
+++ b/tests/site/test_answers_broken_off.py
@@ -1,7 +1,9 @@
 """Test that an answer that was broken off reaches no caller as complete."""
 
 import itertools
+import socket
 from collections.abc import Iterator
+from functools import partial
 
 import pytest
 
@@ -37,8 +39,20 @@
     yield fleet
     for server in SERVERS:
         fleet.send_control("/fault", server=server, fault="")
-    wait_until(lambda: order(fleet).status == 200, "services are back")
-    wait_until(lambda: draft(fleet).status == 200, "engines are back")
+    wait_until(partial(all_listen, fleet), "servers that crashed are back")
+    wait_until(lambda: order(fleet).status == 200, "orders are served")
+    wait_until(lambda: draft(fleet).status == 200, "drafts are served")
+
+
+def all_listen(fleet: SiteFleet) -> bool:
+    """Return whether every server accepts connections."""
+    for server in SERVERS:
+        host, _, port = fleet.site.addresses[server].partition(":")
+        try:
+            socket.create_connection((host, int(port))).close()
+        except ConnectionRefusedError:
+            return False
+    return True
 
 
 def set_shape(
@@ -158,12 +172,14 @@
             set_shape(site, "drafts", {"framing": "close"}, (1 - place,))
             assert_whole_stream(draft(site))
 
-    def test_stream_goes_on_after_a_crash_between_events(self, site: SiteFleet) -> None:
-        for place in (0, 1):
-            shape = {"framing": "close", "break_point": "between", "ending": "crashed"}
-            set_shape(site, "drafts", shape, (place,))
-            set_shape(site, "drafts", {"framing": "chunked"}, (1 - place,))
-            assert_whole_stream(draft(site))
+    @pytest.mark.parametrize("place", [0, 1])
+    def test_stream_goes_on_after_a_crash_between_events(
+        self, site: SiteFleet, place: int
+    ) -> None:
+        shape = {"framing": "close", "break_point": "between", "ending": "crashed"}
+        set_shape(site, "drafts", shape, (place,))
+        set_shape(site, "drafts", {"framing": "chunked"}, (1 - place,))
+        assert_whole_stream(draft(site))
 
     def test_resumption_that_is_answered_without_events_is_cut(
         self, site: SiteFleet
@@ -207,13 +223,15 @@
         set_shape(site, "members", shape)
         assert order(site).status == 502
 
-    def test_lookup_is_answered_by_another_server(self, site: SiteFleet) -> None:
-        for place in (0, 1):
-            shape = {"framing": "close", "break_point": "inside", "ending": "crashed"}
-            set_shape(site, "members", shape, (place,))
-            set_shape(site, "members", {"framing": "close"}, (1 - place,))
-            answer = site.call(f"/lookup/{place}", attempt_id=f"l{place}")
-            assert answer.body == b"answer to l%d" % place
+    @pytest.mark.parametrize("place", [0, 1])
+    def test_lookup_is_answered_by_another_server(
+        self, site: SiteFleet, place: int
+    ) -> None:
+        shape = {"framing": "close", "break_point": "inside", "ending": "crashed"}
+        set_shape(site, "members", shape, (place,))
+        set_shape(site, "members", {"framing": "close"}, (1 - place,))
+        answer = site.call(f"/lookup/{place}", attempt_id=f"l{place}")
+        assert answer.body == b"answer to l%d" % place
 
 
 class TestStageCalls:
