--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -101,7 +101,7 @@
             return
         self.is_finished = True
         self.is_cut = True
-        self.connection.close()
+        self.connection.cut_answer()
 
 
 class HttpServer:
@@ -223,6 +223,16 @@
             self.first_byte_ms = self.server.now_ms()
             self._read_events()
 
+    def cut_answer(self) -> None:
+        """End the connection in a way that the caller can't take for an end.
+
+        An answer to HTTP/1.0 has no chunks, so that a clean close would complete it.
+        """
+        if self.http.their_http_version == b"1.0":
+            self.abort()
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close the connection once what is buffered has been sent."""
         self._stop_timer()
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -129,3 +129,38 @@
         served.exchanges[0].answer(200, [], b"x")
         assert b"Connection: close" in served.written()
         assert served.transport.disconnecting
+
+
+class TestCutAnswers:
+    """Answers that can't be completed."""
+
+    @staticmethod
+    def cut(request: bytes) -> ServedConnection:
+        """Begin an answer to a request and cut it."""
+        served = ServedConnection()
+        served.receive(request)
+        (exchange,) = served.exchanges
+        exchange.start(200, [])
+        exchange.send(b"part")
+        exchange.cut()
+        return served
+
+    def test_cut_answer_lacks_its_last_chunk(self) -> None:
+        served = self.cut(GET)
+        assert served.written().endswith(b"4\r\npart\r\n")
+        assert served.transport.disconnecting
+
+    def test_cut_answer_to_http_1_0_does_not_look_complete(self) -> None:
+        served = self.cut(b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n")
+        assert served.written().endswith(b"\r\n\r\npart")
+        assert served.transport.is_reset
+
+    def test_whole_answer_to_http_1_0_ends_with_a_clean_close(self) -> None:
+        served = ServedConnection()
+        served.receive(b"GET /a HTTP/1.0\r\nHost: x\r\n\r\n")
+        (exchange,) = served.exchanges
+        exchange.start(200, [])
+        exchange.send(b"whole")
+        exchange.finish()
+        assert served.transport.disconnecting
+        assert not served.transport.is_reset
