--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -13,7 +13,11 @@
     judge_stream_end,
 )
 from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.event_splitter import EventSplitter, split_events
+from bramleyturn.core.event_splitter import (
+    EventSplitter,
+    StreamEvent,
+    split_events,
+)
 from bramleyturn.core.placement.verdicts import AnswerVerdict, judge_answer
 from bramleyturn.gateway.calls import MAX_ANSWER_BYTES, CallFailed, connect, peer_of
 from bramleyturn.gateway.connection_pool import ConnectionPool
@@ -67,8 +71,7 @@
 class AttemptRequest(NamedTuple):
     """Hold a request to send, and the callbacks for its answer.
 
-    ``on_event`` is called for each event of a stream, with the headers of the answer
-    and the id and bytes of the event.
+    ``on_event`` is called for each event of a stream, with the headers of the answer.
     """
 
     server: BackendServer
@@ -77,7 +80,7 @@
     headers: Headers
     body: bytes
     attempt_id: str
-    on_event: Callable[[Headers, int | None, bytes], None]
+    on_event: Callable[[Headers, StreamEvent], None]
     on_head: Callable[[AnswerHead], None]
 
 
@@ -121,7 +124,7 @@
         if self.is_stream:
             for event in split_events(self.splitter, data):
                 self.events += 1
-                self.request.on_event(self.headers, event.id, event.data)
+                self.request.on_event(self.headers, event)
             return
         self.size += len(data)
         if self.size > MAX_ANSWER_BYTES:
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -6,6 +6,7 @@
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import own_tokens
 from bramleyturn.core.catalog.server_registry import is_ready
+from bramleyturn.core.event_splitter import StreamEvent
 from bramleyturn.core.placement.choice import (
     choose_by_load,
     choose_by_prefix,
@@ -16,6 +17,7 @@
 )
 from bramleyturn.core.placement.health import note_answered, note_failed
 from bramleyturn.core.placement.verdicts import FIRST_REDIRECT, is_safe_to_retry
+from bramleyturn.core.stream_position import accept_event
 from bramleyturn.core.waiting.first_events import note_first_event
 from bramleyturn.gateway.attempts import (
     Answered,
@@ -71,7 +73,8 @@
         serving = self.serving
         sent_ms = serving.now_ms()
         wait_ms = max(1, request.deadline_ms - sent_ms)
-        resume_after = request.last_event_id if request.exchange.is_started else None
+        is_resumed = request.exchange.is_started
+        resume_after = request.position.last_id if is_resumed else None
         server_head = ServerHead(
             server_id=server.id,
             wait_ms=wait_ms,
@@ -84,8 +87,8 @@
         )
         exchange = request.exchange
 
-        def on_event(headers: Headers, event_id: int | None, data: bytes) -> None:
-            self._handle_event(request, sent_ms, headers, event_id, data)
+        def on_event(headers: Headers, event: StreamEvent) -> None:
+            self._handle_event(request, sent_ms, headers, event)
 
         attempt = AttemptRequest(
             server=server,
@@ -154,15 +157,12 @@
         request: CallerRequest,
         sent_ms: int,
         headers: Headers,
-        event_id: int | None,
-        data: bytes,
+        event: StreamEvent,
     ) -> None:
         """Forward an event, unless the caller has received it already."""
         request.heard_ms = self.serving.now_ms()
-        if event_id is not None:
-            if request.last_event_id is not None and event_id <= request.last_event_id:
-                return
-            request.last_event_id = event_id
+        if not accept_event(request.position, event):
+            return
         if not request.exchange.is_started:
             now_ms = self.serving.now_ms()
             request.first_event_ms = now_ms
@@ -181,7 +181,7 @@
             if request.stages is not None:
                 request.stages.release_all()
             request.exchange.start(200, caller_headers(headers))
-        request.exchange.send(data)
+        request.exchange.send(event.data)
 
     def _note_attempt(
         self,
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -5,6 +5,7 @@
 
 from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
 from bramleyturn.core.poison import caller_fingerprint
+from bramleyturn.core.stream_position import StreamPosition
 from bramleyturn.gateway.attempts import (
     Answered,
     AttemptEnd,
@@ -69,7 +70,7 @@
         self.server: BackendServer | None = None
         self.heard_ms = exchange.arrived_ms
         self.tried: list[str] = []
-        self.last_event_id = head.last_event_id
+        self.position = StreamPosition(head.last_event_id)
         self.first_event_ms: int | None = None
         self.is_timed_out = False
         self.is_stopped = False
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -10,6 +10,7 @@
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, is_safe_to_retry
 from bramleyturn.core.retry.shared_budget import note_request, take_retry
+from bramleyturn.core.stream_position import can_resume
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
@@ -216,8 +217,6 @@
                 continue
             runs += 1
             request.may_have_run = True
-            if request.exchange.is_started and not request.route.is_resumable:
-                break
             if not self._may_run_again(request, runs):
                 break
         if failed_answer is not None and not request.exchange.is_started:
@@ -228,6 +227,9 @@
         return Refusal(503, "servers_full", DEFAULT_RETRY_AFTER_MS)
 
     def _may_run_again(self, request: CallerRequest, runs: int) -> bool:
+        is_resumable = request.route.is_resumable and can_resume(request.position)
+        if request.exchange.is_started and not is_resumable:
+            return False
         return is_safe_to_retry(request.route) and runs < request.route.max_attempts
 
     def _finish_stream(self, request: CallerRequest, ended: Streamed) -> None:
--- a/src/bramleyturn/standin/site/raw_answers.py
+++ b/src/bramleyturn/standin/site/raw_answers.py
@@ -33,21 +33,24 @@
     """Hold how a server frames its answers, where it breaks them off, and how.
 
     ``ending`` is how an answer that is broken off ends. A whole one ends as framed.
+    ``has_ids`` is whether the events of a stream have ids.
     """
 
     framing: Framing
     break_point: BreakPoint = BreakPoint.NONE
     ending: AnswerEnding = AnswerEnding.FRAMED
     content_type: str = ""
+    has_ids: bool = True
 
 
-def read_shape(document: dict[str, str]) -> AnswerShape:
+def read_shape(document: dict[str, Any]) -> AnswerShape:
     """Return the shape that a test asks for; raise ValueError if it is malformed."""
     return AnswerShape(
         Framing(document["framing"]),
         BreakPoint(document.get("break_point", BreakPoint.NONE)),
         AnswerEnding(document.get("ending", AnswerEnding.FRAMED)),
         document.get("content_type", ""),
+        document.get("has_ids", True),
     )
 
 
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -109,7 +109,8 @@
         headers.append((b"Content-Type", b"text/event-stream"))
         if server.shape is not None:
             raw = RawAnswer(server.reactor, exchange, server.shape)
-            stream = [_event(number) for number in range(first, events)]
+            has_ids = server.shape.has_ids
+            stream = [_event(number, has_ids) for number in range(first, events)]
             raw.start(200, headers, sum(map(len, stream)))
             send_raw(raw, stream, first)
             return
@@ -188,8 +189,9 @@
     return handle
 
 
-def _event(number: int) -> bytes:
-    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+def _event(number: int, has_id: bool = True) -> bytes:
+    data = b"data: token-%d\n\n" % number
+    return b"id: %d\n%b" % (number, data) if has_id else data
 
 
 def _break_off(server: SiteServer, raw: RawAnswer) -> None:
--- a/tests/site/test_answers_broken_off.py
+++ b/tests/site/test_answers_broken_off.py
@@ -2,7 +2,7 @@
 
 import itertools
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from functools import partial
 
 import pytest
@@ -21,7 +21,7 @@
 CRASHES = "server_crashes_total"
 JSON = {"content_type": "application/json"}
 
-Shape = dict[str, str]
+Shape = Mapping[str, object]
 _numbers = itertools.count(1)
 
 
@@ -181,6 +181,19 @@
         set_shape(site, "drafts", {"framing": "chunked"}, (1 - place,))
         assert_whole_stream(draft(site))
 
+    @pytest.mark.parametrize("place", [0, 1])
+    def test_stream_without_ids_is_not_joined_to_another_run(
+        self, site: SiteFleet, place: int
+    ) -> None:
+        shape = {"framing": "chunked", "break_point": "inside", "ending": "reset"}
+        set_shape(site, "drafts", shape | {"has_ids": False}, (place,))
+        set_shape(site, "drafts", {"framing": "chunked"}, (1 - place,))
+        for _ in range(STARTS):
+            answer = draft(site)
+            assert len(answer.body.split(b"data: token-")) <= EVENTS + 1
+            assert_whole_events(answer)
+            assert answer.is_whole == (answer.body.count(b"\nid: ") > 0)
+
     def test_resumption_that_is_answered_without_events_is_cut(
         self, site: SiteFleet
     ) -> None:
