Accept whole JSON answers without a length from backend servers of the own interface

What callers saw: 502 'lost' (or unknown, for what may not be repeated) although the server had answered whole. Cause: the reader knew only two kinds of end, framed as complete or lost, and took an answer that ends with its connection for lost. Change: such a body counts as whole if it is a whole JSON document, by the same judgement as on the platform. A stream of this interface has an end line and needs nothing else. Measured: the new test failed before at the first encoder; answers that are cut without a length already failed as they should, which is tested now too.

--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -13,6 +13,7 @@
 from twisted.web.http_headers import Headers
 
 from bramleyturn.core.actions import CancelAttempt, StartAttempt
+from bramleyturn.core.answer_end import EndVerdict, judge_json_end
 from bramleyturn.core.events import (
     AttemptFailed,
     ConnectionReady,
@@ -338,11 +339,17 @@
                 self.report_unfinished_stream(reason, complete)
             self.whole_body.callback(b"")
             return
-        if complete:
+        if complete or self.is_whole_document(reason):
             self.whole_body.callback(bytes(self.buffer))
         else:
             self.whole_body.errback(reason)
 
+    def is_whole_document(self, reason: Failure) -> bool:
+        """Return whether a body that ended with its connection is a whole document."""
+        if reason.check(PotentialDataLoss) is None:
+            return False
+        return judge_json_end(bytes(self.buffer)) is EndVerdict.COMPLETE
+
     def report_unfinished_stream(self, reason: Failure, complete: bool) -> None:
         """Report an unfinished stream: closed cleanly, or its connection lost."""
         closed_cleanly = complete or reason.check(ConnectionDone, PotentialDataLoss)
--- a/src/bramleyturn/standin/engine.py
+++ b/src/bramleyturn/standin/engine.py
@@ -16,7 +16,12 @@
     schedule_step,
 )
 from bramleyturn.standin.jobs import Job, JobState
-from bramleyturn.standin.json_http import answer, set_header, write
+from bramleyturn.standin.json_http import (
+    answer,
+    end_with_connection,
+    set_header,
+    write,
+)
 from bramleyturn.standin.prefix_cache import (
     PrefixCache,
     blocks_of,
@@ -88,6 +93,8 @@
         start = job.resume_offset + job.faults.wrong_resume_offset
         job.sent_tokens = min(max(0, start), len(job.tokens))
     set_header(job.request, b"content-type", b"application/x-ndjson")
+    if job.faults.unframed:
+        end_with_connection(job.request)
     engine.batch.append(job)
     if engine.timer is None:
         _schedule(engine, server)
--- a/src/bramleyturn/standin/json_http.py
+++ b/src/bramleyturn/standin/json_http.py
@@ -79,6 +79,13 @@
     request.setHeader(name, value)
 
 
+def end_with_connection(request: Request) -> None:
+    """Send the answer with neither a length nor chunks, as HTTP/1.0 servers do."""
+    request.responseHeaders.removeHeader(b"content-length")
+    request.clientproto = b"HTTP/1.0"
+    request.channel.persistent = False
+
+
 def write(request: Request, data: bytes) -> None:
     """Write a part of the answer, unless the caller has disconnected."""
     if connected(request):
--- a/src/bramleyturn/standin/service.py
+++ b/src/bramleyturn/standin/service.py
@@ -18,7 +18,12 @@
     submit,
 )
 from bramleyturn.standin.jobs import Job
-from bramleyturn.standin.json_http import answer, not_started, write
+from bramleyturn.standin.json_http import (
+    answer,
+    end_with_connection,
+    not_started,
+    write,
+)
 
 WORDS_PER_SERVICE_TIME: Final = 256
 EXTRA_RESPONSE: Final = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
@@ -53,6 +58,8 @@
     tokens = 0 if plain else len(words_of(job.output))
     document = {"attempt_id": attempt_id, "output": job.output, "tokens": tokens}
     body = answer(job.request, 200, document)
+    if faults.unframed:
+        end_with_connection(job.request)
     if faults.truncate_answer:
         _write_part(job, body)
         return
--- a/tests/proofs/test_answers_whole_and_own.py
+++ b/tests/proofs/test_answers_whole_and_own.py
@@ -55,6 +55,7 @@
 
 
 ANSWER_FAULTS: list[dict[str, Any]] = [
+    {"unframed": True, "truncate_answer": True},
     {"wrong_attempt_id": True},
     {"truncate_answer": True},
     {"drop_answer": True},
@@ -84,6 +85,19 @@
                 assert_answered(fleet, [value], receive(connection))
                 connection.close()
 
+    def test_answers_without_a_length_arrive_at_the_first_attempt(
+        self, fleet: Fleet
+    ) -> None:
+        for pool in ("encoders", "retrievers", "rerankers", "drafting"):
+            for server in servers_of(fleet, pool):
+                set_behaviour(fleet, server, unframed=True)
+        for place, entry in enumerate(fleet.entry_names() * 3):
+            value = {"ask": f"unframed {place}"}
+            reply = send_request(fleet, entry, "lesson-draft", value)
+            assert_answered(fleet, [value], reply)
+            stages = reply.document["stages"].values()
+            assert [stage["attempts"] for stage in stages] == [1] * len(stages)
+
     @pytest.mark.parametrize("cut_after_bytes", [1, 150, 400])
     def test_connections_reused_after_a_cut(
         self, fleet: Fleet, cut_after_bytes: int
