Break off answers without a length in the site soak

Change: a second series of faults, drawn apart so that the plans of seeds stay as they are: answers without a length, whole, or broken off inside an event by a reset or a crash, or between events by a crash; each request has a body of its own, since equal ones that crash servers are quarantined. Seed 3 is kept.

--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -46,6 +46,12 @@
     f"i-{pool}-{place}" for pool in ("members", "drafts", "books") for place in (0, 1)
 )
 SERVER_FAULTS: Final = ("shed", "reset", "cut", "error", "hang")
+# Where an answer without a length is broken off, and how it ends. A running server that
+# closes between events, or within an answer that is no stream, can't be told from one
+# that has finished.
+SHAPES: Final = ("none framed", "inside reset", "inside crashed", "between crashed")
+SHAPE_COUNT: Final = 6
+SHAPE_SEED_OFFSET: Final = 1_000_000
 
 
 class Fault(NamedTuple):
@@ -78,6 +84,24 @@
     return drawn
 
 
+def draw_shapes(seed: int) -> list[Fault]:
+    """Return the series of answers without a length, whole or broken off, of a seed.
+
+    It overlaps the fault plan, and its draws leave that of a seed as it is.
+    """
+    random = Random(SHAPE_SEED_OFFSET + seed)
+    return [
+        Fault(
+            random.uniform(*FAULT_GAPS_S),
+            random.uniform(*FAULT_DURATIONS_S),
+            "shape",
+            random.randrange(len(SERVERS)),
+            random.choice(SHAPES),
+        )
+        for _ in range(SHAPE_COUNT)
+    ]
+
+
 class SoakRun:
     """Hold a fleet under load, the attempts sent and a restart lock for each entry."""
 
@@ -106,11 +130,12 @@
         """Send one request."""
         try:
             if kind == DRAFT:
-                answer = self.fleet.draft(entry=entry, attempt_id=attempt_id)
+                body = attempt_id.encode()
+                answer = self.fleet.draft(body, entry=entry, attempt_id=attempt_id)
             else:
                 method = "POST" if kind == ORDER else "GET"
                 answer = self.fleet.call(
-                    f"/{kind}/1", method, entry, attempt_id=attempt_id
+                    f"/{kind}/{attempt_id}", method, entry, attempt_id=attempt_id
                 )
         except (OSError, http.client.HTTPException):
             return SentAttempt(attempt_id, kind, 0, b"", False, False)
@@ -119,6 +144,15 @@
             attempt_id, kind, answer.status, answer.body, answer.is_whole, is_signed
         )
 
+    def inject_all(self, faults: list[Fault]) -> None:
+        """Inject the faults of a series at their times, and wait for the last one."""
+        threads = []
+        for fault in faults:
+            time.sleep(fault.after_s)
+            threads.append(start(self.inject, fault))
+        for thread in threads:
+            thread.join()
+
     def inject(self, fault: Fault) -> None:
         """Inject a fault, wait for its duration and end it."""
         entry = fault.place % len(self.fleet.entries)
@@ -143,6 +177,13 @@
             self.fleet.send_control("/fault", server=server, fault=fault.how)
             time.sleep(fault.lasts_s)
             self.fleet.send_control("/fault", server=server, fault="")
+        elif fault.kind == "shape":
+            server = SERVERS[fault.place]
+            point, ending = fault.how.split()
+            shape = {"framing": "close", "break_point": point, "ending": ending}
+            self.fleet.send_control("/fault", server=server, fault="", shape=shape)
+            time.sleep(fault.lasts_s)
+            self.fleet.send_control("/fault", server=server, fault="")
         else:
             self.fleet.send_control("/configuration")
 
@@ -210,12 +251,9 @@
     with running_fleet(folder) as fleet:
         state = SoakRun(fleet, folder, seed)
         callers = [start(state.call_until_over, caller) for caller in range(CALLERS)]
-        fault_threads = []
+        plans = [] if without_faults else [draw_faults(seed), draw_shapes(seed)]
         try:
-            for fault in [] if without_faults else draw_faults(seed):
-                time.sleep(fault.after_s)
-                fault_threads.append(start(state.inject, fault))
-            for thread in fault_threads:
+            for thread in [start(state.inject_all, plan) for plan in plans]:
                 thread.join()
             violations = state.recover()
         finally:
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.site.soak import draw_faults, run_seed
+from tests.site.soak import draw_faults, draw_shapes, run_seed
 from tests.site.soak_checks import (
     DRAFT,
     LOOKUP,
@@ -21,6 +21,8 @@
 REGRESSIONS = (
     # SIGHUP ended an entry that was still importing.
     1,
+    # A clean close was taken for the end of an answer without a length.
+    3,
 )
 
 
@@ -82,6 +84,7 @@
     def test_same_seed_gives_same_plan(self) -> None:
         assert draw_faults(7) == draw_faults(7)
         assert draw_faults(7) != draw_faults(8)
+        assert draw_shapes(7) == draw_shapes(7)
 
 
 class TestSeeds:
