Wait for the drafts themselves before the restart of an entry is tested

Cause: test_rolling_restart_of_all_entries waits until as many requests run on an entry as it has sent drafts, but the steady load sends to the same entry: one of its requests was counted for a draft that had not arrived, SIGTERM followed, and the draft was refused as it should be, 503 not_run shutting_down. Change: the test waits until the ids of all its drafts are on the entry's list of running requests; every check stays.

--- a/tests/proofs/test_graceful_shutdown.py
+++ b/tests/proofs/test_graceful_shutdown.py
@@ -19,6 +19,7 @@
     cut_zone,
     heal_zone,
     launch,
+    running_ids,
     running_zones,
     send_request,
     status_of,
@@ -46,15 +47,13 @@
 ) -> list[Future[Sent]]:
     """Send drafts to an entry and wait until all of them run."""
     address = zones.fleet.addresses[f"own-{name}"]
+    ids = [f"{mark}-{name}-{number}" for number in range(LONG_DRAFTS)]
     drafts = [
-        callers.submit(
-            send_request, address, "lesson-draft", f"{mark}-{name}-{number}", number
-        )
-        for number in range(LONG_DRAFTS)
+        callers.submit(send_request, address, "lesson-draft", request_id, number)
+        for number, request_id in enumerate(ids)
     ]
-    wait_until(
-        lambda: status_of(zones.fleet, name)["running_requests"] >= LONG_DRAFTS, name
-    )
+    # Requests of the steady load run there too.
+    wait_until(lambda: running_ids(zones.fleet, name).issuperset(ids), name)
     return drafts
 
 
--- a/tests/proofs/zones.py
+++ b/tests/proofs/zones.py
@@ -168,6 +168,18 @@
     return document
 
 
+def running_ids(fleet: Fleet, name: str) -> set[str]:
+    """Return the ids of the requests that run at an entry."""
+    connection = connect(fleet.addresses[f"own-{name}"])
+    try:
+        key = {"Authorization": f"Bearer {workspace_key(OPERATORS)}"}
+        connection.request("GET", "/v1/running", headers=key)
+        rows = receive(connection).document["requests"]
+    finally:
+        connection.close()
+    return {row["request_id"] for row in rows if row["state"] == "running"}
+
+
 def status_of(fleet: Fleet, name: str, limit_s: float = CALL_LIMIT_S) -> dict[str, Any]:
     """Return the status of an entry or a watch, requested at its listen address."""
     address = fleet.addresses[f"own-{name}"]
