Reproduce what instances believe after the store returns from an older copy

The store's stand-in can come back from a copy, with Store-Era in all its answers; live servers then write their entries again, the others' expire. No logic changes.

--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -45,7 +45,7 @@
 
     ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
     attempt that each crash was due to. ``name`` stays the same when the server starts
-    again under another ``id``.
+    again under another ``id``. ``state`` is what it last registered, "" if nothing.
     """
 
     def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
@@ -56,6 +56,9 @@
         self.crashed_by: list[str] = []
         self.pool = pool
         self.address = address
+        self.zone = ""
+        self.born_ms = 0
+        self.state = ""
         self.fault = ""
         self.shape: AnswerShape | None = None
         self.processing_ms = 10
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -25,7 +25,9 @@
     delete,
     forget_history,
     put,
+    restore,
     store_handler,
+    take_copy,
 )
 
 HANDLERS: Final[dict[str, Callable[[SiteServer], Callable[[Exchange], None]]]] = {
@@ -37,6 +39,9 @@
 ZONES: Final = ("north", "south")
 API_KEY: Final = "key-of-north"
 DEFAULT_RESTART_MS: Final = 1_200
+DEFAULT_REWRITE_MS: Final = 1_500
+# Entries that their servers do not write again are removed after this time.
+EXPIRY_MS: Final = 3_600
 
 
 class Site:
@@ -94,6 +99,7 @@
 
     def crash() -> None:
         server.crash = lambda: None
+        server.state = ""
         port.stopListening()
         http.handle = lambda exchange: None
         for connection in list(http.connections):
@@ -112,21 +118,24 @@
         _start_server(site, server, zone, host, new_handler)
 
     server.crash = crash
-    register(site, server, zone)
+    server.zone = zone
+    server.born_ms = site.now_ms()
+    register(site, server)
 
 
-def register(site: Site, server: SiteServer, zone: str, state: str = "ready") -> None:
+def register(site: Site, server: SiteServer, state: str = "ready") -> None:
     """Write a server's registry entry to the store."""
+    server.state = state
     entry = {
         "service": server.pool,
         "address": server.address,
-        "zone": zone,
+        "zone": server.zone,
         "version": "v1",
         "slots": 6,
         "state": state,
         "coldRemainingMs": 0,
         "sequence": 1,
-        "born": site.now_ms(),
+        "born": server.born_ms,
     }
     put(site.store, f"servers/{server.id}", orjson.dumps(entry))
 
@@ -247,15 +256,21 @@
             site.keeps_ids = body.get("keeps_ids", False)
             site.loses_resets = body.get("loses_resets", False)
         elif target == "/leave":
-            server = site.servers[body["server"]]
-            register(site, server, ZONES[0], state="draining")
+            register(site, site.servers[body["server"]], state="draining")
         elif target == "/remove":
-            delete(site.store, f"servers/{body['server']}")
+            server = site.servers[body["server"]]
+            server.state = ""
+            delete(site.store, f"servers/{server.id}")
         elif target == "/store":
             site.store.refuses = body.get("refuses", 0)
             site.store.is_silent = body.get("silent", False)
+            site.store.era_text = body.get("era_text")
             if body.get("forget"):
                 forget_history(site.store)
+            if body.get("copy"):
+                take_copy(site.store)
+            if body.get("restore"):
+                _restore(site, body.get("rewrite_ms", DEFAULT_REWRITE_MS))
         elif target == "/configuration":
             site.version += 1
             document = configuration(site.version, **body)
@@ -266,9 +281,31 @@
     return handle
 
 
+def _restore(site: Site, rewrite_ms: int) -> None:
+    """Bring the store back from its copy.
+
+    Servers that run write their entries again later, and the others' entries expire.
+    """
+    restore(site.store)
+
+    def rewrite() -> None:
+        for server in site.servers.values():
+            if server.state:
+                register(site, server, server.state)
+
+    def expire() -> None:
+        live = {f"servers/{each.id}" for each in site.servers.values() if each.state}
+        for key in set(site.store.items) - live - {"op/config"}:
+            delete(site.store, key)
+
+    site.reactor.callLater(rewrite_ms / MS_PER_S, rewrite)
+    site.reactor.callLater(EXPIRY_MS / MS_PER_S, expire)
+
+
 def _ledger(site: Site) -> dict[str, Any]:
     return {
         "store_calls": site.store.calls,
+        "store_reads": site.store.reads,
         "servers": {
             server.name: {
                 "crashed_by": server.crashed_by,
--- a/src/bramleyturn/standin/site/store.py
+++ b/src/bramleyturn/standin/site/store.py
@@ -1,19 +1,19 @@
 """Simulate the platform's key-value store and its outages."""
 
 import base64
+from collections import Counter
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 from urllib.parse import parse_qs
 
 import orjson
 
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.gateway.http1_server import Exchange
+from bramleyturn.gateway.http1_server import Exchange, Headers
 
 PAGE_ITEMS: Final = 50
 RANGE_TARGET: Final = "/bramleyturn/kv-range"
 WATCH_TARGET: Final = "/bramleyturn/kv-watch"
-JSON_HEADERS: Final = [(b"Content-Type", b"application/json")]
 
 
 class PendingWatch:
@@ -25,12 +25,22 @@
         self.after = after
 
 
+class StoreCopy(NamedTuple):
+    """Hold what the store had when a copy of it was taken."""
+
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+    history: list[dict[str, Any]]
+    forgotten: int
+
+
 class Store:
     """Hold the items, the change history and the injected faults of the store.
 
     ``refuses`` is the status that answers every call, 0 for normal answers. If
     ``is_silent``, calls are accepted and never answered. Changes up to revision
-    ``forgotten`` are no longer in the history.
+    ``forgotten`` are no longer in the history. ``era_text`` is sent instead of the era
+    unless it is None; nothing is sent if it is empty.
     """
 
     def __init__(self, reactor: Any) -> None:
@@ -43,6 +53,10 @@
         self.refuses = 0
         self.is_silent = False
         self.calls = 0
+        self.reads: Counter[str] = Counter()
+        self.era = 1
+        self.era_text: str | None = None
+        self.copy = StoreCopy(1, {}, [], 0)
 
 
 def put(store: Store, key: str, value: bytes) -> int:
@@ -63,6 +77,29 @@
     return store.revision
 
 
+def take_copy(store: Store) -> None:
+    """Take the copy that ``restore`` goes back to."""
+    store.copy = StoreCopy(
+        store.revision, dict(store.items), list(store.history), store.forgotten
+    )
+
+
+def restore(store: Store) -> None:
+    """Come back from the copy: what was written since is gone, and the era rises.
+
+    Watches that wait are cut.
+    """
+    copy = store.copy
+    store.revision = copy.revision
+    store.items = dict(copy.items)
+    store.history = list(copy.history)
+    store.forgotten = copy.forgotten
+    store.era += 1
+    pending, store.pending_watches = store.pending_watches, []
+    for watch in pending:
+        watch.exchange.connection.abort()
+
+
 def forget_history(store: Store) -> None:
     """Drop the history, so that watches from an earlier revision are answered 410."""
     store.forgotten = store.revision
@@ -77,20 +114,27 @@
         if store.is_silent:
             return
         if store.refuses:
-            exchange.answer(store.refuses, [], b"")
+            exchange.answer(store.refuses, _headers(store), b"")
             return
         target, _, query = exchange.target.decode("latin-1").partition("?")
         fields = {name: values[0] for name, values in parse_qs(query).items()}
+        store.reads[target.rpartition("/")[2]] += 1
         if target == RANGE_TARGET:
             _answer_range(store, exchange, fields)
         elif target == WATCH_TARGET:
             _open_watch(store, exchange, fields)
         else:
-            exchange.answer(404, [], b"")
+            exchange.answer(404, _headers(store), b"")
 
     return handle
 
 
+def _headers(store: Store) -> Headers:
+    text = str(store.era) if store.era_text is None else store.era_text
+    era = [(b"Store-Era", text.encode())] if text else []
+    return [(b"Content-Type", b"application/json"), *era]
+
+
 def _answer_range(store: Store, exchange: Exchange, fields: dict[str, str]) -> None:
     prefix, after = fields.get("prefix", ""), fields.get("after", "")
     keys = sorted(key for key in store.items if key.startswith(prefix) and key > after)
@@ -100,13 +144,13 @@
         "truncated": len(keys) > PAGE_ITEMS,
         "currentRev": store.revision,
     }
-    exchange.answer(200, JSON_HEADERS, orjson.dumps(document))
+    exchange.answer(200, _headers(store), orjson.dumps(document))
 
 
 def _open_watch(store: Store, exchange: Exchange, fields: dict[str, str]) -> None:
     after = int(fields.get("after", "0"))
-    if after < store.forgotten:
-        exchange.answer(410, [], b"")
+    if after < store.forgotten or after > store.revision:
+        exchange.answer(410, _headers(store), b"")
         return
     watch = PendingWatch(exchange, fields.get("prefix", ""), after)
     if _answer_watch(store, watch):
@@ -136,7 +180,7 @@
 
 def _send_events(store: Store, watch: PendingWatch, events: list[Any]) -> None:
     document = {"events": events, "currentRev": store.revision}
-    watch.exchange.answer(200, JSON_HEADERS, orjson.dumps(document))
+    watch.exchange.answer(200, _headers(store), orjson.dumps(document))
 
 
 def _notify_watches(store: Store) -> None:
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -188,9 +188,12 @@
 
 
 def launch_entry(
-    fleet: SiteFleet, folder: Path, place: int, name: str
+    fleet: SiteFleet, folder: Path, place: int, name: str, store: str = ""
 ) -> RunningProcess:
-    """Start the entry with the index ``place``, without waiting until it is ready."""
+    """Start the entry with the index ``place``, without waiting until it is ready.
+
+    ``store`` is the address of the store, if it is not the site's.
+    """
     host, ports = HOSTS[place], fleet.ports
     control = ports["control"]
     lines = {
@@ -205,7 +208,7 @@
         "limits.cpuShare": "1",
         "limits.memoryMb": "222",
         "limits.fileDescriptors": "1535",
-        "platform.address": fleet.site.addresses["store"],
+        "platform.address": store or fleet.site.addresses["store"],
         "bounds.drainMs": "2000",
         "bounds.configApplyMs": "2000",
         "bounds.graceS": "8",
