Split the copy of the store's items from the connection that reads them

Cause: the order of what the store says is decided in three places of one module of 400 lines, and a model test needs it without a connection. Change: gateway/store_copy.py holds the items and applies them, gateway/store_relay.py copies them from other instances, gateway/store_reader.py follows the store; no behaviour changes.

--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -14,7 +14,8 @@
     decode_moved,
 )
 from bramleyturn.gateway.stage_owner import StageOwner
-from bramleyturn.gateway.store_reader import RELAY_TARGET, StoreReader, relay_document
+from bramleyturn.gateway.store_copy import StoreCopy
+from bramleyturn.gateway.store_relay import RELAY_TARGET, relay_document
 
 STATUS_NO_CONTENT: Final = 204
 STATUS_BAD_REQUEST: Final = 400
@@ -26,10 +27,10 @@
 class ControlApi:
     """Dispatch the calls and messages of other instances."""
 
-    def __init__(self, owner: StageOwner, asks: StageAsks, reader: StoreReader) -> None:
+    def __init__(self, owner: StageOwner, asks: StageAsks, copy: StoreCopy) -> None:
         self.owner = owner
         self.asks = asks
-        self.reader = reader
+        self.copy = copy
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one call of another instance."""
@@ -96,10 +97,10 @@
         if not after.isdigit():
             exchange.answer(STATUS_BAD_REQUEST, [], b"")
             return
-        document = relay_document(self.reader, int(after))
+        document = relay_document(self.copy, int(after))
         exchange.answer(200, [(b"Content-Type", b"application/json")], document)
 
 
-def control_api(owner: StageOwner, asks: StageAsks, reader: StoreReader) -> ControlApi:
+def control_api(owner: StageOwner, asks: StageAsks, copy: StoreCopy) -> ControlApi:
     """Return the handler of calls by other instances."""
-    return ControlApi(owner, asks, reader)
+    return ControlApi(owner, asks, copy)
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -28,11 +28,9 @@
 from bramleyturn.gateway.serving import Serving, seed_addresses
 from bramleyturn.gateway.stage_asks import StageAsks
 from bramleyturn.gateway.stage_owner import StageOwner
-from bramleyturn.gateway.store_reader import (
-    StoreReader,
-    copy_from_peers,
-    follow_store,
-)
+from bramleyturn.gateway.store_copy import StoreCopy
+from bramleyturn.gateway.store_reader import StoreReader, follow_store
+from bramleyturn.gateway.store_relay import copy_from_peers
 from bramleyturn.platform.requests import READINESS_PATH
 from bramleyturn.platform.settings import (
     SETTINGS_VARIABLE,
@@ -70,12 +68,13 @@
         self.crashes = CrashWatch(serving)
         self.owner = StageOwner(serving, self.links, self.crashes)
         self.asks = StageAsks(serving, self.links)
-        self.reader = StoreReader(serving)
+        self.copy = StoreCopy(serving)
+        self.reader = StoreReader(self.copy)
         self.flow = RequestFlow(serving, self.asks, self.crashes)
         self.heartbeats = Heartbeats(serving, self.crashes)
         self.crashes.on_crash = self.heartbeats.send_soon
-        self.reader.on_new_revision = self.heartbeats.send_heartbeats
-        self.api = control_api(self.owner, self.asks, self.reader)
+        self.copy.on_new_revision = self.heartbeats.send_heartbeats
+        self.api = control_api(self.owner, self.asks, self.copy)
         self.front = self._server(self.flow.handle)
         self.ready = self._server(self.answer_readiness)
         self.control = self._server(self.api.handle)
@@ -126,7 +125,7 @@
             settings.internal_port, self.heartbeats, interface=settings.control.host
         )
         run_in_background(follow_store(self.reader), "store watch")
-        run_in_background(copy_from_peers(self.reader), "store copy from instances")
+        run_in_background(copy_from_peers(self.copy), "store copy from instances")
         self.heartbeats.send_periodically()
         self.settings_mtime_ns = read_settings_mtime_ns()
         loop.callLater(HOUSEKEEPING_INTERVAL_S, self.run_housekeeping)
--- /dev/null
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -0,0 +1,178 @@
+"""Keep a copy of the store's items, and apply their changes to what is believed.
+
+The items come from the store itself or from another instance, and share one decoder.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.server_registry import drop_lapsed, register, remove
+from bramleyturn.core.fleet.freshness import age_ms, note_confirmed
+from bramleyturn.core.placement.choice import forget_loads
+from bramleyturn.core.placement.health import forget_servers
+from bramleyturn.gateway.connection_pool import drop_idle
+from bramleyturn.gateway.metrics import gauge
+from bramleyturn.gateway.serving import (
+    Serving,
+    apply_configuration,
+    notify_servers_changed,
+)
+from bramleyturn.platform.configuration import CONFIGURATION_KEY, decode_configuration
+from bramleyturn.platform.errors import Malformed
+from bramleyturn.platform.servers import SERVERS_PREFIX, decode_server
+from bramleyturn.platform.store import StoreItem
+
+# Servers register again within about two seconds after the store is back.
+REREGISTRATION_MS: Final = 2_500
+
+logger = logging.getLogger(__name__)
+
+
+class StoreCopy:
+    """Hold the items of the store that are known.
+
+    ``is_complete`` is whether changes after ``revision`` are all that is missing.
+    ``returned_ms`` is when the store was last reached again after an outage.
+    ``on_new_revision`` is called for each newer revision.
+    """
+
+    def __init__(self, serving: Serving) -> None:
+        self.serving = serving
+        self.items: dict[str, StoreItem] = {}
+        self.is_complete = False
+        self.returned_ms: int | None = None
+        self.on_new_revision: Callable[[], None] = lambda: None
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the store up to which changes are known."""
+        return self.serving.freshness.revision
+
+
+def copy_age_ms(copy: StoreCopy) -> int:
+    """Return how long ago the copy was last confirmed to be complete."""
+    return age_ms(copy.serving.freshness, copy.serving.now_ms())
+
+
+def take_whole(copy: StoreCopy, found: Iterable[StoreItem], revision: int) -> None:
+    """Replace the copy by a list of all items, whose oldest part is at ``revision``."""
+    by_key = {item.key: item for item in found}
+    missing = [
+        StoreItem(key, None, revision)
+        for key, item in copy.items.items()
+        if item.value is not None and key not in by_key and item.revision <= revision
+    ]
+    take_changes(copy, [*by_key.values(), *missing], revision)
+
+
+def take_changes(
+    copy: StoreCopy,
+    items: Iterable[StoreItem],
+    revision: int,
+    confirmed_ago_ms: int = 0,
+) -> None:
+    """Apply all changes up to ``revision``."""
+    apply_items(copy, items)
+    note_revision(copy, revision, confirmed_ago_ms)
+    copy.is_complete = True
+
+
+def apply_items(copy: StoreCopy, items: Iterable[StoreItem]) -> None:
+    """Apply the items that are newer than the known ones."""
+    has_changed = False
+    for item in items:
+        known = copy.items.get(item.key)
+        if known is not None and item.revision <= known.revision:
+            continue
+        copy.items[item.key] = item
+        if item.key == CONFIGURATION_KEY:
+            apply_configuration_item(copy, item)
+        elif item.key.startswith(SERVERS_PREFIX):
+            has_changed = apply_server_item(copy, item) or has_changed
+    if has_changed:
+        apply_server_changes(copy)
+
+
+def apply_configuration_item(copy: StoreCopy, item: StoreItem) -> None:
+    """Put a new configuration in force, unless it is malformed."""
+    if item.value is None:
+        logger.warning("configuration removed", extra={"revision": item.revision})
+        return
+    published = decode_configuration(item.value)
+    if isinstance(published, Malformed):
+        log_malformed(published)
+        return
+    apply_configuration(copy.serving, published, item.revision)
+
+
+def apply_server_item(copy: StoreCopy, item: StoreItem) -> bool:
+    """Apply a server's entry or its removal; return whether anything changed."""
+    serving = copy.serving
+    server_id = item.key.removeprefix(SERVERS_PREFIX)
+    now_ms = serving.now_ms()
+    server = None if item.value is None else decode_server(item.key, item.value)
+    if isinstance(server, Malformed):
+        log_malformed(server)
+    if server is None or isinstance(server, Malformed):
+        returned_ms = copy.returned_ms
+        may_reregister = (
+            returned_ms is not None and now_ms - returned_ms < REREGISTRATION_MS
+        )
+        may_reregister = may_reregister and item.value is None
+        has_changed = remove(
+            serving.registry, server_id, item.revision, now_ms, may_reregister
+        )
+        state = "lapsed" if may_reregister else "gone"
+    else:
+        has_changed = register(serving.registry, server, item.revision)
+        state = "leaving" if server.is_leaving else "ready"
+    if has_changed:
+        logger.info(
+            "backend server",
+            extra={
+                "server": server_id,
+                "state": state,
+                "pool": server.pool if isinstance(server, BackendServer) else None,
+                "zone_of": server.zone if isinstance(server, BackendServer) else None,
+                "revision": item.revision,
+            },
+        )
+    return has_changed
+
+
+def apply_server_changes(copy: StoreCopy) -> None:
+    """Drop the state of removed servers, and notify the subscribers."""
+    serving = copy.serving
+    known = frozenset(serving.registry.entries)
+    forget_servers(serving.health, known)
+    forget_loads(serving.loads, known)
+    for name in set(serving.servers_pool.idle) - known:
+        drop_idle(serving.servers_pool, name)
+    notify_servers_changed(serving)
+
+
+def note_revision(copy: StoreCopy, revision: int, confirmed_ago_ms: int) -> None:
+    """Record the revision known; announce a new one to other instances at once."""
+    serving = copy.serving
+    has_changed = revision > copy.revision
+    note_confirmed(serving.freshness, revision, serving.now_ms() - confirmed_ago_ms)
+    gauge(serving.metrics, "store_revision", copy.revision)
+    if has_changed:
+        copy.on_new_revision()
+
+
+def log_malformed(malformed: Malformed) -> None:
+    """Log that a published entry was rejected."""
+    logger.warning(
+        "published entry rejected",
+        extra={"entry": malformed.where, "reason": malformed.reason},
+    )
+
+
+def drop_lapsed_servers(copy: StoreCopy) -> None:
+    """Stop using servers that did not register again after an outage."""
+    for server_id in drop_lapsed(copy.serving.registry, copy.serving.now_ms()):
+        logger.info("backend server", extra={"server": server_id, "state": "gone"})
+        apply_server_changes(copy)
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -1,41 +1,23 @@
-"""Follow the platform's store with one long-polling watch for all published entries.
+"""Follow the platform's store with one long-polling watch for all published entries."""
 
-Only some instances watch (core/fleet/freshness.py). The others, and those that can't
-reach the store, copy from them. The copies are the store's own items, so both ways
-share one decoder.
-"""
-
-import base64
 import logging
-from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Final
 
-import orjson
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.catalog.server_registry import drop_lapsed, register, remove
-from bramleyturn.core.fleet.freshness import (
-    NETWORK_DELAY_MS,
-    age_ms,
-    note_confirmed,
-    should_watch,
-)
-from bramleyturn.core.fleet.members import newest_holder
-from bramleyturn.core.placement.choice import forget_loads
-from bramleyturn.core.placement.health import forget_servers
+from bramleyturn.core.fleet.freshness import should_watch
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.calls import CallFailed, Peer, WholeAnswer, call
 from bramleyturn.gateway.connection_pool import ConnectionPool, drop_idle
-from bramleyturn.gateway.metrics import count, gauge
-from bramleyturn.gateway.serving import (
-    Serving,
-    apply_configuration,
-    notify_servers_changed,
+from bramleyturn.gateway.metrics import count
+from bramleyturn.gateway.store_copy import (
+    StoreCopy,
+    copy_age_ms,
+    log_malformed,
+    take_changes,
+    take_whole,
 )
-from bramleyturn.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from bramleyturn.platform.errors import Malformed
-from bramleyturn.platform.servers import SERVERS_PREFIX, decode_server
 from bramleyturn.platform.store import (
     StoreItem,
     decode_changes,
@@ -54,36 +36,19 @@
 CALL_TIMEOUT_MS: Final = 600
 FIRST_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 800
-# How often an instance checks whether others know a newer revision. Changes within one
-# interval are copied together.
-RELAY_INTERVAL_MS: Final = 100
-RELAY_TIMEOUT_MS: Final = 500
-RELAY_TARGET: Final = "/v1/store-items"
-# If the store was not confirmed for this long, entries may have lapsed meanwhile.
-OUTAGE_THRESHOLD_MS: Final = 2_000
-# Servers register again within about two seconds after the store is back.
-REREGISTRATION_MS: Final = 2_500
 MAX_PAGES: Final = 200
 
 logger = logging.getLogger(__name__)
 
 
 class StoreReader:
-    """Hold the items read from the store, and the state of the connection to it."""
+    """Hold the connection to the store, and the copy that it keeps up to date."""
 
-    def __init__(self, serving: Serving) -> None:
-        self.serving = serving
-        self.pool = ConnectionPool(serving.reactor, serving.now_ms)
-        self.items: dict[str, StoreItem] = {}
-        self.has_list = False
-        self.returned_ms: int | None = None
+    def __init__(self, copy: StoreCopy) -> None:
+        self.copy = copy
+        self.serving = copy.serving
+        self.pool = ConnectionPool(self.serving.reactor, self.serving.now_ms)
         self.is_unreachable = False
-        self.on_new_revision: Callable[[], None] = lambda: None
-
-    @property
-    def revision(self) -> int:
-        """Return the revision of the store up to which changes are known."""
-        return self.serving.freshness.revision
 
     def store(self) -> Peer:
         """Return the name and address of the store."""
@@ -91,23 +56,18 @@
         return Peer("store", address.host, address.port)
 
 
-def store_age_ms(reader: StoreReader) -> int:
-    """Return how long ago the copy was last confirmed to be complete."""
-    return age_ms(reader.serving.freshness, reader.serving.now_ms())
-
-
 async def follow_store(reader: StoreReader) -> None:
     """Read all items once, then every change, for as long as the process runs."""
     serving = reader.serving
     backoff_ms = FIRST_BACKOFF_MS
     while True:
         now_ms = serving.now_ms()
-        if reader.has_list and not should_watch(
+        if reader.copy.is_complete and not should_watch(
             serving.freshness, serving.me, serving.live(), now_ms
         ):
             await deferLater(serving.reactor, WATCH_CHECK_INTERVAL_MS / MS_PER_S)
             continue
-        is_read = await (watch(reader) if reader.has_list else read_all(reader))
+        is_read = await (watch(reader) if reader.copy.is_complete else read_all(reader))
         if is_read:
             backoff_ms = FIRST_BACKOFF_MS
             continue
@@ -138,27 +98,20 @@
             break
         after = page.next_after
     revision = first_revision or 0
-    missing = [
-        StoreItem(key, None, revision)
-        for key, item in reader.items.items()
-        if item.value is not None and key not in found and item.revision <= revision
-    ]
-    apply_items(reader, [*found.values(), *missing])
-    note_revision(reader, revision)
-    reader.has_list = True
+    take_whole(reader.copy, found.values(), revision)
     logger.info("store read", extra={"revision": revision, "items": len(found)})
     return True
 
 
 async def watch(reader: StoreReader) -> bool:
     """Wait for changes; return whether the store answered as expected."""
-    target = watch_target("", reader.revision, WATCH_WAIT_MS)
+    target = watch_target("", reader.copy.revision, WATCH_WAIT_MS)
     answer = await ask_store(reader, target, WATCH_WAIT_MS + CALL_TIMEOUT_MS)
     if answer is None:
         return False
     if answer.status == STATUS_GONE:
-        logger.info("store history gone", extra={"revision": reader.revision})
-        reader.has_list = False
+        logger.info("store history gone", extra={"revision": reader.copy.revision})
+        reader.copy.is_complete = False
         return True
     if answer.status != STATUS_OK:
         return False
@@ -166,8 +119,7 @@
     if isinstance(changes, Malformed):
         log_malformed(changes)
         return False
-    apply_items(reader, changes.items)
-    note_revision(reader, changes.revision)
+    take_changes(reader.copy, changes.items, changes.revision)
     return True
 
 
@@ -184,10 +136,13 @@
         record_failure(reader, answer)
         return None if isinstance(answer, CallFailed) else answer
     if reader.is_unreachable:
-        reader.returned_ms = serving.now_ms()
+        reader.copy.returned_ms = serving.now_ms()
         logger.info(
             "store answers again",
-            extra={"away_ms": store_age_ms(reader), "revision": reader.revision},
+            extra={
+                "away_ms": copy_age_ms(reader.copy),
+                "revision": reader.copy.revision,
+            },
         )
     reader.is_unreachable = False
     return answer
@@ -204,202 +159,8 @@
     if not reader.is_unreachable:
         logger.warning(
             "store does not answer",
-            extra={"reason": reason, "age_ms": store_age_ms(reader)},
+            extra={"reason": reason, "age_ms": copy_age_ms(reader.copy)},
         )
     reader.is_unreachable = True
     if isinstance(answer, CallFailed):
         drop_idle(reader.pool, "store")
-
-
-def apply_items(reader: StoreReader, items: Any) -> None:
-    """Apply the items that are newer than the known ones."""
-    has_changed = False
-    for item in items:
-        known = reader.items.get(item.key)
-        if known is not None and item.revision <= known.revision:
-            continue
-        reader.items[item.key] = item
-        if item.key == CONFIGURATION_KEY:
-            apply_configuration_item(reader, item)
-        elif item.key.startswith(SERVERS_PREFIX):
-            has_changed = apply_server_item(reader, item) or has_changed
-    if has_changed:
-        apply_server_changes(reader)
-
-
-def apply_configuration_item(reader: StoreReader, item: StoreItem) -> None:
-    """Put a new configuration in force, unless it is malformed."""
-    if item.value is None:
-        logger.warning("configuration removed", extra={"revision": item.revision})
-        return
-    published = decode_configuration(item.value)
-    if isinstance(published, Malformed):
-        log_malformed(published)
-        return
-    apply_configuration(reader.serving, published, item.revision)
-
-
-def apply_server_item(reader: StoreReader, item: StoreItem) -> bool:
-    """Apply a server's entry or its removal; return whether anything changed."""
-    serving = reader.serving
-    server_id = item.key.removeprefix(SERVERS_PREFIX)
-    now_ms = serving.now_ms()
-    server = None if item.value is None else decode_server(item.key, item.value)
-    if isinstance(server, Malformed):
-        log_malformed(server)
-    if server is None or isinstance(server, Malformed):
-        returned_ms = reader.returned_ms
-        may_reregister = (
-            returned_ms is not None and now_ms - returned_ms < REREGISTRATION_MS
-        )
-        may_reregister = may_reregister and item.value is None
-        has_changed = remove(
-            serving.registry, server_id, item.revision, now_ms, may_reregister
-        )
-        state = "lapsed" if may_reregister else "gone"
-    else:
-        has_changed = register(serving.registry, server, item.revision)
-        state = "leaving" if server.is_leaving else "ready"
-    if has_changed:
-        logger.info(
-            "backend server",
-            extra={
-                "server": server_id,
-                "state": state,
-                "pool": server.pool if isinstance(server, BackendServer) else None,
-                "zone_of": server.zone if isinstance(server, BackendServer) else None,
-                "revision": item.revision,
-            },
-        )
-    return has_changed
-
-
-def apply_server_changes(reader: StoreReader) -> None:
-    """Drop the state of removed servers, and notify the subscribers."""
-    serving = reader.serving
-    known = frozenset(serving.registry.entries)
-    forget_servers(serving.health, known)
-    forget_loads(serving.loads, known)
-    for name in set(serving.servers_pool.idle) - known:
-        drop_idle(serving.servers_pool, name)
-    notify_servers_changed(serving)
-
-
-def note_revision(reader: StoreReader, revision: int, age_ms: int = 0) -> None:
-    """Record the revision known; announce a new one to other instances at once."""
-    serving = reader.serving
-    has_changed = revision > reader.revision
-    note_confirmed(serving.freshness, revision, serving.now_ms() - age_ms)
-    gauge(serving.metrics, "store_revision", reader.revision)
-    if has_changed:
-        reader.on_new_revision()
-
-
-def log_malformed(malformed: Malformed) -> None:
-    """Log that a published entry was rejected."""
-    logger.warning(
-        "published entry rejected",
-        extra={"entry": malformed.where, "reason": malformed.reason},
-    )
-
-
-def drop_lapsed_servers(reader: StoreReader) -> None:
-    """Stop using servers that did not register again after an outage."""
-    for server_id in drop_lapsed(reader.serving.registry, reader.serving.now_ms()):
-        logger.info("backend server", extra={"server": server_id, "state": "gone"})
-        apply_server_changes(reader)
-
-
-async def copy_from_peers(reader: StoreReader) -> None:
-    """Copy newer items from other instances, for as long as the process runs."""
-    serving = reader.serving
-    while True:
-        await deferLater(serving.reactor, RELAY_INTERVAL_MS / MS_PER_S)
-        drop_lapsed_servers(reader)
-        holder = newest_holder(
-            serving.members, reader.revision, serving.random, serving.now_ms()
-        )
-        if holder is not None:
-            await fetch_from_peer(reader, holder.name, holder.address)
-
-
-async def fetch_from_peer(reader: StoreReader, name: str, address: str) -> None:
-    """Copy the items that changed after the known revision from one instance."""
-    serving = reader.serving
-    host = address.partition(":")[0]
-    peer = Peer(name, host, serving.settings.control.port)
-    target = f"{RELAY_TARGET}?after={reader.revision}"
-    answer = await call(
-        serving.peers_pool, peer, b"GET", target, [], b"", RELAY_TIMEOUT_MS
-    )
-    if isinstance(answer, CallFailed) or answer.status != STATUS_OK:
-        return
-    relayed = decode_relayed(answer.body)
-    if relayed is None:
-        logger.warning("relayed items rejected", extra={"peer": name})
-        return
-    before = reader.revision
-    if store_age_ms(reader) > OUTAGE_THRESHOLD_MS:
-        # Another instance reached the store again first.
-        reader.returned_ms = serving.now_ms()
-    apply_items(reader, relayed.items)
-    # The watch continues from this revision: the items cover all changes up to it.
-    note_revision(reader, relayed.revision, relayed.age_ms + NETWORK_DELAY_MS)
-    reader.has_list = True
-    logger.info(
-        "store items taken over",
-        extra={
-            "peer": name,
-            "revision_before": before,
-            "revision": relayed.revision,
-            "age_ms": relayed.age_ms,
-        },
-    )
-
-
-def relay_document(reader: StoreReader, after: int) -> bytes:
-    """Encode the items that changed after a revision, for another instance."""
-    items = [
-        [
-            item.key,
-            None if item.value is None else base64.b64encode(item.value).decode(),
-            item.revision,
-        ]
-        for item in reader.items.values()
-        if item.revision > after
-    ]
-    document = {
-        "revision": reader.revision,
-        "age_ms": store_age_ms(reader),
-        "items": items,
-    }
-    return orjson.dumps(document)
-
-
-class RelayedItems(NamedTuple):
-    """Hold copied items, the revision they reach and the age of that revision."""
-
-    items: list[StoreItem]
-    revision: int
-    age_ms: int
-
-
-def decode_relayed(body: bytes) -> RelayedItems | None:
-    """Decode items copied from an instance; return None if malformed."""
-    try:
-        document = orjson.loads(body)
-        revision = document["revision"]
-        age = document["age_ms"]
-        items = [
-            StoreItem(
-                str(key),
-                None if value is None else base64.b64decode(value, validate=True),
-                int(item_revision),
-            )
-            for key, value, item_revision in document["items"]
-        ]
-    except (ValueError, TypeError, KeyError):
-        return None
-    if not isinstance(revision, int) or not isinstance(age, int) or age < 0:
-        return None
-    return RelayedItems(items, revision, age)
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -22,7 +22,7 @@
     encode_hints,
 )
 from bramleyturn.gateway.stage_messages import decode_ask, encode_ask
-from bramleyturn.gateway.store_reader import decode_relayed
+from bramleyturn.gateway.store_relay import decode_relayed
 from tests.core.pieces.test_handover import ask
 
 HEARTBEAT: list[Any] = ["front-1", "north", "10.0.0.1:7740", "7-ab", 215, 9, 41, 0]
