--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -71,10 +71,14 @@
 
 
 class Pool(NamedTuple):
-    """Hold a set of identical backend servers; ``batch`` is set for stage pools."""
+    """Hold a set of identical backend servers; ``batch`` is set for stage pools.
+
+    ``status_target`` is the target at which a server tells its status, None if unknown.
+    """
 
     name: str
     batch: BatchLimits | None
+    status_target: str | None
 
 
 class CallerLimits(NamedTuple):
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -127,6 +127,22 @@
     connection = await connect(pool, peer)
     if isinstance(connection, CallFailed):
         return connection
+    return await call_on(
+        connection, pool, peer, method, target, headers, body, timeout_ms
+    )
+
+
+async def call_on(
+    connection: ServerConnection,
+    pool: ConnectionPool,
+    peer: Peer,
+    method: bytes,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    timeout_ms: int,
+) -> WholeAnswer | CallFailed:
+    """Send one request on a connection, as ``call`` does."""
     ended: Deferred[WholeAnswer | CallFailed] = Deferred(lambda _: connection.drop())
     listener = WholeAnswerListener(ended)
     host = (b"Host", f"{peer.host}:{peer.port}".encode())
--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -71,7 +71,7 @@
     endpoint = TCP4ClientEndpoint(pool.reactor, host, port, CONNECT_TIMEOUT_S)
     factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle))
     connection: ServerConnection = await endpoint.connect(factory)
-    connection.on_lost = remove_idle
+    connection.on_lost.append(remove_idle)
     pool.opened += 1
     return connection
 
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -1,8 +1,8 @@
 """Detect crashes of backend servers, and share them with the other instances.
 
 A broken connection alone proves nothing: the server may have reset it, or the network.
-It counts as a crash if the server then accepts no connection, or its registration shows
-that it ended.
+It counts as a crash if the server then accepts no connection, if another server has
+its address, or if its registration shows that it ended.
 """
 
 import logging
@@ -10,11 +10,6 @@
 from typing import Final
 
 from twisted.internet.defer import Deferred
-from twisted.internet.error import (
-    ConnectError,
-    ConnectionRefusedError,
-    TimeoutError,
-)
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.catalog.model import BackendServer
@@ -28,9 +23,14 @@
 )
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
-from bramleyturn.gateway.connection_pool import open_connection
-from bramleyturn.gateway.http1_client import FailureReason
-from bramleyturn.gateway.metrics import count, gauge
+from bramleyturn.gateway.http1_client import FailureReason, ServerConnection
+from bramleyturn.gateway.metrics import count, gauge, observe
+from bramleyturn.gateway.server_check import (
+    ServerState,
+    check_server,
+    connect_to,
+    stays_open,
+)
 from bramleyturn.gateway.serving import Serving
 
 # Reasons that a crash of the server may explain.
@@ -39,8 +39,8 @@
 )
 # Servers register every 1.2 s and are removed after three misses.
 EXPIRY_MS: Final = 5_000
-# Attempts to connect to a server that seems to run but does not respond.
-RUNNING_CHECK_TRIES: Final = 3
+# States of a server whose run has ended.
+ENDED: Final = frozenset({ServerState.REFUSED, ServerState.REPLACED})
 MAX_LOGGED_FINGERPRINTS: Final = 8
 
 logger = logging.getLogger(__name__)
@@ -88,9 +88,9 @@
     ) -> "Deferred[bool]":
         """Check a server that closed a connection at what may be an answer's end.
 
-        The result is whether it accepts connections. One that refuses them without
-        having announced that it leaves has crashed; one that can't be reached may be
-        cut off only.
+        The result is whether it still runs. One that does not, without having
+        announced that it leaves, has crashed; one that can't be reached may be cut off
+        only.
         """
         checked: Deferred[bool] = Deferred()
         work = self._check_running(server, frozenset(fingerprints), checked)
@@ -125,10 +125,11 @@
         A silent server that can't be reached may be cut off only, and one that can be
         may have started again.
         """
+        pool = self.serving.servers_pool
         at_ms = self.serving.now_ms()
-        failure = await self._connect_failure(server)
-        has_ended = failure is not None and (
-            is_broken or isinstance(failure, ConnectionRefusedError)
+        connection = await connect_to(pool, server)
+        has_ended = connection is ServerState.REFUSED or (
+            is_broken and connection is ServerState.UNREACHABLE
         )
         if has_ended:
             self._record(server, fingerprints, at_ms)
@@ -136,27 +137,52 @@
             checked.callback(None)
         if has_ended:
             return
+        if await self._has_closed_port(connection, server):
+            self._record(server, fingerprints, at_ms)
+            return
         await deferLater(self.serving.reactor, EXPIRY_MS / MS_PER_S)
         if not self._is_registered(server):
             self._record(server, fingerprints, at_ms)
 
+    async def _has_closed_port(
+        self, connection: ServerConnection | ServerState, server: BackendServer
+    ) -> bool:
+        """Return whether a server that accepted a connection refuses them soon after.
+
+        A process that ends may close its listening socket last.
+        """
+        pool = self.serving.servers_pool
+        if not isinstance(connection, ServerConnection):
+            return False
+        if await stays_open(pool, connection):
+            return False
+        again = await connect_to(pool, server)
+        if isinstance(again, ServerConnection):
+            again.on_idle(again)
+        return again is ServerState.REFUSED
+
     async def _check_running(
         self,
         server: BackendServer,
         fingerprints: frozenset[str],
         checked: "Deferred[bool]",
     ) -> None:
-        at_ms = self.serving.now_ms()
-        failure = await self._connect_failure(server)
-        tries = 1
-        # A lost SYN packet shows as a timeout too.
-        while isinstance(failure, TimeoutError) and tries < RUNNING_CHECK_TRIES:
-            failure = await self._connect_failure(server)
-            tries += 1
-        if isinstance(failure, ConnectionRefusedError) and self._is_expected(server):
+        serving = self.serving
+        at_ms = serving.now_ms()
+        published = serving.published
+        pool = published.pools.get(server.pool) if published is not None else None
+        target = pool.status_target if pool is not None else None
+        state = await check_server(serving.servers_pool, server, target)
+        took_ms = serving.now_ms() - at_ms
+        observe(serving.metrics, "server_check", took_ms, f"{server.pool} {state}")
+        logger.info(
+            "server checked",
+            extra={"server": server.id, "state": state, "took_ms": took_ms},
+        )
+        if state in ENDED and self._is_expected(server):
             self._record(server, fingerprints, at_ms)
         if not checked.called:
-            checked.callback(failure is None)
+            checked.callback(state is ServerState.RUNNING)
 
     def _is_expected(self, server: BackendServer) -> bool:
         """Return whether a server is registered and has not announced its end."""
@@ -167,18 +193,6 @@
         entry = self.serving.registry.entries.get(server.id)
         return entry is not None and entry.server.started_ms == server.started_ms
 
-    async def _connect_failure(self, server: BackendServer) -> ConnectError | None:
-        """Return why a connection to a server can't be opened, None if it can."""
-        pool = self.serving.servers_pool
-        try:
-            connection = await open_connection(
-                pool, server.id, server.host, server.port
-            )
-        except ConnectError as error:
-            return error
-        connection.on_idle(connection)
-        return None
-
     def _record(
         self, server: BackendServer, fingerprints: frozenset[str], at_ms: int
     ) -> None:
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -56,7 +56,7 @@
 
     def __init__(self, on_idle: Callable[["ServerConnection"], None]) -> None:
         self.on_idle = on_idle
-        self.on_lost: Callable[[ServerConnection], None] | None = None
+        self.on_lost: list[Callable[[ServerConnection], None]] = []
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.listener: AnswerListener | None = None
         self.method = b""
@@ -115,8 +115,8 @@
         """End an answer without a length, or report that the answer failed."""
         is_clean = reason.check(ConnectionDone) is not None
         self.ended = ConnectionEnd.CLOSED if is_clean else ConnectionEnd.RESET
-        if self.on_lost is not None:
-            self.on_lost(self)
+        for notify in list(self.on_lost):
+            notify(self)
         if self.listener is None:
             return
         if not is_clean:
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -26,6 +26,7 @@
     read_object,
     text_field,
 )
+from bramleyturn.platform.server_status import status_target
 
 CONFIGURATION_KEY: Final = "op/config"
 ROUTE_KINDS: Final = {
@@ -146,6 +147,7 @@
     return Pool(
         name=name,
         batch=_decode_batch(pieces) if isinstance(pieces, dict) else None,
+        status_target=status_target(document),
     )
 
 
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -16,6 +16,7 @@
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
+HEALTH_TARGET: Final = b"/health"
 NOT_RUN_HEADER: Final = (b"Bramleyturn-Not-Executed", b"1")
 # A request with this in its target, body or piece key crashes the server that runs it.
 CRASH_MARKER: Final = b"crash"
@@ -75,6 +76,9 @@
     def handle(exchange: Exchange) -> None:
         if _refused(server, exchange):
             return
+        if exchange.target == HEALTH_TARGET:
+            exchange.answer(200, [_identity(server)], b"")
+            return
         attempt_id = _record_run(server, exchange)
         if _crashes(server, exchange.target + exchange.body, attempt_id):
             return
@@ -235,8 +239,7 @@
 def _refused(server: SiteServer, exchange: Exchange) -> bool:
     expected = exchange.header(b"bramleyturn-expected-instance")
     if expected and expected != server.id:
-        identity = (b"Bramleyturn-Instance-Id", server.id.encode())
-        exchange.answer(STATUS_MISDIRECTED, [identity], b"")
+        exchange.answer(STATUS_MISDIRECTED, [_identity(server)], b"")
         return True
     if server.fault == "shed":
         exchange.answer(503, [NOT_RUN_HEADER], b"")
@@ -282,6 +285,10 @@
     _answer(server, exchange, 500 if server.fault == "error" else 200, headers, body)
 
 
+def _identity(server: SiteServer) -> tuple[bytes, bytes]:
+    return (b"Bramleyturn-Instance-Id", server.id.encode())
+
+
 def _answer_headers(server: SiteServer, attempt_id: str) -> Headers:
     load = f"{server.running},0,6".encode()
     return [
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -49,7 +49,7 @@
 
     A server that crashed starts again after ``restart_ms``, with the id that it had if
     ``keeps_ids``. If ``loses_resets``, its connections stay open and silent, as if the
-    network had lost the resets.
+    network had lost the resets. Its port accepts connections for another ``linger_ms``.
     """
 
     def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
@@ -61,6 +61,7 @@
         self.restart_ms = DEFAULT_RESTART_MS
         self.keeps_ids = False
         self.loses_resets = False
+        self.linger_ms = 0
 
 
 def start_site(
@@ -100,14 +101,24 @@
     def crash() -> None:
         server.crash = lambda: None
         server.state = ""
-        port.stopListening()
         http.handle = lambda exchange: None
+        reset_connections()
+        if site.linger_ms:
+            site.reactor.callLater(site.linger_ms / MS_PER_S, close_port)
+        else:
+            close_port()
+
+    def close_port() -> None:
+        port.stopListening()
+        reset_connections()
+        site.reactor.callLater(site.restart_ms / MS_PER_S, restart)
+
+    def reset_connections() -> None:
         for connection in list(http.connections):
             transport: Any = connection.transport
             # The answer that the crash broke off is closed by its own end.
             if not site.loses_resets and not transport.disconnecting:
                 connection.abort()
-        site.reactor.callLater(site.restart_ms / MS_PER_S, restart)
 
     def restart() -> None:
         server.running = 0
@@ -255,6 +266,7 @@
             site.restart_ms = body.get("restart_ms", DEFAULT_RESTART_MS)
             site.keeps_ids = body.get("keeps_ids", False)
             site.loses_resets = body.get("loses_resets", False)
+            site.linger_ms = body.get("linger_ms", 0)
         elif target == "/leave":
             register(site, site.servers[body["server"]], state="draining")
         elif target == "/remove":
@@ -308,6 +320,7 @@
         "store_reads": site.store.reads,
         "servers": {
             server.name: {
+                "state": server.state,
                 "crashed_by": server.crashed_by,
                 "ran": [vars(ran) for ran in server.ran],
                 "made": server.made,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -131,6 +131,25 @@
         assert published.workspaces[0].keys == {"k"}
         assert published.limits.max_body_bytes == 200
 
+    @pytest.mark.parametrize(
+        ("service", "target"),
+        [
+            ({"engine": {}, "healthPath": "/health"}, "/bramleyturn/report"),
+            ({"pieces": {}, "healthPath": "/health"}, "/bramleyturn/report"),
+            ({"healthPath": "/health"}, "/health"),
+            ({"healthPath": "/a b"}, None),
+            ({"healthPath": 3}, None),
+            ({}, None),
+        ],
+    )
+    def test_target_of_the_status(
+        self, service: dict[str, Any], target: str | None
+    ) -> None:
+        services = [{"name": "desk"} | service]
+        published = decode_configuration(configuration(services=services))
+        assert isinstance(published, PublishedConfiguration)
+        assert published.pools["desk"].status_target == target
+
     def test_traffic_split_by_weight(self) -> None:
         split = [{"service": "a", "weight": 9}, {"service": "b", "weight": 1}]
         document = route(trafficSplit=split)
--- a/tests/site/test_answers_broken_off.py
+++ b/tests/site/test_answers_broken_off.py
@@ -1,7 +1,6 @@
 """Test that an answer that was broken off reaches no caller as complete."""
 
 import itertools
-import socket
 from collections.abc import Iterator, Mapping
 from functools import partial
 
@@ -18,6 +17,9 @@
 ENDINGS = ("closed", "reset", "crashed")
 # Enough streams for one to begin at the engine that breaks it off.
 STARTS = 12
+RESTARTS: Mapping[str, object] = {"restart_ms": 300, "keeps_ids": True}
+# Time for which a server that ends may still accept connections.
+LINGER_MS = 150
 CRASHES = "server_crashes_total"
 JSON = {"content_type": "application/json"}
 
@@ -29,7 +31,7 @@
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[SiteFleet]:
     """Run one site for the module."""
     with running_fleet(tmp_path_factory.mktemp("site"), entries=1) as running:
-        running.send_control("/restarts", restart_ms=300, keeps_ids=True)
+        running.send_control("/restarts", **RESTARTS)
         yield running
 
 
@@ -39,20 +41,15 @@
     yield fleet
     for server in SERVERS:
         fleet.send_control("/fault", server=server, fault="")
-    wait_until(partial(all_listen, fleet), "servers that crashed are back")
+    wait_until(partial(all_run, fleet), "servers that crashed are back")
     wait_until(lambda: order(fleet).status == 200, "orders are served")
     wait_until(lambda: draft(fleet).status == 200, "drafts are served")
 
 
-def all_listen(fleet: SiteFleet) -> bool:
-    """Return whether every server accepts connections."""
-    for server in SERVERS:
-        host, _, port = fleet.site.addresses[server].partition(":")
-        try:
-            socket.create_connection((host, int(port))).close()
-        except ConnectionRefusedError:
-            return False
-    return True
+def all_run(fleet: SiteFleet) -> bool:
+    """Return whether every server that crashed has started again."""
+    servers = fleet.send_control("/ledger")["servers"]
+    return all(servers[server]["state"] == "ready" for server in SERVERS)
 
 
 def set_shape(
@@ -84,6 +81,13 @@
     return site.call("/order/1", method="POST", body=unlike_others())
 
 
+def crashes(site: SiteFleet) -> int:
+    """Return how many crashes the entry knows of."""
+    page = site.get(0, "metrics", "/metrics")[1].decode()
+    lines = [each for each in page.splitlines() if CRASHES in each]
+    return int(sum(float(each.split()[-1]) for each in lines))
+
+
 def assert_whole_events(answer: Answer) -> None:
     """Check that a stream has whole events only, and none twice."""
     *events, rest = answer.body.split(b"\n\n")
@@ -105,6 +109,21 @@
         assert_whole_events(answer)
 
 
+def assert_crash_of_stage_server_is_known(site: SiteFleet) -> None:
+    """Check that a crash within an unframed answer is known, and its piece made again.
+
+    The entry chooses the server, so that each is the one that crashes in turn.
+    """
+    before = crashes(site)
+    shape = {"framing": "close", "break_point": "inside", "ending": "crashed"}
+    for place in (0, 1):
+        set_shape(site, "books", shape, (place,))
+        assert_whole_stream(draft(site))
+        site.send_control("/fault", server=f"i-books-{place}", fault="")
+        wait_until(partial(all_run, site), "the server is back")
+    wait_until(lambda: crashes(site) > before, "a crash is known")
+
+
 class TestStreams:
     """A stream ends before its last event."""
 
@@ -263,15 +282,39 @@
     def test_crash_within_an_unframed_answer_is_known_as_a_crash(
         self, site: SiteFleet
     ) -> None:
-        def crashes() -> int:
-            page = site.get(0, "metrics", "/metrics")[1].decode()
-            lines = [each for each in page.splitlines() if CRASHES in each]
-            return int(sum(float(each.split()[-1]) for each in lines))
+        assert_crash_of_stage_server_is_known(site)
+
+
+class TestLingeringPort:
+    """A server crashes whose port still accepts connections for some time."""
+
+    @pytest.fixture(autouse=True)
+    def _linger(self, site: SiteFleet) -> Iterator[None]:
+        site.send_control("/restarts", linger_ms=LINGER_MS, **RESTARTS)
+        yield
+        site.send_control("/restarts", **RESTARTS)
+
+    def test_close_between_events_is_no_end_of_a_stream(self, site: SiteFleet) -> None:
+        shape = {"framing": "close", "break_point": "between", "ending": "crashed"}
+        set_shape(site, "drafts", shape)
+        assert_not_complete(note(site))
+
+    @pytest.mark.parametrize("place", [0, 1])
+    def test_stream_goes_on_at_another_engine(
+        self, site: SiteFleet, place: int
+    ) -> None:
+        shape = {"framing": "close", "break_point": "between", "ending": "crashed"}
+        set_shape(site, "drafts", shape, (place,))
+        set_shape(site, "drafts", {"framing": "chunked"}, (1 - place,))
+        assert_whole_stream(draft(site))
 
-        before = crashes()
+    def test_close_is_no_end_of_an_answer(self, site: SiteFleet) -> None:
         shape = {"framing": "close", "break_point": "inside", "ending": "crashed"}
-        set_shape(site, "books", shape, (0,))
-        wait_until(lambda: draft(site).status == 200 and crashes() > before, "a crash")
+        set_shape(site, "members", shape)
+        assert order(site).status == 502
+
+    def test_crash_within_an_answer_is_known_as_a_crash(self, site: SiteFleet) -> None:
+        assert_crash_of_stage_server_is_known(site)
 
 
 class TestSoundAnswers:
