--- a/src/bramleyturn/core/catalog/server_registry.py
+++ b/src/bramleyturn/core/catalog/server_registry.py
@@ -2,26 +2,36 @@
 
 A leaving server gets no new work as soon as this is known. An entry that expired while
 the store was unavailable may be registered again soon after the store's return, so its
-server is used a little longer.
+server is used a little longer. An entry of a server that has left may be back after the
+store came back from an older copy; it is not used before it is confirmed.
 """
 
 from typing import Final, NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.fleet.store_revision import StoreRevision
 
 # Live servers register again within about two seconds of the store's return.
 LAPSE_GRACE_MS: Final = 2_200
+# By then the store has removed the entries of servers that no longer write them.
+CONFIRM_MS: Final = 5_000
+
+
+# Lower than that of every entry.
+NO_REVISION: Final = StoreRevision(-1, -1)
 
 
 class RegistryEntry(NamedTuple):
     """Hold a registered server as of ``revision`` of the store.
 
-    ``usable_until_ms`` is set for a server whose entry has lapsed, None for others.
+    ``usable_until_ms`` is set for a server whose entry has lapsed, and
+    ``usable_from_ms`` for one that may have left already, None for others.
     """
 
     server: BackendServer
-    revision: int
-    usable_until_ms: int | None
+    revision: StoreRevision
+    usable_until_ms: int | None = None
+    usable_from_ms: int | None = None
 
 
 class ServerRegistry:
@@ -29,24 +39,66 @@
 
     def __init__(self) -> None:
         self.entries: dict[str, RegistryEntry] = {}
-        self.removed: dict[str, int] = {}
+        self.removed: dict[str, StoreRevision] = {}
 
 
-def register(registry: ServerRegistry, server: BackendServer, revision: int) -> bool:
+def register(
+    registry: ServerRegistry, server: BackendServer, revision: StoreRevision
+) -> bool:
     """Add or update a server's entry; return whether the server is new or changed."""
     known = registry.entries.get(server.id)
-    known_revision = known.revision if known else registry.removed.get(server.id, -1)
-    if revision <= known_revision:
+    if revision <= known_revision(registry, server.id):
+        return False
+    return _replace(registry, known, RegistryEntry(server, revision))
+
+
+def register_from_copy(
+    registry: ServerRegistry,
+    server: BackendServer,
+    revision: StoreRevision,
+    now_ms: int,
+) -> bool:
+    """Add an entry that the store has after its return from an older copy.
+
+    What is known of the server's run and the copy can't know goes before it: that it is
+    leaving, that a later run has begun, or that it has left. Return whether the server
+    is new or changed.
+    """
+    known = registry.entries.get(server.id)
+    if revision <= known_revision(registry, server.id):
         return False
-    registry.removed.pop(server.id, None)
-    registry.entries[server.id] = RegistryEntry(server, revision, None)
-    return known is None or known.server != server or known.usable_until_ms is not None
+    if known is None or known.usable_from_ms is not None:
+        entry = RegistryEntry(server, revision, usable_from_ms=now_ms + CONFIRM_MS)
+    elif server.started_ms < known.server.started_ms:
+        until_ms = now_ms + LAPSE_GRACE_MS
+        entry = RegistryEntry(known.server, revision, usable_until_ms=until_ms)
+    elif server.started_ms == known.server.started_ms and known.server.is_leaving:
+        entry = RegistryEntry(server._replace(is_leaving=True), revision)
+    else:
+        entry = RegistryEntry(server, revision)
+    return _replace(registry, known, entry)
+
+
+def known_revision(registry: ServerRegistry, server_id: str) -> StoreRevision:
+    """Return the revision up to which a server's entry is known."""
+    known = registry.entries.get(server_id)
+    if known is not None:
+        return known.revision
+    return registry.removed.get(server_id, NO_REVISION)
+
+
+def _replace(
+    registry: ServerRegistry, known: RegistryEntry | None, entry: RegistryEntry
+) -> bool:
+    registry.removed.pop(entry.server.id, None)
+    registry.entries[entry.server.id] = entry
+    return known is None or known[0] != entry[0] or known[2:] != entry[2:]
 
 
 def remove(
     registry: ServerRegistry,
     server_id: str,
-    revision: int,
+    revision: StoreRevision,
     now_ms: int,
     may_return: bool,
 ) -> bool:
@@ -57,13 +109,14 @@
     """
     known = registry.entries.get(server_id)
     if known is None:
-        registry.removed[server_id] = max(revision, registry.removed.get(server_id, -1))
+        registry.removed[server_id] = max(revision, known_revision(registry, server_id))
         return False
     if revision <= known.revision:
         return False
-    if may_return and not known.server.is_leaving:
+    if may_return and not known.server.is_leaving and known.usable_from_ms is None:
         until_ms = now_ms + LAPSE_GRACE_MS
-        registry.entries[server_id] = RegistryEntry(known.server, revision, until_ms)
+        lapsed = RegistryEntry(known.server, revision, usable_until_ms=until_ms)
+        registry.entries[server_id] = lapsed
         return True
     del registry.entries[server_id]
     registry.removed[server_id] = revision
@@ -82,6 +135,22 @@
     return dropped
 
 
+def confirm_entries(registry: ServerRegistry, fresh_ms: int) -> list[str]:
+    """Confirm the entries that the store has kept long enough; return their ids.
+
+    ``fresh_ms`` is when the registry was last known to agree with the store.
+    """
+    confirmed = [
+        server_id
+        for server_id, entry in registry.entries.items()
+        if entry.usable_from_ms is not None and entry.usable_from_ms <= fresh_ms
+    ]
+    for server_id in confirmed:
+        entry = registry.entries[server_id]
+        registry.entries[server_id] = entry._replace(usable_from_ms=None)
+    return confirmed
+
+
 def ready_servers(
     registry: ServerRegistry, pool: str, now_ms: int
 ) -> list[BackendServer]:
@@ -89,15 +158,17 @@
     return [
         entry.server
         for entry in registry.entries.values()
-        if entry.server.pool == pool
-        and not entry.server.is_leaving
-        and (entry.usable_until_ms is None or entry.usable_until_ms > now_ms)
+        if entry.server.pool == pool and _accepts_work(entry, now_ms)
     ]
 
 
 def is_ready(registry: ServerRegistry, server_id: str, now_ms: int) -> bool:
     """Return whether a server accepts new work."""
     entry = registry.entries.get(server_id)
-    if entry is None or entry.server.is_leaving:
+    return entry is not None and _accepts_work(entry, now_ms)
+
+
+def _accepts_work(entry: RegistryEntry, now_ms: int) -> bool:
+    if entry.server.is_leaving or entry.usable_from_ms is not None:
         return False
     return entry.usable_until_ms is None or entry.usable_until_ms > now_ms
--- a/src/bramleyturn/core/fleet/freshness.py
+++ b/src/bramleyturn/core/fleet/freshness.py
@@ -12,6 +12,11 @@
 
 from bramleyturn.core.fleet.members import MemberRef
 from bramleyturn.core.fleet.owners import owner_order
+from bramleyturn.core.fleet.store_revision import (
+    FIRST_REVISION,
+    UNKNOWN_ERA,
+    StoreRevision,
+)
 
 STORE: Final = "store"
 # Others only have to take over once two instances of a zone are lost or cut off.
@@ -24,15 +29,33 @@
 
 
 class Freshness:
-    """Hold when ``revision`` was last known to be the newest of the store."""
+    """Hold when ``revision`` was last known to be the newest of the store.
+
+    ``first_era`` is the era of the first revision known, None before.
+    """
 
     def __init__(self, now_ms: int) -> None:
-        self.revision = 0
+        self.revision = FIRST_REVISION
+        self.first_era: int | None = None
         self.confirmed_ms = now_ms - STALE_MS
 
 
-def note_confirmed(freshness: Freshness, revision: int, at_ms: int) -> None:
+def full_revision(freshness: Freshness, era: int, number: int) -> StoreRevision:
+    """Return the revision that another instance told.
+
+    Instances of earlier builds know no eras. Theirs is the own one as long as the store
+    has not returned from an older copy since this process started.
+    """
+    own_era = freshness.revision.era
+    if era == UNKNOWN_ERA and freshness.first_era in (None, own_era):
+        era = own_era
+    return StoreRevision(era, number)
+
+
+def note_confirmed(freshness: Freshness, revision: StoreRevision, at_ms: int) -> None:
     """Record that ``revision`` was the newest of the store at ``at_ms``."""
+    if freshness.first_era is None:
+        freshness.first_era = revision.era
     if revision > freshness.revision:
         freshness.revision = revision
         freshness.confirmed_ms = at_ms
@@ -41,7 +64,7 @@
 
 
 def note_peer_confirmation(
-    freshness: Freshness, revision: int, peer_age_ms: int, now_ms: int
+    freshness: Freshness, revision: StoreRevision, peer_age_ms: int, now_ms: int
 ) -> None:
     """Record another instance's confirmation of its copy, ``peer_age_ms`` old.
 
@@ -61,8 +84,11 @@
     freshness: Freshness, me: MemberRef, live: Iterable[MemberRef], now_ms: int
 ) -> bool:
     """Return whether this instance should watch the store itself."""
-    if age_ms(freshness, now_ms) > STALE_MS:
-        return True
+    return age_ms(freshness, now_ms) > STALE_MS or is_watcher(me, live)
+
+
+def is_watcher(me: MemberRef, live: Iterable[MemberRef]) -> bool:
+    """Return whether this instance watches the store for others of its zone."""
     own_zone = [member for member in live if member.zone == me.zone]
     watchers = owner_order(STORE, own_zone)[:WATCHERS_PER_ZONE]
     return any(member.name == me.name for member in watchers)
--- a/src/bramleyturn/core/fleet/members.py
+++ b/src/bramleyturn/core/fleet/members.py
@@ -10,6 +10,8 @@
 from random import Random
 from typing import Final, NamedTuple
 
+from bramleyturn.core.fleet.store_revision import StoreRevision
+
 # Two and a half times the longest interval between two heartbeats of an instance.
 HEARTBEAT_TIMEOUT_MS: Final = 1_250
 FORGET_AFTER_MS: Final = 60_000
@@ -44,20 +46,22 @@
 
     member: MemberRef
     beats: int
-    revision: int
+    revision: StoreRevision
     is_ending: bool
 
 
 class MemberState:
     """Hold the newest heartbeat of an instance and when it was received.
 
-    ``suspected_at_beats`` is the count at which the instance was suspected.
+    ``suspected_at_beats`` is the count at which the instance was suspected, and
+    ``configuration_version`` what it last said to have in force.
     """
 
     def __init__(self, heartbeat: Heartbeat, now_ms: int) -> None:
         self.heartbeat = heartbeat
         self.heard_ms = now_ms
         self.suspected_at_beats = -1
+        self.configuration_version = 0
 
 
 class Members:
@@ -150,7 +154,7 @@
 
 
 def next_heartbeat(
-    members: Members, revision: int, random: Random, now_ms: int
+    members: Members, revision: StoreRevision, random: Random, now_ms: int
 ) -> tuple[list[Heartbeat], list[str]]:
     """Count an own heartbeat; return the heartbeats to send and their targets."""
     paused_ms = now_ms - members.last_heartbeat_ms - HEARTBEAT_INTERVAL_MS
@@ -178,7 +182,7 @@
 
 
 def newest_holder(
-    members: Members, revision: int, random: Random, now_ms: int
+    members: Members, revision: StoreRevision, random: Random, now_ms: int
 ) -> MemberRef | None:
     """Return a live instance that has the newest revision of the store.
 
@@ -198,6 +202,21 @@
     return random.choice(near or holders)
 
 
+def newer_configuration_holder(
+    members: Members, version: int, random: Random, now_ms: int
+) -> MemberRef | None:
+    """Return a live instance that has a newer configuration than ``version``.
+
+    The store itself may have an older one, after it came back from a copy.
+    """
+    holders = [
+        state.heartbeat.member
+        for name, state in members.others.items()
+        if state.configuration_version > version and is_live(members, name, now_ms)
+    ]
+    return random.choice(holders) if holders else None
+
+
 def _addresses_to_find(members: Members, random: Random, now_ms: int) -> list[str]:
     """Return the addresses of a seed and a silent instance to try again.
 
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -93,11 +93,14 @@
             self.receive(sender, message)
 
     def _relay(self, exchange: Exchange, query: str) -> None:
-        after = parse_qs(query).get("after", ["0"])[0]
-        if not after.isdigit():
+        fields = {name: values[0] for name, values in parse_qs(query).items()}
+        after, era = fields.get("after", "0"), fields.get("era")
+        if not after.isdigit() or not (era is None or era.isdigit()):
             exchange.answer(STATUS_BAD_REQUEST, [], b"")
             return
-        document = relay_document(self.copy, int(after))
+        document = relay_document(
+            self.copy, int(after), None if era is None else int(era)
+        )
         exchange.answer(200, [(b"Content-Type", b"application/json")], document)
 
 
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -11,7 +11,11 @@
 import orjson
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleyturn.core.fleet.freshness import age_ms, note_peer_confirmation
+from bramleyturn.core.fleet.freshness import (
+    age_ms,
+    full_revision,
+    note_peer_confirmation,
+)
 from bramleyturn.core.fleet.members import (
     HEARTBEAT_INTERVAL_MS,
     Heartbeat,
@@ -21,6 +25,7 @@
     next_heartbeat,
     silent_zones,
 )
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
 from bramleyturn.core.poison import MAX_HINTS, CrashHint, choose_hints
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.crash_watch import CrashWatch
@@ -77,6 +82,10 @@
         document = {
             "store_age_ms": age_ms(serving.freshness, now_ms),
             "heartbeats": [_encode(heartbeat) for heartbeat in heartbeats],
+            "eras": [heartbeat.revision.era for heartbeat in heartbeats],
+            "configuration_version": (
+                serving.published.version if serving.published is not None else 0
+            ),
             "crashes": encode_hints(
                 choose_hints(
                     serving.suspects, serving.random, MAX_SENT_FINGERPRINTS, now_ms
@@ -96,13 +105,20 @@
             count(self.serving.metrics, "heartbeats_malformed")
             return
         now_ms = self.serving.now_ms()
-        merge_heartbeats(self.serving.members, message.heartbeats, now_ms)
-        sender = message.heartbeats[0]
+        members = self.serving.members
+        freshness = self.serving.freshness
+        heartbeats = [
+            each._replace(revision=full_revision(freshness, *each.revision))
+            for each in message.heartbeats
+        ]
+        merge_heartbeats(members, heartbeats, now_ms)
+        sender = heartbeats[0]
+        state = members.others.get(sender.member.name)
+        if state is not None:
+            state.configuration_version = message.configuration_version
         if message.crashes:
             self.crashes.merge(sender.member.name, message.crashes)
-        note_peer_confirmation(
-            self.serving.freshness, sender.revision, message.store_age_ms, now_ms
-        )
+        note_peer_confirmation(freshness, sender.revision, message.store_age_ms, now_ms)
 
     def _log_live_changes(self, now_ms: int) -> None:
         members = self.serving.members
@@ -140,12 +156,14 @@
     """Hold the contents of a datagram: its sender's heartbeat first, then others.
 
     ``store_age_ms`` is how long ago the store had nothing newer than the sender knows.
-    ``crashes`` are crashes of backend servers that the sender knows of.
+    ``crashes`` are crashes of backend servers that the sender knows of. Instances of
+    earlier builds send neither eras nor the version of their configuration.
     """
 
     store_age_ms: int
     heartbeats: list[Heartbeat]
     crashes: tuple[CrashHint, ...] = ()
+    configuration_version: int = 0
 
 
 def decode_heartbeats(datagram: bytes) -> HeartbeatMessage | None:
@@ -156,13 +174,17 @@
         document = orjson.loads(datagram)
         store_age_ms = document["store_age_ms"]
         rows = document["heartbeats"][:MAX_HEARTBEATS]
-        heartbeats = [_decode(row) for row in rows]
+        eras = document.get("eras", [UNKNOWN_ERA] * len(rows))[:MAX_HEARTBEATS]
+        heartbeats = [_decode(*row) for row in zip(rows, eras, strict=True)]
+        version = document.get("configuration_version", 0)
         crashes = decode_hints(document.get("crashes", []))
     except (ValueError, TypeError, KeyError, IndexError):
         return None
     if not isinstance(store_age_ms, int) or store_age_ms < 0 or not heartbeats:
         return None
-    return HeartbeatMessage(store_age_ms, heartbeats, crashes)
+    if not isinstance(version, int):
+        return None
+    return HeartbeatMessage(store_age_ms, heartbeats, crashes, version)
 
 
 def encode_hints(hints: Iterable[CrashHint]) -> list[Any]:
@@ -185,17 +207,18 @@
     return [
         *heartbeat.member,
         heartbeat.beats,
-        heartbeat.revision,
+        heartbeat.revision.number,
         int(heartbeat.is_ending),
     ]
 
 
-def _decode(row: Any) -> Heartbeat:
-    name, zone, address, incarnation, capacity, beats, revision, is_ending = row
+def _decode(row: Any, era: Any) -> Heartbeat:
+    name, zone, address, incarnation, capacity, beats, number, is_ending = row
     texts = (name, zone, address, incarnation)
     if not all(isinstance(text, str) and text for text in texts):
         raise ValueError("a string is missing or empty")
     if not address.rpartition(":")[2].isdigit():
         raise ValueError("the address has no port")
     member = MemberRef(*texts, int(capacity))
-    return Heartbeat(member, int(beats), int(revision), bool(is_ending))
+    revision = StoreRevision(int(era), int(number))
+    return Heartbeat(member, int(beats), revision, bool(is_ending))
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -17,6 +17,7 @@
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.fleet.freshness import Freshness
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
+from bramleyturn.core.fleet.store_revision import StoreRevision
 from bramleyturn.core.placement.choice import LoadTracker
 from bramleyturn.core.placement.health import HealthTracker
 from bramleyturn.core.poison import CRASH_RETENTION_MS, Suspects
@@ -107,11 +108,17 @@
 
 
 def apply_configuration(
-    serving: Serving, published: PublishedConfiguration, revision: int
+    serving: Serving, published: PublishedConfiguration, revision: StoreRevision
 ) -> bool:
     """Put a configuration in force if it is newer; return whether it was."""
     known = serving.published
     if known is not None and published.version <= known.version:
+        if published.version < known.version:
+            logger.warning(
+                "older configuration ignored",
+                extra={"version": published.version, "version_kept": known.version}
+                | revision._asdict(),
+            )
         return False
     serving.published = published
     serving.index = RouteIndex(published.routes)
@@ -120,7 +127,8 @@
         "configuration in force",
         extra={
             "version": published.version,
-            "revision": revision,
+            "revision": revision.number,
+            "era": revision.era,
             "version_before": known.version if known else None,
             "routes": len(published.routes),
             "workspaces": {each.name: each.priority for each in published.workspaces},
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -8,12 +8,20 @@
 from typing import Final
 
 from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.catalog.server_registry import drop_lapsed, register, remove
+from bramleyturn.core.catalog.server_registry import (
+    ServerRegistry,
+    confirm_entries,
+    drop_lapsed,
+    register,
+    register_from_copy,
+    remove,
+)
 from bramleyturn.core.fleet.freshness import age_ms, note_confirmed
+from bramleyturn.core.fleet.store_revision import FIRST_REVISION, StoreRevision
 from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
 from bramleyturn.gateway.connection_pool import drop_idle
-from bramleyturn.gateway.metrics import gauge
+from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.serving import (
     Serving,
     apply_configuration,
@@ -34,19 +42,23 @@
     """Hold the items of the store that are known.
 
     ``is_complete`` is whether changes after ``revision`` are all that is missing.
-    ``returned_ms`` is when the store was last reached again after an outage.
-    ``on_new_revision`` is called for each newer revision.
+    Removals are known since ``whole_revision``, at which all items were read.
+    ``returned_ms`` is when the store was last reached again after an outage, or came
+    back from an older copy. ``configuration`` is the item of the configuration in
+    force. ``on_new_revision`` is called for each newer revision.
     """
 
     def __init__(self, serving: Serving) -> None:
         self.serving = serving
         self.items: dict[str, StoreItem] = {}
         self.is_complete = False
+        self.whole_revision = FIRST_REVISION
         self.returned_ms: int | None = None
+        self.configuration: StoreItem | None = None
         self.on_new_revision: Callable[[], None] = lambda: None
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> StoreRevision:
         """Return the revision of the store up to which changes are known."""
         return self.serving.freshness.revision
 
@@ -56,7 +68,26 @@
     return age_ms(copy.serving.freshness, copy.serving.now_ms())
 
 
-def take_whole(copy: StoreCopy, found: Iterable[StoreItem], revision: int) -> None:
+def note_return(copy: StoreCopy, era: int) -> None:
+    """Note that the store came back from an older copy, with a higher era."""
+    copy.is_complete = False
+    count(copy.serving.metrics, "store_returns")
+    logger.warning(
+        "store came back from an older copy",
+        extra={
+            "era": era,
+            "era_before": copy.revision.era,
+            "revision_before": copy.revision.number,
+        },
+    )
+
+
+def take_whole(
+    copy: StoreCopy,
+    found: Iterable[StoreItem],
+    revision: StoreRevision,
+    confirmed_ago_ms: int = 0,
+) -> None:
     """Replace the copy by a list of all items, whose oldest part is at ``revision``."""
     by_key = {item.key: item for item in found}
     missing = [
@@ -64,22 +95,38 @@
         for key, item in copy.items.items()
         if item.value is not None and key not in by_key and item.revision <= revision
     ]
-    take_changes(copy, [*by_key.values(), *missing], revision)
+    is_older_copy = bool(copy.items) and revision.era > copy.revision.era
+    if is_older_copy:
+        copy.returned_ms = copy.serving.now_ms()
+    apply_items(copy, [*by_key.values(), *missing], is_older_copy)
+    copy.whole_revision = revision
+    note_revision(copy, revision, confirmed_ago_ms)
+    copy.is_complete = True
 
 
 def take_changes(
     copy: StoreCopy,
     items: Iterable[StoreItem],
-    revision: int,
+    revision: StoreRevision,
     confirmed_ago_ms: int = 0,
 ) -> None:
     """Apply all changes up to ``revision``."""
-    apply_items(copy, items)
+    apply_changes(copy, items)
     note_revision(copy, revision, confirmed_ago_ms)
     copy.is_complete = True
 
 
-def apply_items(copy: StoreCopy, items: Iterable[StoreItem]) -> None:
+def apply_changes(copy: StoreCopy, items: Iterable[StoreItem]) -> None:
+    """Apply the items that were written after the last list of all items.
+
+    Earlier ones are in that list, or were removed before it.
+    """
+    apply_items(copy, [item for item in items if item.revision > copy.whole_revision])
+
+
+def apply_items(
+    copy: StoreCopy, items: Iterable[StoreItem], is_older_copy: bool = False
+) -> None:
     """Apply the items that are newer than the known ones."""
     has_changed = False
     for item in items:
@@ -90,7 +137,7 @@
         if item.key == CONFIGURATION_KEY:
             apply_configuration_item(copy, item)
         elif item.key.startswith(SERVERS_PREFIX):
-            has_changed = apply_server_item(copy, item) or has_changed
+            has_changed = apply_server_item(copy, item, is_older_copy) or has_changed
     if has_changed:
         apply_server_changes(copy)
 
@@ -98,16 +145,17 @@
 def apply_configuration_item(copy: StoreCopy, item: StoreItem) -> None:
     """Put a new configuration in force, unless it is malformed."""
     if item.value is None:
-        logger.warning("configuration removed", extra={"revision": item.revision})
+        logger.warning("configuration removed", extra=item.revision._asdict())
         return
     published = decode_configuration(item.value)
     if isinstance(published, Malformed):
         log_malformed(published)
         return
-    apply_configuration(copy.serving, published, item.revision)
+    if apply_configuration(copy.serving, published, item.revision):
+        copy.configuration = item
 
 
-def apply_server_item(copy: StoreCopy, item: StoreItem) -> bool:
+def apply_server_item(copy: StoreCopy, item: StoreItem, is_older_copy: bool) -> bool:
     """Apply a server's entry or its removal; return whether anything changed."""
     serving = copy.serving
     server_id = item.key.removeprefix(SERVERS_PREFIX)
@@ -125,9 +173,14 @@
             serving.registry, server_id, item.revision, now_ms, may_reregister
         )
         state = "lapsed" if may_reregister else "gone"
+    elif is_older_copy:
+        has_changed = register_from_copy(
+            serving.registry, server, item.revision, now_ms
+        )
+        state = state_of(serving.registry, server_id)
     else:
         has_changed = register(serving.registry, server, item.revision)
-        state = "leaving" if server.is_leaving else "ready"
+        state = state_of(serving.registry, server_id)
     if has_changed:
         logger.info(
             "backend server",
@@ -136,12 +189,23 @@
                 "state": state,
                 "pool": server.pool if isinstance(server, BackendServer) else None,
                 "zone_of": server.zone if isinstance(server, BackendServer) else None,
-                "revision": item.revision,
+                "revision": item.revision.number,
+                "era": item.revision.era,
             },
         )
     return has_changed
 
 
+def state_of(registry: ServerRegistry, server_id: str) -> str:
+    """Return what is believed of a registered server, for the log."""
+    entry = registry.entries[server_id]
+    if entry.usable_from_ms is not None:
+        return "unconfirmed"
+    if entry.usable_until_ms is not None:
+        return "lapsed"
+    return "leaving" if entry.server.is_leaving else "ready"
+
+
 def apply_server_changes(copy: StoreCopy) -> None:
     """Drop the state of removed servers, and notify the subscribers."""
     serving = copy.serving
@@ -153,12 +217,15 @@
     notify_servers_changed(serving)
 
 
-def note_revision(copy: StoreCopy, revision: int, confirmed_ago_ms: int) -> None:
+def note_revision(
+    copy: StoreCopy, revision: StoreRevision, confirmed_ago_ms: int
+) -> None:
     """Record the revision known; announce a new one to other instances at once."""
     serving = copy.serving
     has_changed = revision > copy.revision
     note_confirmed(serving.freshness, revision, serving.now_ms() - confirmed_ago_ms)
-    gauge(serving.metrics, "store_revision", copy.revision)
+    gauge(serving.metrics, "store_revision", copy.revision.number)
+    gauge(serving.metrics, "store_era", copy.revision.era)
     if has_changed:
         copy.on_new_revision()
 
@@ -171,8 +238,15 @@
     )
 
 
-def drop_lapsed_servers(copy: StoreCopy) -> None:
-    """Stop using servers that did not register again after an outage."""
-    for server_id in drop_lapsed(copy.serving.registry, copy.serving.now_ms()):
+def update_entries(copy: StoreCopy) -> None:
+    """Drop servers that did not register again, and use those that are confirmed."""
+    registry = copy.serving.registry
+    dropped = drop_lapsed(registry, copy.serving.now_ms())
+    confirmed = confirm_entries(registry, copy.serving.freshness.confirmed_ms)
+    for server_id in dropped:
         logger.info("backend server", extra={"server": server_id, "state": "gone"})
+    for server_id in confirmed:
+        state = state_of(registry, server_id)
+        logger.info("backend server", extra={"server": server_id, "state": state})
+    if dropped or confirmed:
         apply_server_changes(copy)
--- a/src/bramleyturn/gateway/store_relay.py
+++ b/src/bramleyturn/gateway/store_relay.py
@@ -6,20 +6,28 @@
 
 import base64
 import logging
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import orjson
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.fleet.freshness import NETWORK_DELAY_MS
-from bramleyturn.core.fleet.members import newest_holder
+from bramleyturn.core.fleet.freshness import NETWORK_DELAY_MS, full_revision
+from bramleyturn.core.fleet.members import (
+    MemberRef,
+    newer_configuration_holder,
+    newest_holder,
+)
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.calls import CallFailed, Peer, call
 from bramleyturn.gateway.store_copy import (
     StoreCopy,
+    apply_configuration_item,
     copy_age_ms,
-    drop_lapsed_servers,
+    note_return,
     take_changes,
+    take_whole,
+    update_entries,
 )
 from bramleyturn.platform.store import StoreItem
 
@@ -40,20 +48,30 @@
     serving = copy.serving
     while True:
         await deferLater(serving.reactor, RELAY_INTERVAL_MS / MS_PER_S)
-        drop_lapsed_servers(copy)
-        holder = newest_holder(
-            serving.members, copy.revision, serving.random, serving.now_ms()
-        )
+        update_entries(copy)
+        holder = choose_holder(copy)
         if holder is not None:
             await fetch_from_peer(copy, holder.name, holder.address)
 
 
+def choose_holder(copy: StoreCopy) -> MemberRef | None:
+    """Return an instance that has newer items, or a newer configuration in force."""
+    serving = copy.serving
+    now_ms = serving.now_ms()
+    holder = newest_holder(serving.members, copy.revision, serving.random, now_ms)
+    if holder is not None:
+        return holder
+    version = serving.published.version if serving.published is not None else 0
+    return newer_configuration_holder(serving.members, version, serving.random, now_ms)
+
+
 async def fetch_from_peer(copy: StoreCopy, name: str, address: str) -> None:
     """Copy the items that changed after the known revision from one instance."""
     serving = copy.serving
     host = address.partition(":")[0]
     peer = Peer(name, host, serving.settings.control.port)
-    target = f"{RELAY_TARGET}?after={copy.revision}"
+    known = copy.revision
+    target = f"{RELAY_TARGET}?after={known.number}&era={known.era}"
     answer = await call(
         serving.peers_pool, peer, b"GET", target, [], b"", RELAY_TIMEOUT_MS
     )
@@ -63,67 +81,116 @@
     if relayed is None:
         logger.warning("relayed items rejected", extra={"peer": name})
         return
-    before = copy.revision
+    if relayed.configuration is not None:
+        apply_configuration_item(copy, relayed.configuration)
+    revision = full_revision(serving.freshness, *relayed.revision)
+    # This process may have read a newer state while the call was under way.
+    if revision <= copy.revision or (
+        revision.era > copy.revision.era and not relayed.is_whole
+    ):
+        return
     if copy_age_ms(copy) > OUTAGE_THRESHOLD_MS:
         # Another instance reached the store again first.
         copy.returned_ms = serving.now_ms()
-    # The watch continues from this revision: the items cover all changes up to it.
-    confirmed_ago_ms = relayed.age_ms + NETWORK_DELAY_MS
-    take_changes(copy, relayed.items, relayed.revision, confirmed_ago_ms)
+    take_relayed(copy, relayed, revision)
     logger.info(
         "store items taken over",
         extra={
             "peer": name,
-            "revision_before": before,
-            "revision": relayed.revision,
+            "revision_before": known.number,
+            "revision": revision.number,
+            "era": revision.era,
             "age_ms": relayed.age_ms,
         },
     )
 
 
-def relay_document(copy: StoreCopy, after: int) -> bytes:
-    """Encode the items that changed after a revision, for another instance."""
+def take_relayed(
+    copy: StoreCopy, relayed: "RelayedItems", revision: StoreRevision
+) -> None:
+    """Apply what another instance knows up to ``revision``, which is newer."""
     items = [
-        [
-            item.key,
-            None if item.value is None else base64.b64encode(item.value).decode(),
-            item.revision,
-        ]
-        for item in copy.items.values()
-        if item.revision > after
+        item._replace(revision=StoreRevision(revision.era, item.revision.number))
+        for item in relayed.items
     ]
+    confirmed_ago_ms = relayed.age_ms + NETWORK_DELAY_MS
+    if relayed.is_whole:
+        if copy.items and revision.era > copy.revision.era:
+            note_return(copy, revision.era)
+        take_whole(copy, items, revision, confirmed_ago_ms)
+    else:
+        # The watch continues from this revision: the items cover all changes up to it.
+        take_changes(copy, items, revision, confirmed_ago_ms)
+
+
+def relay_document(copy: StoreCopy, after: int, era: int | None) -> bytes:
+    """Encode the items that changed after a revision, for another instance.
+
+    All items are sent if the revision is of another era, or if removals since then may
+    be unknown here. An instance of an earlier build names no era and gets no whole
+    list.
+    """
+    own_era = copy.revision.era
+    known = StoreRevision(own_era, after)
+    is_whole = era is not None and (era != own_era or known < copy.whole_revision)
+    if is_whole:
+        known = StoreRevision(own_era, 0)
+    items = [encode_item(each) for each in copy.items.values() if each.revision > known]
+    configuration = copy.configuration
     document = {
-        "revision": copy.revision,
+        "revision": copy.revision.number,
+        "era": own_era,
         "age_ms": copy_age_ms(copy),
+        "is_whole": is_whole,
         "items": items,
+        "configuration": None if configuration is None else encode_item(configuration),
     }
     return orjson.dumps(document)
 
 
+def encode_item(item: StoreItem) -> list[Any]:
+    """Encode one item; its era is that of the document."""
+    value = None if item.value is None else base64.b64encode(item.value).decode()
+    return [item.key, value, item.revision.number]
+
+
 class RelayedItems(NamedTuple):
-    """Hold copied items, the revision they reach and the age of that revision."""
+    """Hold copied items, the revision they reach and the age of that revision.
+
+    ``is_whole`` is whether they are all items. ``configuration`` is the item of the
+    configuration that the other instance has in force, which the store may have lost.
+    """
 
     items: list[StoreItem]
-    revision: int
+    revision: StoreRevision
     age_ms: int
+    is_whole: bool = False
+    configuration: StoreItem | None = None
 
 
 def decode_relayed(body: bytes) -> RelayedItems | None:
     """Decode items copied from an instance; return None if malformed."""
     try:
         document = orjson.loads(body)
-        revision = document["revision"]
+        number = document["revision"]
+        era = document.get("era", UNKNOWN_ERA)
         age = document["age_ms"]
-        items = [
-            StoreItem(
-                str(key),
-                None if value is None else base64.b64decode(value, validate=True),
-                int(item_revision),
-            )
-            for key, value, item_revision in document["items"]
-        ]
+        items = [decode_item(row, era) for row in document["items"]]
+        row = document.get("configuration")
+        configuration = None if row is None else decode_item(row, era)
     except (ValueError, TypeError, KeyError):
         return None
-    if not isinstance(revision, int) or not isinstance(age, int) or age < 0:
+    if not isinstance(number, int) or not isinstance(era, int):
         return None
-    return RelayedItems(items, revision, age)
+    if not isinstance(age, int) or age < 0:
+        return None
+    is_whole = document.get("is_whole") is True
+    revision = StoreRevision(era, number)
+    return RelayedItems(items, revision, age, is_whole, configuration)
+
+
+def decode_item(row: list[Any], era: int) -> StoreItem:
+    """Decode one item; raise ValueError or TypeError if it is malformed."""
+    key, value, number = row
+    decoded = None if value is None else base64.b64decode(value, validate=True)
+    return StoreItem(str(key), decoded, StoreRevision(era, int(number)))
--- a/src/bramleyturn/platform/store.py
+++ b/src/bramleyturn/platform/store.py
@@ -2,9 +2,12 @@
 
 import base64
 import binascii
+import re
+from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
 from bramleyturn.platform.errors import Malformed
 from bramleyturn.platform.fields import (
     flag_field,
@@ -16,6 +19,8 @@
 # The store answers a watch after this time at the latest.
 MAX_WATCH_MS: Final = 30_000
 STORE_ANSWER: Final = "store answer"
+ERA_HEADER: Final = b"store-era"
+ERA_PATTERN: Final = re.compile(r"[1-9][0-9]{0,14}")
 
 
 class StoreItem(NamedTuple):
@@ -23,14 +28,14 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: StoreRevision
 
 
 class StorePage(NamedTuple):
     """Hold one page of items; the next page follows ``next_after``, None if last."""
 
     items: tuple[StoreItem, ...]
-    revision: int
+    revision: StoreRevision
     next_after: str | None
 
 
@@ -38,7 +43,17 @@
     """Hold the items that changed up to ``revision``."""
 
     items: tuple[StoreItem, ...]
-    revision: int
+    revision: StoreRevision
+
+
+def decode_era(headers: Iterable[tuple[bytes, bytes]]) -> int | Malformed:
+    """Return the era in the headers of an answer, ``UNKNOWN_ERA`` without one."""
+    text = dict(headers).get(ERA_HEADER, b"").decode("latin-1").strip()
+    if not text:
+        return UNKNOWN_ERA
+    if ERA_PATTERN.fullmatch(text) is None:
+        return Malformed(STORE_ANSWER, "the era is not a number above 0")
+    return int(text)
 
 
 def range_target(prefix: str, after: str = "") -> str:
@@ -58,12 +73,12 @@
     )
 
 
-def decode_page(body: bytes) -> StorePage | Malformed:
-    """Decode a page of items; single malformed items are left out."""
+def decode_page(body: bytes, era: int) -> StorePage | Malformed:
+    """Decode a page of items of an era; single malformed items are left out."""
     document = read_object(STORE_ANSWER, body)
     if isinstance(document, Malformed):
         return document
-    changes = _decode_changes(document, "items")
+    changes = _decode_changes(document, "items", era)
     if isinstance(changes, Malformed):
         return changes
     items = changes.items
@@ -71,32 +86,35 @@
     return StorePage(items, changes.revision, items[-1].key if is_truncated else None)
 
 
-def decode_changes(body: bytes) -> StoreChanges | Malformed:
-    """Decode the changes that a watch reported."""
+def decode_changes(body: bytes, era: int) -> StoreChanges | Malformed:
+    """Decode the changes of an era that a watch reported."""
     document = read_object(STORE_ANSWER, body)
     if isinstance(document, Malformed):
         return document
-    return _decode_changes(document, "events")
+    return _decode_changes(document, "events", era)
 
 
-def _decode_changes(document: dict[str, Any], name: str) -> StoreChanges | Malformed:
+def _decode_changes(
+    document: dict[str, Any], name: str, era: int
+) -> StoreChanges | Malformed:
     """Decode the items in one field of an answer, and the revision they reach."""
     objects = objects_field(document, name)
-    revision = int_field(document, "currentRev")
-    if objects is None or revision is None:
+    number = int_field(document, "currentRev")
+    if objects is None or number is None:
         return Malformed(
             STORE_ANSWER, f"{name} or the revision is missing or malformed"
         )
-    decoded = (_decode_item(each) for each in objects)
+    decoded = (_decode_item(each, era) for each in objects)
     items = tuple(item for item in decoded if item is not None)
-    return StoreChanges(items, revision)
+    return StoreChanges(items, StoreRevision(era, number))
 
 
-def _decode_item(document: dict[str, Any]) -> StoreItem | None:
+def _decode_item(document: dict[str, Any], era: int) -> StoreItem | None:
     key = document.get("key")
-    revision = int_field(document, "revision")
-    if not isinstance(key, str) or revision is None:
+    number = int_field(document, "revision")
+    if not isinstance(key, str) or number is None:
         return None
+    revision = StoreRevision(era, number)
     if flag_field(document, "tombstone"):
         return StoreItem(key, None, revision)
     value = document.get("value")
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -287,7 +287,8 @@
             site.version += 1
             document = configuration(site.version, **body)
             put(site.store, "op/config", orjson.dumps(document))
-        answer = orjson.dumps(_ledger(site)) if target == "/ledger" else b"{}"
+        shown = _ledger(site) if target == "/ledger" else {"version": site.version}
+        answer = orjson.dumps(shown)
         exchange.answer(200, [], answer)
 
     return handle
--- a/src/bramleyturn/standin/site/store.py
+++ b/src/bramleyturn/standin/site/store.py
@@ -175,7 +175,9 @@
 def _expire_watch(store: Store, watch: PendingWatch) -> None:
     if watch in store.pending_watches:
         store.pending_watches.remove(watch)
-        _send_events(store, watch, [])
+        # Changes made while the store was silent were not sent yet.
+        if not store.is_silent and not _answer_watch(store, watch):
+            _send_events(store, watch, [])
 
 
 def _send_events(store: Store, watch: PendingWatch, events: list[Any]) -> None:
--- a/tests/core/fleet/test_freshness.py
+++ b/tests/core/fleet/test_freshness.py
@@ -5,16 +5,23 @@
     WATCHERS_PER_ZONE,
     Freshness,
     age_ms,
+    full_revision,
     note_confirmed,
     note_peer_confirmation,
     should_watch,
 )
 from bramleyturn.core.fleet.members import MemberRef
 from bramleyturn.core.fleet.owners import STAGES, owner_of
+from bramleyturn.core.fleet.store_revision import StoreRevision
 
 ZONES = ("north", "east", "south", "west")
 
 
+def at(number: int, era: int = 0) -> StoreRevision:
+    """Return a revision of the store."""
+    return StoreRevision(era, number)
+
+
 def fleet(size: int) -> list[MemberRef]:
     """Return instances that are evenly spread over the zones."""
     return [
@@ -26,7 +33,7 @@
 def fresh(now_ms: int) -> Freshness:
     """Return the freshness of a copy that was just confirmed."""
     freshness = Freshness(now_ms)
-    note_confirmed(freshness, 7, now_ms)
+    note_confirmed(freshness, at(7), now_ms)
     return freshness
 
 
@@ -59,7 +66,7 @@
         freshness = fresh(0)
         assert not should_watch(freshness, other, live, STALE_MS)
         assert should_watch(freshness, other, live, STALE_MS + 1)
-        note_confirmed(freshness, 7, STALE_MS)
+        note_confirmed(freshness, at(7), STALE_MS)
         assert not should_watch(freshness, other, live, STALE_MS + 1)
 
     def test_new_process_watches_itself(self) -> None:
@@ -72,19 +79,19 @@
 
     def test_older_revision_confirms_nothing(self) -> None:
         freshness = fresh(0)
-        note_confirmed(freshness, 6, 900)
+        note_confirmed(freshness, at(6), 900)
         assert age_ms(freshness, 1_000) == 1_000
 
     def test_newest_confirmation_of_the_same_revision_counts(self) -> None:
         freshness = fresh(0)
-        note_confirmed(freshness, 7, 900)
-        note_confirmed(freshness, 7, 300)
+        note_confirmed(freshness, at(7), 900)
+        note_confirmed(freshness, at(7), 300)
         assert age_ms(freshness, 1_000) == 100
 
     def test_newer_revision_counts_from_its_own_time(self) -> None:
         freshness = fresh(500)
-        note_confirmed(freshness, 8, 400)
-        assert (freshness.revision, age_ms(freshness, 1_000)) == (8, 600)
+        note_confirmed(freshness, at(8), 400)
+        assert (freshness.revision, age_ms(freshness, 1_000)) == (at(8), 600)
 
 
 class TestPeerConfirmation:
@@ -92,10 +99,10 @@
 
     def test_confirms_the_same_revision_only(self) -> None:
         freshness = fresh(0)
-        note_peer_confirmation(freshness, 8, 0, 1_000)
-        note_peer_confirmation(freshness, 6, 0, 1_000)
+        note_peer_confirmation(freshness, at(8), 0, 1_000)
+        note_peer_confirmation(freshness, at(6), 0, 1_000)
         assert age_ms(freshness, 1_000) == 1_000
-        note_peer_confirmation(freshness, 7, 200, 1_000)
+        note_peer_confirmation(freshness, at(7), 200, 1_000)
         assert 200 <= age_ms(freshness, 1_000) < 300
 
     def test_never_looks_fresher_than_it_is(self) -> None:
@@ -103,9 +110,9 @@
         way_ms = 20
         for now_ms in range(0, 4_000, 2 * way_ms):
             told_ms = age_ms(one, now_ms)
-            note_peer_confirmation(other, 7, told_ms, now_ms + way_ms)
+            note_peer_confirmation(other, at(7), told_ms, now_ms + way_ms)
             told_ms = age_ms(other, now_ms + way_ms)
-            note_peer_confirmation(one, 7, told_ms, now_ms + 2 * way_ms)
+            note_peer_confirmation(one, at(7), told_ms, now_ms + 2 * way_ms)
         assert age_ms(one, 4_000) == 4_000
 
 
@@ -118,3 +125,27 @@
         owner = owner_of(STAGES, weak + strong)
         assert owner in strong
         assert owner_of(STAGES, weak) in weak
+
+
+class TestEras:
+    """A store that came back from an older copy."""
+
+    def test_later_era_is_newer_whatever_the_number(self) -> None:
+        freshness = fresh(0)
+        note_confirmed(freshness, at(2, era=1), 500)
+        assert freshness.revision == at(2, era=1)
+        note_confirmed(freshness, at(9), 900)
+        assert (freshness.revision, age_ms(freshness, 1_000)) == (at(2, era=1), 500)
+
+    def test_instance_of_an_earlier_build_is_read_as_before(self) -> None:
+        freshness = Freshness(0)
+        assert full_revision(freshness, 0, 5) == at(5)
+        note_confirmed(freshness, at(7, era=3), 0)
+        assert full_revision(freshness, 0, 8) == at(8, era=3)
+        assert full_revision(freshness, 4, 2) == at(2, era=4)
+
+    def test_after_a_return_its_revisions_are_older_than_all_others(self) -> None:
+        freshness = Freshness(0)
+        note_confirmed(freshness, at(7, era=3), 0)
+        note_confirmed(freshness, at(2, era=4), 0)
+        assert full_revision(freshness, 0, 8) < freshness.revision
--- a/tests/core/fleet/test_members.py
+++ b/tests/core/fleet/test_members.py
@@ -10,12 +10,14 @@
     is_live,
     live_members,
     merge_heartbeats,
+    newer_configuration_holder,
     newest_holder,
     next_heartbeat,
     silent_zones,
     suspect,
 )
 from bramleyturn.core.fleet.owners import owner_of, owner_order
+from bramleyturn.core.fleet.store_revision import StoreRevision
 
 SEED = "10.0.0.9:7740"
 
@@ -27,7 +29,12 @@
 
 def beat(name: str, beats: int, incarnation: str = "1", revision: int = 0) -> Heartbeat:
     """Return a heartbeat."""
-    return Heartbeat(ref(name, incarnation), beats, revision, False)
+    return Heartbeat(ref(name, incarnation), beats, at(revision), False)
+
+
+def at(number: int, era: int = 0) -> StoreRevision:
+    """Return a revision of the store."""
+    return StoreRevision(era, number)
 
 
 def members() -> Members:
@@ -76,8 +83,8 @@
         known = members()
         random = Random(1)
         merge_heartbeats(known, [beat("a", 1)], 0)
-        next_heartbeat(known, 0, random, 400)
-        next_heartbeat(known, 0, random, 6_000)
+        next_heartbeat(known, at(0), random, 400)
+        next_heartbeat(known, at(0), random, 6_000)
         assert is_live(known, "a", 6_000)
 
     def test_instance_that_shuts_down_is_not_listed(self) -> None:
@@ -91,24 +98,44 @@
     """What an instance gossips, and to which addresses."""
 
     def test_seeds_get_heartbeats_while_no_others_are_known(self) -> None:
-        gossiped, addresses = next_heartbeat(members(), 7, Random(1), 400)
+        gossiped, addresses = next_heartbeat(members(), at(7), Random(1), 400)
         assert addresses == [SEED]
-        assert gossiped[0].revision == 7
+        assert gossiped[0].revision == at(7)
 
     def test_heartbeats_of_others_are_passed_on(self) -> None:
         known = members()
         merge_heartbeats(known, [beat("a", 1), beat("b", 1)], 0)
-        gossiped, addresses = next_heartbeat(known, 0, Random(1), 400)
+        gossiped, addresses = next_heartbeat(known, at(0), Random(1), 400)
         assert {heartbeat.member.name for heartbeat in gossiped} == {"me", "a", "b"}
         assert {"a:7740", "b:7740", SEED} == set(addresses)
 
     def test_newest_holder(self) -> None:
         known = members()
         merge_heartbeats(known, [beat("a", 1, revision=4), beat("b", 1, revision=9)], 0)
-        holder = newest_holder(known, 5, Random(1), 10)
+        holder = newest_holder(known, at(5), Random(1), 10)
+        assert holder is not None
+        assert holder.name == "b"
+        assert newest_holder(known, at(9), Random(1), 10) is None
+
+    def test_holder_of_a_later_era_is_newer(self) -> None:
+        known = members()
+        later = beat("b", 1)._replace(revision=at(2, era=1))
+        merge_heartbeats(known, [beat("a", 1, revision=9), later], 0)
+        holder = newest_holder(known, at(9), Random(1), 10)
         assert holder is not None
         assert holder.name == "b"
-        assert newest_holder(known, 9, Random(1), 10) is None
+        assert newest_holder(known, at(2, era=1), Random(1), 10) is None
+
+    def test_holder_of_a_newer_configuration(self) -> None:
+        known = members()
+        merge_heartbeats(known, [beat("a", 1), beat("b", 1)], 0)
+        known.others["a"].configuration_version = 4
+        holder = newer_configuration_holder(known, 3, Random(1), 10)
+        assert holder is not None
+        assert holder.name == "a"
+        assert newer_configuration_holder(known, 4, Random(1), 10) is None
+        late_ms = HEARTBEAT_TIMEOUT_MS + 1
+        assert newer_configuration_holder(known, 3, Random(1), late_ms) is None
 
 
 class TestOwners:
@@ -136,7 +163,7 @@
         known = members()
         for name, zone in (("n", "north"), ("e1", "east"), ("e2", "east"), ("s", "w")):
             member = MemberRef(name, zone, f"{name}:7740", "1")
-            merge_heartbeats(known, [Heartbeat(member, 1, 0, False)], 0)
+            merge_heartbeats(known, [Heartbeat(member, 1, at(0), False)], 0)
         return known
 
     def merge_again(self, known: Members, *names: str, now_ms: int) -> None:
--- /dev/null
+++ b/tests/gateway/store_fleet.py
@@ -0,0 +1,242 @@
+"""Simulate instances that follow a store in virtual time, with a network between them.
+
+The instances run the real code of the store's readers and of the heartbeats. Calls and
+datagrams are delayed, lost or cut off at random.
+"""
+
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Any, Final
+from unittest import mock
+
+import orjson
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as Reactor
+
+from bramleyturn.core.answer_end import Framing
+from bramleyturn.core.catalog.server_registry import ready_servers
+from bramleyturn.core.clock import Clock
+from bramleyturn.core.fleet.members import MemberRef
+from bramleyturn.gateway import store_reader, store_relay
+from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.calls import CallFailed, Peer, WholeAnswer
+from bramleyturn.gateway.crash_watch import CrashWatch
+from bramleyturn.gateway.heartbeats import Heartbeats
+from bramleyturn.gateway.http1_client import FailureReason
+from bramleyturn.gateway.serving import Serving
+from bramleyturn.gateway.store_copy import StoreCopy
+from bramleyturn.gateway.store_reader import StoreReader, follow_store
+from bramleyturn.gateway.store_relay import copy_from_peers, relay_document
+from bramleyturn.platform.settings import ServingSettings, parse_serving_settings
+from bramleyturn.standin.site.site import configuration
+from bramleyturn.standin.site.store import Store, delete, put, restore, store_handler
+from tests.platform.test_settings import TEXT
+
+STEP_S: Final = 0.01
+MAX_DELAY_S: Final = 0.03
+LATE_DELAY_S: Final = 0.9
+LATE_SHARE: Final = 0.05
+LOSS_SHARE: Final = 0.02
+POOL: Final = "members"
+
+
+class CallToStore:
+    """Stand in for the exchange of one call to the store."""
+
+    def __init__(
+        self, target: str, answer: Callable[..., None], abort: Callable[[], None]
+    ) -> None:
+        self.target = target.encode()
+        self.connection = self
+        self.answer = answer
+        self.abort = abort
+
+
+class Instance:
+    """Hold one instance and what it may reach.
+
+    ``ready_at`` has the servers that it used after the last step.
+    """
+
+    def __init__(self, fleet: "StoreFleet", place: int) -> None:
+        name = f"front-{place}"
+        zone = ("north", "south")[place % 2]
+        settings = parse_serving_settings(TEXT, "local.conf")
+        assert isinstance(settings, ServingSettings)
+        seeds = tuple(
+            settings.control._replace(host=f"10.0.0.{each}") for each in range(3)
+        )
+        settings = settings._replace(name=name, zone=zone, seeds=seeds)
+        reactor = fleet.reactor
+        self.host = f"10.0.0.{place}"
+        me = MemberRef(name, zone, f"{self.host}:{settings.internal_port}", "1")
+        clock = Clock(fleet.now_ms, fleet.now_ms)
+        self.fleet = fleet
+        self.random = Random(fleet.random.random())
+        self.serving = Serving(reactor, clock, self.random, settings, me)
+        self.copy = StoreCopy(self.serving)
+        self.reader = StoreReader(self.copy)
+        self.heartbeats = Heartbeats(self.serving, CrashWatch(self.serving))
+        self.heartbeats.transport = self  # type: ignore[assignment]
+        self.copy.on_new_revision = self.heartbeats.send_heartbeats
+        self.reaches_store = True
+        self.reaches_others = True
+
+    def start(self) -> None:
+        """Run what an instance runs."""
+        run_in_background(follow_store(self.reader), "store watch")
+        run_in_background(copy_from_peers(self.copy), "store copy from instances")
+        self.heartbeats.send_periodically()
+
+    def write(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram, as the transport of the heartbeats."""
+        self.fleet.send(self, address[0], data)
+
+    def version(self) -> int:
+        """Return the version of the configuration in force."""
+        published = self.serving.published
+        return published.version if published is not None else 0
+
+    def ready(self) -> set[tuple[str, int]]:
+        """Return the runs of servers that accept new work."""
+        servers = ready_servers(self.serving.registry, POOL, self.fleet.now_ms())
+        return {(server.id, server.started_ms) for server in servers}
+
+
+class StoreFleet:
+    """Hold the store and the instances."""
+
+    def __init__(self, seed: int, size: int) -> None:
+        self.random = Random(seed)
+        self.reactor = Reactor()
+        self.store = Store(self.reactor)
+        self.answer_store = store_handler(self.store)
+        self.version = 0
+        self.instances = [Instance(self, place) for place in range(size)]
+
+    def now_ms(self) -> int:
+        """Return the virtual time."""
+        return int(self.reactor.seconds() * 1_000)
+
+    def advance(self, seconds: float) -> Iterator[None]:
+        """Let the time pass, and yield after each step."""
+        for _ in range(int(seconds / STEP_S)):
+            self.reactor.advance(STEP_S)
+            yield
+
+    def delay_s(self) -> float:
+        """Return how long a message takes."""
+        is_late = self.random.random() < LATE_SHARE
+        return self.random.uniform(0.001, LATE_DELAY_S if is_late else MAX_DELAY_S)
+
+    def instance_at(self, host: str) -> Instance:
+        """Return an instance by its address."""
+        return next(each for each in self.instances if each.host == host)
+
+    def send(self, sender: Instance, host: str, data: bytes) -> None:
+        """Deliver a datagram, or lose it."""
+        if self.random.random() < LOSS_SHARE:
+            return
+        receiver = self.instance_at(host)
+
+        def deliver() -> None:
+            if sender.reaches_others and receiver.reaches_others:
+                receiver.heartbeats.datagramReceived(data, None)
+
+        self.reactor.callLater(self.delay_s(), deliver)
+
+    def call(
+        self,
+        pool: Any,
+        peer: Peer,
+        method: bytes,
+        target: str,
+        headers: Any,
+        body: bytes,
+        timeout_ms: int,
+    ) -> "Deferred[WholeAnswer | CallFailed]":
+        """Stand in for a call to the store or to another instance."""
+        ended: Deferred[WholeAnswer | CallFailed] = Deferred()
+        caller = next(
+            each
+            for each in self.instances
+            if pool in (each.reader.pool, each.serving.peers_pool)
+        )
+
+        def end(result: WholeAnswer | CallFailed) -> None:
+            if not ended.called:
+                ended.callback(result)
+
+        def answer(status: int, fields: Any, content: bytes) -> None:
+            lower = [(name.lower(), value) for name, value in fields]
+            whole = WholeAnswer(status, lower, content, Framing.LENGTH)
+            self.reactor.callLater(self.delay_s(), end, whole)
+
+        def reset() -> None:
+            failed = CallFailed(FailureReason.RESET)
+            self.reactor.callLater(self.delay_s(), end, failed)
+
+        def arrive() -> None:
+            if peer.name == "store":
+                if caller.reaches_store:
+                    self.answer_store(CallToStore(target, answer, reset))  # type: ignore[arg-type]
+                return
+            other = self.instance_at(peer.host)
+            if caller.reaches_others and other.reaches_others:
+                fields = dict(
+                    each.split("=") for each in target.split("?")[1].split("&")
+                )
+                era = fields.get("era")
+                document = relay_document(
+                    other.copy, int(fields["after"]), None if era is None else int(era)
+                )
+                answer(200, [], document)
+
+        self.reactor.callLater(self.delay_s(), arrive)
+        silent = CallFailed(FailureReason.SILENT)
+        self.reactor.callLater(timeout_ms / 1_000, end, silent)
+        return ended
+
+    def configure(self) -> None:
+        """Write a newer version of the configuration."""
+        self.version += 1
+        put(self.store, "op/config", orjson.dumps(configuration(self.version)))
+
+    def come_back(self) -> None:
+        """Let the store come back from its copy."""
+        restore(self.store)
+
+    def stored_servers(self) -> set[tuple[str, int]]:
+        """Return the runs of servers that the store has as ready."""
+        found = set()
+        for key, (value, _) in self.store.items.items():
+            entry = orjson.loads(value)
+            if key.startswith("servers/") and entry["state"] == "ready":
+                found.add((key.removeprefix("servers/"), entry["born"]))
+        return found
+
+    def running(self) -> Any:
+        """Return a context in which calls go through the simulated network."""
+        return mock.patch.multiple(store_reader, call=self.call), mock.patch.multiple(
+            store_relay, call=self.call
+        )
+
+
+def register(fleet: StoreFleet, server_id: str, born_ms: int, state: str) -> None:
+    """Write the entry of a server."""
+    entry = {
+        "service": POOL,
+        "address": f"10.1.0.{born_ms % 200}:80",
+        "zone": "north",
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "born": born_ms,
+    }
+    put(fleet.store, f"servers/{server_id}", orjson.dumps(entry))
+
+
+def deregister(fleet: StoreFleet, server_id: str) -> None:
+    """Remove the entry of a server."""
+    if f"servers/{server_id}" in fleet.store.items:
+        delete(fleet.store, f"servers/{server_id}")
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bramleyturn.core.fleet.members import GOSSIP_MEMBERS
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
 from bramleyturn.core.poison import (
     CRASH_RETENTION_MS,
     MAX_HINTS,
@@ -47,7 +48,8 @@
         assert message is not None
         assert message.store_age_ms == 120
         sender = message.heartbeats[0]
-        assert (sender.member.capacity, sender.beats, sender.revision) == (215, 9, 41)
+        assert (sender.member.capacity, sender.beats) == (215, 9)
+        assert sender.revision == StoreRevision(UNKNOWN_ERA, 41)
 
     @pytest.mark.parametrize(
         "datagram",
@@ -63,6 +65,10 @@
             with_field(MESSAGE, "heartbeats", [["", *HEARTBEAT[1:]]]),
             with_field(MESSAGE, "heartbeats", [[*HEARTBEAT[:2], "x", *HEARTBEAT[3:]]]),
             with_field(MESSAGE, "heartbeats", [HEARTBEAT] * 500),
+            with_field(MESSAGE, "eras", 7),
+            with_field(MESSAGE, "eras", []),
+            with_field(MESSAGE, "eras", ["x"]),
+            with_field(MESSAGE, "configuration_version", "4"),
             with_field(MESSAGE, "crashes", 7),
             with_field(MESSAGE, "crashes", [["i-1@9", 40]]),
             with_field(MESSAGE, "crashes", [["i-1@9", "40", ["f"]]]),
@@ -73,6 +79,13 @@
     def test_rejects_malformed_input(self, datagram: bytes) -> None:
         assert decode_heartbeats(datagram) is None
 
+    def test_decodes_the_eras_and_the_version_of_the_configuration(self) -> None:
+        document = {**MESSAGE, "eras": [3], "configuration_version": 4}
+        message = decode_heartbeats(orjson.dumps(document))
+        assert message is not None
+        assert message.heartbeats[0].revision == StoreRevision(3, 41)
+        assert message.configuration_version == 4
+
     def test_decodes_crashes(self) -> None:
         crash = CrashHint("i-1@9", ("f1", "f2"), 40)
         document = {**MESSAGE, "crashes": encode_hints([crash])}
@@ -108,7 +121,7 @@
     def test_decodes_items_and_removals(self) -> None:
         relayed = decode_relayed(orjson.dumps(RELAYED))
         assert relayed is not None
-        assert (relayed.revision, relayed.age_ms) == (7, 30)
+        assert (relayed.revision, relayed.age_ms) == (StoreRevision(UNKNOWN_ERA, 7), 30)
         assert [item.value for item in relayed.items] == [b"{}", None]
 
     @pytest.mark.parametrize(
@@ -121,6 +134,8 @@
             with_field(RELAYED, "age_ms", None),
             with_field(RELAYED, "items", [["op/config", "not base64", 6]]),
             with_field(RELAYED, "items", [["op/config"]]),
+            with_field(RELAYED, "era", "2"),
+            with_field(RELAYED, "configuration", ["op/config"]),
         ],
     )
     def test_rejects_malformed_input(self, body: bytes) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -13,6 +13,7 @@
     PublishedConfiguration,
     RouteKind,
 )
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
 from bramleyturn.platform.configuration import decode_configuration
 from bramleyturn.platform.errors import Malformed
 from bramleyturn.platform.servers import decode_server
@@ -21,11 +22,13 @@
     StoreItem,
     StorePage,
     decode_changes,
+    decode_era,
     decode_page,
     range_target,
     watch_target,
 )
 
+AT_5 = StoreRevision(3, 5)
 FIELDS = [
     "version",
     "routes",
@@ -232,22 +235,26 @@
         value = base64.b64encode(b"x").decode()
         item = {"key": "servers/a", "value": value, "revision": 4}
         body = orjson.dumps({"items": [item], "truncated": True, "currentRev": 9})
-        page = decode_page(body)
-        assert page == StorePage((StoreItem("servers/a", b"x", 4),), 9, "servers/a")
+        page = decode_page(body, 3)
+        assert page == StorePage(
+            (StoreItem("servers/a", b"x", StoreRevision(3, 4)),),
+            StoreRevision(3, 9),
+            "servers/a",
+        )
 
     def test_tombstone_is_a_removal(self) -> None:
         event = {"key": "k", "revision": 5, "tombstone": True}
-        changes = decode_changes(orjson.dumps({"events": [event], "currentRev": 5}))
-        assert changes == StoreChanges((StoreItem("k", None, 5),), 5)
+        changes = decode_changes(orjson.dumps({"events": [event], "currentRev": 5}), 3)
+        assert changes == StoreChanges((StoreItem("k", None, AT_5),), AT_5)
 
     def test_value_that_is_not_base64_becomes_empty(self) -> None:
         event = {"key": "k", "revision": 5, "value": "%%"}
-        changes = decode_changes(orjson.dumps({"events": [event], "currentRev": 5}))
-        assert changes == StoreChanges((StoreItem("k", b"", 5),), 5)
+        changes = decode_changes(orjson.dumps({"events": [event], "currentRev": 5}), 3)
+        assert changes == StoreChanges((StoreItem("k", b"", AT_5),), AT_5)
 
     def test_malformed_items_are_left_out(self) -> None:
         body = orjson.dumps({"events": [{"key": 1}, {}], "currentRev": 5})
-        assert decode_changes(body) == StoreChanges((), 5)
+        assert decode_changes(body, 3) == StoreChanges((), AT_5)
 
     def test_targets(self) -> None:
         assert range_target("servers/", "servers/a b").endswith(
@@ -258,5 +265,23 @@
     @given(JSON)
     def test_any_document(self, document: Any) -> None:
         body = orjson.dumps(document, default=str)
-        assert isinstance(decode_page(body), StorePage | Malformed)
-        assert isinstance(decode_changes(body), StoreChanges | Malformed)
+        assert isinstance(decode_page(body, 3), StorePage | Malformed)
+        assert isinstance(decode_changes(body, 3), StoreChanges | Malformed)
+
+
+class TestEra:
+    """The era in the headers of the store's answers."""
+
+    @pytest.mark.parametrize(("text", "era"), [(b"1", 1), (b" 12 ", 12)])
+    def test_number(self, text: bytes, era: int) -> None:
+        assert decode_era([(b"store-era", text)]) == era
+
+    def test_missing(self) -> None:
+        assert decode_era([(b"content-length", b"2")]) == UNKNOWN_ERA
+        assert decode_era([(b"store-era", b"")]) == UNKNOWN_ERA
+
+    @pytest.mark.parametrize(
+        "text", [b"0", b"-1", b"1.5", b"first", b"9" * 40, b"\xff", b"1 2"]
+    )
+    def test_malformed(self, text: bytes) -> None:
+        assert isinstance(decode_era([(b"store-era", text)]), Malformed)
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -40,6 +40,7 @@
 # As in the deployments' settings: the longest time from the last fault until callers
 # are served again.
 RECOVERY_S: Final = 12.0
+APPLY_S: Final = 2.0
 RECOVERY_WINDOW_S: Final = 2.0
 MIN_SERVED_SHARE: Final = 0.9
 SERVERS: Final = tuple(
@@ -52,6 +53,11 @@
 SHAPES: Final = ("none framed", "inside reset", "inside crashed", "between crashed")
 SHAPE_COUNT: Final = 6
 SHAPE_SEED_OFFSET: Final = 1_000_000
+# What is lost when the store comes back from its copy.
+LOSSES: Final = ("nothing", "configuration", "server")
+LOST_CONFIGURATIONS: Final = 20
+RETURN_COUNT: Final = 2
+RETURN_SEED_OFFSET: Final = 2_000_000
 
 
 class Fault(NamedTuple):
@@ -102,6 +108,24 @@
     ]
 
 
+def draw_returns(seed: int) -> list[Fault]:
+    """Return the series of returns of the store from older copies, of a seed."""
+    random = Random(RETURN_SEED_OFFSET + seed)
+    return [
+        Fault(
+            random.uniform(*FAULT_GAPS_S),
+            random.uniform(*FAULT_DURATIONS_S),
+            "return",
+            random.randrange(len(SERVERS)),
+            random.choice(LOSSES),
+        )
+        for _ in range(RETURN_COUNT)
+    ]
+
+
+PLANS: Final = (draw_faults, draw_shapes, draw_returns)
+
+
 class SoakRun:
     """Hold a fleet under load, the attempts sent and a restart lock for each entry."""
 
@@ -172,6 +196,8 @@
                 os.kill(self.fleet.entries[entry].pid, signal.SIGHUP)
         elif fault.kind == "store":
             self.inject_store_fault(fault)
+        elif fault.kind == "return":
+            self.lose_changes(fault.how, fault.lasts_s, fault.place)
         elif fault.kind == "server":
             server = SERVERS[fault.place]
             self.fleet.send_control("/fault", server=server, fault=fault.how)
@@ -211,6 +237,17 @@
         time.sleep(fault.lasts_s)
         self.fleet.send_control("/store")
 
+    def lose_changes(self, what: str, after_s: float, place: int = 0) -> None:
+        """Let the store come back from a copy, without what was written since."""
+        self.fleet.send_control("/store", copy=True)
+        if what == "configuration":
+            for _ in range(LOST_CONFIGURATIONS):
+                self.fleet.send_control("/configuration")
+        elif what == "server":
+            self.fleet.send_control("/crash", server=SERVERS[place])
+        time.sleep(after_s)
+        self.fleet.send_control("/store", restore=True)
+
     def runs(self) -> dict[str, int]:
         """Return how many times each request was run, over all servers."""
         servers = self.fleet.send_control("/ledger")["servers"].values()
@@ -220,6 +257,19 @@
         """Return whether every entry is ready."""
         return all(map(self.fleet.is_ready, range(len(self.fleet.entries))))
 
+    def apply_after_return(self) -> list[str]:
+        """Let the store lose changes; return violations if no later one is applied."""
+        self.lose_changes("configuration", 0.0)
+        version = self.fleet.send_control("/configuration")["version"]
+        end_s = time.monotonic() + APPLY_S
+        entries = range(len(self.fleet.entries))
+        while time.monotonic() < end_s:
+            if all(self.fleet.in_force(entry) == version for entry in entries):
+                return []
+            time.sleep(CALL_PAUSE_S)
+        known = [self.fleet.in_force(entry) for entry in entries]
+        return [f"configuration {version} is not in force: {known}"]
+
     def recover(self) -> list[str]:
         """Wait for recovery: all entries ready, each kind served; return violations."""
         end_s = time.monotonic() + RECOVERY_S
@@ -251,11 +301,12 @@
     with running_fleet(folder) as fleet:
         state = SoakRun(fleet, folder, seed)
         callers = [start(state.call_until_over, caller) for caller in range(CALLERS)]
-        plans = [] if without_faults else [draw_faults(seed), draw_shapes(seed)]
+        plans = [] if without_faults else [plan(seed) for plan in PLANS]
         try:
             for thread in [start(state.inject_all, plan) for plan in plans]:
                 thread.join()
             violations = state.recover()
+            violations += state.apply_after_return()
         finally:
             state.is_over.set()
             for thread in callers:
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.site.soak import draw_faults, draw_shapes, run_seed
+from tests.site.soak import PLANS, run_seed
 from tests.site.soak_checks import (
     DRAFT,
     LOOKUP,
@@ -82,9 +82,9 @@
     """Plans are deterministic."""
 
     def test_same_seed_gives_same_plan(self) -> None:
-        assert draw_faults(7) == draw_faults(7)
-        assert draw_faults(7) != draw_faults(8)
-        assert draw_shapes(7) == draw_shapes(7)
+        for draw in PLANS:
+            assert draw(7) == draw(7)
+            assert draw(7) != draw(8)
 
 
 class TestSeeds:
