Do not begin requests that can't end before a stopping instance does (LOST)

Cause: until then a stopping instance begins whatever it is sent, however little time is left; connections still come when few instances of a zone are in rotation. Change: core/waiting/run_times.py learns how long requests of a route take; a stopping instance refuses a request at once (503, another instance can serve it) if its route's median no longer fits, and before it is sent to a server if the longest recent run does not. Requests that fit are served as before.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -170,6 +170,8 @@
         serving = self.serving
         self.stopping_ms = serving.now_ms()
         serving.is_ending = True
+        grace_ms = serving.settings.bounds.grace_ms
+        serving.ends_ms = self.stopping_ms + grace_ms - STOP_MARGIN_MS
         self.front.is_closing = True
         self.heartbeats.send_heartbeats()
         logger.info("stopping", extra={"in_progress": serving.in_progress})
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -14,13 +14,14 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
+from bramleyturn.core.waiting.run_times import longest_ms, note_run, typical_ms
 from bramleyturn.core.waiting.time_spent import time_spent_ms
 from bramleyturn.gateway.attempts import (
     Answered,
     NotRun,
     Streamed,
 )
-from bramleyturn.gateway.caller_attempts import CallerAttempts
+from bramleyturn.gateway.caller_attempts import CallerAttempts, is_success
 from bramleyturn.gateway.caller_request import (
     DEFAULT_RETRY_AFTER_MS,
     CallerRequest,
@@ -48,6 +49,8 @@
 # Time for an answer to reach the caller before its deadline.
 ANSWER_MARGIN_MS: Final = 15
 NO_CONFIGURATION_RETRY_AFTER_MS: Final = 500
+# Other instances can serve the request at once.
+STOPPING_RETRY_AFTER_MS: Final = 100
 STATUS_CONFLICT: Final = 409
 # A server that was silent for longer when its request was given up may have crashed.
 SILENCE_MS: Final = 500
@@ -121,8 +124,16 @@
         quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
         if quarantined_ms is not None:
             return Refusal(503, "quarantined", quarantined_ms)
+        expected_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
+        if self._ends_too_late(expected_ms):
+            return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
         return request
 
+    def _ends_too_late(self, expected_ms: int) -> bool:
+        """Return whether the process stops before a request that begins now can end."""
+        ends_ms = self.serving.ends_ms
+        return ends_ms is not None and self.serving.now_ms() + expected_ms > ends_ms
+
     async def _serve(self, request: CallerRequest) -> None:
         refusal = await self._run_input_stages(request)
         if refusal is None:
@@ -186,9 +197,17 @@
             ):
                 log_request(request, "no retry left", {"pool": request.pool})
                 break
+            expected_ms = longest_ms(
+                serving.run_times, request.route.name, request.route.aim_ms
+            )
+            is_first = not request.may_have_run and not request.exchange.is_started
+            if is_first and self._ends_too_late(expected_ms):
+                return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
             request.tried.append(server.id)
+            sent_ms = serving.now_ms()
             ended = await self.attempts.send(request, server)
             if isinstance(ended, Streamed):
+                self._note_times(request, sent_ms)
                 self._finish_stream(request, ended)
                 return None
             if isinstance(ended, Answered):
@@ -202,6 +221,8 @@
                     continue
                 if is_started:
                     break
+                if is_success(ended):
+                    self._note_times(request, sent_ms)
                 self._pass_on(request, ended)
                 return None
             if isinstance(ended, NotRun):
@@ -232,6 +253,12 @@
             return False
         return is_safe_to_retry(request.route) and runs < request.route.max_attempts
 
+    def _note_times(self, request: CallerRequest, sent_ms: int) -> None:
+        serving = self.serving
+        route = request.route.name
+        note_run(serving.request_times, route, self._elapsed_ms(request))
+        note_run(serving.run_times, route, serving.now_ms() - sent_ms)
+
     def _finish_stream(self, request: CallerRequest, ended: Streamed) -> None:
         if request.exchange.is_started:
             request.exchange.finish()
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -17,6 +17,8 @@
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
 HEALTH_TARGET: Final = b"/health"
+# Time between two events of a stream.
+DEFAULT_GAP_MS: Final = 10
 NOT_RUN_HEADER: Final = (b"Bramleyturn-Not-Executed", b"1")
 # A request with this in its target, body or piece key crashes the server that runs it.
 CRASH_MARKER: Final = b"crash"
@@ -63,6 +65,7 @@
         self.fault = ""
         self.shape: AnswerShape | None = None
         self.processing_ms = 10
+        self.gap_ms = DEFAULT_GAP_MS
         self.ran: list[RunRecord] = []
         self.running = 0
         self.results: dict[str, str] = {}
@@ -94,9 +97,7 @@
     return handle
 
 
-def engine_handler(
-    server: SiteServer, events: int = 8, gap_ms: int = 10
-) -> Callable[[Exchange], None]:
+def engine_handler(server: SiteServer, events: int = 8) -> Callable[[Exchange], None]:
     """Return the request handler of an engine, which streams events."""
 
     def handle(exchange: Exchange) -> None:
@@ -141,7 +142,7 @@
             raw.end()
         else:
             raw.send(stream[0])
-            gap_s = gap_ms / MS_PER_S
+            gap_s = server.gap_ms / MS_PER_S
             server.reactor.callLater(gap_s, send_raw, raw, stream[1:], number + 1)
 
     def send(exchange: Exchange, number: int) -> None:
@@ -158,7 +159,7 @@
             exchange.finish()
             return
         exchange.send(_event(number))
-        server.reactor.callLater(gap_ms / MS_PER_S, send, exchange, number + 1)
+        server.reactor.callLater(server.gap_ms / MS_PER_S, send, exchange, number + 1)
 
     return handle
 
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -15,6 +15,7 @@
 from bramleyturn.gateway.http1_server import Exchange, HttpServer
 from bramleyturn.standin.site.raw_answers import read_shape
 from bramleyturn.standin.site.servers import (
+    DEFAULT_GAP_MS,
     SiteServer,
     engine_handler,
     plain_handler,
@@ -255,6 +256,7 @@
             server = site.servers[body["server"]]
             server.fault = body["fault"]
             server.shape = read_shape(body["shape"]) if "shape" in body else None
+            server.gap_ms = body.get("gap_ms", DEFAULT_GAP_MS)
         elif target == "/crash":
             site.servers[body["server"]].crash()
         elif target == "/swap":
