Stop entries while callers use open connections in the site soak

Change: four callers keep their connection to one entry until it closes it; a third series stops entries with SIGTERM while plain servers take 0.6 s; a request of such a caller that a server ran, and whose connection then closes without an answer, is a violation unless the entry was killed meanwhile.

--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -17,6 +17,7 @@
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
 HEALTH_TARGET: Final = b"/health"
+DEFAULT_PROCESSING_MS: Final = 10
 # Time between two events of a stream.
 DEFAULT_GAP_MS: Final = 10
 NOT_RUN_HEADER: Final = (b"Bramleyturn-Not-Executed", b"1")
@@ -64,7 +65,7 @@
         self.state = ""
         self.fault = ""
         self.shape: AnswerShape | None = None
-        self.processing_ms = 10
+        self.processing_ms = DEFAULT_PROCESSING_MS
         self.gap_ms = DEFAULT_GAP_MS
         self.ran: list[RunRecord] = []
         self.running = 0
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -16,6 +16,7 @@
 from bramleyturn.standin.site.raw_answers import read_shape
 from bramleyturn.standin.site.servers import (
     DEFAULT_GAP_MS,
+    DEFAULT_PROCESSING_MS,
     SiteServer,
     engine_handler,
     plain_handler,
@@ -257,6 +258,7 @@
             server.fault = body["fault"]
             server.shape = read_shape(body["shape"]) if "shape" in body else None
             server.gap_ms = body.get("gap_ms", DEFAULT_GAP_MS)
+            server.processing_ms = body.get("processing_ms", DEFAULT_PROCESSING_MS)
         elif target == "/crash":
             site.servers[body["server"]].crash()
         elif target == "/swap":
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -57,8 +57,12 @@
         attempt_id: str = "",
         key: str = API_KEY,
         extra_headers: dict[str, str] | None = None,
+        kept: http.client.HTTPConnection | None = None,
     ) -> Answer:
-        """Send one request to an entry and return the answer."""
+        """Send one request to an entry and return the answer.
+
+        It is sent on the connection ``kept``, which stays open, or on a new one.
+        """
         headers = {
             "Host": "site.example",
             "Bramleyturn-Attempt-Id": attempt_id or f"a{next(_ids):08x}",
@@ -66,9 +70,7 @@
             "Authorization": f"Bearer {key}",
             **(extra_headers or {}),
         }
-        connection = http.client.HTTPConnection(
-            HOSTS[entry], self.ports["front"], timeout=TIMEOUT_S
-        )
+        connection = kept or self.connection(entry)
         try:
             connection.request(method, path, body=body or None, headers=headers)
             response = connection.getresponse()
@@ -78,7 +80,14 @@
             except http.client.IncompleteRead as cut:
                 return Answer(response.status, found, cut.partial, False)
         finally:
-            connection.close()
+            if kept is None:
+                connection.close()
+
+    def connection(self, entry: int) -> http.client.HTTPConnection:
+        """Return a connection to an entry, which is opened with its first request."""
+        return http.client.HTTPConnection(
+            HOSTS[entry], self.ports["front"], timeout=TIMEOUT_S
+        )
 
     def draft(
         self, body: bytes = b"x", piece_key: str = "7c1e", **options: Any
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from tests.processes import READY_LIMIT_S, kill
 from tests.site.site_fleet import SiteFleet, launch_entry, running_fleet, wait_until
@@ -32,6 +32,8 @@
 )
 
 CALLERS: Final = 8
+# Callers that use one connection to one entry for as long as it stays open.
+KEPT_CALLERS: Final = 4
 CALL_PAUSE_S: Final = 0.03
 # Time between the starts of two faults, short enough that faults overlap.
 FAULT_GAPS_S: Final = (0.2, 1.2)
@@ -58,6 +60,9 @@
 LOST_CONFIGURATIONS: Final = 20
 RETURN_COUNT: Final = 2
 RETURN_SEED_OFFSET: Final = 2_000_000
+RESTART_COUNT: Final = 2
+SLOW_MS: Final = 600
+RESTART_SEED_OFFSET: Final = 3_000_000
 
 
 class Fault(NamedTuple):
@@ -123,7 +128,22 @@
     ]
 
 
-PLANS: Final = (draw_faults, draw_shapes, draw_returns)
+def draw_restarts(seed: int) -> list[Fault]:
+    """Return the series of entries that are asked to stop, of a seed."""
+    random = Random(RESTART_SEED_OFFSET + seed)
+    return [
+        Fault(
+            random.uniform(*FAULT_GAPS_S),
+            random.uniform(*FAULT_DURATIONS_S),
+            "stop",
+            random.randrange(len(SERVERS)),
+            "slow",
+        )
+        for _ in range(RESTART_COUNT)
+    ]
+
+
+PLANS: Final = (draw_faults, draw_shapes, draw_returns, draw_restarts)
 
 
 class SoakRun:
@@ -137,6 +157,7 @@
         self.is_over = threading.Event()
         self.restarting = [threading.Lock() for _ in fleet.entries]
         self.starts = itertools.count(1)
+        self.kills: list[tuple[int, float]] = []
 
     def call_until_over(self, caller: int) -> None:
         """Send requests one after the other, each to a random entry."""
@@ -150,17 +171,42 @@
             self.sent.append(self.call(kind, attempt_id, entry))
             time.sleep(CALL_PAUSE_S)
 
-    def call(self, kind: str, attempt_id: str, entry: int) -> SentAttempt:
+    def call_on_kept_connection(self, caller: int) -> None:
+        """Send requests to one entry, on one connection until the entry closes it."""
+        random = Random(self.seed * 1_000 + CALLERS + caller)
+        entry = caller % len(self.fleet.entries)
+        kept = self.fleet.connection(entry)
+        for number in itertools.count():
+            if self.is_over.is_set():
+                kept.close()
+                return
+            kind = random.choice((LOOKUP, ORDER, DRAFT))
+            attempt_id = f"s{self.seed:x}k{caller:x}n{number:x}"
+            sent_s = time.monotonic()
+            attempt = self.call(kind, attempt_id, entry, kept)
+            if not attempt.is_whole:
+                kept.close()
+            was_killed = any(
+                place == entry and killed_s > sent_s for place, killed_s in self.kills
+            )
+            self.sent.append(attempt._replace(must_end=not was_killed))
+            time.sleep(CALL_PAUSE_S)
+
+    def call(
+        self,
+        kind: str,
+        attempt_id: str,
+        entry: int,
+        kept: http.client.HTTPConnection | None = None,
+    ) -> SentAttempt:
         """Send one request."""
+        options: Any = {"entry": entry, "attempt_id": attempt_id, "kept": kept}
         try:
             if kind == DRAFT:
-                body = attempt_id.encode()
-                answer = self.fleet.draft(body, entry=entry, attempt_id=attempt_id)
+                answer = self.fleet.draft(attempt_id.encode(), **options)
             else:
                 method = "POST" if kind == ORDER else "GET"
-                answer = self.fleet.call(
-                    f"/{kind}/{attempt_id}", method, entry, attempt_id=attempt_id
-                )
+                answer = self.fleet.call(f"/{kind}/{attempt_id}", method, **options)
         except (OSError, http.client.HTTPException):
             return SentAttempt(attempt_id, kind, 0, b"", False, False)
         is_signed = "bramleyturn-response-signature" in answer.headers
@@ -218,8 +264,13 @@
         with self.restarting[entry]:
             running = self.fleet.entries[entry]
             if fault.kind == "stop":
+                if fault.how == "slow":
+                    self.set_plain_servers(processing_ms=SLOW_MS)
                 self.fleet.stop_entry(entry)
                 running.process.wait(READY_LIMIT_S)
+                self.set_plain_servers()
+            else:
+                self.kills.append((entry, time.monotonic()))
             kill(running)
             time.sleep(fault.lasts_s)
             name = f"entry-{entry}-{next(self.starts)}"
@@ -237,6 +288,12 @@
         time.sleep(fault.lasts_s)
         self.fleet.send_control("/store")
 
+    def set_plain_servers(self, **fields: int) -> None:
+        """End the faults of the plain servers, but for ``fields``."""
+        for server in SERVERS:
+            if server.startswith("i-members"):
+                self.fleet.send_control("/fault", server=server, fault="", **fields)
+
     def lose_changes(self, what: str, after_s: float, place: int = 0) -> None:
         """Let the store come back from a copy, without what was written since."""
         self.fleet.send_control("/store", copy=True)
@@ -301,6 +358,10 @@
     with running_fleet(folder) as fleet:
         state = SoakRun(fleet, folder, seed)
         callers = [start(state.call_until_over, caller) for caller in range(CALLERS)]
+        callers += [
+            start(state.call_on_kept_connection, caller)
+            for caller in range(KEPT_CALLERS)
+        ]
         plans = [] if without_faults else [plan(seed) for plan in PLANS]
         try:
             for thread in [start(state.inject_all, plan) for plan in plans]:
--- a/tests/site/soak_checks.py
+++ b/tests/site/soak_checks.py
@@ -14,7 +14,8 @@
     """Hold one attempt of a caller and its answer.
 
     ``status`` is 0 for a connection that ended without an answer. ``is_whole`` is
-    False for an answer that was visibly cut off.
+    False for an answer that was visibly cut off. ``must_end`` is set for an attempt on
+    a kept connection to an entry that nobody killed meanwhile.
     """
 
     attempt_id: str
@@ -23,6 +24,7 @@
     body: bytes
     is_whole: bool
     is_signed: bool
+    must_end: bool = False
 
 
 def whole_stream() -> bytes:
@@ -47,6 +49,8 @@
     violations = []
     if attempt.kind == ORDER and ran > 1:
         violations.append(f"doubled, {ran} runs")
+    if attempt.must_end and not attempt.status and ran:
+        violations.append("read, run and closed without an answer")
     if attempt.status in NOT_RUN_STATUSES and ran:
         violations.append(f"called not run with {attempt.status}, {ran} runs")
     if attempt.status == 200 and attempt.is_whole:
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -38,6 +38,8 @@
         assert find_violations([answered(LOOKUP)], {"a": 2}) == []
         assert find_violations([answered(ORDER)], {"a": 1}) == []
         assert find_violations([answered(DRAFT, whole_stream())], {"a": 1}) == []
+        closed = SentAttempt("a", ORDER, 0, b"", False, False, must_end=True)
+        assert find_violations([closed], {}) == []
         cut = SentAttempt("a", ORDER, 200, b"answ", False, True)
         assert find_violations([cut], {"a": 1}) == []
         assert (
@@ -59,6 +61,11 @@
                 {"a": 1},
                 "called not run",
             ),
+            (
+                SentAttempt("a", ORDER, 0, b"", False, False, must_end=True),
+                {"a": 1},
+                "closed without an answer",
+            ),
             (answered(LOOKUP, b"answer to b"), {"a": 1}, "crossed or cut"),
             (answered(DRAFT, whole_stream()[:-9]), {"a": 1}, "crossed or cut"),
             (answered(DRAFT, whole_stream() * 2), {"a": 1}, "crossed or cut"),
