--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -15,6 +15,7 @@
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.fleet.members import MemberRef
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.core.waiting.run_times import Shutdown
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_expired
 from bramleyturn.gateway.control_api import control_api
@@ -171,7 +172,10 @@
         self.stopping_ms = serving.now_ms()
         serving.is_ending = True
         grace_ms = serving.settings.bounds.grace_ms
-        serving.ends_ms = self.stopping_ms + grace_ms - STOP_MARGIN_MS
+        serving.shutdown = Shutdown(
+            out_of_rotation_ms=self.stopping_ms + LEAVE_ROTATION_MS,
+            ends_ms=self.stopping_ms + grace_ms - STOP_MARGIN_MS,
+        )
         self.front.is_closing = True
         self.heartbeats.send_heartbeats()
         logger.info("stopping", extra={"in_progress": serving.in_progress})
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -14,7 +14,12 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
-from bramleyturn.core.waiting.run_times import longest_ms, note_run, typical_ms
+from bramleyturn.core.waiting.run_times import (
+    ends_in_time,
+    longest_ms,
+    note_run,
+    typical_ms,
+)
 from bramleyturn.core.waiting.time_spent import time_spent_ms
 from bramleyturn.gateway.attempts import (
     Answered,
@@ -124,15 +129,26 @@
         quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
         if quarantined_ms is not None:
             return Refusal(503, "quarantined", quarantined_ms)
-        expected_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
-        if self._ends_too_late(expected_ms):
+        request_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
+        if self._ends_too_late(request, request_ms):
             return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
         return request
 
-    def _ends_too_late(self, expected_ms: int) -> bool:
+    def _ends_too_late(self, request: CallerRequest, expected_ms: int) -> bool:
         """Return whether the process stops before a request that begins now can end."""
-        ends_ms = self.serving.ends_ms
-        return ends_ms is not None and self.serving.now_ms() + expected_ms > ends_ms
+        serving = self.serving
+        if serving.shutdown is None:
+            return False
+        longest_run_ms = longest_ms(
+            serving.run_times, request.pool, request.route.aim_ms
+        )
+        return not ends_in_time(
+            serving.shutdown,
+            request.arrived_ms,
+            serving.now_ms(),
+            expected_ms,
+            longest_run_ms,
+        )
 
     async def _serve(self, request: CallerRequest) -> None:
         refusal = await self._run_input_stages(request)
@@ -197,11 +213,9 @@
             ):
                 log_request(request, "no retry left", {"pool": request.pool})
                 break
-            expected_ms = longest_ms(
-                serving.run_times, request.route.name, request.route.aim_ms
-            )
+            run_ms = typical_ms(serving.run_times, request.pool, request.route.aim_ms)
             is_first = not request.may_have_run and not request.exchange.is_started
-            if is_first and self._ends_too_late(expected_ms):
+            if is_first and self._ends_too_late(request, run_ms):
                 return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
             request.tried.append(server.id)
             sent_ms = serving.now_ms()
@@ -255,9 +269,9 @@
 
     def _note_times(self, request: CallerRequest, sent_ms: int) -> None:
         serving = self.serving
-        route = request.route.name
-        note_run(serving.request_times, route, self._elapsed_ms(request))
-        note_run(serving.run_times, route, serving.now_ms() - sent_ms)
+        took_ms = self._elapsed_ms(request)
+        note_run(serving.request_times, request.route.name, took_ms)
+        note_run(serving.run_times, request.pool, serving.now_ms() - sent_ms)
 
     def _finish_stream(self, request: CallerRequest, ended: Streamed) -> None:
         if request.exchange.is_started:
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -27,7 +27,7 @@
     note_instances,
 )
 from bramleyturn.core.waiting.first_events import FirstEventTimes
-from bramleyturn.core.waiting.run_times import RunTimes
+from bramleyturn.core.waiting.run_times import RunTimes, Shutdown
 from bramleyturn.core.waiting.time_spent import LongestWaits
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.metrics import Metrics
@@ -39,9 +39,9 @@
 class Serving:
     """Hold the state that the components of one process share.
 
-    ``ends_ms`` is when a stopping process ends the requests in progress, None before.
-    ``request_times`` are from the arrival of a request to its end, ``run_times`` from
-    when it was sent to a server.
+    ``shutdown`` is set once the process is stopping. ``request_times`` are from the
+    arrival of a request to its end, by route; ``run_times`` from when it was sent to a
+    server, by pool.
     """
 
     def __init__(
@@ -76,7 +76,7 @@
         self.freshness = Freshness(now_ms)
         self.silent_zones: frozenset[str] = frozenset()
         self.is_ending = False
-        self.ends_ms: int | None = None
+        self.shutdown: Shutdown | None = None
         self.request_times = RunTimes()
         self.run_times = RunTimes()
         self.in_progress = 0
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -86,6 +86,8 @@
         attempt_id = _record_run(server, exchange)
         if _crashes(server, exchange.target + exchange.body, attempt_id):
             return
+        if server.fault == "hang":
+            return
         server.running += 1
         server.reactor.callLater(
             server.processing_ms / MS_PER_S, end, exchange, attempt_id
@@ -269,8 +271,6 @@
 
 
 def _answer_plain(server: SiteServer, exchange: Exchange, attempt_id: str) -> None:
-    if server.fault == "hang":
-        return
     if server.fault == "reset":
         exchange.cut()
         return
--- a/tests/core/waiting/test_run_times.py
+++ b/tests/core/waiting/test_run_times.py
@@ -3,6 +3,8 @@
 from bramleyturn.core.waiting.run_times import (
     RECENT_RUNS,
     RunTimes,
+    Shutdown,
+    ends_in_time,
     longest_ms,
     note_run,
     typical_ms,
@@ -30,3 +32,20 @@
         for _ in range(RECENT_RUNS):
             note_run(times, "draft", 100)
         assert longest_ms(times, "draft", 0) == 100
+        assert longest_ms(times, "draft", 150) == 150
+
+
+class TestEndsInTime:
+    """A shutdown that leaves the rotation at 3,000 ms and ends requests at 7,750 ms."""
+
+    SHUTDOWN = Shutdown(out_of_rotation_ms=3_000, ends_ms=7_750)
+
+    def test_request_of_the_rotation_must_fit_as_usual(self) -> None:
+        arrived_ms = 2_999
+        assert ends_in_time(self.SHUTDOWN, arrived_ms, 6_750, 1_000, 5_000)
+        assert not ends_in_time(self.SHUTDOWN, arrived_ms, 6_751, 1_000, 5_000)
+
+    def test_later_request_must_fit_with_a_margin(self) -> None:
+        arrived_ms = 3_000
+        assert ends_in_time(self.SHUTDOWN, arrived_ms, 5_750, 10, 1_000)
+        assert not ends_in_time(self.SHUTDOWN, arrived_ms, 5_751, 10, 1_000)
