Leave new connections time for their first request while stopping

What callers saw: connections to a stopping instance that were closed without an answer, before their request was read. Cause: from 3 s after SIGTERM idle connections are closed every 50 ms, also one that was accepted a moment ago and whose request is still on its way. Change: only connections that were idle for 500 ms are closed.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -53,6 +53,8 @@
 # the process ends later, when the answers have been sent.
 STOP_MARGIN_MS: Final = 250
 EXIT_MARGIN_MS: Final = 80
+# Time for the first request on a new connection to arrive, with a packet sent again.
+FIRST_REQUEST_MS: Final = 500
 STOP_CHECK_INTERVAL_S: Final = 0.05
 LISTEN_BACKLOG: Final = 512
 
@@ -192,7 +194,7 @@
             logger.info("requests ended", extra={"in_progress": serving.in_progress})
             self.flow.end_all()
         if elapsed_ms >= LEAVE_ROTATION_MS:
-            self.front.close_idle()
+            self.front.close_idle(FIRST_REQUEST_MS)
         is_idle = not serving.in_progress and not self.front.connections
         if is_over or (elapsed_ms >= LEAVE_ROTATION_MS and is_idle):
             logger.info("stopped", extra={"in_progress": serving.in_progress})
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -125,10 +125,14 @@
         """Return the twisted factory of the connections."""
         return Factory.forProtocol(lambda: CallerConnection(self))
 
-    def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+    def close_idle(self, idle_ms: int) -> None:
+        """Close the connections that have had no request in progress for ``idle_ms``.
+
+        The first request on a new connection may be on its way.
+        """
+        until_ms = self.now_ms() - idle_ms
         for connection in list(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and connection.idle_since_ms <= until_ms:
                 connection.close()
 
 
@@ -143,6 +147,7 @@
         self.body_bytes = 0
         self.pipelined_bytes = 0
         self.first_byte_ms: int | None = None
+        self.idle_since_ms = server.now_ms()
         self.is_closed = False
         self.is_refused = False
         self.timer: DelayedCall | None = None
@@ -218,6 +223,7 @@
             return
         self.http.start_next_cycle()
         self.first_byte_ms = None
+        self.idle_since_ms = self.server.now_ms()
         self._start_timer(self.server.limits().idle_timeout_ms, self.close)
         if self.http.trailing_data[0]:
             self.first_byte_ms = self.server.now_ms()
--- a/tests/site/test_stopping.py
+++ b/tests/site/test_stopping.py
@@ -148,6 +148,16 @@
         assert (answer.status, answer.is_whole) == (503, True)
         assert fleet.ran("waits") == []
 
+    def test_new_connection_has_time_to_send_its_request(
+        self, fleet: SiteFleet
+    ) -> None:
+        late_s = self.stop(fleet)
+        time.sleep(late_s - time.monotonic() - 2.6)
+        kept = fleet.connection(0)
+        kept.connect()
+        time.sleep(0.2)
+        assert fleet.call("/lookup/1", kept=kept).status == 200
+
     def test_requests_that_end_in_time_are_served(self, fleet: SiteFleet) -> None:
         assert fleet.draft(entry=0).status == 200
         late_s = self.stop(fleet)
