Log how late the event loop is and in which state callers' connections end

Each callers' connection is counted by its state when it ends, and logged during a shutdown with the caller's address, which `request ended` has too. No decision changes.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -5,6 +5,7 @@
 import secrets
 import signal
 import sys
+from collections import Counter
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -15,6 +16,12 @@
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.fleet.members import MemberRef
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.core.waiting.loop_delays import (
+    CHECK_INTERVAL_MS,
+    LoopDelays,
+    longest_delay_ms,
+    note_check,
+)
 from bramleyturn.core.waiting.run_times import Shutdown
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_expired
@@ -22,8 +29,8 @@
 from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.event_log import EventLog, start_event_log
 from bramleyturn.gateway.heartbeats import Heartbeats
-from bramleyturn.gateway.http1_server import Exchange, HttpServer
-from bramleyturn.gateway.metrics import gauge, metrics_page
+from bramleyturn.gateway.http1_server import CallerConnection, Exchange, HttpServer
+from bramleyturn.gateway.metrics import count, gauge, metrics_page, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.request_flow import RequestFlow
 from bramleyturn.gateway.serving import Serving, seed_addresses
@@ -57,6 +64,9 @@
 FIRST_REQUEST_MS: Final = 500
 STOP_CHECK_INTERVAL_S: Final = 0.05
 LISTEN_BACKLOG: Final = 512
+# Longer delays of the event loop are logged: events of a stream have to be passed on
+# within about this time.
+LOGGED_DELAY_MS: Final = 100
 
 logger = logging.getLogger(__name__)
 
@@ -78,7 +88,9 @@
         self.crashes.on_crash = self.heartbeats.send_soon
         self.copy.on_new_revision = self.heartbeats.send_heartbeats
         self.api = control_api(self.owner, self.asks, self.copy)
+        self.delays = LoopDelays(serving.now_ms())
         self.front = self._server(self.flow.handle)
+        self.front.on_connection_ended = self.connection_ended
         self.ready = self._server(self.answer_readiness)
         self.control = self._server(self.api.handle)
         self.metrics = self._server(self.answer_metrics)
@@ -89,6 +101,31 @@
         serving = self.serving
         return HttpServer(serving.reactor, serving.now_ms, serving.limits, handle)
 
+    def connection_ended(self, connection: CallerConnection) -> None:
+        """Count a caller's connection by its state, and log it during a shutdown."""
+        state = connection.state()
+        count(self.serving.metrics, "caller_connections_ended", state)
+        if self.stopping_ms is None:
+            return
+        logger.info(
+            "caller connection ended",
+            extra={
+                "caller": connection.caller_address(),
+                "state": state,
+                "requests": connection.requests,
+                "stopping_for_ms": self.serving.now_ms() - self.stopping_ms,
+            },
+        )
+
+    def check_loop(self) -> None:
+        """Measure how late the event loop is, at intervals."""
+        serving = self.serving
+        serving.reactor.callLater(CHECK_INTERVAL_MS / MS_PER_S, self.check_loop)
+        delay_ms = note_check(self.delays, serving.now_ms())
+        observe(serving.metrics, "loop_delay", delay_ms)
+        if delay_ms >= LOGGED_DELAY_MS:
+            logger.warning("event loop was late", extra={"delay_ms": delay_ms})
+
     def receive(self, sender: str, message: dict[str, Any]) -> None:
         """Handle a message of this process to itself."""
         self.api.receive(sender, message)
@@ -132,6 +169,7 @@
         self.heartbeats.send_periodically()
         self.settings_mtime_ns = read_settings_mtime_ns()
         loop.callLater(HOUSEKEEPING_INTERVAL_S, self.run_housekeeping)
+        self.check_loop()
         logger.info(
             "started", extra={"front": f"{settings.front.host}:{settings.front.port}"}
         )
@@ -180,9 +218,21 @@
         )
         self.front.is_closing = True
         self.heartbeats.send_heartbeats()
-        logger.info("stopping", extra={"in_progress": serving.in_progress})
+        logger.info(
+            "stopping",
+            extra={
+                "in_progress": serving.in_progress,
+                "connections": self.connections_by_state(),
+                "loop_checked_ms_ago": self.stopping_ms - self.delays.checked_ms,
+                "longest_delay_ms": longest_delay_ms(self.delays),
+            },
+        )
         self.check_stopped()
 
+    def connections_by_state(self) -> dict[str, int]:
+        """Return the number of callers' connections in each state."""
+        return dict(Counter(str(each.state()) for each in self.front.connections))
+
     def check_stopped(self) -> None:
         """Exit once out of rotation and idle, or when the grace period is over."""
         serving = self.serving
@@ -197,7 +247,14 @@
             self.front.close_idle(FIRST_REQUEST_MS)
         is_idle = not serving.in_progress and not self.front.connections
         if is_over or (elapsed_ms >= LEAVE_ROTATION_MS and is_idle):
-            logger.info("stopped", extra={"in_progress": serving.in_progress})
+            logger.info(
+                "stopped",
+                extra={
+                    "in_progress": serving.in_progress,
+                    "connections": self.connections_by_state(),
+                    "after_ms": elapsed_ms,
+                },
+            )
             self.log.flush_lines()
             serving.reactor.stop()
             return
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Any, Final
 
 import h11
@@ -32,6 +33,20 @@
 logger = logging.getLogger(__name__)
 
 
+class ConnectionState(StrEnum):
+    """Name what a caller's connection is used for.
+
+    ``CLOSING`` is a connection that is closed once its buffered data has been sent.
+    """
+
+    NEW = "new"
+    IDLE = "idle"
+    READING = "reading"
+    WAITING = "waiting"
+    ANSWERING = "answering"
+    CLOSING = "closing"
+
+
 class Exchange:
     """Hold one request, and send its answer.
 
@@ -120,6 +135,7 @@
         self.handle = handle
         self.connections: set[CallerConnection] = set()
         self.is_closing = False
+        self.on_connection_ended: Callable[[CallerConnection], None] = lambda _: None
 
     def factory(self) -> Factory:
         """Return the twisted factory of the connections."""
@@ -148,7 +164,9 @@
         self.pipelined_bytes = 0
         self.first_byte_ms: int | None = None
         self.idle_since_ms = server.now_ms()
+        self.requests = 0
         self.is_closed = False
+        self.is_closing = False
         self.is_refused = False
         self.timer: DelayedCall | None = None
         self.http = self._new_parser()
@@ -169,6 +187,7 @@
         self.is_closed = True
         self.server.connections.discard(self)
         self._stop_timer()
+        self.server.on_connection_ended(self)
         exchange = self.exchange
         self.exchange = None
         if exchange is not None and not exchange.is_gone:
@@ -201,6 +220,23 @@
         """Return whether no request is being read or answered."""
         return self.exchange is None and self.first_byte_ms is None
 
+    def state(self) -> ConnectionState:
+        """Return what the connection is used for, or was when it ended."""
+        if self.is_closing:
+            return ConnectionState.CLOSING
+        if self.exchange is not None:
+            is_started = self.exchange.is_started
+            return ConnectionState.ANSWERING if is_started else ConnectionState.WAITING
+        if self.first_byte_ms is not None:
+            return ConnectionState.READING
+        return ConnectionState.IDLE if self.requests else ConnectionState.NEW
+
+    def caller_address(self) -> str:
+        """Return the address and port of the caller."""
+        transport: Any = self.transport
+        peer = transport.getPeer()
+        return f"{peer.host}:{peer.port}"
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Write the head of an answer."""
         if self.server.is_closing:
@@ -245,6 +281,7 @@
         transport: Any = self.transport
         if transport is None or self.is_closed:
             return
+        self.is_closing = True
         transport.loseConnection()
         self._start_timer(int(FLUSH_TIMEOUT_S * MS_PER_S), self.abort)
 
@@ -321,6 +358,7 @@
         arrived_ms = self.first_byte_ms or self.server.now_ms()
         exchange = Exchange(self, request, b"".join(self.body), arrived_ms)
         self.exchange = exchange
+        self.requests += 1
         self.request = None
         self.body = []
         self.server.handle(exchange)
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -359,6 +359,7 @@
             "request ended",
             {
                 "route": request.route.name,
+                "caller": request.exchange.connection.caller_address(),
                 "fingerprint": request.fingerprint,
                 "prompt_tokens": request.head.prompt_tokens,
                 "output_tokens": request.head.output_tokens,
