Let a site's stand-ins make large answers and late events

A test can now set the least size of a plain answer's body and of an event's text, and how long an engine takes to its first event. Without these options the stand-ins answer as before.

--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -50,6 +50,9 @@
     ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
     attempt that each crash was due to. ``name`` stays the same when the server starts
     again under another ``id``. ``state`` is what it last registered, "" if nothing.
+
+    ``answer_bytes`` is the least size of a plain answer's body, ``event_bytes`` that of
+    an event's text. An engine sends its first event after ``start_ms``.
     """
 
     def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
@@ -67,6 +70,9 @@
         self.shape: AnswerShape | None = None
         self.processing_ms = DEFAULT_PROCESSING_MS
         self.gap_ms = DEFAULT_GAP_MS
+        self.start_ms = 0
+        self.answer_bytes = 0
+        self.event_bytes = 0
         self.ran: list[RunRecord] = []
         self.running = 0
         self.results: dict[str, str] = {}
@@ -126,7 +132,11 @@
             send_raw(raw, stream, first)
             return
         exchange.start(200, headers)
-        send(exchange, first)
+        if server.start_ms:
+            start_s = server.start_ms / MS_PER_S
+            server.reactor.callLater(start_s, send, exchange, first)
+        else:
+            send(exchange, first)
 
     def send_raw(raw: RawAnswer, stream: list[bytes], number: int) -> None:
         point = raw.shape.break_point
@@ -161,7 +171,7 @@
             server.running -= 1
             exchange.finish()
             return
-        exchange.send(_event(number))
+        exchange.send(_event(number, text_bytes=server.event_bytes))
         server.reactor.callLater(server.gap_ms / MS_PER_S, send, exchange, number + 1)
 
     return handle
@@ -200,8 +210,9 @@
     return handle
 
 
-def _event(number: int, has_id: bool = True) -> bytes:
-    data = b"data: token-%d\n\n" % number
+def _event(number: int, has_id: bool = True, text_bytes: int = 0) -> bytes:
+    text = (b"token-%d" % number).ljust(text_bytes, b".")
+    data = b"data: %b\n\n" % text
     return b"id: %d\n%b" % (number, data) if has_id else data
 
 
@@ -274,7 +285,7 @@
     if server.fault == "reset":
         exchange.cut()
         return
-    body = b"answer to " + attempt_id.encode()
+    body = (b"answer to " + attempt_id.encode()).ljust(server.answer_bytes, b".")
     headers = _answer_headers(server, attempt_id)
     if server.fault == "cut":
         exchange.start(200, headers)
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -259,6 +259,9 @@
             server.shape = read_shape(body["shape"]) if "shape" in body else None
             server.gap_ms = body.get("gap_ms", DEFAULT_GAP_MS)
             server.processing_ms = body.get("processing_ms", DEFAULT_PROCESSING_MS)
+            server.start_ms = body.get("start_ms", 0)
+            server.answer_bytes = body.get("answer_bytes", 0)
+            server.event_bytes = body.get("event_bytes", 0)
         elif target == "/crash":
             site.servers[body["server"]].crash()
         elif target == "/swap":
