--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -104,7 +104,7 @@
     def connection_ended(self, connection: CallerConnection) -> None:
         """Count a caller's connection by its state, and log it during a shutdown."""
         state = connection.state()
-        count(self.serving.metrics, "caller_connections_ended", state)
+        count(self.serving.metrics, "connections_ended", state)
         if self.stopping_ms is None:
             return
         logger.info(
