--- /dev/null
+++ b/core/waiting/shutdown.py
@@ -0,0 +1,42 @@
+"""Plan the shutdown of an instance from when it may have been asked to stop.
+
+The platform kills a process when its grace period after SIGTERM is over. A process
+whose event loop is late learns of SIGTERM late, and does late what it planned.
+"""
+
+from typing import Final, NamedTuple
+
+# An instance accepts connections until the platform has taken it out of rotation.
+LEAVE_ROTATION_MS: Final = 3_000
+# Requests still in progress are answered this long before the process is killed, and
+# the process ends later, when the answers have been sent.
+ANSWER_MARGIN_MS: Final = 250
+EXIT_MARGIN_MS: Final = 80
+# Longer delays of the event loop count as single pauses of the machine, which no
+# margin can cover.
+MAX_DELAY_MARGIN_MS: Final = 1_000
+
+
+class Shutdown(NamedTuple):
+    """Hold when an instance leaves the rotation, ends all requests and exits."""
+
+    out_of_rotation_ms: int
+    ends_ms: int
+    exits_ms: int
+
+
+def plan_shutdown(
+    asked_ms: int, now_ms: int, grace_ms: int, loop_delay_ms: int
+) -> Shutdown:
+    """Return the times of a shutdown that begins now, in milliseconds.
+
+    ``asked_ms`` is the earliest time at which SIGTERM may have been sent, and
+    ``loop_delay_ms`` how late the event loop was at most lately.
+    """
+    killed_ms = asked_ms + grace_ms
+    delay_ms = min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
+    return Shutdown(
+        out_of_rotation_ms=now_ms + LEAVE_ROTATION_MS,
+        ends_ms=killed_ms - ANSWER_MARGIN_MS - delay_ms,
+        exits_ms=killed_ms - EXIT_MARGIN_MS,
+    )
--- a/src/bramleyturn/core/waiting/loop_delays.py
+++ b/src/bramleyturn/core/waiting/loop_delays.py
@@ -24,9 +24,14 @@
         self.longest_before_ms = 0
 
 
+def current_delay_ms(delays: LoopDelays, now_ms: int) -> int:
+    """Return how late the next check is, due ``CHECK_INTERVAL_MS`` after the last."""
+    return max(0, now_ms - delays.checked_ms - CHECK_INTERVAL_MS)
+
+
 def note_check(delays: LoopDelays, now_ms: int) -> int:
-    """Record a check, due ``CHECK_INTERVAL_MS`` after the last; return its delay."""
-    delay_ms = max(0, now_ms - delays.checked_ms - CHECK_INTERVAL_MS)
+    """Record a check; return its delay."""
+    delay_ms = current_delay_ms(delays, now_ms)
     delays.checked_ms = now_ms
     if now_ms - delays.window_began_ms >= WINDOW_MS:
         delays.window_began_ms = now_ms
@@ -36,6 +41,7 @@
     return delay_ms
 
 
-def longest_delay_ms(delays: LoopDelays) -> int:
-    """Return the longest delay of the recent windows."""
-    return max(delays.longest_ms, delays.longest_before_ms)
+def longest_delay_ms(delays: LoopDelays, now_ms: int) -> int:
+    """Return the longest delay of the recent windows and of the next check."""
+    current_ms = current_delay_ms(delays, now_ms)
+    return max(delays.longest_ms, delays.longest_before_ms, current_ms)
--- a/src/bramleyturn/core/waiting/run_times.py
+++ b/src/bramleyturn/core/waiting/run_times.py
@@ -9,7 +9,9 @@
 
 from collections import deque
 from statistics import median_low
-from typing import Final, NamedTuple
+from typing import Final
+
+from bramleyturn.core.waiting.shutdown import Shutdown
 
 RECENT_RUNS: Final = 32
 # Runs differ in length and engines in load: of 6,024 streams, 2 % took longer than this
@@ -17,13 +19,6 @@
 SAFETY_FACTOR: Final = 2
 
 
-class Shutdown(NamedTuple):
-    """Hold when an instance leaves the rotation, and when it ends all requests."""
-
-    out_of_rotation_ms: int
-    ends_ms: int
-
-
 class RunTimes:
     """Hold recent times in milliseconds, by the name of a route or pool."""
 
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -22,14 +22,18 @@
     longest_delay_ms,
     note_check,
 )
-from bramleyturn.core.waiting.run_times import Shutdown
+from bramleyturn.core.waiting.shutdown import Shutdown, plan_shutdown
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_expired
 from bramleyturn.gateway.control_api import control_api
 from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.event_log import EventLog, start_event_log
 from bramleyturn.gateway.heartbeats import Heartbeats
-from bramleyturn.gateway.http1_server import CallerConnection, Exchange, HttpServer
+from bramleyturn.gateway.http1_server import (
+    CallerConnection,
+    Exchange,
+    HttpServer,
+)
 from bramleyturn.gateway.metrics import count, gauge, metrics_page, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.request_flow import RequestFlow
@@ -53,13 +57,6 @@
 METRICS_PATH: Final = b"/metrics"
 METRICS_PORT: Final = 9464
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
-# A stopping process accepts connections until the platform has taken it out of
-# rotation.
-LEAVE_ROTATION_MS: Final = 3_000
-# Requests still in progress are answered this long before the process is killed, and
-# the process ends later, when the answers have been sent.
-STOP_MARGIN_MS: Final = 250
-EXIT_MARGIN_MS: Final = 80
 # Time for the first request on a new connection to arrive, with a packet sent again.
 FIRST_REQUEST_MS: Final = 500
 STOP_CHECK_INTERVAL_S: Final = 0.05
@@ -209,12 +206,14 @@
         if self.stopping_ms is not None:
             return
         serving = self.serving
-        self.stopping_ms = serving.now_ms()
+        now_ms = serving.now_ms()
+        # The signal may have come at any time since the event loop was last seen to
+        # run.
+        self.stopping_ms = self.delays.checked_ms
         serving.is_ending = True
-        grace_ms = serving.settings.bounds.grace_ms
-        serving.shutdown = Shutdown(
-            out_of_rotation_ms=self.stopping_ms + LEAVE_ROTATION_MS,
-            ends_ms=self.stopping_ms + grace_ms - STOP_MARGIN_MS,
+        delay_ms = longest_delay_ms(self.delays, now_ms)
+        serving.shutdown = plan_shutdown(
+            self.stopping_ms, now_ms, serving.settings.bounds.grace_ms, delay_ms
         )
         self.front.is_closing = True
         self.heartbeats.send_heartbeats()
@@ -223,42 +222,47 @@
             extra={
                 "in_progress": serving.in_progress,
                 "connections": self.connections_by_state(),
-                "loop_checked_ms_ago": self.stopping_ms - self.delays.checked_ms,
-                "longest_delay_ms": longest_delay_ms(self.delays),
+                "asked_ms_ago": now_ms - self.stopping_ms,
+                "loop_delay_ms": delay_ms,
+                "ends_in_ms": serving.shutdown.ends_ms - now_ms,
             },
         )
-        self.check_stopped()
+        self.check_stopped(serving.shutdown)
 
     def connections_by_state(self) -> dict[str, int]:
         """Return the number of callers' connections in each state."""
         return dict(Counter(str(each.state()) for each in self.front.connections))
 
-    def check_stopped(self) -> None:
+    def check_stopped(self, shutdown: Shutdown) -> None:
         """Exit once out of rotation and idle, or when the grace period is over."""
         serving = self.serving
-        began_ms = self.stopping_ms or serving.now_ms()
-        elapsed_ms = serving.now_ms() - began_ms
-        left_ms = serving.settings.bounds.grace_ms - elapsed_ms
-        is_over = left_ms <= EXIT_MARGIN_MS
-        if left_ms <= STOP_MARGIN_MS and serving.in_progress:
+        now_ms = serving.now_ms()
+        if now_ms >= shutdown.ends_ms and serving.in_progress:
             logger.info("requests ended", extra={"in_progress": serving.in_progress})
             self.flow.end_all()
-        if elapsed_ms >= LEAVE_ROTATION_MS:
+        is_out_of_rotation = now_ms >= shutdown.out_of_rotation_ms
+        if is_out_of_rotation:
             self.front.close_idle(FIRST_REQUEST_MS)
         is_idle = not serving.in_progress and not self.front.connections
-        if is_over or (elapsed_ms >= LEAVE_ROTATION_MS and is_idle):
-            logger.info(
-                "stopped",
-                extra={
-                    "in_progress": serving.in_progress,
-                    "connections": self.connections_by_state(),
-                    "after_ms": elapsed_ms,
-                },
-            )
-            self.log.flush_lines()
-            serving.reactor.stop()
+        if now_ms >= shutdown.exits_ms or (is_out_of_rotation and is_idle):
+            # The answers of this turn of the event loop are sent in the next one.
+            self.front.stop_reading()
+            serving.reactor.callLater(0, self.exit, shutdown)
             return
-        serving.reactor.callLater(STOP_CHECK_INTERVAL_S, self.check_stopped)
+        serving.reactor.callLater(STOP_CHECK_INTERVAL_S, self.check_stopped, shutdown)
+
+    def exit(self, shutdown: Shutdown) -> None:
+        """End the process."""
+        logger.info(
+            "stopped",
+            extra={
+                "in_progress": self.serving.in_progress,
+                "connections": self.connections_by_state(),
+                "left_ms": shutdown.exits_ms - self.serving.now_ms(),
+            },
+        )
+        self.log.flush_lines()
+        self.serving.reactor.stop()
 
 
 def metrics_port() -> int:
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -151,6 +151,12 @@
             if connection.is_idle() and connection.idle_since_ms <= until_ms:
                 connection.close()
 
+    def stop_reading(self) -> None:
+        """Read no more requests, because the process is about to end."""
+        for connection in self.connections:
+            transport: Any = connection.transport
+            transport.pauseProducing()
+
 
 class CallerConnection(Protocol):
     """Read requests from one connection and write their answers."""
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -27,7 +27,8 @@
     note_instances,
 )
 from bramleyturn.core.waiting.first_events import FirstEventTimes
-from bramleyturn.core.waiting.run_times import RunTimes, Shutdown
+from bramleyturn.core.waiting.run_times import RunTimes
+from bramleyturn.core.waiting.shutdown import Shutdown
 from bramleyturn.core.waiting.time_spent import LongestWaits
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.metrics import Metrics
--- a/tests/core/waiting/test_run_times.py
+++ b/tests/core/waiting/test_run_times.py
@@ -3,12 +3,12 @@
 from bramleyturn.core.waiting.run_times import (
     RECENT_RUNS,
     RunTimes,
-    Shutdown,
     ends_in_time,
     longest_ms,
     note_run,
     typical_ms,
 )
+from bramleyturn.core.waiting.shutdown import Shutdown
 
 
 class TestRunTimes:
@@ -38,7 +38,7 @@
 class TestEndsInTime:
     """A shutdown that leaves the rotation at 3,000 ms and ends requests at 7,750 ms."""
 
-    SHUTDOWN = Shutdown(out_of_rotation_ms=3_000, ends_ms=7_750)
+    SHUTDOWN = Shutdown(out_of_rotation_ms=3_000, ends_ms=7_750, exits_ms=7_920)
 
     def test_request_of_the_rotation_must_fit_as_usual(self) -> None:
         arrived_ms = 2_999
