--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -25,8 +25,6 @@
 STATUS_TIMEOUT: Final = 408
 STATUS_TOO_LARGE: Final = 413
 STATUS_HEAD_TOO_LARGE: Final = 431
-# A closing connection that takes longer to send its buffered data is aborted.
-FLUSH_TIMEOUT_S: Final = 2.0
 # Time for the caller to close its side once everything has been sent.
 LINGER_S: Final = 1.0
 # A caller that sends more before its current request is answered is disconnected.
@@ -327,7 +325,8 @@
         if transport is None or self.is_closed or self.is_closing:
             return
         self.is_closing = True
-        self._start_timer(int(FLUSH_TIMEOUT_S * MS_PER_S), self.abort)
+        # A caller that reads slowly has as much time as one that is idle.
+        self._start_timer(self.server.limits().idle_timeout_ms, self.abort)
         transport.loseWriteConnection()
 
     def _close_now(self) -> None:
