--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -61,6 +61,7 @@
 FIRST_REQUEST_MS: Final = 500
 STOP_CHECK_INTERVAL_S: Final = 0.05
 LISTEN_BACKLOG: Final = 512
+STATUS_UNAVAILABLE: Final = 503
 # Longer delays of the event loop are logged: events of a stream have to be passed on
 # within about this time.
 LOGGED_DELAY_MS: Final = 100
@@ -233,13 +234,20 @@
         """Return the number of callers' connections in each state."""
         return dict(Counter(str(each.state()) for each in self.front.connections))
 
+    def end_requests(self) -> None:
+        """Answer what is in progress or being read, because the time is over."""
+        in_progress = self.serving.in_progress
+        if in_progress:
+            logger.info("requests ended", extra={"in_progress": in_progress})
+            self.flow.end_all()
+        self.front.refuse_unread(STATUS_UNAVAILABLE)
+
     def check_stopped(self, shutdown: Shutdown) -> None:
         """Exit once out of rotation and idle, or when the grace period is over."""
         serving = self.serving
         now_ms = serving.now_ms()
-        if now_ms >= shutdown.ends_ms and serving.in_progress:
-            logger.info("requests ended", extra={"in_progress": serving.in_progress})
-            self.flow.end_all()
+        if now_ms >= shutdown.ends_ms:
+            self.end_requests()
         is_out_of_rotation = now_ms >= shutdown.out_of_rotation_ms
         if is_out_of_rotation:
             self.front.close_idle(FIRST_REQUEST_MS)
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -161,6 +161,12 @@
             transport: Any = connection.transport
             transport.pauseProducing()
 
+    def refuse_unread(self, status: int) -> None:
+        """Refuse the requests that have not been read to their end."""
+        for connection in list(self.connections):
+            if connection.state() is ConnectionState.READING:
+                connection.refuse(status)
+
 
 @implementer(IHalfCloseableProtocol)
 class CallerConnection(Protocol):
@@ -250,7 +256,7 @@
         try:
             self.http.receive_data(data)
         except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint)
+            self.refuse(error.error_status_hint)
             return
         self._read_events()
 
@@ -358,7 +364,7 @@
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
-                self._refuse(error.error_status_hint)
+                self.refuse(error.error_status_hint)
                 return
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
@@ -378,17 +384,17 @@
         names = [name for name, _ in request.headers]
         # With two lengths a second request could be smuggled inside this one.
         if b"transfer-encoding" in names and b"content-length" in names:
-            self._refuse(STATUS_BAD_REQUEST)
+            self.refuse(STATUS_BAD_REQUEST)
             return
         if names.count(b"host") > 1:
-            self._refuse(STATUS_BAD_REQUEST)
+            self.refuse(STATUS_BAD_REQUEST)
             return
         self.request = request
         self.body = []
         self.body_bytes = 0
         length = dict(request.headers).get(b"content-length", b"0")
         if int(length) > self.server.limits().max_body_bytes:
-            self._refuse(STATUS_TOO_LARGE)
+            self.refuse(STATUS_TOO_LARGE)
             return
         if self.http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -397,7 +403,7 @@
         self.body.append(data)
         self.body_bytes += len(data)
         if self.body_bytes > self.server.limits().max_body_bytes:
-            self._refuse(STATUS_TOO_LARGE)
+            self.refuse(STATUS_TOO_LARGE)
 
     def _complete(self) -> None:
         self._stop_timer()
@@ -413,10 +419,10 @@
         self.server.handle(exchange)
 
     def _head_is_late(self) -> None:
-        self._refuse(STATUS_TIMEOUT)
+        self.refuse(STATUS_TIMEOUT)
 
-    def _refuse(self, status: int) -> None:
-        """Answer a malformed or oversized request, and close the connection."""
+    def refuse(self, status: int) -> None:
+        """Answer a request that is not read to its end, and close the connection."""
         logger.info("request could not be read", extra={"status": status})
         self.request = None
         if self.http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
