Accept the connections in the listen backlog before a stopping instance exits (LOST)

Callers whose connection was established and whose request was sent in the last moments of a stopping instance saw a reset.

Cause: the listening socket was closed by the exit, with connections in its backlog that had not been accepted.

The port is closed once the instance is idle, or when the requests are ended, after everything in its backlog has been accepted. These connections have time for their first request; later ones are refused before they are established, so callers may send them elsewhere. The exit waits for them. Connections that only wait for their caller's close do not keep the port open.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -31,6 +31,7 @@
 from bramleyturn.gateway.heartbeats import Heartbeats
 from bramleyturn.gateway.http1_server import (
     CallerConnection,
+    ConnectionState,
     Exchange,
     HttpServer,
 )
@@ -50,6 +51,7 @@
     ServingSettings,
     parse_serving_settings,
 )
+from bramleyturn.runtime.listening_port import close_port
 from bramleyturn.runtime.memory import freeze_start_up_objects
 from bramleyturn.runtime.system_clock import system_clock
 
@@ -92,6 +94,7 @@
         self.ready = self._server(self.answer_readiness)
         self.control = self._server(self.api.handle)
         self.metrics = self._server(self.answer_metrics)
+        self.front_port: Any = None
         self.stopping_ms: int | None = None
         self.settings_mtime_ns = 0
 
@@ -151,8 +154,13 @@
         """Open the ports, and start to read the store and exchange heartbeats."""
         settings = self.serving.settings
         loop = self.serving.reactor
+        self.front_port = loop.listenTCP(
+            settings.front.port,
+            self.front.factory(),
+            backlog=LISTEN_BACKLOG,
+            interface=settings.front.host,
+        )
         for server, address, port in (
-            (self.front, settings.front.host, settings.front.port),
             (self.ready, settings.ready.host, settings.ready.port),
             (self.control, settings.control.host, settings.control.port),
             (self.metrics, settings.ready.host, metrics_port()),
@@ -234,6 +242,13 @@
         """Return the number of callers' connections in each state."""
         return dict(Counter(str(each.state()) for each in self.front.connections))
 
+    def is_idle(self) -> bool:
+        """Return whether no caller's request is being read, served or answered."""
+        return not self.serving.in_progress and all(
+            connection.state() is ConnectionState.LINGERING
+            for connection in self.front.connections
+        )
+
     def end_requests(self) -> None:
         """Answer what is in progress or being read, because the time is over."""
         in_progress = self.serving.in_progress
@@ -242,17 +257,26 @@
             self.flow.end_all()
         self.front.refuse_unread(STATUS_UNAVAILABLE)
 
+    def close_front(self) -> None:
+        """Accept the callers' connections that are waiting, and no more after them."""
+        if self.front_port is not None:
+            close_port(self.front_port, lambda: self.front.accepted)
+            self.front_port = None
+
     def check_stopped(self, shutdown: Shutdown) -> None:
         """Exit once out of rotation and idle, or when the grace period is over."""
         serving = self.serving
         now_ms = serving.now_ms()
-        if now_ms >= shutdown.ends_ms:
+        is_over = now_ms >= shutdown.ends_ms
+        if is_over:
             self.end_requests()
         is_out_of_rotation = now_ms >= shutdown.out_of_rotation_ms
         if is_out_of_rotation:
             self.front.close_idle(FIRST_REQUEST_MS)
-        is_idle = not serving.in_progress and not self.front.connections
-        if now_ms >= shutdown.exits_ms or (is_out_of_rotation and is_idle):
+        if is_over or (is_out_of_rotation and self.is_idle()):
+            self.close_front()
+        is_done = self.front_port is None and not self.front.connections
+        if is_done or now_ms >= shutdown.exits_ms:
             # The answers of this turn of the event loop are sent in the next one.
             self.front.stop_reading()
             serving.reactor.callLater(0, self.exit, shutdown)
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -138,6 +138,7 @@
         self.limits = limits
         self.handle = handle
         self.connections: set[CallerConnection] = set()
+        self.accepted = 0
         self.is_closing = False
         self.on_connection_ended: Callable[[CallerConnection], None] = lambda _: None
 
@@ -196,6 +197,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request, until the idle timeout."""
         self.server.connections.add(self)
+        self.server.accepted += 1
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         self._start_timer(self.server.limits().idle_timeout_ms, self.close)
