--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -44,10 +44,12 @@
 
     ``fault`` names the injected fault: ``shed`` refuses requests, ``reset`` closes the
     connection after the run, ``cut`` closes it in the middle of the answer, ``error``
-    answers 500, ``fail`` does so without a run, ``hang`` never answers. ``shape`` tells
-    how its answers are framed and broken off, None for whole and framed ones.
+    answers 500, ``fail`` does so without a run, ``hang`` never answers, ``mute`` does
+    so at an engine. ``shape`` tells how its answers are framed and broken off, None for
+    whole and framed ones.
 
-    ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
+    ``crash`` ends the server, which starts again later, ``deafen`` lets it accept no
+    more connections, though its port stays open, and ``crashed_by`` has the
     attempt that each crash was due to. ``name`` stays the same when the server starts
     again under another ``id``. ``state`` is what it last registered, "" if nothing.
     """
@@ -57,6 +59,7 @@
         self.name = server_id
         self.id = server_id
         self.crash: Callable[[], None] = lambda: None
+        self.deafen: Callable[[], None] = lambda: None
         self.crashed_by: list[str] = []
         self.pool = pool
         self.address = address
@@ -113,6 +116,8 @@
         attempt_id = _record_run(server, exchange)
         if _crashes(server, exchange.target + exchange.body, attempt_id):
             return
+        if server.fault == "mute":
+            return
         last = exchange.header(b"last-event-id")
         first = int(last) + 1 if last else 0
         server.running += 1
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -1,8 +1,9 @@
 """Run a small site of stand-ins on one address, controlled by a test.
 
 The control address accepts `POST /fault`, `/crash`, `/swap` (two servers crash and
-start again at each other's address), `/restarts`, `/leave`, `/remove`, `/store` and
-`/configuration`, and answers `GET /ledger`.
+start again at each other's address), `/restarts`, `/leave`, `/remove`, `/deafen` (a
+server accepts no more connections), `/store` and `/configuration`, and answers
+`GET /ledger`.
 """
 
 from collections.abc import Callable, Mapping
@@ -131,6 +132,7 @@
         _start_server(site, server, zone, host, new_handler)
 
     server.crash = crash
+    server.deafen = port.stopReading
     server.zone = zone
     server.born_ms = site.now_ms()
     register(site, server)
@@ -271,6 +273,8 @@
             site.keeps_ids = body.get("keeps_ids", False)
             site.loses_resets = body.get("loses_resets", False)
             site.linger_ms = body.get("linger_ms", 0)
+        elif target == "/deafen":
+            site.servers[body["server"]].deafen()
         elif target == "/leave":
             register(site, site.servers[body["server"]], state="draining")
         elif target == "/remove":
@@ -328,6 +332,7 @@
                 "state": server.state,
                 "crashed_by": server.crashed_by,
                 "ran": [vars(ran) for ran in server.ran],
+                "running": server.running,
                 "made": server.made,
                 "kept": len(server.results),
             }
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -25,7 +25,10 @@
 
 TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.02
-HOSTS: Final = ("127.0.0.2", "127.0.0.3")
+HOSTS: Final = ("127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5")
+# Entries know the addresses of this many at least, whether they run or not.
+MIN_SEEDS: Final = 2
+ZONES: Final = ("north", "south")
 IN_FORCE: Final = "configuration in force"
 _ids = itertools.count(1)
 
@@ -46,6 +49,7 @@
         self.site = site
         self.entries = entries
         self.ports: dict[str, int] = {}
+        self.seeds: tuple[str, ...] = HOSTS[:MIN_SEEDS]
 
     def call(
         self,
@@ -90,11 +94,15 @@
         )
 
     def draft(
-        self, body: bytes = b"x", piece_key: str = "7c1e", **options: Any
+        self,
+        body: bytes = b"x",
+        piece_key: str = "7c1e",
+        pieces: str = "2",
+        **options: Any,
     ) -> Answer:
-        """Request a stream with two pieces of a stage."""
+        """Request a stream with two pieces of a stage, or ``pieces`` of its stages."""
         extra_headers = {
-            "Bramleyturn-Pieces": "2",
+            "Bramleyturn-Pieces": pieces,
             "Bramleyturn-Piece-Key": piece_key,
             "Bramleyturn-Token-Counts": "100,20",
             "Bramleyturn-Prompt-Prefix": "aa:80,bb:20",
@@ -185,6 +193,7 @@
     try:
         wait_ready(site)
         fleet.ports = _free_ports()
+        fleet.seeds = HOSTS[: max(MIN_SEEDS, entries)]
         for place in range(entries):
             fleet.entries.append(launch_entry(fleet, folder, place, f"entry-{place}"))
         for place in range(entries):
@@ -207,12 +216,12 @@
     control = ports["control"]
     lines = {
         "nodeName": f"front-{place}",
-        "zone": ("north", "south")[place],
+        "zone": ZONES[place % len(ZONES)],
         "listen.front": f"{host}:{ports['front']}",
         "listen.ready": f"{host}:{ports['ready']}",
         "listen.control": f"{host}:{control}",
         "internalPortRange": f"{ports['internal']},{ports['internal']}",
-        "seeds": ",".join(f"{each}:{control}" for each in HOSTS),
+        "seeds": ",".join(f"{each}:{control}" for each in fleet.seeds),
         "heartbeatMs": "1200",
         "limits.cpuShare": "1",
         "limits.memoryMb": "222",
@@ -258,9 +267,10 @@
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOSTS[1], port))
-        except OSError:
-            return False
+    for host in HOSTS[1:]:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
     return True
