Hand the stages over once, not at each tick of a call in progress

Seen on real processes: while a call of the previous owner was in progress, it sent a handover with its view of all stage servers every 60 ms (24 times in 1.5 s). Each overwrote what the next owner had learnt of them meanwhile (pace, a server that does not answer), and each made the next owner keep the stages for another second, also after it was told to stop itself.

Cause: hand_over() returned every pool that had an ask, and the asks that were handed over stay until their calls have ended. Now it returns what is new: asks not handed over yet, with all servers; or servers with results that were made since. The instance to which the outcome of calls goes is set apart from that.

--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -67,24 +67,31 @@
 def hand_over(
     pipeline: Pipeline, origins: dict[str, str], now_ms: int
 ) -> list[Handover]:
-    """Return the state that the next owner needs; start nothing new for its asks."""
-    return [
-        Handover(
+    """Return the state that the next owner needs; start nothing new for its asks.
+
+    Only what is new since the last handover is returned: the next owner knows the
+    servers better by then.
+    """
+    handovers = []
+    for planner in pipeline.planners.values():
+        asks = [state for state in planner.asks.values() if not state.is_moved]
+        servers = [
+            server_id
+            for server_id, server in planner.servers.items()
+            if asks or server.results.by_handle.keys() - server.results.releasing
+        ]
+        if not servers and not asks:
+            continue
+        handover = Handover(
             planner.pool,
+            tuple(_export_server(planner, server_id, now_ms) for server_id in servers),
             tuple(
-                _export_server(planner, server_id, now_ms)
-                for server_id in planner.servers
-            ),
-            tuple(
-                _export_ask(planner, state, origins.get(ask_id, ""), now_ms)
-                for ask_id, state in planner.asks.items()
-                if not state.is_moved
+                _export_ask(planner, state, origins.get(state.ask.ask_id, ""), now_ms)
+                for state in asks
             ),
         )
-        for planner in pipeline.planners.values()
-        if planner.asks
-        or any(server.results.by_handle for server in planner.servers.values())
-    ]
+        handovers.append(handover)
+    return handovers
 
 
 def take_over(planner: Planner, handover: Handover, now_ms: int) -> None:
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -162,10 +162,11 @@
             return
         if now_ms < self.own_until_ms:
             return
+        # The outcome of calls that are still in progress goes there, too.
+        self.successor = owner.name
         handovers = hand_over(self.pipeline, self.origins, now_ms)
         if not handovers:
             return
-        self.successor = owner.name
         for handover in handovers:
             self.links.send(owner.name, encode_handover(handover, now_ms))
         logger.info(
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -98,6 +98,16 @@
         hand_over(before, {}, 10)
         assert plan(before, 20)[POOL].calls == []
 
+    def test_calls_in_progress_do_not_hand_over_the_servers_again(self) -> None:
+        before, old = pipeline()
+        take_ask(before, ask("r", pieces=1), 0)
+        (call,) = plan(before, 0)[POOL].calls
+        assert len(hand_over(before, {"r.0": "front-1"}, 10)) == 1
+        assert hand_over(before, {"r.0": "front-1"}, 70) == []
+        call_ended(old, call.call_id, [MadePiece("h", None)], 300)
+        (handover,) = hand_over(before, {}, 310)
+        assert [each.server_id for each in handover.servers] == [call.server_id]
+
 
 class TestLostCall:
     """A server is lost while a call of many pieces is in progress."""
--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -272,6 +272,8 @@
         wait_until(lambda: len(site.lines("stage ended")) == 1, "a line")
         (ended,) = site.lines("stage ended")
         assert ended["owner"] == f"front-{SUCCESSOR}"
+        # The ask, and the result that was made afterwards.
+        assert [line["asks"] for line in site.lines("stages handed over")] == [1, 0]
         site.assert_ended(OWNER)
 
     def test_stage_that_waits_for_a_server_is_made_by_the_next_owner(
