Use the result of a piece that was handed over, awaited or not

Seen on real processes: the owner of the stages has a call in progress, and all other instances stop 0.3 s after it.

Cause: take_moved() ignored results of pieces that the planner did not await, as when an ask was repeated to it before the handover came, or the handover was lost. It now takes a result for any piece that is not made yet; if the same piece ends here later, that result is released.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -87,7 +87,8 @@
         if state.is_moved:
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
-        state.waiting.append(number)
+        if number not in state.made:
+            state.waiting.append(number)
     if not was_refused:
         failed = [ask_id for ask_id, _ in running.parts]
         _count_failed_call(planner, failed, outcome, now_ms)
@@ -122,7 +123,11 @@
 
 
 def take_moved(planner: Planner, moved: MovedPiece, now_ms: int) -> Outcome:
-    """Process the outcome of a piece that the previous planner had started."""
+    """Process the outcome of a piece that the previous planner had started.
+
+    A result is used even if the piece is not awaited: the ask may have come here before
+    the handover, or without it.
+    """
     outcome = Outcome()
     state = planner.asks.get(moved.ask_id)
     server = planner.servers.get(moved.server_id)
@@ -130,12 +135,15 @@
         size = state.ask.result_bytes if state is not None else 0
         until_ms = now_ms + planner.limits.result_ttl_ms
         add_result(server.results, moved.handle, size, until_ms)
-    if state is None or moved.number not in state.awaited:
+    if state is None or moved.number in state.made:
         return outcome
-    del state.awaited[moved.number]
+    was_awaited = state.awaited.pop(moved.number, None) is not None
     if not moved.handle:
-        state.waiting.append(moved.number)
+        if was_awaited:
+            state.waiting.append(moved.number)
         return outcome
+    if moved.number in state.waiting:
+        state.waiting.remove(moved.number)
     state.made[moved.number] = (moved.handle, moved.zone)
     if len(state.made) == state.ask.piece_count:
         _finish(planner, state, outcome, now_ms)
@@ -189,6 +197,8 @@
         moved = MovedPiece(planner.pool, ask_id, number, piece.handle, server_id, zone)
         outcome.moved.append(moved)
         return True
+    if number in state.made:
+        return False
     if piece.failure is None:
         state.made[number] = (piece.handle, zone)
         if len(state.made) == state.ask.piece_count:
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -124,6 +124,29 @@
             done += take_moved(third, passed_on, 310).done
         assert [len(each.handles) for each in done] == [6]
 
+    def test_result_is_used_by_a_planner_that_did_not_await_it(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=2), 0)
+        (call,) = plan(whole, 0)[POOL].calls
+        moved = [
+            MovedPiece(POOL, "r.0", number, f"h{number}", "", "") for number in (0, 1)
+        ]
+        assert take_moved(planner, moved[0], 50).done == []
+        made = [MadePiece(f"again{piece.number}", None) for piece in call.pieces]
+        outcome = call_ended(planner, call.call_id, made, 100)
+        assert [done.handles for done in outcome.done] == [("h0", "again1")]
+        assert [each.handles for each in outcome.releases] == [("again0",)]
+        assert take_moved(planner, moved[1], 110).done == []
+
+    def test_result_is_used_instead_of_making_it(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=1), 0)
+        moved = MovedPiece(POOL, "r.0", 0, "h", "", "")
+        assert [done.handles for done in take_moved(planner, moved, 10).done] == [
+            ("h",)
+        ]
+        assert plan(whole, 20)[POOL].calls == []
+
     def test_pieces_are_not_passed_on_forever(self) -> None:
         _, planner = pipeline()
         moved = MovedPiece(POOL, "r.0", 0, "h", "s", "z", MAX_HOPS)
--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -379,6 +379,18 @@
         for entry in range(ENTRIES):
             site.assert_ended(entry)
 
+    def test_owner_has_a_call_when_the_others_stop_at_once(
+        self, site: Stopping
+    ) -> None:
+        sent = self.begin(site, LAST, 1_500)
+        site.stop(OWNER)
+        time.sleep(0.3)
+        site.stop(SUCCESSOR, LAST)
+        # Nobody is left to own the stages: each entry plans for its own callers.
+        self.assert_in_time(site, sent, 1.5)
+        for entry in range(ENTRIES):
+            site.assert_ended(entry)
+
     def test_all_have_stopped_before_streams_arrive(self, site: Stopping) -> None:
         site.publish(**documents())
         site.stop(OWNER, SUCCESSOR, LAST)
