Keep the owner of the stages running until its stage calls have ended

Seen on real processes: the owner of the stages is told to stop 0.3 s into a stage call of 4 s. It ended 3 s later, idle, and the call's result with it. The next owner waited for it until the call would have timed out, 10.5 s, and then had the pieces made again: the stream took 14.7 s instead of 4.1 s. A call longer than the time to stop kept its stream waiting for more than 20 s.

Cause: Process.check_stopped() counted only callers' requests as work. Now a process also waits until its stage calls have ended and their outcome is sent. Calls still in progress when its time is over are given up 250 ms before it is killed, and the next owner is told at once.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -190,12 +190,21 @@
         elapsed_ms = serving.now_ms() - began_ms
         left_ms = serving.settings.bounds.grace_ms - elapsed_ms
         is_over = left_ms <= EXIT_MARGIN_MS
-        if left_ms <= STOP_MARGIN_MS and serving.in_progress:
-            logger.info("requests ended", extra={"in_progress": serving.in_progress})
+        if left_ms <= STOP_MARGIN_MS:
+            if serving.in_progress:
+                logger.info(
+                    "requests ended", extra={"in_progress": serving.in_progress}
+                )
             self.flow.end_all()
+            self.owner.end_calls()
         if elapsed_ms >= LEAVE_ROTATION_MS:
             self.front.close_idle(FIRST_REQUEST_MS)
-        is_idle = not serving.in_progress and not self.front.connections
+        is_idle = (
+            not serving.in_progress
+            and not self.front.connections
+            and not self.owner.is_calling()
+            and not self.links.calling
+        )
         if is_over or (elapsed_ms >= LEAVE_ROTATION_MS and is_idle):
             logger.info("stopped", extra={"in_progress": serving.in_progress})
             self.log.flush_lines()
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -158,6 +158,17 @@
         )
         self._schedule_plan()
 
+    def is_calling(self) -> bool:
+        """Return whether a stage call is in progress, whose outcome others await."""
+        return any(planner.calls for planner in self.pipeline.planners.values())
+
+    def end_calls(self) -> None:
+        """Give the calls in progress up, because the process is about to end."""
+        now_ms = self.serving.now_ms()
+        for planner in self.pipeline.planners.values():
+            for call_id in list(planner.calls):
+                self._apply(planner, call_failed(planner, call_id, False, now_ms))
+
     def _hand_over(self) -> None:
         """Hand over all pools if another instance owns the stages now."""
         serving = self.serving
--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -311,6 +311,24 @@
         assert site.made() == PIECES * len(sent)
         site.assert_ended(OWNER)
 
+    def test_owner_that_ends_first_does_not_keep_the_result(
+        self, site: Stopping
+    ) -> None:
+        call_s = 4.0
+        sent = self.begin(site, call_s * 1_000)
+        site.stop(OWNER)
+        self.assert_in_time(site, sent, call_s)
+        assert site.made() == PIECES
+        site.assert_ended(OWNER)
+
+    def test_owner_whose_time_is_over_gives_its_calls_up(self, site: Stopping) -> None:
+        # The pieces are made again, by the other server.
+        call_s = 8.4
+        sent = self.begin(site, call_s * 1_000)
+        site.stop(OWNER)
+        self.assert_in_time(site, sent, 0.3 + GRACE_S - STOP_MARGIN_S + call_s)
+        site.assert_ended(OWNER)
+
 
 class TestSeveralStop:
     """Several entries stop, one of them the owner of the stages."""
