--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -617,7 +617,7 @@
         site.stop(*stopped)
         self.assert_in_time(site, sent, self.CALL_MS / 1_000)
 
-    @pytest.mark.parametrize("paused", ["successor"])
+    @pytest.mark.parametrize("paused", ["owner", "successor"])
     def test_peer_is_late_by_a_second(
         self, site: Stopping, stopped: tuple[int, ...], paused: str
     ) -> None:
