Let the next owner of the stages serve a pool that is no longer published

Seen on real processes: a new configuration drops the pool of a stage, and the owner of the stages stops in the same second, while a stream waits for that stage. The stream waited until its time was over (no answer within 20 s; 503 after 7.8 s where its own instance stopped, too), though nothing but the owner had changed.

Cause: the owner keeps the limits of a dropped pool with its planner, but the next owner has none and reads the limits from the configuration in force; it ignored the handover and every repeat of the ask. Instances now keep the limits of every stage pool that they have had in force.

--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -8,6 +8,7 @@
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.catalog.model import (
     BackendServer,
+    BatchLimits,
     CallerLimits,
     PublishedConfiguration,
     Workspace,
@@ -41,7 +42,8 @@
 
     ``shutdown`` is set once the process is stopping. ``request_times`` are from the
     arrival of a request to its end, by route; ``run_times`` from when it was sent to a
-    server, by pool.
+    server, by pool. ``stage_limits`` are by pool of a stage; requests that are still in
+    progress may need a pool that is no longer published.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.published: PublishedConfiguration | None = None
         self.index = RouteIndex(())
         self.workspaces: dict[str, Workspace] = {}
+        self.stage_limits: dict[str, BatchLimits] = {}
         self.registry = ServerRegistry()
         self.health = HealthTracker()
         self.loads = LoadTracker()
@@ -132,6 +135,9 @@
     serving.published = published
     serving.index = RouteIndex(published.routes)
     serving.workspaces = workspaces_by_key(published)
+    for name, pool in published.pools.items():
+        if pool.batch is not None:
+            serving.stage_limits[name] = pool.batch
     logger.info(
         "configuration in force",
         extra={
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -218,9 +218,7 @@
 
     def _planner(self, pool: str) -> Planner | None:
         known = self.pipeline.planners.get(pool)
-        published = self.serving.published
-        described = published.pools.get(pool) if published is not None else None
-        limits = described.batch if described is not None else None
+        limits = self.serving.stage_limits.get(pool)
         if limits is None:
             return known
         if known is None:
--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -551,7 +551,7 @@
             site.assert_ended(entry)
 
     @pytest.mark.parametrize(
-        "change", ["removed", "moved", "timeout", "stages", "pool"]
+        "change", ["removed", "moved", "timeout", "stages", "pool", "pool and service"]
     )
     def test_route_changes(
         self, site: Stopping, stopped: tuple[int, ...], change: str
@@ -571,6 +571,10 @@
         else:
             route["stages"][0]["service"] = "pages"
             document["services"].append({"name": "pages", "pieces": pieces})
+        if change == "pool and service":
+            document["services"] = [
+                each for each in document["services"] if each["name"] != "books"
+            ]
         site.fleet.send_control("/configuration", **document)
         site.stop(*stopped)
         self.assert_in_time(site, sent, self.CALL_MS / 1_000)
