Do not log an internal error when a request ends while it connects

Seen on real processes: the time to stop ends while a stream waits for the connection to an engine that does not accept. Its caller got the right 503, but the log had 'request failed with an internal error' with a trace. So it did whenever a caller left or a deadline came at that point.

Cause: Twisted fails a connection attempt that is cancelled with ConnectingCancelledError, not CancelledError, which tells RequestFlow._end() that the request was ended on purpose.

--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -5,8 +5,8 @@
 
 from typing import Final, NamedTuple
 
-from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError
 
 from bramleyturn.core.answer_end import EndVerdict, Framing, judge_json_end
 from bramleyturn.core.catalog.model import BackendServer
@@ -109,6 +109,8 @@
         return await open_connection(pool, peer.name, peer.host, peer.port)
     except ConnectError:
         return CallFailed(FailureReason.NOT_CONNECTED)
+    except ConnectingCancelledError:
+        raise CancelledError from None
 
 
 async def call(
--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -437,6 +437,9 @@
 class TestStates:
     """A stream is anywhere on its way when SIGTERM comes, or when the time is over."""
 
+    # For a stage that ends just before the time to stop does.
+    SENT_S = 2.6
+
     def test_between_stages_when_the_time_is_over(self, site: Stopping) -> None:
         site.publish(**two_stages(300))
         site.set_fault(BOOKS, "", processing_ms=300)
@@ -473,6 +476,24 @@
         assert site.fleet.ran("d") == []
         site.assert_ended(LAST)
 
+    def test_engine_does_not_accept_when_the_time_is_over(self, site: Stopping) -> None:
+        site.publish(**documents())
+        for number in range(4):
+            site.assert_served(site.draft(LAST, f"quick{number}"))
+        call_s = GRACE_S - STOP_MARGIN_S - 0.15 - self.SENT_S
+        site.set_stages(call_s * 1_000, call_s * 1_000)
+        with deaf_engines(site):
+            site.stop(LAST)
+            site.sleep_until(LAST, self.SENT_S)
+            sent = site.draft(LAST)
+            ended = sent.result()
+        after_s = site.after_stop_s(ended, LAST)
+        site.record("after_stop_s", round(after_s, 3))
+        assert (ended.answer.status, ended.answer.is_whole) == (503, True)
+        assert "retry-after" in ended.answer.headers
+        assert after_s < GRACE_S - STOP_MARGIN_S + SLACK_S
+        site.assert_ended(LAST)
+
     def test_engine_is_mute_when_the_time_is_over(self, site: Stopping) -> None:
         site.publish(**documents())
         site.set_fault(DRAFTS, "mute")
