--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -22,6 +22,8 @@
 )
 from bramleyturn.core.pieces.timing import learn_work
 
+# Instances that believe each other to be the owner could pass a piece on forever.
+MAX_HOPS: Final = 3
 # An ask fails after this many failed calls.
 MAX_FAILED_CALLS: Final = 4
 
@@ -85,7 +87,8 @@
         if state.is_moved:
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
-        state.waiting.append(number)
+        if number not in state.made:
+            state.waiting.append(number)
     if not was_refused:
         failed = [ask_id for ask_id, _ in running.parts]
         _count_failed_call(planner, failed, outcome, now_ms)
@@ -110,8 +113,21 @@
     return outcome
 
 
+def pass_on(planner: Planner, moved: MovedPiece) -> MovedPiece | None:
+    """Return a piece for the next planner, None if its ask was not handed over."""
+    state = planner.asks.get(moved.ask_id)
+    is_here = state is not None and not state.is_moved
+    if is_here or moved.ask_id in planner.done or moved.hops >= MAX_HOPS:
+        return None
+    return moved._replace(hops=moved.hops + 1)
+
+
 def take_moved(planner: Planner, moved: MovedPiece, now_ms: int) -> Outcome:
-    """Process the outcome of a piece that the previous planner had started."""
+    """Process the outcome of a piece that the previous planner had started.
+
+    A result is used even if the piece is not awaited: the ask may have come here before
+    the handover, or without it.
+    """
     outcome = Outcome()
     state = planner.asks.get(moved.ask_id)
     server = planner.servers.get(moved.server_id)
@@ -119,12 +135,15 @@
         size = state.ask.result_bytes if state is not None else 0
         until_ms = now_ms + planner.limits.result_ttl_ms
         add_result(server.results, moved.handle, size, until_ms)
-    if state is None or moved.number not in state.awaited:
+    if state is None or moved.number in state.made:
         return outcome
-    del state.awaited[moved.number]
+    was_awaited = state.awaited.pop(moved.number, None) is not None
     if not moved.handle:
-        state.waiting.append(moved.number)
+        if was_awaited:
+            state.waiting.append(moved.number)
         return outcome
+    if moved.number in state.waiting:
+        state.waiting.remove(moved.number)
     state.made[moved.number] = (moved.handle, moved.zone)
     if len(state.made) == state.ask.piece_count:
         _finish(planner, state, outcome, now_ms)
@@ -178,6 +197,8 @@
         moved = MovedPiece(planner.pool, ask_id, number, piece.handle, server_id, zone)
         outcome.moved.append(moved)
         return True
+    if number in state.made:
+        return False
     if piece.failure is None:
         state.made[number] = (piece.handle, zone)
         if len(state.made) == state.ask.piece_count:
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -249,12 +249,19 @@
             for connection in self.front.connections
         )
 
+    def is_done(self) -> bool:
+        """Return whether no caller and no other instance waits for this process."""
+        return not (
+            self.front.connections or self.owner.is_calling() or self.links.calling
+        )
+
     def end_requests(self) -> None:
         """Answer what is in progress or being read, because the time is over."""
         in_progress = self.serving.in_progress
         if in_progress:
             logger.info("requests ended", extra={"in_progress": in_progress})
             self.flow.end_all()
+        self.owner.end_calls()
         self.front.refuse_unread(STATUS_UNAVAILABLE)
 
     def close_front(self) -> None:
@@ -275,7 +282,7 @@
             self.front.close_idle(FIRST_REQUEST_MS)
         if is_over or (is_out_of_rotation and self.is_idle()):
             self.close_front()
-        is_done = self.front_port is None and not self.front.connections
+        is_done = self.front_port is None and self.is_done()
         if is_done or now_ms >= shutdown.exits_ms:
             # The answers of this turn of the event loop are sent in the next one.
             self.front.stop_reading()
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -11,6 +11,7 @@
     call_failed,
     fail_asks,
     isolate_asks,
+    pass_on,
     take_moved,
 )
 from bramleyturn.core.pieces.handover import Handover, hand_over, take_over
@@ -127,7 +128,12 @@
     def handle_moved(self, moved: MovedPiece) -> None:
         """Handle the outcome of a piece that the previous owner had started."""
         planner = self._planner(moved.pool)
-        if planner is not None:
+        if planner is None:
+            return
+        passed_on = pass_on(planner, moved) if self.successor else None
+        if passed_on is not None:
+            self.links.send(self.successor, encode_moved(passed_on))
+        else:
             now_ms = self.serving.now_ms()
             self._apply(planner, take_moved(planner, moved, now_ms))
             self._schedule_plan()
@@ -152,20 +158,34 @@
         )
         self._schedule_plan()
 
+    def is_calling(self) -> bool:
+        """Return whether a stage call is in progress, whose outcome others await."""
+        return any(planner.calls for planner in self.pipeline.planners.values())
+
+    def end_calls(self) -> None:
+        """Give the calls in progress up, because the process is about to end."""
+        now_ms = self.serving.now_ms()
+        for planner in self.pipeline.planners.values():
+            for call_id in list(planner.calls):
+                self._apply(planner, call_failed(planner, call_id, False, now_ms))
+
     def _hand_over(self) -> None:
         """Hand over all pools if another instance owns the stages now."""
         serving = self.serving
         owner = owner_of(STAGES, serving.live())
         now_ms = serving.now_ms()
-        if owner is None or owner.name == serving.me.name:
+        if owner is None:
+            return
+        if owner.name == serving.me.name:
             self.successor = ""
             return
-        if now_ms < self.own_until_ms:
+        if now_ms < self.own_until_ms and not serving.is_ending:
             return
+        # The outcome of calls that are still in progress goes there, too.
+        self.successor = owner.name
         handovers = hand_over(self.pipeline, self.origins, now_ms)
         if not handovers:
             return
-        self.successor = owner.name
         for handover in handovers:
             self.links.send(owner.name, encode_handover(handover, now_ms))
         logger.info(
@@ -198,9 +218,7 @@
 
     def _planner(self, pool: str) -> Planner | None:
         known = self.pipeline.planners.get(pool)
-        published = self.serving.published
-        described = published.pools.get(pool) if published is not None else None
-        limits = described.batch if described is not None else None
+        limits = self.serving.stage_limits.get(pool)
         if limits is None:
             return known
         if known is None:
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -2,8 +2,10 @@
 
 from bramleyturn.core.pieces.call_results import (
     MAX_FAILED_CALLS,
+    MAX_HOPS,
     call_ended,
     call_failed,
+    pass_on,
     take_moved,
 )
 from bramleyturn.core.pieces.handover import hand_over, take_over
@@ -98,6 +100,68 @@
         hand_over(before, {}, 10)
         assert plan(before, 20)[POOL].calls == []
 
+    def test_pieces_in_progress_are_awaited_by_the_owner_after_the_next(self) -> None:
+        before, old = pipeline()
+        between, second = pipeline()
+        after, third = pipeline()
+        take_ask(before, ask("r"), 0)
+        calls = plan(before, 0)[POOL].calls
+        (handover,) = hand_over(before, {"r.0": "front-1"}, 10)
+        take_over(second, handover, 10)
+        (handover,) = hand_over(between, {"r.0": "front-1"}, 60)
+        take_over(third, handover, 60)
+        assert plan(after, 70)[POOL].calls == []
+
+        moved: list[MovedPiece] = []
+        for call in calls:
+            made = [MadePiece(f"h{piece.number}", None) for piece in call.pieces]
+            moved += call_ended(old, call.call_id, made, 300).moved
+        done = []
+        for each in moved:
+            passed_on = pass_on(second, each)
+            assert passed_on is not None
+            assert pass_on(third, passed_on) is None
+            done += take_moved(third, passed_on, 310).done
+        assert [len(each.handles) for each in done] == [6]
+
+    def test_result_is_used_by_a_planner_that_did_not_await_it(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=2), 0)
+        (call,) = plan(whole, 0)[POOL].calls
+        moved = [
+            MovedPiece(POOL, "r.0", number, f"h{number}", "", "") for number in (0, 1)
+        ]
+        assert take_moved(planner, moved[0], 50).done == []
+        made = [MadePiece(f"again{piece.number}", None) for piece in call.pieces]
+        outcome = call_ended(planner, call.call_id, made, 100)
+        assert [done.handles for done in outcome.done] == [("h0", "again1")]
+        assert [each.handles for each in outcome.releases] == [("again0",)]
+        assert take_moved(planner, moved[1], 110).done == []
+
+    def test_result_is_used_instead_of_making_it(self) -> None:
+        whole, planner = pipeline()
+        take_ask(whole, ask("r", pieces=1), 0)
+        moved = MovedPiece(POOL, "r.0", 0, "h", "", "")
+        assert [done.handles for done in take_moved(planner, moved, 10).done] == [
+            ("h",)
+        ]
+        assert plan(whole, 20)[POOL].calls == []
+
+    def test_pieces_are_not_passed_on_forever(self) -> None:
+        _, planner = pipeline()
+        moved = MovedPiece(POOL, "r.0", 0, "h", "s", "z", MAX_HOPS)
+        assert pass_on(planner, moved) is None
+
+    def test_calls_in_progress_do_not_hand_over_the_servers_again(self) -> None:
+        before, old = pipeline()
+        take_ask(before, ask("r", pieces=1), 0)
+        (call,) = plan(before, 0)[POOL].calls
+        assert len(hand_over(before, {"r.0": "front-1"}, 10)) == 1
+        assert hand_over(before, {"r.0": "front-1"}, 70) == []
+        call_ended(old, call.call_id, [MadePiece("h", None)], 300)
+        (handover,) = hand_over(before, {}, 310)
+        assert [each.server_id for each in handover.servers] == [call.server_id]
+
 
 class TestLostCall:
     """A server is lost while a call of many pieces is in progress."""
