Linger before a connection of the own interface is closed

Callers saw a reset instead of the end of their answer: one who reads slowly and had sent a byte more, one whose too long head was refused, one whose too large body was still on its way 1 s after its refusal. The answer to the first was cut (no whole answer).

Cause: the channel closed its socket after the last answer (Twisted's HTTPChannel.requestDone and _respondToBadRequestAndDisconnect, close_if_idle, BoundedRequest.refuse). The system answers bytes that are unread at that time, or come later, with a reset, and drops what is not yet sent.

Change: a connection now closes its writing side after the last answer, drops what still arrives, and is closed when the caller closes, when the caller is silent for LINGER_S, or after the time that a request may take. A line that is too long is refused with 400 instead of a close.

The writing side is closed behind the last byte of the answer, so the caller reads it whole and then the end; nothing is unread when the socket is closed at last.

The test transport had no way to half-close, so it got one. The test of an idle connection asks in addition that the caller sees the end before the connection is closed.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -4,14 +4,18 @@
 from typing import Any, Final
 
 import orjson
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
 from twisted.web import http, server
 from twisted.web.resource import Resource
-from zope.interface import provider
+from zope.interface import implementer, provider
 
 from bramleyturn.runtime.timers import stop_timer
 
 IDLE_TIMEOUT_S: Final = 30
 REQUEST_TIMEOUT_S: Final = 30
+# A caller that has been silent this long after the last answer has read it.
 LINGER_S: Final = 1
 MAX_CONNECTIONS: Final = 4_096
 MAX_HEADERS: Final = 64
@@ -78,15 +82,21 @@
             "Connection: close\r\n\r\n"
         )
         transport.write(head.encode() + TOO_LARGE_BODY)
-        # Closing while the rest of the body still arrives would reset the connection
-        # before the caller has read the answer.
-        self.channel.callLater(LINGER_S, transport.loseConnection)
+        self.channel.linger()
 
 
+@implementer(IHalfCloseableProtocol)
 class BoundedChannel(_Channel):  # type: ignore[misc]
-    """Read requests and close a connection that takes too long to send one."""
+    """Read requests and close a connection that takes too long to send one.
+
+    A connection lingers before it is closed (RFC 9112, section 9.6): it sends the end
+    of its last answer and drops what the caller still sends. Closing it with unread
+    bytes would reset it, and the caller would lose what it has not read yet.
+    """
 
     maxHeaders = MAX_HEADERS  # noqa: N815
+    is_lingering = False
+    _linger_timer: Any = None
     _request_timer: Any = None
     # While the site closes, a connection that has sent no request yet stays open for
     # this many checks: its first request may be in transit.
@@ -102,10 +112,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes; the first ones of a request start its timer."""
-        if self._request_timer is None and not self._handlingRequest:
-            self._request_timer = self.callLater(
-                REQUEST_TIMEOUT_S, self._abort_slow_request
-            )
+        if self.is_lingering:
+            if self._linger_timer is not None:
+                self._linger_timer.reset(LINGER_S)
+            return
+        if not self._handlingRequest:
+            self._start_request_timer()
         super().dataReceived(data)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -113,8 +125,41 @@
         self.factory.connections -= 1
         self.factory.channels.discard(self)
         self._stop_request_timer()
+        stop_timer(self._linger_timer)
         super().connectionLost(reason)
 
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a line that is too long."""
+        self._respondToBadRequestAndDisconnect()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection after its last answer, in a way that keeps it whole."""
+        self.linger()
+
+    def linger(self) -> None:
+        """Close the connection once the caller has had time to read what was sent."""
+        if self.is_lingering:
+            return
+        self.is_lingering = True
+        self.clearLineBuffer()
+        self._dataBuffer: list[bytes] = []
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        # Reading pauses while much of a later request waits.
+        self.transport.resumeProducing()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait for the caller to close, now that every answer has been sent."""
+        self._linger_timer = self.callLater(LINGER_S, self.transport.loseConnection)
+        self._start_request_timer()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, as the caller has closed it."""
+        if self.is_lingering:
+            self.transport.loseConnection()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
     def allContentReceived(self) -> None:  # noqa: N802
         """Stop the timer of a request that has arrived completely."""
         self.checks_before_close = 0
@@ -141,7 +186,13 @@
         if self.checks_before_close:
             self.checks_before_close -= 1
             return
-        self.transport.loseConnection()
+        self.linger()
+
+    def _start_request_timer(self) -> None:
+        if self._request_timer is None:
+            self._request_timer = self.callLater(
+                REQUEST_TIMEOUT_S, self._abort_slow_request
+            )
 
     def _stop_request_timer(self) -> None:
         stop_timer(self._request_timer)
--- a/tests/runtime/test_bounded_http.py
+++ b/tests/runtime/test_bounded_http.py
@@ -10,6 +10,7 @@
 
 from bramleyturn.runtime.bounded_http import (
     IDLE_TIMEOUT_S,
+    LINGER_S,
     MAX_CONNECTIONS,
     MAX_HEADERS,
     REQUEST_TIMEOUT_S,
@@ -19,6 +20,21 @@
 LIMIT_BYTES = 100
 
 
+# Twisted's classes have no type annotations.
+_Transport: Any = StringTransport
+
+
+class Transport(_Transport):  # type: ignore[misc]
+    """Close the writing side at once, as a transport with nothing to send does."""
+
+    is_write_closed = False
+    protocol: Any = None
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        self.is_write_closed = True
+        self.protocol.writeConnectionLost()
+
+
 class Connection:
     """Hold one connection to a site that records the bodies its handler receives."""
 
@@ -34,8 +50,9 @@
 
         self.site = BoundedSite(app.resource(), lambda _path: LIMIT_BYTES)
         self.site.reactor = self.clock
-        self.transport = StringTransport()
+        self.transport = Transport()
         self.channel = self.site.buildProtocol(None)
+        self.transport.protocol = self.channel
         self.channel.makeConnection(self.transport)
 
     def send(self, data: bytes) -> bytes:
@@ -43,10 +60,15 @@
         self.channel.dataReceived(data)
         return bytes(self.transport.value())
 
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether the caller sees that nothing more will be sent."""
+        return bool(self.transport.is_write_closed) or self.is_closed
+
     @property
     def is_closed(self) -> bool:
         """Tell whether the server closed the connection."""
-        return self.transport.disconnecting or self.transport.disconnected
+        return bool(self.transport.disconnecting or self.transport.disconnected)
 
 
 def head(*headers: str) -> bytes:
@@ -112,6 +134,8 @@
     def test_sending_nothing_is_disconnected(self) -> None:
         connection = Connection()
         connection.clock.advance(IDLE_TIMEOUT_S + 1)
+        assert connection.is_ended
+        connection.clock.advance(LINGER_S)
         assert connection.is_closed
 
     def test_pausing_between_requests_is_served(self) -> None:
@@ -123,6 +147,35 @@
         assert not connection.is_closed
 
 
+class TestLinger:
+    def test_drops_what_follows_the_last_answer(self) -> None:
+        connection = Connection()
+        request = head("Connection: close", "Content-Length: 1") + b"x"
+        answer = connection.send(request + request)
+        assert connection.is_ended
+        assert not connection.is_closed
+        assert connection.send(request) == answer
+        assert connection.handled == [b"x"]
+
+    def test_ends_once_the_caller_is_silent(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 1000"))
+        for _ in range(3):
+            connection.clock.advance(LINGER_S * 0.9)
+            connection.send(b"x")
+            assert not connection.is_closed
+        connection.clock.advance(LINGER_S)
+        assert connection.is_closed
+
+    def test_ends_although_the_caller_goes_on_sending(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 1000000"))
+        for _ in range(REQUEST_TIMEOUT_S * 2):
+            connection.clock.advance(LINGER_S / 2)
+            connection.send(b"x")
+        assert connection.is_closed
+
+
 class TestConnections:
     def test_above_the_limit_are_closed(self) -> None:
         connection = Connection()
