Decide at the answer whether a connection of a stopping process ends

Callers of the own interface whose request was in progress at SIGTERM got an answer without "Connection: close", after which the connection was closed: the next request on it ended without an answer. Of three requests sent at once on one connection, all read before SIGTERM, the third got none: the second, read in the meantime, had ended the connection.

Cause: whether a connection ends was decided when the head of its request was read (BoundedChannel.checkPersistence), so an answer to a request read before SIGTERM never said so, and one read after it dropped what was read behind it (HTTPChannel.requestDone).

Change: it is decided when the head of the answer is written. While the site closes, the answer ends the connection unless bytes of a further request have been read.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -95,6 +95,7 @@
     """
 
     maxHeaders = MAX_HEADERS  # noqa: N815
+    persistent: bool
     is_lingering = False
     _linger_timer: Any = None
     _request_timer: Any = None
@@ -166,12 +167,17 @@
         self._stop_request_timer()
         super().allContentReceived()
 
-    def checkPersistence(self, request: Any, version: bytes) -> bool:  # noqa: N802
-        """Tell whether the connection stays open after the answer to ``request``."""
-        if self.factory.is_closing:
-            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-            return False
-        return bool(super().checkPersistence(request, version))
+    def writeHeaders(  # noqa: N802
+        self, version: bytes, code: bytes, reason: bytes, headers: Any
+    ) -> None:
+        """Write the head of an answer: while the site closes, the last one says so.
+
+        A further request that has been read is still answered.
+        """
+        if self.factory.is_closing and self.persistent and not any(self._dataBuffer):
+            self.persistent = False
+            headers.setRawHeaders(b"Connection", [b"close"])
+        super().writeHeaders(version, code, reason, headers)
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Close the connection after an answer while the site closes."""
--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -239,6 +239,31 @@
         assert_ends(fleet, FIRST)
 
 
+class TestKeptConnections:
+    def test_learn_from_the_answer_that_they_end(self, fleet: Fleet) -> None:
+        with raw_connection(fleet.addresses[FIRST]) as caller:
+            caller.sendall(draft_bytes("kept"))
+            wait_until_running(fleet, FIRST, "kept")
+            terminate(fleet, FIRST)
+            reply = read_answer(caller)
+            assert reply.status == 200
+            assert reply.headers.get("connection") == "close"
+        assert_ends(fleet, FIRST)
+
+    def test_get_an_answer_to_every_request_that_was_read(self, fleet: Fleet) -> None:
+        with raw_connection(fleet.addresses[FIRST]) as caller:
+            ids = ("first", "second", "third")
+            caller.sendall(b"".join(draft_bytes(each) for each in ids))
+            wait_until_running(fleet, FIRST, "first")
+            terminate(fleet, FIRST)
+            received = read_to_end(caller)
+        assert received.error == ""
+        replies = answers_in(received.data)
+        assert [each.status for each in replies] == [200, 503, 503]
+        assert replies[-1].headers.get("connection") == "close"
+        assert_ends(fleet, FIRST)
+
+
 class TestWorkInProgress:
     def test_that_waits_for_a_stage_is_answered(self, fleet: Fleet) -> None:
         ids = [f"waits-{number}" for number in range(40)]
