Read what has arrived before an idle connection is closed

Callers of the own interface on a kept connection got no answer to a request that was sent while the process did not run, 0.3 to 1.2 s around SIGTERM, although all of it had arrived.

Cause: the process took the connection for idle and closed it (close_if_idle at a stop, timeoutConnection after 30 s) before the reactor had read. In Twisted, calls from signal handlers and timers run before the reads of their turn, and a poll that a pause has interrupted returns without events.

Change: a connection is idle only if the system holds no unread bytes of it, which a look at the socket tells. The reactor then reads them, and the request is answered.

The test of the idle timeout has no process: its transport is a stand-in.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -1,6 +1,7 @@
 """Limit the time and memory that a connection uses before its request is complete."""
 
 from collections.abc import Callable
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any, Final
 
 import orjson
@@ -187,13 +188,25 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being sent or answered."""
-        if self.requests or self._request_timer is not None:
+        if not self._is_idle():
             return
         if self.checks_before_close:
             self.checks_before_close -= 1
             return
         self.linger()
 
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close the connection, which has been idle for too long."""
+        if self._is_idle():
+            super().timeoutConnection()
+
+    def _is_idle(self) -> bool:
+        return not (
+            self.requests
+            or self._request_timer is not None
+            or has_unread_bytes(self.transport)
+        )
+
     def _start_request_timer(self) -> None:
         if self._request_timer is None:
             self._request_timer = self.callLater(
@@ -209,6 +222,17 @@
         self.forceAbortClient()
 
 
+def has_unread_bytes(transport: Any) -> bool:
+    """Tell whether bytes have arrived that the reactor has not read yet.
+
+    Where the reactor is late, its timers run before it reads what arrived meanwhile.
+    """
+    try:
+        return bool(transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 class BoundedSite(_Site):  # type: ignore[misc]
     """Serve a resource with limits on each connection and on their number.
 
--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -14,7 +14,7 @@
 from scripts.fleet import Fleet, FleetPlan, restart, workspace_key
 from scripts.process_group import wait_until
 from tests.operators import operate
-from tests.processes import RunningProcess, running
+from tests.processes import RunningProcess, freeze, running, thaw
 from tests.proofs.fleet_calls import send_request, start_request
 from tests.proofs.zones import SteadyLoad, running_ids, status_of
 from tests.raw_calls import (
@@ -240,6 +240,22 @@
 
 
 class TestKeptConnections:
+    @pytest.mark.parametrize("frozen_s", FREEZES_S)
+    def test_send_a_request_to_a_process_that_is_late_to_stop(
+        self, entry: RunningProcess, frozen_s: float
+    ) -> None:
+        with raw_connection(entry.address) as caller:
+            caller.sendall(head("GET", "/healthz"))
+            assert read_answer(caller).status == 200
+            freeze(entry)
+            caller.sendall(head("GET", "/healthz"))
+            entry.process.send_signal(signal.SIGTERM)
+            time.sleep(frozen_s)
+            thaw(entry)
+            received = read_to_end(caller)
+        assert received.error == ""
+        assert [each.status for each in answers_in(received.data)] == [200]
+
     def test_learn_from_the_answer_that_they_end(self, fleet: Fleet) -> None:
         with raw_connection(fleet.addresses[FIRST]) as caller:
             caller.sendall(draft_bytes("kept"))
--- a/tests/runtime/test_bounded_http.py
+++ b/tests/runtime/test_bounded_http.py
@@ -29,6 +29,13 @@
 
     is_write_closed = False
     protocol: Any = None
+    unread = b""
+
+    def getHandle(self) -> "Transport":  # noqa: N802
+        return self
+
+    def recv(self, _size: int, _flags: int) -> bytes:
+        return self.unread
 
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.is_write_closed = True
@@ -138,6 +145,23 @@
         connection.clock.advance(LINGER_S)
         assert connection.is_closed
 
+    @pytest.mark.parametrize("requests", [0, 1])
+    def test_whose_request_a_late_reactor_has_not_read_is_served(
+        self, requests: int
+    ) -> None:
+        connection = Connection()
+        request = head("Content-Length: 1") + b"x"
+        for _ in range(requests):
+            connection.send(request)
+        connection.transport.unread = request
+        connection.clock.advance(IDLE_TIMEOUT_S + 1)
+        assert not connection.is_ended
+        connection.transport.unread = b""
+        connection.send(request)
+        assert len(connection.handled) == requests + 1
+        connection.clock.advance(IDLE_TIMEOUT_S + 1)
+        assert connection.is_ended
+
     def test_pausing_between_requests_is_served(self) -> None:
         connection = Connection()
         for _ in range(3):
