--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 from pathlib import Path
 from typing import Final
 
@@ -238,6 +239,31 @@
         assert [each.status for each in answers_in(received.data)] == [503]
         assert_ends(fleet, FIRST)
 
+    @pytest.mark.parametrize("count", [40, 200])
+    def test_in_the_queue_of_a_frozen_process_are_answered(
+        self, entry: RunningProcess, count: int
+    ) -> None:
+        with ExitStack() as stack:
+            freeze(entry)
+            # A connection that the queue has no room for takes a second.
+            with ThreadPoolExecutor(count) as connecting:
+                opened = [
+                    connecting.submit(
+                        stack.enter_context, raw_connection(entry.address)
+                    )
+                    for _ in range(count)
+                ]
+                time.sleep(0.6)
+                callers = [each.result() for each in opened if each.done()]
+                for caller in callers:
+                    caller.sendall(head("GET", "/healthz"))
+                entry.process.send_signal(signal.SIGTERM)
+                thaw(entry)
+            received = [read_to_end(caller) for caller in callers]
+        cut = [each for each in received if b"200 OK" not in each.data or each.error]
+        assert not cut, (len(cut), len(callers), cut[:3])
+        assert len(callers) == count
+
 
 class TestKeptConnections:
     @pytest.mark.parametrize("frozen_s", FREEZES_S)
