Answer a long poll at once while a watch stops

A long poll that a stopping watch read after SIGTERM, on a connection opened before, was answered neither at once nor later: its connection was closed 10 s after SIGTERM, and the watch ran that long.

Cause: only the requests that wait at SIGTERM are woken (programs/watch.py, stop); a later one waits up to 30 s (watch_loop.wait_for_wake), and the server closes after CLOSE_TIMEOUT_S.

Change: no request waits while the watch stops.

--- a/src/bramleyturn/watch/watch_loop.py
+++ b/src/bramleyturn/watch/watch_loop.py
@@ -340,7 +340,9 @@
 async def wait_for_wake(
     loop: WatchLoop, waiting: list[Deferred[None]], wait_ms: int
 ) -> None:
-    """Wait until ``waiting`` is woken, at most ``wait_ms``."""
+    """Wait until ``waiting`` is woken, at most ``wait_ms``; not while stopping."""
+    if loop.is_stopped:
+        return
     waiter: Deferred[None] = Deferred()
     waiting.append(waiter)
     timer = loop.reactor.callLater(wait_ms / MS_PER_S, stop_waiting, waiting, waiter)
--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -40,6 +40,7 @@
 WRITE_BYTES: Final = 16_384
 WRITE_PAUSE_S: Final = 0.02
 MOMENT_S: Final = 0.1
+LATE_POLL_LIMIT_S: Final = 5.0
 STOP_LIMIT_S: Final = 15.0
 FIRST, SECOND = "entry-duluth-1", "entry-duluth-2"
 # A draft of 128 tokens takes more than a second.
@@ -95,7 +96,7 @@
 
 
 def terminate(fleet: Fleet, name: str) -> None:
-    """Send SIGTERM to an entry."""
+    """Send SIGTERM to a process."""
     fleet.processes.send_signal(name, signal.SIGTERM)
 
 
@@ -386,3 +387,21 @@
     fleet.thaw(name)
     if when == "before":
         terminate(fleet, name)
+
+
+class TestStoppingWatch:
+    def test_answers_a_long_poll_that_comes_late(self, tmp_path: Path) -> None:
+        plan = FleetPlan(tmp_path, zones=("duluth",), entries_per_zone=1)
+        name = "watch-duluth-1"
+        with Fleet(plan) as fleet, raw_connection(fleet.addresses[name]) as caller:
+            time.sleep(MOMENT_S)
+            terminate(fleet, name)
+            time.sleep(MOMENT_S)
+            sent_s = time.monotonic()
+            caller.sendall(head("GET", "/v1/config?after=1000&wait_ms=20000&seen=0"))
+            received = read_to_end(caller)
+            took_s = time.monotonic() - sent_s
+            assert_ends(fleet, name)
+        assert received.error == ""
+        assert [each.status for each in answers_in(received.data)] == [200]
+        assert took_s < LATE_POLL_LIMIT_S
