Leave kept connections time for a last request while stopping

Cause: a stopping process closed kept connections at once (checks_before_close was 0 after the first request); only new ones had 500 ms.

Change: every idle connection has these 500 ms. A request within them is answered, and the answer says that the connection ends. The stop of an idle process takes 0.5 s longer while callers keep connections open.

A request that comes later than 500 ms can still cross the close.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -20,7 +20,7 @@
 LINGER_S: Final = 1
 MAX_CONNECTIONS: Final = 4_096
 MAX_HEADERS: Final = 64
-FRESH_CONNECTION_CHECKS: Final = 25
+IDLE_CONNECTION_CHECKS: Final = 25
 STATUS_TOO_LARGE: Final = 413
 TOO_LARGE_BODY: Final = orjson.dumps(
     {
@@ -100,9 +100,9 @@
     is_lingering = False
     _linger_timer: Any = None
     _request_timer: Any = None
-    # While the site closes, a connection that has sent no request yet stays open for
-    # this many checks: its first request may be in transit.
-    checks_before_close = FRESH_CONNECTION_CHECKS
+    # While the site closes, an idle connection stays open for this many checks: its
+    # next request may be in transit, and the answer says that the connection ends.
+    checks_before_close = IDLE_CONNECTION_CHECKS
 
     def connectionMade(self) -> None:  # noqa: N802
         """Count a new connection and refuse it where there are too many."""
@@ -164,7 +164,6 @@
 
     def allContentReceived(self) -> None:  # noqa: N802
         """Stop the timer of a request that has arrived completely."""
-        self.checks_before_close = 0
         self._stop_request_timer()
         super().allContentReceived()
 
--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
+from http.client import HTTPException
 from pathlib import Path
 from typing import Final
 
@@ -40,6 +41,7 @@
 WRITE_BYTES: Final = 16_384
 WRITE_PAUSE_S: Final = 0.02
 MOMENT_S: Final = 0.1
+KEPT_CALLERS: Final = 12
 LATE_POLL_LIMIT_S: Final = 5.0
 STOP_LIMIT_S: Final = 15.0
 FIRST, SECOND = "entry-duluth-1", "entry-duluth-2"
@@ -132,6 +134,20 @@
         time.sleep(WRITE_PAUSE_S)
 
 
+def use_until_told(address: str, pause_s: float) -> str:
+    """Use a connection until an answer ends it; return why it ended otherwise."""
+    with raw_connection(address) as caller:
+        while True:
+            time.sleep(pause_s)
+            try:
+                caller.sendall(head("GET", "/healthz"))
+                reply = read_answer(caller)
+            except (OSError, HTTPException) as error:
+                return f"{type(error).__name__}: {error}"
+            if reply.headers.get("connection") == "close":
+                return ""
+
+
 class TestUnreadBytesAtAClose:
     def test_reset_no_answer_that_is_still_read(self, entry: RunningProcess) -> None:
         with raw_connection(entry.address, SMALL_BUFFER_BYTES) as caller:
@@ -283,6 +299,19 @@
         assert received.error == ""
         assert [each.status for each in answers_in(received.data)] == [200]
 
+    def test_in_use_get_an_answer_to_their_last_request(
+        self, entry: RunningProcess
+    ) -> None:
+        with ThreadPoolExecutor(KEPT_CALLERS) as callers:
+            used = [
+                callers.submit(use_until_told, entry.address, 0.01 * number)
+                for number in range(1, KEPT_CALLERS + 1)
+            ]
+            time.sleep(0.5)
+            entry.process.send_signal(signal.SIGTERM)
+            faults = [each.result() for each in used]
+        assert faults == [""] * KEPT_CALLERS
+
     def test_learn_from_the_answer_that_they_end(self, fleet: Fleet) -> None:
         with raw_connection(fleet.addresses[FIRST]) as caller:
             caller.sendall(draft_bytes("kept"))
