--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -15,7 +15,7 @@
 
 from scripts.fleet import Fleet, FleetPlan, restart, workspace_key
 from scripts.process_group import wait_until
-from tests.operators import operate
+from tests.operators import OPERATORS_KEY, operate
 from tests.processes import RunningProcess, freeze, running, thaw
 from tests.proofs.fleet_calls import send_request, start_request
 from tests.proofs.zones import SteadyLoad, running_ids, status_of
@@ -39,12 +39,15 @@
 LARGE_PATH: Final = "/v1/openapi.json"
 FREEZES_S: Final = (0.3, 0.6, 1.2)
 WRITE_BYTES: Final = 16_384
+# More than a server reads ahead of its answer.
+BEHIND_BYTES: Final = 200_000
 WRITE_PAUSE_S: Final = 0.02
 MOMENT_S: Final = 0.1
 KEPT_CALLERS: Final = 12
 LATE_POLL_LIMIT_S: Final = 5.0
 STOP_LIMIT_S: Final = 15.0
 FIRST, SECOND = "entry-duluth-1", "entry-duluth-2"
+ADMIN: Final = "admin-duluth-1"
 # A draft of 128 tokens takes more than a second.
 SLOW_TOKENS: Final = {"token_ms": "10"}
 # Answered, failed, limited, not run, unknown: each with a whole document.
@@ -107,13 +110,14 @@
     assert fleet.processes.wait_for_end(name, STOP_LIMIT_S) == 0
 
 
-def draft_bytes(request_id: str) -> bytes:
+def draft_bytes(request_id: str, *more_headers: str) -> bytes:
     """Return the bytes of a request for a draft."""
     body = json.dumps({"input": request_id}).encode()
     headers = (
         f"Authorization: Bearer {workspace_key('lessons')}",
         f"Bramleyturn-Request-Id: {request_id}",
         f"Content-Length: {len(body)}",
+        *more_headers,
     )
     return head("POST", "/v1/pipelines/lesson-draft/requests", *headers) + body
 
@@ -171,6 +175,15 @@
         assert received.error == ""
         assert answers_in(received.data)[0].status == 200
 
+    def test_reset_no_answer_with_much_behind_its_request(self, fleet: Fleet) -> None:
+        with raw_connection(fleet.addresses[FIRST]) as caller:
+            caller.sendall(draft_bytes("first", "Connection: close"))
+            wait_until_running(fleet, FIRST, "first")
+            caller.sendall(b"x" * BEHIND_BYTES)
+            received = read_to_end(caller)
+        assert received.error == ""
+        assert [each.status for each in answers_in(received.data)] == [200]
+
     def test_reset_no_refusal_of_a_long_head(self, entry: RunningProcess) -> None:
         line = b"X-Long: " + b"x" * WRITE_BYTES + b"\r\n"
         with raw_connection(entry.address) as caller:
@@ -390,14 +403,32 @@
         cut = [each for each in load.sent if each.error.startswith("cut")]
         assert not cut, (len(cut), len(load.sent), cut[:3])
 
+    def test_of_a_stopping_administration_is_answered(self, fleet: Fleet) -> None:
+        key = f"Authorization: Bearer {OPERATORS_KEY}"
+        fleet.freeze(SECOND)
+        try:
+            with raw_connection(fleet.addresses[ADMIN]) as caller:
+                caller.sendall(head("GET", "/v1/status", key))
+                time.sleep(MOMENT_S)
+                terminate(fleet, ADMIN)
+                received = read_to_end(caller)
+            assert_ends(fleet, ADMIN)
+        finally:
+            fleet.thaw(SECOND)
+        restart(fleet, ADMIN)
+        assert received.error == ""
+        replies = answers_in(received.data)
+        assert [each.status for each in replies] == [200]
+        assert replies[0].headers.get("connection") == "close"
+
     def test_of_an_entry_that_operators_drain_is_answered(self, fleet: Fleet) -> None:
         with raw_connection(fleet.addresses[FIRST]) as caller:
             caller.sendall(draft_bytes("drained"))
             wait_until_running(fleet, FIRST, "drained")
             for _ in range(2):
                 order = {"process": FIRST}
-                admin = fleet.addresses["admin-duluth-1"]
-                assert operate(admin, "/v1/drain", document=order).status == 202
+                drained = operate(fleet.addresses[ADMIN], "/v1/drain", document=order)
+                assert drained.status == 202
             reply = read_answer(caller)
         assert reply.status == 200
         assert_ends(fleet, FIRST)
