End with exit code 0 although SIGTERM comes again at the very end

An entry, watch or administration that was sent SIGTERM again while it ended had exit code -15 instead of 0, as if it had not stopped by itself. Its callers had their answers.

Cause: Python puts handled signals back to their default while it ends, after programs/start.run.

Change: SIGTERM and SIGINT are ignored once the reactor has ended; Python leaves ignored signals.

--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -1,5 +1,6 @@
 """Start a program: read its settings, set up logging, run the reactor."""
 
+import signal
 import sys
 from collections.abc import Collection
 from pathlib import Path
@@ -43,3 +44,7 @@
 def run(loop: Any) -> None:
     """Run the reactor without Twisted's own signal handlers."""
     loop.run(installSignalHandlers=False)
+    # While Python ends, a handled signal would kill the process; an ignored one does
+    # not.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -449,6 +449,21 @@
         terminate(fleet, name)
 
 
+class TestFurtherSignals:
+    @pytest.mark.parametrize("role", ["entry", "watch", "admin"])
+    def test_until_the_end_leave_the_exit_code_as_it_is(
+        self, tmp_path: Path, role: str
+    ) -> None:
+        module = f"bramleyturn.programs.{role}"
+        with running(
+            module, ENTRY_SETTINGS + "platform = 127.0.0.1:9\n", tmp_path
+        ) as it:
+            while it.process.poll() is None:
+                it.process.send_signal(signal.SIGTERM)
+                time.sleep(0.001)
+            assert it.process.returncode == 0
+
+
 class TestStoppingWatch:
     def test_answers_a_long_poll_that_comes_late(self, tmp_path: Path) -> None:
         plan = FleetPlan(tmp_path, zones=("duluth",), entries_per_zone=1)
