--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -1,21 +1,26 @@
 """Limit the time and memory that a connection uses before its request is complete."""
 
 from collections.abc import Callable
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any, Final
 
 import orjson
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
 from twisted.web import http, server
 from twisted.web.resource import Resource
-from zope.interface import provider
+from zope.interface import implementer, provider
 
 from bramleyturn.runtime.timers import stop_timer
 
 IDLE_TIMEOUT_S: Final = 30
 REQUEST_TIMEOUT_S: Final = 30
+# A caller that has been silent this long after the last answer has read it.
 LINGER_S: Final = 1
 MAX_CONNECTIONS: Final = 4_096
 MAX_HEADERS: Final = 64
-FRESH_CONNECTION_CHECKS: Final = 25
+IDLE_CONNECTION_CHECKS: Final = 25
 STATUS_TOO_LARGE: Final = 413
 TOO_LARGE_BODY: Final = orjson.dumps(
     {
@@ -78,19 +83,26 @@
             "Connection: close\r\n\r\n"
         )
         transport.write(head.encode() + TOO_LARGE_BODY)
-        # Closing while the rest of the body still arrives would reset the connection
-        # before the caller has read the answer.
-        self.channel.callLater(LINGER_S, transport.loseConnection)
+        self.channel.linger()
 
 
+@implementer(IHalfCloseableProtocol)
 class BoundedChannel(_Channel):  # type: ignore[misc]
-    """Read requests and close a connection that takes too long to send one."""
+    """Read requests and close a connection that takes too long to send one.
+
+    A connection lingers before it is closed (RFC 9112, section 9.6): it sends the end
+    of its last answer and drops what the caller still sends. Closing it with unread
+    bytes would reset it, and the caller would lose what it has not read yet.
+    """
 
     maxHeaders = MAX_HEADERS  # noqa: N815
+    persistent: bool
+    is_lingering = False
+    _linger_timer: Any = None
     _request_timer: Any = None
-    # While the site closes, a connection that has sent no request yet stays open for
-    # this many checks: its first request may be in transit.
-    checks_before_close = FRESH_CONNECTION_CHECKS
+    # While the site closes, an idle connection stays open for this many checks: its
+    # next request may be in transit, and the answer says that the connection ends.
+    checks_before_close = IDLE_CONNECTION_CHECKS
 
     def connectionMade(self) -> None:  # noqa: N802
         """Count a new connection and refuse it where there are too many."""
@@ -102,10 +114,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes; the first ones of a request start its timer."""
-        if self._request_timer is None and not self._handlingRequest:
-            self._request_timer = self.callLater(
-                REQUEST_TIMEOUT_S, self._abort_slow_request
-            )
+        if self.is_lingering:
+            if self._linger_timer is not None:
+                self._linger_timer.reset(LINGER_S)
+            return
+        if not self._handlingRequest:
+            self._start_request_timer()
         super().dataReceived(data)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -113,20 +127,57 @@
         self.factory.connections -= 1
         self.factory.channels.discard(self)
         self._stop_request_timer()
+        stop_timer(self._linger_timer)
         super().connectionLost(reason)
 
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a line that is too long."""
+        self._respondToBadRequestAndDisconnect()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection after its last answer, in a way that keeps it whole."""
+        self.linger()
+
+    def linger(self) -> None:
+        """Close the connection once the caller has had time to read what was sent."""
+        if self.is_lingering:
+            return
+        self.is_lingering = True
+        self.clearLineBuffer()
+        self._dataBuffer: list[bytes] = []
+        self._networkProducer.unregisterProducer()
+        self.transport.loseWriteConnection()
+        # Reading pauses while much of a later request waits.
+        self.transport.resumeProducing()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Wait for the caller to close, now that every answer has been sent."""
+        self._linger_timer = self.callLater(LINGER_S, self.transport.loseConnection)
+        self._start_request_timer()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection, as the caller has closed it."""
+        if self.is_lingering:
+            self.transport.loseConnection()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
     def allContentReceived(self) -> None:  # noqa: N802
         """Stop the timer of a request that has arrived completely."""
-        self.checks_before_close = 0
         self._stop_request_timer()
         super().allContentReceived()
 
-    def checkPersistence(self, request: Any, version: bytes) -> bool:  # noqa: N802
-        """Tell whether the connection stays open after the answer to ``request``."""
-        if self.factory.is_closing:
-            request.responseHeaders.setRawHeaders(b"Connection", [b"close"])
-            return False
-        return bool(super().checkPersistence(request, version))
+    def writeHeaders(  # noqa: N802
+        self, version: bytes, code: bytes, reason: bytes, headers: Any
+    ) -> None:
+        """Write the head of an answer: while the site closes, the last one says so.
+
+        A further request that has been read is still answered.
+        """
+        if self.factory.is_closing and self.persistent and not any(self._dataBuffer):
+            self.persistent = False
+            headers.setRawHeaders(b"Connection", [b"close"])
+        super().writeHeaders(version, code, reason, headers)
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Close the connection after an answer while the site closes."""
@@ -136,12 +187,30 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being sent or answered."""
-        if self.requests or self._request_timer is not None:
+        if not self._is_idle():
             return
         if self.checks_before_close:
             self.checks_before_close -= 1
             return
-        self.transport.loseConnection()
+        self.linger()
+
+    def timeoutConnection(self) -> None:  # noqa: N802
+        """Close the connection, which has been idle for too long."""
+        if self._is_idle():
+            super().timeoutConnection()
+
+    def _is_idle(self) -> bool:
+        return not (
+            self.requests
+            or self._request_timer is not None
+            or has_unread_bytes(self.transport)
+        )
+
+    def _start_request_timer(self) -> None:
+        if self._request_timer is None:
+            self._request_timer = self.callLater(
+                REQUEST_TIMEOUT_S, self._abort_slow_request
+            )
 
     def _stop_request_timer(self) -> None:
         stop_timer(self._request_timer)
@@ -152,6 +221,17 @@
         self.forceAbortClient()
 
 
+def has_unread_bytes(transport: Any) -> bool:
+    """Tell whether bytes have arrived that the reactor has not read yet.
+
+    Where the reactor is late, its timers run before it reads what arrived meanwhile.
+    """
+    try:
+        return bool(transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 class BoundedSite(_Site):  # type: ignore[misc]
     """Serve a resource with limits on each connection and on their number.
 
