--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -11,7 +11,13 @@
 
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, Headers
-from bramleyturn.standin.site.raw_answers import AnswerShape, BreakPoint, RawAnswer
+from bramleyturn.standin.site.raw_answers import (
+    AnswerShape,
+    BreakPoint,
+    EndlessPart,
+    RawAnswer,
+    send_endless,
+)
 
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
@@ -50,6 +56,7 @@
     ``crash`` ends the server, which starts again later, and ``crashed_by`` has the
     attempt that each crash was due to. ``name`` stays the same when the server starts
     again under another ``id``. ``state`` is what it last registered, "" if nothing.
+    ``endless`` has the bytes and the time until its close of each answer without end.
     """
 
     def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
@@ -72,6 +79,7 @@
         self.results: dict[str, str] = {}
         self.made = 0
         self.capacity_bytes = 1_000_000
+        self.endless: list[dict[str, int]] = []
 
 
 def plain_handler(server: SiteServer) -> Callable[[Exchange], None]:
@@ -81,7 +89,8 @@
         if _refused(server, exchange):
             return
         if exchange.target == HEALTH_TARGET:
-            exchange.answer(200, [_identity(server)], b"")
+            if not _is_endless(server, exchange, [_identity(server)], b"", True):
+                exchange.answer(200, [_identity(server)], b"")
             return
         attempt_id = _record_run(server, exchange)
         if _crashes(server, exchange.target + exchange.body, attempt_id):
@@ -105,8 +114,9 @@
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
-            report = {"waiting": 0, "running": server.running}
-            exchange.answer(200, [], orjson.dumps(report))
+            report = orjson.dumps({"waiting": 0, "running": server.running})
+            if not _is_endless(server, exchange, [], report, True):
+                exchange.answer(200, [], report)
             return
         if _refused(server, exchange):
             return
@@ -118,6 +128,8 @@
         server.running += 1
         headers = _answer_headers(server, attempt_id)
         headers.append((b"Content-Type", b"text/event-stream"))
+        if _is_endless(server, exchange, headers, _event(first)):
+            return
         if server.shape is not None:
             raw = RawAnswer(server.reactor, exchange, server.shape)
             has_ids = server.shape.has_ids
@@ -172,8 +184,10 @@
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
-            report = {"waiting": 0, "busy": server.running, "freeMb": 1.0}
-            exchange.answer(200, [], orjson.dumps(report))
+            shown = {"waiting": 0, "busy": server.running, "freeMb": 1.0}
+            report = orjson.dumps(shown)
+            if not _is_endless(server, exchange, [], report, True):
+                exchange.answer(200, [], report)
         elif exchange.target == RELEASE_TARGET:
             for handle in orjson.loads(exchange.body)["handles"]:
                 server.results.pop(handle, None)
@@ -221,6 +235,8 @@
         exchange.answer(status, headers, body)
         return
     server.running += 1
+    if _is_endless(server, exchange, headers, body):
+        return
     raw = RawAnswer(server.reactor, exchange, shape)
     raw.start(status, headers, len(body))
     if shape.break_point is BreakPoint.NONE:
@@ -233,6 +249,31 @@
     _break_off(server, raw)
 
 
+def _is_endless(
+    server: SiteServer,
+    exchange: Exchange,
+    headers: Headers,
+    body: bytes,
+    is_status: bool = False,
+) -> bool:
+    """Answer without end if the server is to; return whether it does."""
+    shape = server.shape
+    if shape is None or shape.endless is EndlessPart.NONE:
+        return False
+    if shape.is_status is not is_status:
+        return False
+    started_s = server.reactor.seconds()
+
+    def on_closed(size: int) -> None:
+        server.running -= 0 if is_status else 1
+        took_ms = int((server.reactor.seconds() - started_s) * MS_PER_S)
+        server.endless.append({"bytes": size, "took_ms": took_ms})
+
+    raw = RawAnswer(server.reactor, exchange, shape)
+    send_endless(raw, headers, body, on_closed)
+    return True
+
+
 def _create_result(server: SiteServer, item: dict[str, Any]) -> dict[str, str]:
     server.made += 1
     handle = f"{server.address}/{server.made:x}"
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -330,6 +330,7 @@
                 "ran": [vars(ran) for ran in server.ran],
                 "made": server.made,
                 "kept": len(server.results),
+                "endless": server.endless,
             }
             for server in site.servers.values()
         },
--- a/tests/core/test_event_splitter.py
+++ b/tests/core/test_event_splitter.py
@@ -1,12 +1,22 @@
 """Tests of splitting a byte stream into events."""
 
 import itertools
+import time
+from typing import Final
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bramleyturn.core.event_splitter import EventSplitter, split_events
 
+PIECE_BYTES: Final = 64 * 1024
+PACKET_BYTES: Final = 1_460
+MEGABYTE: Final = 1_000_000
+# Far above what a core needs for work that is constant for each byte.
+LONGEST_S_PER_MB: Final = 0.05
+# Largest event that is accepted.
+BOUND_BYTES: Final = 1024 * 1024
 STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n"
 
 
@@ -34,3 +44,42 @@
     def test_event_without_an_id(self) -> None:
         (event,) = split_events(EventSplitter(), b"data: a\n\n")
         assert event.id is None
+
+
+def split_in_time(splitter: EventSplitter, piece: bytes, size: int) -> int:
+    """Split ``size`` bytes, in pieces; return the number of events.
+
+    Fail as soon as that takes too much of the processor.
+    """
+    limit_s = max(1, size / MEGABYTE) * LONGEST_S_PER_MB
+    started_s = time.thread_time()
+    events = 0
+    for _ in range(0, size, len(piece)):
+        events += len(split_events(splitter, piece))
+        assert time.thread_time() - started_s < limit_s
+    print(f"{size / MEGABYTE:.0f} MB: {time.thread_time() - started_s:.3f} s")
+    return events
+
+
+class TestWork:
+    """Work and memory for bytes without the end of an event."""
+
+    @pytest.mark.parametrize("megabytes", [1, 10, 100])
+    def test_time_for_bytes_without_end_grows_as_they_do(self, megabytes: int) -> None:
+        splitter = EventSplitter()
+        split_in_time(splitter, b"x" * PIECE_BYTES, megabytes * MEGABYTE)
+        assert len(splitter.rest) <= BOUND_BYTES
+
+    @pytest.mark.parametrize("size", [PACKET_BYTES, PIECE_BYTES])
+    def test_one_large_event_is_not_searched_for_each_piece(self, size: int) -> None:
+        splitter = EventSplitter()
+        split_in_time(splitter, b"x" * size, BOUND_BYTES - size)
+        (event,) = split_events(splitter, b"\n\n")
+        assert len(event.data) > BOUND_BYTES - 2 * size
+
+    @pytest.mark.parametrize("megabytes", [1, 10, 100])
+    def test_time_for_whole_events_grows_as_they_do(self, megabytes: int) -> None:
+        piece = (b"id: 1\ndata: %b\n\n" % (b"x" * 1_000)) * 64
+        splitter = EventSplitter()
+        events = split_in_time(splitter, piece, megabytes * MEGABYTE)
+        assert events >= megabytes * MEGABYTE / len(piece) * 64
