--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -2,11 +2,13 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
+from bramleyturn.gateway.answer_bounds import Bound
 from bramleyturn.gateway.http1_client import ServerConnection
 
 # A connection attempt that takes longer counts as refused: instances and servers are
@@ -24,13 +26,18 @@
 
 
 class ConnectionPool:
-    """Hold the idle connections by server name."""
+    """Hold the idle connections by server name.
+
+    ``on_over_bound`` is called with the name of a server whose answer exceeded a bound,
+    the bound, and the size in bytes.
+    """
 
     def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
         self.reactor = reactor
         self.now_ms = now_ms
         self.idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
+        self.on_over_bound: Callable[[str, Bound, int], None] = lambda *_: None
 
 
 def take_idle(
@@ -72,6 +79,7 @@
     factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle))
     connection: ServerConnection = await endpoint.connect(factory)
     connection.on_lost.append(remove_idle)
+    connection.on_over_bound = partial(pool.on_over_bound, name)
     pool.opened += 1
     return connection
 
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -2,7 +2,7 @@
 
 The h11 library does the framing. After a reset an answer without a length has failed;
 after a clean close the listener decides whether it is whole. Unexpected bytes close
-the connection.
+the connection, and so does a part of an answer that exceeds its bound.
 """
 
 from collections.abc import Callable
@@ -16,8 +16,17 @@
 from twisted.python.failure import Failure
 
 from bramleyturn.core.answer_end import ConnectionEnd, Framing, framing_of
-
-MAX_HEAD_BYTES: Final = 64 * 1024
+from bramleyturn.gateway.answer_bounds import (
+    CHUNK_ALLOWANCE_BYTES,
+    CHUNK_ALLOWANCE_PER_BYTE,
+    MAX_CHUNK_EXCESS_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_INTERIM_ANSWERS,
+    Bound,
+)
+
+# The hint with which h11 rejects an event that exceeds its limit.
+STATUS_HEAD_TOO_LARGE: Final = 431
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -33,6 +42,7 @@
     WRONG_ANSWER = "wrong_answer"
     BROKEN_OFF = "broken_off"
     UNCONFIRMED = "unconfirmed"
+    OVER_BOUND = "over_bound"
 
 
 class AnswerListener(Protocol):
@@ -52,14 +62,24 @@
 
 
 class ServerConnection(protocol.Protocol):
-    """Send requests and read answers over one connection to a server."""
+    """Send requests and read answers over one connection to a server.
+
+    ``on_over_bound`` is called with the bound that a part of an answer exceeded, and
+    its size in bytes. ``head_bytes`` is what was received before the end of the head,
+    and ``excess_bytes`` what chunks have besides their data and an allowance.
+    """
 
     def __init__(self, on_idle: Callable[["ServerConnection"], None]) -> None:
         self.on_idle = on_idle
         self.on_lost: list[Callable[[ServerConnection], None]] = []
+        self.on_over_bound: Callable[[Bound, int], None] = lambda _bound, _size: None
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.listener: AnswerListener | None = None
         self.method = b""
+        self.framing: Framing | None = None
+        self.head_bytes = 0
+        self.interim_answers = 0
+        self.excess_bytes = 0
         self.ended = ConnectionEnd.OPEN
         self.idle_since_ms = 0
         self.idle_limit_ms: int | None = None
@@ -81,6 +101,10 @@
         transport: Any = self.transport
         self.listener = listener
         self.method = method
+        self.framing = None
+        self.head_bytes = 0
+        self.interim_answers = 0
+        self.excess_bytes = 0
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.http.send(request)
         if body:
@@ -100,16 +124,35 @@
         if transport is not None and not self.is_lost:
             transport.abortConnection()
 
+    def end_at_bound(self, bound: Bound, size_bytes: int) -> None:
+        """Close the connection at once, because the answer exceeds a bound."""
+        if self.listener is not None:
+            self.on_over_bound(bound, size_bytes)
+            self._fail(FailureReason.OVER_BOUND)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse the bytes received."""
         if self.listener is None:
             self.drop()
             return
+        if self.framing is None:
+            self.head_bytes += len(data)
+        elif self.framing is Framing.CHUNKED:
+            self.excess_bytes += len(data)
         try:
             self.http.receive_data(data)
             self._read_events()
-        except h11.RemoteProtocolError:
-            self._fail(FailureReason.MALFORMED)
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
+                self._end_at_head_bound()
+            else:
+                self._fail(FailureReason.MALFORMED)
+            return
+        self.excess_bytes = max(0, self.excess_bytes)
+        if (
+            self.framing is None and self.head_bytes > MAX_HEAD_BYTES
+        ) or self.excess_bytes > MAX_CHUNK_EXCESS_BYTES:
+            self._end_at_head_bound()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """End an answer without a length, or report that the answer failed."""
@@ -136,17 +179,37 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self.interim_answers += 1
+                if self.interim_answers > MAX_INTERIM_ANSWERS:
+                    self.end_at_bound(Bound.INTERIM, self.head_bytes)
+            elif isinstance(event, h11.Response):
                 headers = list(event.headers)
                 framing = framing_of(self.method, event.status_code, headers)
+                self.framing = framing
+                if framing is Framing.CHUNKED:
+                    self.excess_bytes = len(self.http.trailing_data[0])
                 self.listener.head(event.status_code, headers, framing)
             elif isinstance(event, h11.Data):
+                self._allow_for_chunk(event)
                 self.listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._end()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(FailureReason.CLOSED)
 
+    def _allow_for_chunk(self, event: h11.Data) -> None:
+        size = len(event.data)
+        self.excess_bytes -= size + CHUNK_ALLOWANCE_PER_BYTE * size
+        if event.chunk_start:
+            self.excess_bytes -= CHUNK_ALLOWANCE_BYTES
+
+    def _end_at_head_bound(self) -> None:
+        if self.framing is None:
+            self.end_at_bound(Bound.HEAD, self.head_bytes)
+        else:
+            self.end_at_bound(Bound.CHUNK_HEADS, self.excess_bytes)
+
     def _end(self) -> None:
         listener = self.listener
         self.listener = None
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -29,6 +30,7 @@
 from bramleyturn.core.waiting.first_events import FirstEventTimes
 from bramleyturn.core.waiting.run_times import RunTimes, Shutdown
 from bramleyturn.core.waiting.time_spent import LongestWaits
+from bramleyturn.gateway.answer_bounds import note_over_bound
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.metrics import Metrics
 from bramleyturn.platform.settings import ServingSettings
@@ -72,6 +74,8 @@
         self.metrics = Metrics()
         self.servers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         self.peers_pool = ConnectionPool(reactor, clock.monotonic_ms)
+        for pool in (self.servers_pool, self.peers_pool):
+            pool.on_over_bound = partial(note_over_bound, self.metrics)
         self.members = Members(me, seed_addresses(settings), now_ms)
         self.freshness = Freshness(now_ms)
         self.silent_zones: frozenset[str] = frozenset()
--- a/src/bramleyturn/gateway/store_reader.py
+++ b/src/bramleyturn/gateway/store_reader.py
@@ -58,6 +58,7 @@
         self.copy = copy
         self.serving = copy.serving
         self.pool = ConnectionPool(self.serving.reactor, self.serving.now_ms)
+        self.pool.on_over_bound = self.serving.servers_pool.on_over_bound
         self.era = UNKNOWN_ERA
         self.is_unreachable = False
         self.is_era_rejected = False
