--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -19,7 +19,13 @@
     split_events,
 )
 from bramleyturn.core.placement.verdicts import AnswerVerdict, judge_answer
-from bramleyturn.gateway.calls import MAX_ANSWER_BYTES, CallFailed, connect, peer_of
+from bramleyturn.gateway.answer_bounds import (
+    MAX_BODY_BYTES,
+    MAX_UNUSED_BODY_BYTES,
+    Bound,
+    told_length,
+)
+from bramleyturn.gateway.calls import CallFailed, connect, peer_of
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
 from bramleyturn.platform.answers import AnswerHead, read_answer_head
@@ -103,6 +109,7 @@
         self.splitter = EventSplitter()
         self.parts: list[bytes] = []
         self.size = 0
+        self.max_bytes = MAX_BODY_BYTES
         self.events = 0
 
     def head(self, status: int, headers: Headers, framing: Framing) -> None:
@@ -118,6 +125,11 @@
         self.is_stream = (
             is_passed_on and status == 200 and content_type.startswith(EVENT_STREAM)
         )
+        if not is_passed_on:
+            self.max_bytes = MAX_UNUSED_BODY_BYTES
+        length = told_length(framing, headers)
+        if not self.is_stream and length > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, length)
 
     def data(self, data: bytes) -> None:
         """Forward the events of a stream, or buffer a part of another answer."""
@@ -125,11 +137,13 @@
             for event in split_events(self.splitter, data):
                 self.events += 1
                 self.request.on_event(self.headers, event)
+            over_bound_bytes = self.splitter.over_bound_bytes
+            if over_bound_bytes:
+                self.connection.end_at_bound(Bound.EVENT, over_bound_bytes)
             return
         self.size += len(data)
-        if self.size > MAX_ANSWER_BYTES:
-            self.connection.drop()
-            self.failed(FailureReason.WRONG_ANSWER)
+        if self.size > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, self.size)
             return
         self.parts.append(data)
 
@@ -161,12 +175,14 @@
 
     def failed(self, reason: FailureReason) -> None:
         """End the attempt without a complete answer."""
+        self.parts.clear()
         if not self.ended.called:
             body_end = None if self.answer is None else self._body_end()
             self.ended.callback(AttemptFailed(reason, body_end))
 
     def _body_end(self) -> BodyEnd:
-        unfinished_bytes = len(self.splitter.rest.strip(b"\r\n"))
+        rest = self.splitter.rest.strip(b"\r\n")
+        unfinished_bytes = self.splitter.over_bound_bytes or len(rest)
         return BodyEnd(
             self.framing, self.connection.ended, self.events, unfinished_bytes
         )
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -196,7 +196,9 @@
         if isinstance(ended, AttemptFailed) or (
             isinstance(ended, NotRun) and not ended.status
         ):
-            is_certain = isinstance(ended, NotRun)
+            is_certain = (
+                isinstance(ended, NotRun) or ended.reason is FailureReason.OVER_BOUND
+            )
             is_avoided = note_failed(serving.health, server.id, now_ms, is_certain)
         elif isinstance(ended, NotRun):
             is_avoided = note_failed(serving.health, server.id, now_ms)
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -11,6 +11,12 @@
 from bramleyturn.core.answer_end import EndVerdict, Framing, judge_json_end
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.answer_bounds import (
+    MAX_BODY_BYTES,
+    MAX_UNUSED_BODY_BYTES,
+    Bound,
+    told_length,
+)
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
     open_connection,
@@ -20,7 +26,6 @@
 from bramleyturn.runtime.timers import stop_timer
 
 STATUS_OK: Final = 200
-MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 
 
 class Peer(NamedTuple):
@@ -54,33 +59,43 @@
 class WholeAnswerListener:
     """Collect the parts of an answer until it is complete."""
 
-    def __init__(self, ended: "Deferred[WholeAnswer | CallFailed]") -> None:
+    def __init__(
+        self,
+        ended: "Deferred[WholeAnswer | CallFailed]",
+        connection: ServerConnection,
+    ) -> None:
         self.ended = ended
+        self.connection = connection
         self.status = 0
         self.headers: Headers = []
         self.framing = Framing.CLOSE
         self.parts: list[bytes] = []
         self.size = 0
+        self.max_bytes = MAX_BODY_BYTES
 
     def head(self, status: int, headers: Headers, framing: Framing) -> None:
         """Store the status, the headers and the framing."""
         self.status = status
         self.headers = headers
         self.framing = framing
+        if status != STATUS_OK:
+            self.max_bytes = MAX_UNUSED_BODY_BYTES
+        length = told_length(framing, headers)
+        if length > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, length)
 
     def data(self, data: bytes) -> None:
-        """Buffer a part of the body."""
+        """Buffer a part of the body, or end the call if it is too large."""
         self.size += len(data)
-        if self.size <= MAX_ANSWER_BYTES:
-            self.parts.append(data)
+        if self.size > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, self.size)
+            return
+        self.parts.append(data)
 
     def end(self) -> None:
-        """End the call with the answer, or with a failure if it is too large."""
+        """End the call with the answer, if it is whole."""
         if self.ended.called:
             return
-        if self.size > MAX_ANSWER_BYTES:
-            self.ended.callback(CallFailed(FailureReason.WRONG_ANSWER))
-            return
         body = b"".join(self.parts)
         if self._is_broken_off(body):
             self.ended.callback(CallFailed(FailureReason.BROKEN_OFF))
@@ -144,7 +159,7 @@
 ) -> WholeAnswer | CallFailed:
     """Send one request on a connection, as ``call`` does."""
     ended: Deferred[WholeAnswer | CallFailed] = Deferred(lambda _: connection.drop())
-    listener = WholeAnswerListener(ended)
+    listener = WholeAnswerListener(ended, connection)
     host = (b"Host", f"{peer.host}:{peer.port}".encode())
     all_headers = [host, *headers]
     if body:
--- a/src/bramleyturn/gateway/server_check.py
+++ b/src/bramleyturn/gateway/server_check.py
@@ -31,7 +31,9 @@
 MAX_TRIES: Final = 3
 # The server, or the network, may also have broken off an answer that is to show that
 # the server runs.
-LOST: Final = frozenset({FailureReason.CLOSED, FailureReason.RESET})
+LOST: Final = frozenset(
+    {FailureReason.CLOSED, FailureReason.RESET, FailureReason.OVER_BOUND}
+)
 
 
 class ServerState(StrEnum):
