--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -35,11 +35,16 @@
     header_text,
     http_agent,
     http_client,
+    log_over_bound,
     retry_after_ms,
 )
 
+# The bound of one message by default in NATS (max_payload).
 MAX_LINE_BYTES: Final = 1024 * 1024
+# Eight of them.
 MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
+# The bound in Go's net/http on a body that is read to keep its connection.
+MAX_REFUSAL_BYTES: Final = 256 * 1024
 CANCEL_TIMEOUT_MS: Final = 1_000
 PROBE_TIMEOUT_MS: Final = 500
 STATUS_OK: Final = 200
@@ -272,6 +277,7 @@
         self.client = client
         self.action = action
         self.is_stream = is_answer and action.kind is PoolKind.ENGINE
+        self.max_body_bytes = MAX_OUTPUT_BYTES if is_answer else MAX_REFUSAL_BYTES
         self.buffer = bytearray()
         self.has_ended = False
         self.is_stopped = False
@@ -288,19 +294,28 @@
         """Handle the next bytes of the body."""
         if self.is_stopped:
             return
+        if self.has_ended:
+            # Nothing may follow the end of a stream.
+            self.stop()
+            return
         self.buffer += data
         if not self.is_stream:
-            self.check_size(MAX_OUTPUT_BYTES)
+            self.check_size(self.max_body_bytes, "body")
+            return
+        if b"\n" not in data:
+            self.check_size(MAX_LINE_BYTES, "line")
             return
         *lines, rest = bytes(self.buffer).split(b"\n")
         self.buffer = bytearray(rest)
-        self.check_size(MAX_LINE_BYTES)
+        self.check_size(MAX_LINE_BYTES, "line")
         for line in lines:
             self.handle_line(line)
 
-    def check_size(self, limit_bytes: int) -> None:
+    def check_size(self, limit_bytes: int, bound: str) -> None:
         """Abort an answer that exceeds its size limit."""
         if len(self.buffer) > limit_bytes:
+            log_over_bound(self.action.server.name, bound, len(self.buffer))
+            self.buffer.clear()
             self.report(FailureReason.WRONG_ANSWER, "the answer exceeds the size limit")
             self.stop()
 
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -1,5 +1,6 @@
 """Call other processes over HTTP with JSON."""
 
+import logging
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
@@ -15,7 +16,7 @@
     TimeoutError,
 )
 from twisted.internet.interfaces import IStreamClientEndpoint
-from twisted.web._newclient import RequestNotSent
+from twisted.web._newclient import HEADER, STATUS, RequestNotSent
 from twisted.web.client import (
     URI,
     Agent,
@@ -32,10 +33,17 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 IDLE_CONNECTION_S: Final = 10
 CONNECTIONS_PER_HOST: Final = 64
+# The interim answers and the head of one answer, together: the longest line that
+# CPython's http.client reads.
+MAX_HEAD_BYTES: Final = 64 * 1024
+# Sixteen times the bound of one message by default in NATS (max_payload).
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 HeaderMap = dict[bytes | str, bytes | str]
 
 JSON_HEADERS: Final[HeaderMap] = {"Content-Type": "application/json"}
 
+logger = logging.getLogger(__name__)
+
 
 class JsonAnswer(NamedTuple):
     """Hold the answer to a call."""
@@ -53,6 +61,57 @@
     headers: dict[str, str]
 
 
+class OverBoundError(Exception):
+    """Signal that the body of an answer exceeds its bound."""
+
+
+def log_over_bound(server: str, bound: str, size_bytes: int) -> None:
+    """Log an answer whose connection is closed at a bound."""
+    logger.warning(
+        "answer over its bound",
+        extra={"server": server, "bound": bound, "bytes": size_bytes},
+    )
+
+
+def bound_heads(connection: Any) -> Any:
+    """Let an HTTP connection be closed once a head exceeds its bound.
+
+    Twisted bounds each line of a head, but neither their number nor that of interim
+    answers.
+    """
+    receive = connection.dataReceived
+    head_bytes = 0
+
+    def receive_bounded(data: bytes) -> None:
+        nonlocal head_bytes
+        receive(data)
+        parser = connection._parser
+        if parser is None or parser.state not in (STATUS, HEADER):
+            head_bytes = 0
+            return
+        head_bytes += len(data)
+        if head_bytes > MAX_HEAD_BYTES:
+            peer = connection.transport.getPeer()
+            log_over_bound(f"{peer.host}:{peer.port}", "head", head_bytes)
+            connection.transport.abortConnection()
+
+    connection.dataReceived = receive_bounded
+    return connection
+
+
+@implementer(IStreamClientEndpoint)
+class BoundedEndpoint:
+    """Connect to an address, with a bound on the heads of answers."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self.endpoint = endpoint
+
+    def connect(self, protocolFactory: Any) -> Deferred[Any]:  # noqa: N803
+        """Connect."""
+        connected: Deferred[Any] = self.endpoint.connect(protocolFactory)
+        return connected.addCallback(bound_heads)
+
+
 @implementer(IAgentEndpointFactory)
 class IpEndpoints:
     """Make endpoints for numeric IP addresses.
@@ -67,7 +126,9 @@
     def endpointForURI(self, uri: URI) -> Any:  # noqa: N802
         """Return the endpoint of the IP number and port in ``uri``."""
         host = uri.host.decode("ascii")
-        return TCP4ClientEndpoint(self.reactor, host, uri.port, CONNECT_TIMEOUT_S)
+        return BoundedEndpoint(
+            TCP4ClientEndpoint(self.reactor, host, uri.port, CONNECT_TIMEOUT_S)
+        )
 
 
 @implementer(IBodyProducer)
@@ -198,7 +259,7 @@
     )
     return BytesAnswer(
         status=response.code,
-        content=await treq.content(response),
+        content=await read_body(url, response),
         headers={
             name.decode().lower(): values[-1].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
@@ -206,6 +267,25 @@
     )
 
 
+async def read_body(url: str, response: Any) -> bytes:
+    """Read the body of an answer; close its connection if it exceeds the bound."""
+    parts: list[bytes] = []
+    told = response.length if isinstance(response.length, int) else 0
+    size = 0
+
+    def collect(data: bytes) -> None:
+        nonlocal size
+        size += len(data)
+        if max(size, told) > MAX_ANSWER_BYTES:
+            parts.clear()
+            log_over_bound(url, "body", max(size, told))
+            raise OverBoundError(f"more than {MAX_ANSWER_BYTES} bytes")
+        parts.append(data)
+
+    await treq.collect(response, collect)
+    return b"".join(parts)
+
+
 async def call_json(
     client: HTTPClient,
     reactor: Reactor,
@@ -260,6 +340,8 @@
     detail = f"{type(error).__name__}: {error}"
     if isinstance(error, RequestNotSent | ConnectError | DNSLookupError):
         return CallFailed(CallFailure.NOT_CONNECTED, detail)
+    if isinstance(error, OverBoundError):
+        return CallFailed(CallFailure.BAD_ANSWER, detail)
     if isinstance(error, TimeoutError):
         return CallFailed(CallFailure.NOT_CONNECTED, detail)
     return CallFailed(CallFailure.LOST, detail)
