--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -339,6 +339,7 @@
                 "running": server.running,
                 "made": server.made,
                 "kept": len(server.results),
+                "endless": server.endless,
             }
             for server in site.servers.values()
         },
