--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -20,6 +20,7 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
+from bramleyturn.runtime.unread_bytes import has_unread_bytes
 
 STATUS_BAD_REQUEST: Final = 400
 STATUS_TIMEOUT: Final = 408
@@ -153,8 +154,8 @@
         """
         until_ms = self.now_ms() - idle_ms
         for connection in list(self.connections):
-            if connection.is_idle() and connection.idle_since_ms <= until_ms:
-                connection.close()
+            if connection.idle_since_ms <= until_ms:
+                connection.close_if_idle()
 
     def stop_reading(self) -> None:
         """Read no more requests, because the process is about to end."""
@@ -200,7 +201,7 @@
         self.server.accepted += 1
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        self._start_timer(self.server.limits().idle_timeout_ms, self.close)
+        self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Notify the request in progress that its caller is gone."""
@@ -263,8 +264,17 @@
         self._read_events()
 
     def is_idle(self) -> bool:
-        """Return whether no request is being read or answered."""
-        return self.exchange is None and self.first_byte_ms is None
+        """Return whether no request is being read or answered, or waits to be read."""
+        return (
+            self.exchange is None
+            and self.first_byte_ms is None
+            and not has_unread_bytes(self.transport)
+        )
+
+    def close_if_idle(self) -> None:
+        """Close the connection, unless a request has arrived meanwhile."""
+        if self.is_idle():
+            self.close()
 
     def state(self) -> ConnectionState:
         """Return what the connection is used for, or was when it ended."""
@@ -307,7 +317,7 @@
         self.http.start_next_cycle()
         self.first_byte_ms = None
         self.idle_since_ms = self.server.now_ms()
-        self._start_timer(self.server.limits().idle_timeout_ms, self.close)
+        self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
         if self.http.trailing_data[0]:
             self.first_byte_ms = self.server.now_ms()
             self._read_events()
--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -1,7 +1,6 @@
 """Limit the time and memory that a connection uses before its request is complete."""
 
 from collections.abc import Callable
-from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any, Final
 
 import orjson
@@ -13,6 +12,7 @@
 from zope.interface import implementer, provider
 
 from bramleyturn.runtime.timers import stop_timer
+from bramleyturn.runtime.unread_bytes import has_unread_bytes
 
 IDLE_TIMEOUT_S: Final = 30
 REQUEST_TIMEOUT_S: Final = 30
@@ -221,17 +221,6 @@
         self.forceAbortClient()
 
 
-def has_unread_bytes(transport: Any) -> bool:
-    """Tell whether bytes have arrived that the reactor has not read yet.
-
-    Where the reactor is late, its timers run before it reads what arrived meanwhile.
-    """
-    try:
-        return bool(transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT))
-    except OSError:
-        return False
-
-
 class BoundedSite(_Site):  # type: ignore[misc]
     """Serve a resource with limits on each connection and on their number.
 
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -91,6 +91,20 @@
         served.clock.advance(LIMITS.idle_timeout_ms / 1_000 + 0.1)
         assert served.transport.disconnecting
 
+    @pytest.mark.parametrize("is_stopping", [True, False])
+    def test_request_that_a_late_loop_has_not_read_is_not_cut_off(
+        self, is_stopping: bool
+    ) -> None:
+        served = ServedConnection()
+        served.transport.unread = GET
+        served.clock.advance(LIMITS.idle_timeout_ms / 1_000 + 0.1)
+        if is_stopping:
+            served.server.close_idle(500)
+        assert not served.transport.disconnecting
+        served.transport.unread = b""
+        served.receive(GET)
+        assert len(served.exchanges) == 1
+
     @given(st.lists(st.binary(max_size=30), max_size=8))
     def test_any_bytes_yield_valid_requests_or_none(self, parts: list[bytes]) -> None:
         served = ServedConnection()
--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -19,6 +19,15 @@
     """Record what is written, and whether the connection was closed or reset."""
 
     is_reset = False
+    unread = b""
+
+    def getHandle(self) -> "WireTransport":  # noqa: N802
+        """Return the socket, which is this stand-in."""
+        return self
+
+    def recv(self, _size: int, _flags: int) -> bytes:
+        """Return what has arrived and was not read."""
+        return self.unread
 
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Accept the option."""
