--- a/src/bramleyturn/core/waiting/run_times.py
+++ b/src/bramleyturn/core/waiting/run_times.py
@@ -51,3 +51,15 @@
     is_late = arrived_ms >= shutdown.out_of_rotation_ms
     needed_ms = SAFETY_FACTOR * longest_ms if is_late else typical_ms
     return now_ms + needed_ms <= shutdown.ends_ms
+
+
+def is_better_elsewhere(
+    shutdown: Shutdown, arrived_ms: int, is_stream: bool, has_alternative: bool
+) -> bool:
+    """Return whether another instance should serve a request that was read late.
+
+    A stream may take longer than any before it, and is cut then. If the caller finds
+    another instance in its zone, it loses less by being refused at once.
+    """
+    is_late = arrived_ms >= shutdown.out_of_rotation_ms
+    return is_late and is_stream and has_alternative
--- a/src/bramleyturn/core/waiting/shutdown.py
+++ b/src/bramleyturn/core/waiting/shutdown.py
@@ -18,9 +18,14 @@
 
 
 class Shutdown(NamedTuple):
-    """Hold when an instance leaves the rotation, ends all requests and exits."""
+    """Hold when an instance leaves the rotation, ends all requests and exits.
+
+    Requests count as late from ``out_of_rotation_ms`` on. Idle connections are closed
+    from ``closes_idle_ms`` on, when the platform has noticed for certain.
+    """
 
     out_of_rotation_ms: int
+    closes_idle_ms: int
     ends_ms: int
     exits_ms: int
 
@@ -36,7 +41,8 @@
     killed_ms = asked_ms + grace_ms
     delay_ms = min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
     return Shutdown(
-        out_of_rotation_ms=now_ms + LEAVE_ROTATION_MS,
+        out_of_rotation_ms=asked_ms + LEAVE_ROTATION_MS,
+        closes_idle_ms=now_ms + LEAVE_ROTATION_MS,
         ends_ms=killed_ms - ANSWER_MARGIN_MS - delay_ms,
         exits_ms=killed_ms - EXIT_MARGIN_MS,
     )
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -277,7 +277,7 @@
         is_over = now_ms >= shutdown.ends_ms
         if is_over:
             self.end_requests()
-        is_out_of_rotation = now_ms >= shutdown.out_of_rotation_ms
+        is_out_of_rotation = now_ms >= shutdown.closes_idle_ms
         if is_out_of_rotation:
             self.front.close_idle(FIRST_REQUEST_MS)
         if is_over or (is_out_of_rotation and self.is_idle()):
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -6,6 +6,7 @@
 import orjson
 from twisted.internet.defer import CancelledError, Deferred
 
+from bramleyturn.core.catalog.model import RouteKind
 from bramleyturn.core.catalog.prompt import own_tokens
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, is_safe_to_retry
@@ -16,6 +17,7 @@
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.run_times import (
     ends_in_time,
+    is_better_elsewhere,
     longest_ms,
     note_run,
     typical_ms,
@@ -130,10 +132,26 @@
         if quarantined_ms is not None:
             return Refusal(503, "quarantined", quarantined_ms)
         request_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
-        if self._ends_too_late(request, request_ms):
+        if self._is_better_elsewhere(request) or self._ends_too_late(
+            request, request_ms
+        ):
             return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
         return request
 
+    def _is_better_elsewhere(self, request: CallerRequest) -> bool:
+        """Return whether the process stops and another one should take a request."""
+        serving = self.serving
+        if serving.shutdown is None:
+            return False
+        is_stream = request.route.kind is RouteKind.STREAM
+        has_alternative = any(
+            member.zone == serving.me.zone and member.name != serving.me.name
+            for member in serving.live()
+        )
+        return is_better_elsewhere(
+            serving.shutdown, request.arrived_ms, is_stream, has_alternative
+        )
+
     def _ends_too_late(self, request: CallerRequest, expected_ms: int) -> bool:
         """Return whether the process stops before a request that begins now can end."""
         serving = self.serving
