--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -146,6 +146,7 @@
             self.connection.end_at_bound(Bound.BODY, self.size)
             return
         self.parts.append(data)
+        self.connection.hold(len(data))
 
     def end(self) -> None:
         """End the attempt with the answer, if it is whole."""
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -91,6 +91,7 @@
             self.connection.end_at_bound(Bound.BODY, self.size)
             return
         self.parts.append(data)
+        self.connection.hold(len(data))
 
     def end(self) -> None:
         """End the call with the answer, if it is whole."""
--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import Factory
 
 from bramleyturn.gateway.answer_bounds import Bound
+from bramleyturn.gateway.held_bodies import HeldBodies
 from bramleyturn.gateway.http1_client import ServerConnection
 
 # A connection attempt that takes longer counts as refused: instances and servers are
@@ -37,6 +38,7 @@
         self.now_ms = now_ms
         self.idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
+        self.held_bodies = HeldBodies()
         self.on_over_bound: Callable[[str, Bound, int], None] = lambda *_: None
 
 
@@ -79,6 +81,7 @@
     factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle))
     connection: ServerConnection = await endpoint.connect(factory)
     connection.on_lost.append(remove_idle)
+    connection.held_bodies = pool.held_bodies
     connection.on_over_bound = partial(pool.on_over_bound, name)
     pool.opened += 1
     return connection
--- /dev/null
+++ b/src/bramleyturn/gateway/held_bodies.py
@@ -0,0 +1,64 @@
+"""Bound what the bodies of answers in progress hold together.
+
+Over the bound, only the largest one and the small ones are read on: the largest ends or
+reaches the bound of one body, and then the next one is read on.
+"""
+
+from typing import Any, Final, Protocol
+
+from bramleyturn.gateway.answer_bounds import MAX_BODY_BYTES
+
+# Two of the largest bodies; with the one that is read on, three.
+MAX_HELD_BYTES: Final = 2 * MAX_BODY_BYTES
+# A body up to this size, the bound of an event, is always read on.
+SMALL_BODY_BYTES: Final = 1024 * 1024
+
+
+class Holder(Protocol):
+    """Hold the connection of an answer in progress."""
+
+    transport: Any
+
+
+class HeldBodies:
+    """Hold the size of the body read so far of each connection with an answer."""
+
+    def __init__(self) -> None:
+        self.sizes: dict[Holder, int] = {}
+        self.paused: set[Holder] = set()
+        self.total = 0
+
+
+def hold_body(held: HeldBodies, holder: Holder, size: int) -> None:
+    """Add bytes of a body, and pause it and others if all hold too much."""
+    held.sizes[holder] = held.sizes.get(holder, 0) + size
+    held.total += size
+    if held.total > MAX_HELD_BYTES:
+        _pause_all_but_largest(held)
+
+
+def release_body(held: HeldBodies, holder: Holder) -> None:
+    """Forget a body whose answer has ended, and read on what waited for it."""
+    size = held.sizes.pop(holder, 0)
+    held.total -= size
+    if not size:
+        return
+    held.paused.discard(holder)
+    if held.total > MAX_HELD_BYTES:
+        _pause_all_but_largest(held)
+        return
+    for each in held.paused:
+        each.transport.resumeProducing()
+    held.paused.clear()
+
+
+def _pause_all_but_largest(held: HeldBodies) -> None:
+    largest = max(held.sizes, key=lambda each: held.sizes[each])
+    for each, size in held.sizes.items():
+        is_paused = each is not largest and size > SMALL_BODY_BYTES
+        if is_paused and each not in held.paused:
+            held.paused.add(each)
+            each.transport.pauseProducing()
+        elif not is_paused and each in held.paused:
+            held.paused.discard(each)
+            each.transport.resumeProducing()
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -24,6 +24,7 @@
     MAX_INTERIM_ANSWERS,
     Bound,
 )
+from bramleyturn.gateway.held_bodies import HeldBodies, hold_body, release_body
 
 # The hint with which h11 rejects an event that exceeds its limit.
 STATUS_HEAD_TOO_LARGE: Final = 431
@@ -75,6 +76,7 @@
         self.on_over_bound: Callable[[Bound, int], None] = lambda _bound, _size: None
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.listener: AnswerListener | None = None
+        self.held_bodies = HeldBodies()
         self.method = b""
         self.framing: Framing | None = None
         self.head_bytes = 0
@@ -117,9 +119,14 @@
         """Return whether the connection has ended."""
         return self.ended is not ConnectionEnd.OPEN
 
+    def hold(self, size: int) -> None:
+        """Note that the listener keeps bytes of the body until the answer's end."""
+        hold_body(self.held_bodies, self, size)
+
     def drop(self) -> None:
         """Close the connection at once, without a call to the listener."""
         self.listener = None
+        release_body(self.held_bodies, self)
         transport: Any = self.transport
         if transport is not None and not self.is_lost:
             transport.abortConnection()
@@ -213,6 +220,7 @@
     def _end(self) -> None:
         listener = self.listener
         self.listener = None
+        release_body(self.held_bodies, self)
         is_reusable = (
             not self.is_lost
             and self.http.our_state is h11.DONE
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -19,6 +19,8 @@
 SERVER = BackendServer("i-1", "desk", "10.0.0.1", 80, "north", "1", 6, False, 0, 0)
 KIB: Final = 1024
 PIECE_BYTES: Final = 64 * KIB
+# Answers at once.
+BODIES: Final = 8
 # Received by a connection that is not closed at a bound.
 ENOUGH_BYTES: Final = 24 * KIB * KIB
 ENOUGH_OF_A_STREAM_BYTES: Final = 4 * KIB * KIB
@@ -66,6 +68,12 @@
     return [str(getattr(end, "reason", "whole")) for end in ended]
 
 
+def is_read(connection: Any) -> bool:
+    """Return whether a connection is open and its reading isn't paused."""
+    transport = connection.transport
+    return not transport.is_reset and transport.producerState == "producing"
+
+
 class OneServer:
     """Hold the connection to a server that the test simulates."""
 
@@ -76,6 +84,7 @@
         )
         self.transport = WireTransport()  # type: ignore[no-untyped-call]
         self.connection: Any = None
+        self.connections: list[Any] = []
         self.events: list[StreamEvent] = []
 
     def accept(self) -> None:
@@ -84,6 +93,7 @@
         self.transport = WireTransport()  # type: ignore[no-untyped-call]
         self.connection = factory.buildProtocol(None)
         self.connection.makeConnection(self.transport)
+        self.connections.append(self.connection)
 
     def receive(self, data: bytes) -> None:
         """Deliver bytes of the server."""
@@ -218,6 +228,62 @@
         assert states == [ServerState.UNKNOWN]
 
 
+class TestBodiesTogether:
+    """Many large bodies arrive at once."""
+
+    def test_they_hold_no_more_than_three_of_the_largest(self) -> None:
+        server = OneServer()
+        calls = [server.call() for _ in range(BODIES)]
+        connections = list(server.connections)
+        for connection in connections:
+            connection.dataReceived(OK + b"\r\n")
+        held, largest = server.pool.held_bodies, 0
+        for _ in range(LARGEST_BODY_BYTES // PIECE_BYTES * BODIES):
+            reading = [each for each in connections if is_read(each)]
+            for each in reading:
+                each.dataReceived(b"x" * PIECE_BYTES)
+            largest = max(largest, held.total)
+        assert largest <= 3 * LARGEST_BODY_BYTES + BODIES * PIECE_BYTES
+        assert [reasons(ended) for ended in calls] == [[OVER_BOUND]] * BODIES
+        assert (held.total, held.sizes, held.paused) == (0, {}, set())
+
+    def test_sound_ones_are_whole(self) -> None:
+        server = OneServer()
+        calls = [server.call() for _ in range(BODIES)]
+        left = dict.fromkeys(server.connections, LARGEST_BODY_BYTES)
+        for connection in left:
+            connection.dataReceived(
+                OK + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY_BYTES
+            )
+        while any(left.values()):
+            reading = [each for each in left if left[each] and is_read(each)]
+            assert reading
+            for each in reading:
+                left[each] -= PIECE_BYTES
+                each.dataReceived(b"x" * PIECE_BYTES)
+        assert [reasons(ended) for ended in calls] == [["whole"]] * BODIES
+
+    def test_small_body_waits_for_no_large_ones(self) -> None:
+        server = OneServer()
+        for _ in range(BODIES):
+            server.call()
+            server.receive(OK + b"\r\n" + b"x" * (LARGEST_BODY_BYTES // 2))
+        ended = server.call()
+        assert server.pool.held_bodies.paused
+        server.receive(OK + b"Content-Length: 1000000\r\n\r\n" + b"x" * 999_999)
+        assert is_read(server.connection)
+        server.receive(b"x")
+        assert reasons(ended) == ["whole"]
+
+    def test_call_that_ends_early_holds_nothing(self) -> None:
+        server = OneServer()
+        server.call()
+        server.receive(OK + b"\r\n" + b"x" * PIECE_BYTES)
+        assert server.pool.held_bodies.total == PIECE_BYTES
+        server.reactor.advance(60)
+        assert server.pool.held_bodies.total == 0
+
+
 class TestAttempts:
     """The answer to a caller's request has no end."""
 
--- a/tests/site/test_endless_answers.py
+++ b/tests/site/test_endless_answers.py
@@ -34,6 +34,7 @@
 LOOP_DELAY_MS: Final = 50
 MEMORY_BYTES: Final = 64 * 1024 * 1024
 CALLERS = 4
+MANY_CALLERS = 12
 WAIT_MS = 4_000
 SLOW_BYTES_PER_S = 400
 EVENTS = 8
@@ -294,6 +295,15 @@
         assert order(site).status == 502
         assert_closed_at_once(site, "members", before)
 
+    def test_many_bodies_at_once_hold_no_more_than_a_few(self, site: SiteFleet) -> None:
+        before = len(ended(site, "members"))
+        set_endless(site, "members", "line", "close")
+        with watching(site) as watched, ThreadPoolExecutor(MANY_CALLERS) as pool:
+            answers = list(pool.map(order, [site] * MANY_CALLERS))
+        assert {answer.status for answer in answers} <= {502, 504}
+        assert_closed_at_once(site, "members", before)
+        assert_unharmed(watched)
+
     def test_status_without_end_confirms_no_answer(self, site: SiteFleet) -> None:
         before = len(ended(site, "members"))
         set_endless(site, "members", "line", "close", is_status=True)
