--- a/tests/core/test_event_splitter.py
+++ b/tests/core/test_event_splitter.py
@@ -3,13 +3,17 @@
 import itertools
 import time
 from typing import Final
+from unittest.mock import patch
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bramleyturn.core import event_splitter
 from bramleyturn.core.event_splitter import EventSplitter, split_events
 
+ENDS: Final = (b"\r\n\r\n", b"\n\n", b"\r\r")
+PARTS: Final = (*ENDS, b"\r", b"\n", b"\r\n", b"id: 7", b"data: x", b"x" * 30)
 PIECE_BYTES: Final = 64 * 1024
 PACKET_BYTES: Final = 1_460
 MEGABYTE: Final = 1_000_000
@@ -61,6 +65,52 @@
     return events
 
 
+def plain_split(stream: bytes, bound: int) -> tuple[list[bytes], bytes, bool]:
+    """Split a whole stream byte by byte.
+
+    Return the events, the rest, and whether an event or the rest exceeds the bound.
+    """
+    events: list[bytes] = []
+    start = place = 0
+    while place < len(stream):
+        ends = (end for end in ENDS if stream.startswith(end, place))
+        end = next(ends, b"")
+        if not end:
+            place += 1
+            continue
+        place += len(end)
+        if place - start > bound:
+            return events, b"", True
+        events.append(stream[start:place])
+        start = place
+    is_over = len(stream) - start > bound
+    return events, b"" if is_over else stream[start:], is_over
+
+
+class TestAgainstPlainSplitter:
+    """The events do not depend on how the stream is cut."""
+
+    @given(
+        st.lists(st.sampled_from(PARTS), max_size=40),
+        st.lists(st.integers(0, 200), max_size=20),
+        st.integers(1, 60),
+    )
+    @settings(max_examples=500)
+    def test_random_cuts_and_bounds(
+        self, parts: list[bytes], cuts: list[int], bound: int
+    ) -> None:
+        stream = b"".join(parts)
+        splitter = EventSplitter()
+        events: list[bytes] = []
+        places = [0, *sorted(min(cut, len(stream)) for cut in cuts), len(stream)]
+        with patch.object(event_splitter, "MAX_EVENT_BYTES", bound):
+            for start, end in itertools.pairwise(places):
+                found = split_events(splitter, stream[start:end])
+                events += [event.data for event in found]
+        is_over = splitter.over_bound_bytes > 0
+        assert (events, bytes(splitter.rest), is_over) == plain_split(stream, bound)
+
+
 class TestWork:
     """Work and memory for bytes without the end of an event."""
 
