Describe stand-in sites by data: zones, pools and routes

The stand-in site had three fixed pools of two servers, one stage and two entries. What it is now stands in a plain JSON document (the small site of before by default), which the program reads from a file. Engines may take time to their first event and vary the time between events, stage servers may let calls wait and take time for each piece, and the ledger records when each run and stage call began and ended and when servers crashed.

--- a/src/bramleyturn/programs/standin_site.py
+++ b/src/bramleyturn/programs/standin_site.py
@@ -10,6 +10,7 @@
 from bramleyturn.programs.start import run, use_monotonic_time
 from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.system_clock import system_clock
+from bramleyturn.standin.site.deployment import read_deployment
 from bramleyturn.standin.site.site import start_site
 
 
@@ -22,6 +23,9 @@
     """
 
     host: Annotated[str, cappa.Arg(help="The IP number to listen on.")]
+    deployment: Annotated[
+        str, cappa.Arg(help="A JSON file with the pools and routes.")
+    ] = ""
 
 
 def main() -> None:
@@ -29,7 +33,10 @@
     command = cappa.parse(StandinSite)
     loop: Any = reactor
     use_monotonic_time(loop)
-    _, addresses = start_site(loop, system_clock().monotonic_ms, command.host)
+    deployment = read_deployment(command.deployment)
+    _, addresses = start_site(
+        loop, system_clock().monotonic_ms, command.host, deployment
+    )
     stop_on_signals(loop, lambda: loop.stop())
     ready = {"ready": True, "addresses": addresses}
     print(orjson.dumps(ready).decode(), flush=True)
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -4,32 +4,45 @@
 received.
 """
 
+import time
+from collections import deque
 from collections.abc import Callable
+from random import Random
 from typing import Any, Final
 
 import orjson
 
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, Headers
+from bramleyturn.standin.site.deployment import PoolPlan
 from bramleyturn.standin.site.raw_answers import AnswerShape, BreakPoint, RawAnswer
 
+NANOSECONDS_PER_MS: Final = 1_000_000
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
 RELEASE_TARGET: Final = b"/bramleyturn/stage-free"
 REPORT_TARGET: Final = b"/bramleyturn/report"
 HEALTH_TARGET: Final = b"/health"
-DEFAULT_PROCESSING_MS: Final = 10
-# Time between two events of a stream.
-DEFAULT_GAP_MS: Final = 10
 NOT_RUN_HEADER: Final = (b"Bramleyturn-Not-Executed", b"1")
 # A request with this in its target, body or piece key crashes the server that runs it.
 CRASH_MARKER: Final = b"crash"
 STATUS_MISDIRECTED: Final = 421
 
 
+def wall_ms() -> int:
+    """Return the time of day, which ledgers and the entries' logs share."""
+    return time.time_ns() // NANOSECONDS_PER_MS
+
+
 class RunRecord:
-    """Record one request that a server ran."""
+    """Record one request that a server ran.
+
+    ``ended_ms`` is when the answer was complete, or found to be no longer wanted.
+    """
 
     def __init__(self, attempt_id: str, exchange: Exchange) -> None:
+        self.began_ms = wall_ms()
+        self.ended_ms: int | None = None
+        self.is_whole = False
         self.attempt_id = attempt_id
         self.method = exchange.method.decode()
         self.target = exchange.target.decode()
@@ -39,6 +52,18 @@
         self.body_bytes = len(exchange.body)
 
 
+class StageCallRecord:
+    """Record one call of a stage server, with the attempts that its pieces are for."""
+
+    def __init__(self, items: list[dict[str, Any]], arrived_ms: int) -> None:
+        self.attempt_ids = sorted({str(item["id"]) for item in items})
+        self.stage = items[0]["stage"] if items else 0
+        self.pieces = len(items)
+        self.arrived_ms = arrived_ms
+        self.began_ms = wall_ms()
+        self.ended_ms: int | None = None
+
+
 class SiteServer:
     """Hold one server: its identity, its injected fault and the requests that it ran.
 
@@ -52,8 +77,12 @@
     again under another ``id``. ``state`` is what it last registered, "" if nothing.
     """
 
-    def __init__(self, reactor: Any, server_id: str, pool: str, address: str) -> None:
+    def __init__(
+        self, reactor: Any, server_id: str, pool: str, address: str, plan: PoolPlan
+    ) -> None:
         self.reactor = reactor
+        self.plan = plan
+        self.random = Random(server_id)
         self.name = server_id
         self.id = server_id
         self.crash: Callable[[], None] = lambda: None
@@ -62,12 +91,15 @@
         self.address = address
         self.zone = ""
         self.born_ms = 0
+        self.starts = 0
         self.state = ""
         self.fault = ""
         self.shape: AnswerShape | None = None
-        self.processing_ms = DEFAULT_PROCESSING_MS
-        self.gap_ms = DEFAULT_GAP_MS
+        self.processing_ms = plan["work_ms"]
+        self.gap_ms = plan["gap_ms"][0]
         self.ran: list[RunRecord] = []
+        self.calls: list[StageCallRecord] = []
+        self.crashes_ms: list[int] = []
         self.running = 0
         self.results: dict[str, str] = {}
         self.made = 0
@@ -83,25 +115,25 @@
         if exchange.target == HEALTH_TARGET:
             exchange.answer(200, [_identity(server)], b"")
             return
-        attempt_id = _record_run(server, exchange)
-        if _crashes(server, exchange.target + exchange.body, attempt_id):
+        ran = _record_run(server, exchange)
+        if _crashes(server, exchange.target + exchange.body, ran.attempt_id):
             return
         if server.fault == "hang":
             return
         server.running += 1
-        server.reactor.callLater(
-            server.processing_ms / MS_PER_S, end, exchange, attempt_id
-        )
+        server.reactor.callLater(server.processing_ms / MS_PER_S, end, exchange, ran)
 
-    def end(exchange: Exchange, attempt_id: str) -> None:
+    def end(exchange: Exchange, ran: RunRecord) -> None:
         server.running -= 1
-        _answer_plain(server, exchange, attempt_id)
+        _note_end(ran, is_whole=not exchange.is_gone)
+        _answer_plain(server, exchange, ran.attempt_id)
 
     return handle
 
 
-def engine_handler(server: SiteServer, events: int = 8) -> Callable[[Exchange], None]:
+def engine_handler(server: SiteServer) -> Callable[[Exchange], None]:
     """Return the request handler of an engine, which streams events."""
+    plan = server.plan
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
@@ -110,27 +142,32 @@
             return
         if _refused(server, exchange):
             return
-        attempt_id = _record_run(server, exchange)
-        if _crashes(server, exchange.target + exchange.body, attempt_id):
+        ran = _record_run(server, exchange)
+        if _crashes(server, exchange.target + exchange.body, ran.attempt_id):
             return
         last = exchange.header(b"last-event-id")
         first = int(last) + 1 if last else 0
+        events = plan["events"] or output_tokens(exchange)
         server.running += 1
-        headers = _answer_headers(server, attempt_id)
+        headers = _answer_headers(server, ran.attempt_id)
         headers.append((b"Content-Type", b"text/event-stream"))
         if server.shape is not None:
             raw = RawAnswer(server.reactor, exchange, server.shape)
             has_ids = server.shape.has_ids
             stream = [_event(number, has_ids) for number in range(first, events)]
             raw.start(200, headers, sum(map(len, stream)))
-            send_raw(raw, stream, first)
+            send_raw(raw, stream, first, events // 2)
             return
         exchange.start(200, headers)
-        send(exchange, first)
+        if plan["first_ms"][1]:
+            wait_s = server.random.uniform(*plan["first_ms"]) / MS_PER_S
+            server.reactor.callLater(wait_s, send, exchange, ran, first, events)
+        else:
+            send(exchange, ran, first, events)
 
-    def send_raw(raw: RawAnswer, stream: list[bytes], number: int) -> None:
+    def send_raw(raw: RawAnswer, stream: list[bytes], number: int, middle: int) -> None:
         point = raw.shape.break_point
-        is_middle = number >= events // 2
+        is_middle = number >= middle
         if raw.exchange.is_gone:
             server.running -= 1
         elif point in (BreakPoint.HEAD, BreakPoint.START) or (
@@ -146,51 +183,96 @@
         else:
             raw.send(stream[0])
             gap_s = server.gap_ms / MS_PER_S
-            server.reactor.callLater(gap_s, send_raw, raw, stream[1:], number + 1)
+            server.reactor.callLater(
+                gap_s, send_raw, raw, stream[1:], number + 1, middle
+            )
 
-    def send(exchange: Exchange, number: int) -> None:
+    def send(exchange: Exchange, ran: RunRecord, number: int, events: int) -> None:
         if exchange.is_gone:
             server.running -= 1
+            _note_end(ran, is_whole=False)
             return
         if server.fault == "cut" and number == events // 2:
             server.running -= 1
+            _note_end(ran, is_whole=False)
             exchange.send(b"id: %d\nda" % number)
             exchange.cut()
             return
         if number == events:
             server.running -= 1
+            _note_end(ran, is_whole=True)
             exchange.finish()
             return
-        exchange.send(_event(number))
-        server.reactor.callLater(server.gap_ms / MS_PER_S, send, exchange, number + 1)
+        exchange.send(_event(number, padding=plan["event_bytes"]))
+        least_ms, most_ms = plan["gap_ms"]
+        gap_ms = server.gap_ms + server.random.uniform(0, most_ms - least_ms)
+        server.reactor.callLater(
+            gap_ms / MS_PER_S, send, exchange, ran, number + 1, events
+        )
 
     return handle
 
 
+def output_tokens(exchange: Exchange) -> int:
+    """Return how many output tokens a request names, 1 if none."""
+    return int(exchange.header(b"bramleyturn-token-counts").partition(",")[2] or 1)
+
+
+def _note_end(ran: RunRecord, is_whole: bool) -> None:
+    ran.ended_ms = wall_ms()
+    ran.is_whole = is_whole
+
+
 def stage_handler(server: SiteServer) -> Callable[[Exchange], None]:
     """Return the request handler of a stage server, which runs one call at a time."""
+    plan = server.plan
+    waiting: deque[tuple[Exchange, int]] = deque()
+    started = server.starts
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
-            report = {"waiting": 0, "busy": server.running, "freeMb": 1.0}
+            report = {
+                "waiting": len(waiting),
+                "busy": server.running,
+                "freeMb": plan["room_mb"],
+            }
             exchange.answer(200, [], orjson.dumps(report))
         elif exchange.target == RELEASE_TARGET:
             for handle in orjson.loads(exchange.body)["handles"]:
                 server.results.pop(handle, None)
             exchange.answer(200, [], b"")
         elif exchange.target == RUN_TARGET and not _refused(server, exchange):
-            if server.running:
+            if not server.running:
+                begin(exchange, wall_ms())
+            elif len(waiting) < plan["queue"]:
+                waiting.append((exchange, wall_ms()))
+            else:
                 exchange.answer(503, [NOT_RUN_HEADER], b"")
-                return
-            server.running += 1
-            wait_s = server.processing_ms / MS_PER_S
-            server.reactor.callLater(wait_s, run, exchange)
 
-    def run(exchange: Exchange) -> None:
+    def begin(exchange: Exchange, arrived_ms: int) -> None:
+        server.running += 1
+        items = orjson.loads(exchange.body)["items"]
+        call = StageCallRecord(items, arrived_ms)
+        server.calls.append(call)
+        wait_ms = server.processing_ms + sum(
+            server.random.uniform(*plan["item_ms"]) for _ in items
+        )
+        server.reactor.callLater(wait_ms / MS_PER_S, run, exchange, items, call)
+
+    def run(
+        exchange: Exchange, items: list[dict[str, Any]], call: StageCallRecord
+    ) -> None:
+        if server.starts != started:
+            return
         server.running -= 1
+        call.ended_ms = wall_ms()
+        while waiting and not server.running:
+            following, arrived_ms = waiting.popleft()
+            # A close drops a call that waits, but not one that is worked on.
+            if not following.is_gone:
+                begin(following, arrived_ms)
         if exchange.is_gone:
             return
-        items = orjson.loads(exchange.body)["items"]
         for item in items:
             if _crashes(server, str(item.get("key")).encode(), str(item["id"])):
                 return
@@ -200,8 +282,8 @@
     return handle
 
 
-def _event(number: int, has_id: bool = True) -> bytes:
-    data = b"data: token-%d\n\n" % number
+def _event(number: int, has_id: bool = True, padding: int = 0) -> bytes:
+    data = b"data: token-%d%b\n\n" % (number, b"." * padding)
     return b"id: %d\n%b" % (number, data) if has_id else data
 
 
@@ -264,10 +346,10 @@
     return True
 
 
-def _record_run(server: SiteServer, exchange: Exchange) -> str:
-    attempt_id = exchange.header(b"bramleyturn-attempt-id")
-    server.ran.append(RunRecord(attempt_id, exchange))
-    return attempt_id
+def _record_run(server: SiteServer, exchange: Exchange) -> RunRecord:
+    ran = RunRecord(exchange.header(b"bramleyturn-attempt-id"), exchange)
+    server.ran.append(ran)
+    return ran
 
 
 def _answer_plain(server: SiteServer, exchange: Exchange, attempt_id: str) -> None:
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -13,14 +13,19 @@
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.http1_server import Exchange, HttpServer
+from bramleyturn.standin.site.deployment import (
+    SMALL_SITE,
+    Deployment,
+    pool_document,
+    route_document,
+)
 from bramleyturn.standin.site.raw_answers import read_shape
 from bramleyturn.standin.site.servers import (
-    DEFAULT_GAP_MS,
-    DEFAULT_PROCESSING_MS,
     SiteServer,
     engine_handler,
     plain_handler,
     stage_handler,
+    wall_ms,
 )
 from bramleyturn.standin.site.store import (
     Store,
@@ -33,12 +38,10 @@
 )
 
 HANDLERS: Final[dict[str, Callable[[SiteServer], Callable[[Exchange], None]]]] = {
-    "members": plain_handler,
-    "drafts": engine_handler,
-    "books": stage_handler,
+    "plain": plain_handler,
+    "engine": engine_handler,
+    "stage": stage_handler,
 }
-SERVERS_PER_POOL: Final = 2
-ZONES: Final = ("north", "south")
 API_KEY: Final = "key-of-north"
 DEFAULT_RESTART_MS: Final = 1_200
 DEFAULT_REWRITE_MS: Final = 1_500
@@ -54,9 +57,12 @@
     network had lost the resets. Its port accepts connections for another ``linger_ms``.
     """
 
-    def __init__(self, reactor: Any, now_ms: Callable[[], int]) -> None:
+    def __init__(
+        self, reactor: Any, now_ms: Callable[[], int], deployment: Deployment
+    ) -> None:
         self.reactor = reactor
         self.now_ms = now_ms
+        self.deployment = deployment
         self.store = Store(reactor)
         self.servers: dict[str, SiteServer] = {}
         self.version = 1
@@ -67,24 +73,34 @@
 
 
 def start_site(
-    reactor: Any, now_ms: Callable[[], int], host: str
+    reactor: Any,
+    now_ms: Callable[[], int],
+    host: str,
+    deployment: Deployment = SMALL_SITE,
 ) -> tuple[Site, dict[str, str]]:
     """Start all stand-ins of a site; return it with its addresses by name."""
-    site = Site(reactor, now_ms)
+    site = Site(reactor, now_ms, deployment)
+    zones = list(deployment["zones"])
     addresses = {
         "store": _listen(site, host, store_handler(site.store)),
         "control": _listen(site, host, _control_handler(site)),
     }
-    for pool, new_handler in HANDLERS.items():
-        for place in range(SERVERS_PER_POOL):
-            server = SiteServer(reactor, f"i-{pool}-{place}", pool, "")
-            _start_server(site, server, ZONES[place % len(ZONES)], host, new_handler)
+    for plan in deployment["pools"]:
+        pool = plan["name"]
+        for place in range(plan["servers"]):
+            server = SiteServer(reactor, f"i-{pool}-{place}", pool, "", plan)
+            zone = zones[place % len(zones)]
+            _start_server(site, server, zone, host, HANDLERS[plan["kind"]])
             site.servers[server.name] = server
             addresses[server.name] = server.address
-    put(site.store, "op/config", orjson.dumps(configuration(site.version)))
+    put(site.store, "op/config", orjson.dumps(_next_configuration(site)))
     return site, addresses
 
 
+def _next_configuration(site: Site, **changes: Any) -> dict[str, Any]:
+    return configuration(site.version, deployment=site.deployment, **changes)
+
+
 def _start_server(
     site: Site,
     server: SiteServer,
@@ -93,6 +109,7 @@
     new_handler: Callable[[SiteServer], Callable[[Exchange], None]],
 ) -> None:
     """Listen at the server's address, or at a free one, and register the server."""
+    server.starts += 1
     http = HttpServer(
         site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, new_handler(server)
     )
@@ -102,6 +119,7 @@
 
     def crash() -> None:
         server.crash = lambda: None
+        server.crashes_ms.append(wall_ms())
         server.state = ""
         http.handle = lambda exchange: None
         reset_connections()
@@ -154,82 +172,23 @@
 
 
 def configuration(
-    version: int, timeouts_ms: Mapping[str, int] | None = None, **changes: Any
+    version: int,
+    timeouts_ms: Mapping[str, int] | None = None,
+    deployment: Deployment = SMALL_SITE,
+    **changes: Any,
 ) -> dict[str, Any]:
-    """Return a configuration of three routes in the format that operators publish.
+    """Return the configuration of a deployment in the format that operators publish.
 
     ``timeouts_ms`` has timeouts by route, ``changes`` other values of the document.
     """
-    shared = {"host": "site.example", "maxAttempts": 2, "public": False}
     routes = [
-        shared
-        | {
-            "name": "lookup",
-            "prefix": "/lookup/",
-            "kind": "idempotent",
-            "service": "members",
-            "timeoutMs": 2_000,
-            "targetLatencyMs": 100,
-            "priority": 2,
-        },
-        shared
-        | {
-            "name": "order",
-            "prefix": "/order/",
-            "kind": "non_idempotent",
-            "service": "members",
-            "timeoutMs": 2_000,
-            "targetLatencyMs": 100,
-            "priority": 2,
-            "maxAttempts": 1,
-        },
-        shared
-        | {
-            "name": "draft",
-            "prefix": "/draft/",
-            "kind": "streaming",
-            "service": "drafts",
-            "timeoutMs": 8_000,
-            "targetLatencyMs": 1_500,
-            "priority": 1,
-            "resumable": True,
-            "sticky": True,
-            "gapAimMs": 250,
-            "stages": [{"service": "books", "after": [], "bytes": 8_000}],
-        },
-        shared
-        | {
-            "name": "note",
-            "prefix": "/note/",
-            "kind": "streaming",
-            "service": "drafts",
-            "timeoutMs": 8_000,
-            "targetLatencyMs": 1_500,
-            "priority": 1,
-            "resumable": False,
-        },
+        route_document(plan, (timeouts_ms or {}).get(plan["name"], plan["timeout_ms"]))
+        for plan in deployment["routes"]
     ]
-    for route in routes:
-        name = str(route["name"])
-        route["timeoutMs"] = (timeouts_ms or {}).get(name, route["timeoutMs"])
-    pieces = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 4,
-        "callMs": 10.0,
-        "itemMs": 2.0,
-        "headroomMb": 1.0,
-        "handleS": 4.0,
-        "linkMbps": 1000,
-    }
     document = {
         "version": version,
         "routes": routes,
-        "services": [
-            {"name": "members", "healthPath": "/health", "maxConnections": 200},
-            {"name": "drafts", "engine": {"slots": 64, "kvCapacityTokens": 500_000}},
-            {"name": "books", "pieces": pieces},
-        ],
+        "services": [pool_document(plan) for plan in deployment["pools"]],
         "limits": {
             "maxHeaderBytes": 16_384,
             "maxBodyBytes": 65_536,
@@ -257,8 +216,8 @@
             server = site.servers[body["server"]]
             server.fault = body["fault"]
             server.shape = read_shape(body["shape"]) if "shape" in body else None
-            server.gap_ms = body.get("gap_ms", DEFAULT_GAP_MS)
-            server.processing_ms = body.get("processing_ms", DEFAULT_PROCESSING_MS)
+            server.gap_ms = body.get("gap_ms", server.plan["gap_ms"][0])
+            server.processing_ms = body.get("processing_ms", server.plan["work_ms"])
         elif target == "/crash":
             site.servers[body["server"]].crash()
         elif target == "/swap":
@@ -289,7 +248,7 @@
                 _restore(site, body.get("rewrite_ms", DEFAULT_REWRITE_MS))
         elif target == "/configuration":
             site.version += 1
-            document = configuration(site.version, **body)
+            document = _next_configuration(site, **body)
             put(site.store, "op/config", orjson.dumps(document))
         shown = _ledger(site) if target == "/ledger" else {"version": site.version}
         answer = orjson.dumps(shown)
@@ -327,6 +286,8 @@
             server.name: {
                 "state": server.state,
                 "crashed_by": server.crashed_by,
+                "crashes_ms": server.crashes_ms,
+                "calls": [vars(each) for each in server.calls],
                 "ran": [vars(ran) for ran in server.ran],
                 "made": server.made,
                 "kept": len(server.results),
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -7,12 +7,13 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from functools import partial
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
+from bramleyturn.standin.site.deployment import SMALL_SITE, Deployment
 from bramleyturn.standin.site.site import API_KEY
 from tests.processes import (
     READY_LIMIT_S,
@@ -26,6 +27,8 @@
 TIMEOUT_S: Final = 20.0
 POLL_S: Final = 0.02
 HOSTS: Final = ("127.0.0.2", "127.0.0.3")
+# As on the platform, which names at most three instances.
+MAX_SEEDS: Final = 3
 IN_FORCE: Final = "configuration in force"
 _ids = itertools.count(1)
 
@@ -40,12 +43,27 @@
 
 
 class SiteFleet:
-    """Hold the processes of a site."""
+    """Hold the processes of a site, and where its entries are.
 
-    def __init__(self, site: RunningProcess, entries: list[RunningProcess]) -> None:
+    ``entry_source`` is the folder of the packages that the entries run, if it is not
+    this project's.
+    """
+
+    def __init__(
+        self,
+        site: RunningProcess,
+        hosts: Sequence[str],
+        zones: Sequence[str],
+        grace_s: int,
+        entry_source: str = "",
+    ) -> None:
         self.site = site
-        self.entries = entries
+        self.entries: list[RunningProcess] = []
         self.ports: dict[str, int] = {}
+        self.hosts = hosts
+        self.zones = zones
+        self.grace_s = grace_s
+        self.entry_source = entry_source
 
     def call(
         self,
@@ -86,7 +104,7 @@
     def connection(self, entry: int) -> http.client.HTTPConnection:
         """Return a connection to an entry, which is opened with its first request."""
         return http.client.HTTPConnection(
-            HOSTS[entry], self.ports["front"], timeout=TIMEOUT_S
+            self.hosts[entry], self.ports["front"], timeout=TIMEOUT_S
         )
 
     def draft(
@@ -135,7 +153,7 @@
 
     def get(self, entry: int, port: str, path: str) -> tuple[int, bytes]:
         """Read a page of an entry."""
-        connection = http.client.HTTPConnection(HOSTS[entry], self.ports[port])
+        connection = http.client.HTTPConnection(self.hosts[entry], self.ports[port])
         try:
             connection.request("GET", path)
             response = connection.getresponse()
@@ -176,15 +194,27 @@
 
 
 @contextmanager
-def running_fleet(folder: Path, entries: int = 2) -> Iterator[SiteFleet]:
+def running_fleet(
+    folder: Path,
+    entries: int = 2,
+    deployment: Deployment = SMALL_SITE,
+    hosts: Sequence[str] = HOSTS,
+    entry_source: str = "",
+) -> Iterator[SiteFleet]:
     """Run a site with entries until the block ends."""
+    deployment_file = folder / "deployment.json"
+    deployment_file.write_text(json.dumps(deployment))
     site = launch(
-        "bramleyturn.programs.standin_site", "", folder, arguments=["127.0.0.1"]
+        "bramleyturn.programs.standin_site",
+        "",
+        folder,
+        arguments=["127.0.0.1", str(deployment_file)],
     )
-    fleet = SiteFleet(site, [])
+    zones = [zone for zone, size in deployment["zones"].items() for _ in range(size)]
+    fleet = SiteFleet(site, hosts, zones, deployment["grace_s"], entry_source)
     try:
         wait_ready(site)
-        fleet.ports = _free_ports()
+        fleet.ports = _free_ports(hosts)
         for place in range(entries):
             fleet.entries.append(launch_entry(fleet, folder, place, f"entry-{place}"))
         for place in range(entries):
@@ -203,16 +233,16 @@
 
     ``store`` is the address of the store, if it is not the site's.
     """
-    host, ports = HOSTS[place], fleet.ports
+    host, ports = fleet.hosts[place], fleet.ports
     control = ports["control"]
     lines = {
         "nodeName": f"front-{place}",
-        "zone": ("north", "south")[place],
+        "zone": fleet.zones[place],
         "listen.front": f"{host}:{ports['front']}",
         "listen.ready": f"{host}:{ports['ready']}",
         "listen.control": f"{host}:{control}",
         "internalPortRange": f"{ports['internal']},{ports['internal']}",
-        "seeds": ",".join(f"{each}:{control}" for each in HOSTS),
+        "seeds": ",".join(f"{each}:{control}" for each in fleet.hosts[:MAX_SEEDS]),
         "heartbeatMs": "1200",
         "limits.cpuShare": "1",
         "limits.memoryMb": "222",
@@ -220,7 +250,7 @@
         "platform.address": store or fleet.site.addresses["store"],
         "bounds.drainMs": "2000",
         "bounds.configApplyMs": "2000",
-        "bounds.graceS": "8",
+        "bounds.graceS": str(fleet.grace_s),
         "bounds.retryBudgetRatio": "0.2",
         "bounds.retryBudgetSlack": "108",
         "bounds.budgetWindowS": "10",
@@ -228,39 +258,42 @@
     }
     settings = folder / f"local-{place}.conf"
     settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
+    environment = {"BRAMLEYTURN_CONFIG": str(settings)}
+    if fleet.entry_source:
+        environment["PYTHONPATH"] = fleet.entry_source
     return launch(
         "bramleyturn.programs.serve",
         "",
         folder,
         name,
-        environment={"BRAMLEYTURN_CONFIG": str(settings)},
+        environment=environment,
         arguments=[str(ports["metrics"])],
     )
 
 
-def _free_ports() -> dict[str, int]:
+def _free_ports(hosts: Sequence[str]) -> dict[str, int]:
     """Return ports that are free at every address of the fleet."""
     names = ("front", "ready", "control", "metrics", "internal")
     ports: dict[str, int] = {}
     for name in names:
-        ports[name] = _free_port(set(ports.values()))
+        ports[name] = _free_port(hosts, set(ports.values()))
     return ports
 
 
-def _free_port(taken: set[int]) -> int:
+def _free_port(hosts: Sequence[str], taken: set[int]) -> int:
     for _ in range(100):
         with socket.socket() as probe:
-            probe.bind((HOSTS[0], 0))
+            probe.bind((hosts[0], 0))
             port: int = probe.getsockname()[1]
-            if port not in taken and _is_free(port):
+            if port not in taken and all(_is_free(host, port) for host in hosts[1:]):
                 return port
     raise AssertionError("no port is free at every address")
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         try:
-            probe.bind((HOSTS[1], port))
+            probe.bind((host, port))
         except OSError:
             return False
     return True
