--- a/tests/site/test_rolling.py
+++ b/tests/site/test_rolling.py
@@ -80,6 +80,15 @@
         (tmp_path / "entry-0.out").write_text('{"time_ms":1,"request_id":"r0000001"}\n')
         assert kinds(tmp_path, closed) == ["no answer, read by the entry"]
 
+    @pytest.mark.parametrize(("left", "is_lost"), [(0, False), (1, True)])
+    def test_finds_what_may_have_been_read_when_the_process_ended(
+        self, tmp_path: Path, left: int, is_lost: bool
+    ) -> None:
+        (tmp_path / "entry-0.out").write_text(
+            f'{{"time_ms":1,"event":"stopped","in_progress":{left}}}\n'
+        )
+        assert bool(kinds(tmp_path, attempt_at(1_000, 1_300, "reset"))) == is_lost
+
     @pytest.mark.parametrize(
         ("attempt", "runs"),
         [
