--- a/tests/site/test_rolling.py
+++ b/tests/site/test_rolling.py
@@ -89,6 +89,15 @@
         )
         assert bool(kinds(tmp_path, attempt_at(1_000, 1_300, "reset"))) == is_lost
 
+    def test_accepts_what_was_sent_after_sigkill(self, tmp_path: Path) -> None:
+        (tmp_path / "entry-0.out").touch()
+        killed = STOP._replace(killed_ms=ZERO_MS + 8_000, exit_code=-9)
+        for sent_ms, count in ((7_950, 1), (8_000, 0)):
+            attempt = attempt_at(sent_ms, 8_400, "reset")
+            records = Records({}, {})
+            lost = find_lost([attempt], [killed], records, tmp_path, GRACE_MS)
+            assert len(lost) == count
+
     @pytest.mark.parametrize(
         ("attempt", "runs"),
         [
