--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from copy import deepcopy
 from typing import Any, Final
 
 import orjson
@@ -200,7 +201,8 @@
         },
         "tenants": [{"name": "north", "apiKeys": [API_KEY], "priority": 0}],
     }
-    return document | changes
+    # A test may change what it gets, and the deployment stays as it is.
+    return deepcopy(document | changes)
 
 
 def _listen(site: Site, host: str, handle: Callable[[Exchange], None]) -> str:
