Count what the garbage collector frees and how long it stops an entry

Callers saw nothing of it: this is what tells a loop that is late by a collection from one that is late for another reason. The metrics page has garbage_objects, the objects that only the collector could free, and the histogram garbage_collection in milliseconds.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from collections import Counter
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -52,7 +53,11 @@
     parse_serving_settings,
 )
 from bramleyturn.runtime.listening_port import close_port
-from bramleyturn.runtime.memory import freeze_start_up_objects
+from bramleyturn.runtime.memory import (
+    collected_objects,
+    freeze_start_up_objects,
+    observe_collections,
+)
 from bramleyturn.runtime.system_clock import system_clock
 
 EXIT_BAD_SETTINGS: Final = 2
@@ -147,6 +152,7 @@
         gauge(serving.metrics, "requests_in_progress", serving.in_progress)
         gauge(serving.metrics, "connections_opened", serving.servers_pool.opened)
         gauge(serving.metrics, "caller_connections", len(self.front.connections))
+        gauge(serving.metrics, "garbage_objects", collected_objects())
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         exchange.answer(200, headers, metrics_page(serving.metrics))
 
@@ -176,6 +182,9 @@
         self.settings_mtime_ns = read_settings_mtime_ns()
         loop.callLater(HOUSEKEEPING_INTERVAL_S, self.run_housekeeping)
         self.check_loop()
+        observe_collections(
+            partial(observe, self.serving.metrics, "garbage_collection")
+        )
         logger.info(
             "started", extra={"front": f"{settings.front.host}:{settings.front.port}"}
         )
