Count a pause before SIGTERM once in the times of a shutdown

What callers saw: an entry that did not run for 1.05 s, with SIGTERM 50 ms before the end of that, cut a stream 5.8 s after SIGTERM that served whole (6.2 s).

Cause: the grace period counted from when the loop last ran, which takes off the whole pause, and the margin took the same pause off again.

Change: the margin holds the delays of earlier checks only. Both are noted when the signal is handled, before a check that was late can record the pause. Requests are never ended before the last sixth of the grace period, whatever the margin is.

That the pause counts is shown as before by TestLateLoop (real processes) and by test_late_signal_handler_counts_the_grace_period_from_the_signal.

--- a/src/bramleyturn/core/waiting/loop_delays.py
+++ b/src/bramleyturn/core/waiting/loop_delays.py
@@ -41,7 +41,6 @@
     return delay_ms
 
 
-def longest_delay_ms(delays: LoopDelays, now_ms: int) -> int:
-    """Return the longest delay of the recent windows and of the next check."""
-    current_ms = current_delay_ms(delays, now_ms)
-    return max(delays.longest_ms, delays.longest_before_ms, current_ms)
+def longest_delay_ms(delays: LoopDelays) -> int:
+    """Return the longest delay of a check in the recent windows."""
+    return max(delays.longest_ms, delays.longest_before_ms)
--- a/src/bramleyturn/core/waiting/shutdown.py
+++ b/src/bramleyturn/core/waiting/shutdown.py
@@ -12,9 +12,10 @@
 # the process ends later, when the answers have been sent.
 ANSWER_MARGIN_MS: Final = 250
 EXIT_MARGIN_MS: Final = 80
-# Longer delays of the event loop count as single pauses of the machine, which no
-# margin can cover.
+# Upper bound of the margin for delays of the event loop.
 MAX_DELAY_MARGIN_MS: Final = 1_000
+# Requests are never ended before the last sixth of the grace period.
+LAST_PART: Final = 6
 
 
 class Shutdown(NamedTuple):
@@ -36,13 +37,13 @@
     """Return the times of a shutdown that begins now, in milliseconds.
 
     ``asked_ms`` is the earliest time at which SIGTERM may have been sent, and
-    ``loop_delay_ms`` how late the event loop was at most lately.
+    ``loop_delay_ms`` how late the event loop was at most before that.
     """
     killed_ms = asked_ms + grace_ms
-    delay_ms = min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
+    margin_ms = ANSWER_MARGIN_MS + min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
     return Shutdown(
         out_of_rotation_ms=asked_ms + LEAVE_ROTATION_MS,
         closes_idle_ms=now_ms + LEAVE_ROTATION_MS,
-        ends_ms=killed_ms - ANSWER_MARGIN_MS - delay_ms,
+        ends_ms=killed_ms - min(margin_ms, grace_ms // LAST_PART),
         exits_ms=killed_ms - EXIT_MARGIN_MS,
     )
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -220,19 +220,25 @@
         serving.members.seeds = seed_addresses(settings)
         logger.info("settings read again", extra={"needs_restart": needs_restart})
 
-    def stop(self) -> None:
+    def handle_signal(self) -> None:
+        """Start a shutdown, in the event loop, when a signal asks for it.
+
+        The signal may have come at any time since the event loop was last seen to run.
+        It is handled before a check that was late is recorded.
+        """
+        asked_ms, delay_ms = self.delays.checked_ms, longest_delay_ms(self.delays)
+        self.serving.reactor.callFromThread(self.stop, asked_ms, delay_ms)
+
+    def stop(self, asked_ms: int, delay_ms: int) -> None:
         """Start a graceful shutdown: leave the rotation and finish open requests."""
         if self.stopping_ms is not None:
             return
         serving = self.serving
         now_ms = serving.now_ms()
-        # The signal may have come at any time since the event loop was last seen to
-        # run.
-        self.stopping_ms = self.delays.checked_ms
+        self.stopping_ms = asked_ms
         serving.is_ending = True
-        delay_ms = longest_delay_ms(self.delays, now_ms)
         serving.shutdown = plan_shutdown(
-            self.stopping_ms, now_ms, serving.settings.bounds.grace_ms, delay_ms
+            asked_ms, now_ms, serving.settings.bounds.grace_ms, delay_ms
         )
         self.front.is_closing = True
         self.heartbeats.send_heartbeats()
@@ -360,8 +366,8 @@
             print(describe_fault(fault), file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     process = new_process(loop, clock, settings)
-    signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(process.stop))
-    signal.signal(signal.SIGINT, lambda *_: loop.callFromThread(process.stop))
+    signal.signal(signal.SIGTERM, lambda *_: process.handle_signal())
+    signal.signal(signal.SIGINT, lambda *_: process.handle_signal())
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(process.reload))
     process.start()
     freeze_start_up_objects()
--- a/tests/core/waiting/test_shutdown.py
+++ b/tests/core/waiting/test_shutdown.py
@@ -1,5 +1,7 @@
 """Test the times of a shutdown."""
 
+import pytest
+
 from bramleyturn.core.waiting.shutdown import MAX_DELAY_MARGIN_MS, plan_shutdown
 
 GRACE_MS = 8_000
@@ -29,3 +31,11 @@
     def test_single_long_pause_does_not_end_all_requests_at_once(self) -> None:
         longest = plan_shutdown(1_000, 1_000, GRACE_MS, MAX_DELAY_MARGIN_MS)
         assert plan_shutdown(1_000, 1_000, GRACE_MS, 60_000) == longest
+
+    @pytest.mark.parametrize("grace_ms", [1_200, 3_000, GRACE_MS, 60_000])
+    @pytest.mark.parametrize("delay_ms", [0, 300, 60_000])
+    def test_requests_keep_five_sixths_of_the_grace_period(
+        self, grace_ms: int, delay_ms: int
+    ) -> None:
+        shutdown = plan_shutdown(1_000, 1_000, grace_ms, delay_ms)
+        assert shutdown.ends_ms - 1_000 >= grace_ms * 5 / 6
--- a/tests/site/test_late_loop.py
+++ b/tests/site/test_late_loop.py
@@ -61,3 +61,25 @@
                 thaw(fleet.entries[0])
                 end = order.result()
         assert (end.how, end.status) == ("whole", 200), told(fleet, end)
+
+
+class TestLateSignal:
+    """SIGTERM comes at the end of a time in which the entry does not run."""
+
+    def test_stream_has_all_of_the_time_to_stop(self, fleet: SiteFleet) -> None:
+        allow_long_requests(fleet)
+        set_servers(fleet, "drafts", gap_ms=950)
+        with callers_of(1) as callers:
+            note = request_bytes("/note/1", "POST", b"x", "stream")
+            stream = callers.submit(call, fleet, note)
+            wait_until(lambda: len(fleet.ran("stream")) == 1, "the stream runs")
+            began_s = time.monotonic()
+            sleep_until(began_s + 0.4)
+            freeze(fleet.entries[0])
+            sleep_until(began_s + 1.4)
+            with stopping(fleet):
+                time.sleep(0.05)
+                thaw(fleet.entries[0])
+                end = stream.result()
+        found = (end.how, end.status, end.body.count(b"token-"))
+        assert found == ("whole", 200, EVENTS), told(fleet, end)
