--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -12,7 +12,7 @@
     NotRun,
     Streamed,
 )
-from bramleyturn.gateway.http1_server import Exchange
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.stage_work import StageResults, StageWork
 from bramleyturn.platform.requests import CallerHead
 
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 from urllib.parse import parse_qs
 
-from bramleyturn.gateway.http1_server import Exchange
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.peer_links import MESSAGES_TARGET, Message, decode_messages
 from bramleyturn.gateway.stage_asks import StageAsks
 from bramleyturn.gateway.stage_messages import (
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -28,11 +28,11 @@
 from bramleyturn.gateway.control_api import control_api
 from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.event_log import EventLog, start_event_log
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.heartbeats import Heartbeats
 from bramleyturn.gateway.http1_server import (
     CallerConnection,
     ConnectionState,
-    Exchange,
     HttpServer,
 )
 from bramleyturn.gateway.metrics import count, gauge, metrics_page, observe
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -38,8 +38,8 @@
     urgency_of,
 )
 from bramleyturn.gateway.crash_watch import CrashWatch
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_client import Headers
-from bramleyturn.gateway.http1_server import Exchange
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_asks import StageAsks
--- a/src/bramleyturn/standin/site/raw_answers.py
+++ b/src/bramleyturn/standin/site/raw_answers.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.answer_end import Framing
-from bramleyturn.gateway.http1_server import Exchange, Headers
+from bramleyturn.gateway.exchange import Exchange, Headers
 
 LAST_CHUNK: Final = b"0\r\n\r\n"
 FLUSH_S: Final = 0.01
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -13,7 +13,7 @@
 import orjson
 
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.gateway.http1_server import Exchange, Headers
+from bramleyturn.gateway.exchange import Exchange, Headers
 from bramleyturn.standin.site.deployment import PoolPlan
 from bramleyturn.standin.site.raw_answers import (
     AnswerShape,
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -14,7 +14,8 @@
 
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.gateway.http1_server import Exchange, HttpServer
+from bramleyturn.gateway.exchange import Exchange
+from bramleyturn.gateway.http1_server import HttpServer
 from bramleyturn.standin.site.deployment import (
     SMALL_SITE,
     Deployment,
--- a/src/bramleyturn/standin/site/store.py
+++ b/src/bramleyturn/standin/site/store.py
@@ -9,7 +9,7 @@
 import orjson
 
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.gateway.http1_server import Exchange, Headers
+from bramleyturn.gateway.exchange import Exchange, Headers
 
 PAGE_ITEMS: Final = 50
 RANGE_TARGET: Final = "/bramleyturn/kv-range"
--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -9,8 +9,9 @@
 
 from bramleyturn.core.answer_end import Framing
 from bramleyturn.core.catalog.model import CallerLimits
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
-from bramleyturn.gateway.http1_server import CallerConnection, Exchange, HttpServer
+from bramleyturn.gateway.http1_server import CallerConnection, HttpServer
 
 LIMITS = CallerLimits(2_000, 100, 3_000, 15_000)
 
