Send answers at once while the process stops

Callers saw: a connection closed without an answer, although its request had been read.

Cause: the reactor reads every connection that has data before it writes the first answer. A process that is killed during a turn with many requests loses the answers of all it has read in that turn.

Change: an answer that ends its connection, as all do during a shutdown, is handed to the kernel when it is made. So a kill can cost at most the request that is being handled.

The test failed before: nothing had been sent.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -273,6 +273,10 @@
         # A caller that reads slowly has as much time as one that is idle.
         self._start_timer(self.server.limits().idle_timeout_ms, self.abort)
         transport.loseWriteConnection()
+        if self.server.is_closing:
+            # The process may be killed before the reactor gets to send this. An error
+            # is left to the reactor, which finds it again.
+            transport.doWrite()
 
     def _close_now(self) -> None:
         self._stop_timer()
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -144,6 +144,13 @@
         assert b"Connection: close" in served.written()
         assert served.transport.disconnecting
 
+    def test_answer_is_not_lost_if_the_process_is_killed_in_the_same_turn(self) -> None:
+        served = ServedConnection()
+        served.server.is_closing = True
+        served.receive(GET)
+        served.exchanges[0].answer(200, [], b"whole")
+        assert served.transport.sent.endswith(b"whole")
+
 
 class TestCutAnswers:
     """Answers that can't be completed."""
--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -21,6 +21,7 @@
 
     is_reset = False
     unread = b""
+    sent = b""
 
     def getHandle(self) -> "WireTransport":  # noqa: N802
         """Return the socket, which is this stand-in."""
@@ -37,6 +38,10 @@
         """Record the close of the writing side."""
         self.disconnecting = True
 
+    def doWrite(self) -> None:  # noqa: N802
+        """Send everything that was written."""
+        self.sent = self.value()  # type: ignore[no-untyped-call]
+
     def abortConnection(self) -> None:  # noqa: N802
         """Record the reset."""
         self.is_reset = True
