Exit only when everything that arrived is answered

Callers saw: a reset, for requests sent while the event loop of a stopping process was late around the end of its time.

Cause: at the time of the exit the process stopped reading and left a turn later, whatever had arrived while its loop was late: connections that had just been accepted, and bytes that were not read yet.

Change: the process reads for at least one more turn, and exits when every connection has been answered and read, at the latest 20 ms before the kill. From the end of its time on it checks every 10 ms.

--- a/src/bramleyturn/core/waiting/shutdown.py
+++ b/src/bramleyturn/core/waiting/shutdown.py
@@ -12,6 +12,8 @@
 # the process ends later, when the answers have been sent.
 ANSWER_MARGIN_MS: Final = 250
 EXIT_MARGIN_MS: Final = 80
+# A process whose loop is late answers until this long before it is killed.
+LATEST_EXIT_MARGIN_MS: Final = 20
 # Longer delays of the event loop count as single pauses of the machine, which no
 # margin can cover.
 MAX_DELAY_MARGIN_MS: Final = 1_000
@@ -21,13 +23,16 @@
     """Hold when an instance leaves the rotation, ends all requests and exits.
 
     Requests count as late from ``out_of_rotation_ms`` on. Idle connections are closed
-    from ``closes_idle_ms`` on, when the platform has noticed for certain.
+    from ``closes_idle_ms`` on, when the platform has noticed for certain. From
+    ``exits_ms`` on the process exits once everything that arrived is answered, and at
+    ``exits_at_latest_ms`` in any case.
     """
 
     out_of_rotation_ms: int
     closes_idle_ms: int
     ends_ms: int
     exits_ms: int
+    exits_at_latest_ms: int
 
 
 def plan_shutdown(
@@ -45,4 +50,5 @@
         closes_idle_ms=now_ms + LEAVE_ROTATION_MS,
         ends_ms=killed_ms - ANSWER_MARGIN_MS - delay_ms,
         exits_ms=killed_ms - EXIT_MARGIN_MS,
+        exits_at_latest_ms=killed_ms - LATEST_EXIT_MARGIN_MS,
     )
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -62,6 +62,8 @@
 # Time for the first request on a new connection to arrive, with a packet sent again.
 FIRST_REQUEST_MS: Final = 500
 STOP_CHECK_INTERVAL_S: Final = 0.05
+# From the end of the time on, everything that arrives is answered at once.
+END_CHECK_INTERVAL_S: Final = 0.01
 LISTEN_BACKLOG: Final = 512
 STATUS_UNAVAILABLE: Final = 503
 # Longer delays of the event loop are logged: events of a stream have to be passed on
@@ -284,20 +286,25 @@
             self.close_front()
         is_done = self.front_port is None and self.is_done()
         if is_done or now_ms >= shutdown.exits_ms:
-            # The answers of this turn of the event loop are sent in the next one.
-            self.front.stop_reading()
+            # A late loop has not read yet what arrived meanwhile.
             serving.reactor.callLater(0, self.exit, shutdown)
             return
-        serving.reactor.callLater(STOP_CHECK_INTERVAL_S, self.check_stopped, shutdown)
+        interval_s = END_CHECK_INTERVAL_S if is_over else STOP_CHECK_INTERVAL_S
+        serving.reactor.callLater(interval_s, self.check_stopped, shutdown)
 
     def exit(self, shutdown: Shutdown) -> None:
-        """End the process."""
+        """End the process once everything that arrived is answered, or the time is."""
+        self.end_requests()
+        is_latest = self.serving.now_ms() >= shutdown.exits_at_latest_ms
+        if not is_latest and not (self.is_idle() and self.front.has_read_all()):
+            self.serving.reactor.callLater(END_CHECK_INTERVAL_S, self.exit, shutdown)
+            return
         logger.info(
             "stopped",
             extra={
                 "in_progress": self.serving.in_progress,
                 "connections": self.connections_by_state(),
-                "left_ms": shutdown.exits_ms - self.serving.now_ms(),
+                "left_ms": shutdown.exits_at_latest_ms - self.serving.now_ms(),
             },
         )
         self.log.flush_lines()
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -84,11 +84,9 @@
             if connection.idle_since_ms <= until_ms:
                 connection.close_if_idle()
 
-    def stop_reading(self) -> None:
-        """Read no more requests, because the process is about to end."""
-        for connection in self.connections:
-            transport: Any = connection.transport
-            transport.pauseProducing()
+    def has_read_all(self) -> bool:
+        """Return whether no connection holds bytes that have not been read."""
+        return not any(has_unread_bytes(each.transport) for each in self.connections)
 
     def refuse_unread(self, status: int) -> None:
         """Refuse the requests that have not been read to their end."""
--- a/tests/core/waiting/test_run_times.py
+++ b/tests/core/waiting/test_run_times.py
@@ -40,7 +40,11 @@
     """A shutdown that leaves the rotation at 3,000 ms and ends requests at 7,750 ms."""
 
     SHUTDOWN = Shutdown(
-        out_of_rotation_ms=3_000, closes_idle_ms=3_000, ends_ms=7_750, exits_ms=7_920
+        out_of_rotation_ms=3_000,
+        closes_idle_ms=3_000,
+        ends_ms=7_750,
+        exits_ms=7_920,
+        exits_at_latest_ms=7_980,
     )
 
     def test_request_of_the_rotation_must_fit_as_usual(self) -> None:
--- a/tests/site/test_stopping_connections.py
+++ b/tests/site/test_stopping_connections.py
@@ -133,6 +133,30 @@
         found = {name: (each.how, each.status) for name, each in ends.items()}
         assert found == expected, told(fleet, ends)
 
+    @pytest.mark.parametrize("until_s", [7.8, 7.9, 7.94])
+    @pytest.mark.parametrize("is_accepted", [False, True], ids=["queued", "accepted"])
+    def test_requests_that_arrive_while_the_end_is_late_are_answered(
+        self, fleet: SiteFleet, is_accepted: bool, until_s: float
+    ) -> None:
+        """The connections are accepted before the pause, or wait in the queue."""
+        with ExitStack() as opened, callers_of(1) as callers:
+            held = hold_order(fleet, callers)
+            with stopping(fleet) as sent_s:
+                sleep_until(sent_s + 7.5)
+                if not is_accepted:
+                    freeze(fleet.entries[0])
+                late = [opened.enter_context(open_caller(fleet)) for _ in range(20)]
+                if is_accepted:
+                    time.sleep(0.1)
+                    freeze(fleet.entries[0])
+                for caller in late:
+                    caller.sendall(request_bytes("/none"))
+                sleep_until(sent_s + until_s)
+                thaw(fleet.entries[0])
+                ends = [read_answer(caller) for caller in late]
+                assert held.result().status == 504
+        assert {each.how for each in ends} == {"whole"}, told(fleet, ends)
+
 
 class TestUnreadBytes:
     """Bytes that the caller sent, and the entry hasn't read when it closes."""
