--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -9,8 +9,9 @@
 
 from bramleyturn.core.answer_end import Framing
 from bramleyturn.core.catalog.model import CallerLimits
+from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
-from bramleyturn.gateway.http1_server import CallerConnection, Exchange, HttpServer
+from bramleyturn.gateway.http1_server import CallerConnection, HttpServer
 
 LIMITS = CallerLimits(2_000, 100, 3_000, 15_000)
 
@@ -20,6 +21,7 @@
 
     is_reset = False
     unread = b""
+    sent = b""
 
     def getHandle(self) -> "WireTransport":  # noqa: N802
         """Return the socket, which is this stand-in."""
@@ -36,6 +38,10 @@
         """Record the close of the writing side."""
         self.disconnecting = True
 
+    def doWrite(self) -> None:  # noqa: N802
+        """Send everything that was written."""
+        self.sent = self.value()  # type: ignore[no-untyped-call]
+
     def abortConnection(self) -> None:  # noqa: N802
         """Record the reset."""
         self.is_reset = True
