Answer requests that were sent ahead while the process stops

What callers saw: of two requests on a kept connection, the second of which was sent before the first was answered, the second ended with a closed connection if SIGTERM came in between.

Cause: while the process stops each answer says Connection: close, also if the next request has been read already; what follows in the parser is then dropped.

Change: the answer says so only if nothing follows it in the parser.

Measured: the new test failed before (one request handled) and passes, as do the 25 tests of the file.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -220,8 +220,11 @@
         return f"{peer.host}:{peer.port}"
 
     def send_head(self, status: int, headers: Headers) -> None:
-        """Write the head of an answer."""
-        if self.server.is_closing:
+        """Write the head of an answer, the last one if the process stops.
+
+        A request that was sent ahead is still answered.
+        """
+        if self.server.is_closing and not self.http.trailing_data[0]:
             headers = [*headers, (b"Connection", b"close")]
         self._write(h11.Response(status_code=status, headers=headers))
 
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -35,6 +35,17 @@
         served.exchanges[1].answer(200, [], b"two")
         assert served.written().count(b"HTTP/1.1 200") == 2
 
+    def test_request_sent_ahead_is_answered_while_the_process_stops(self) -> None:
+        served = ServedConnection()
+        served.server.is_closing = True
+        served.receive(GET + GET)
+        served.exchanges[0].answer(200, [], b"one")
+        served.exchanges[1].answer(200, [], b"two")
+        first, _, second = served.written().partition(b"one")
+        assert b"connection: close" not in first.lower()
+        assert b"connection: close" in second.lower()
+        assert served.transport.disconnecting
+
     def test_too_many_bytes_before_the_answer_reset_the_connection(self) -> None:
         served = ServedConnection()
         served.receive(GET)
