End an entry on the users' platform with exit code 0 although SIGTERM comes again

Operators saw exit code -15 for an entry that had ended by itself, as once for the programs of the own interface.

Cause: the entry ran the reactor itself, without what programs/start.run does after it. Python puts handled signals back to their default while it ends.

Change: both run it with runtime/event_loop.run_loop, which also reads before timers.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -52,7 +52,7 @@
     ServingSettings,
     parse_serving_settings,
 )
-from bramleyturn.runtime.event_loop import read_before_timers
+from bramleyturn.runtime.event_loop import run_loop
 from bramleyturn.runtime.listening_port import close_port
 from bramleyturn.runtime.memory import (
     collected_objects,
@@ -378,5 +378,4 @@
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(process.reload))
     process.start()
     freeze_start_up_objects()
-    read_before_timers(loop)
-    loop.run(installSignalHandlers=False)
+    run_loop(loop)
--- a/src/bramleyturn/programs/admin.py
+++ b/src/bramleyturn/programs/admin.py
@@ -11,9 +11,10 @@
 from bramleyturn.core.model import Configuration
 from bramleyturn.core.process_settings import ProcessSettings
 from bramleyturn.programs.entry import empty_configuration, log_loop_failure
-from bramleyturn.programs.start import read_settings, run
+from bramleyturn.programs.start import read_settings
 from bramleyturn.runtime.admin_api import admin_api
 from bramleyturn.runtime.admin_gather import AdminLoop
+from bramleyturn.runtime.event_loop import run_loop
 from bramleyturn.runtime.http_server import OpenServer, open_server, print_ready
 from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.logs import note_revision
@@ -44,7 +45,7 @@
         """Serve until the process is asked to stop."""
         settings = read_settings(self.settings, required=("watch",))
         serve(reactor, settings, system_clock())
-        run(reactor)
+        run_loop(reactor)
 
 
 def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> AdminLoop:
--- a/src/bramleyturn/programs/entry.py
+++ b/src/bramleyturn/programs/entry.py
@@ -28,10 +28,11 @@
 from bramleyturn.core.model import Configuration
 from bramleyturn.core.process_settings import ProcessSettings
 from bramleyturn.core.tickets import ProcessRef
-from bramleyturn.programs.start import read_settings, run
+from bramleyturn.programs.start import read_settings
 from bramleyturn.runtime.callers_api import callers_api
 from bramleyturn.runtime.entry_loop import EntryLoop, feed
 from bramleyturn.runtime.entry_status import status_api
+from bramleyturn.runtime.event_loop import run_loop
 from bramleyturn.runtime.gossip_loop import gossip_to_several, run_gossip
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.http_server import (
@@ -82,7 +83,7 @@
         """Serve until the process is asked to stop."""
         settings = read_settings(self.settings, required=("watch",))
         serve(reactor, settings, system_clock())
-        run(reactor)
+        run_loop(reactor)
 
 
 def serve(reactor: Any, settings: ProcessSettings, clock: Clock) -> EntryLoop:
--- a/src/bramleyturn/programs/standin_site.py
+++ b/src/bramleyturn/programs/standin_site.py
@@ -7,7 +7,8 @@
 import orjson
 from twisted.internet import reactor
 
-from bramleyturn.programs.start import run, use_monotonic_time
+from bramleyturn.programs.start import use_monotonic_time
+from bramleyturn.runtime.event_loop import run_loop
 from bramleyturn.runtime.lifecycle import stop_on_signals
 from bramleyturn.runtime.system_clock import system_clock
 from bramleyturn.standin.site.deployment import read_deployment
@@ -40,7 +41,7 @@
     stop_on_signals(loop, lambda: loop.stop())
     ready = {"ready": True, "addresses": addresses}
     print(orjson.dumps(ready).decode(), flush=True)
-    run(loop)
+    run_loop(loop)
 
 
 if __name__ == "__main__":
--- a/src/bramleyturn/programs/start.py
+++ b/src/bramleyturn/programs/start.py
@@ -1,6 +1,5 @@
 """Start a program: read its settings, set up logging, run the reactor."""
 
-import signal
 import sys
 from collections.abc import Collection
 from pathlib import Path
@@ -10,7 +9,6 @@
 
 from bramleyturn.core.fault import describe_fault
 from bramleyturn.core.process_settings import ProcessSettings, RefusedSettings
-from bramleyturn.runtime.event_loop import read_before_timers
 from bramleyturn.runtime.logs import start_logging
 from bramleyturn.runtime.settings_file import Unreadable, read_process_settings
 from bramleyturn.runtime.system_clock import monotonic_s
@@ -40,13 +38,3 @@
     timer.
     """
     loop.seconds = monotonic_s
-
-
-def run(loop: Any) -> None:
-    """Run the reactor without Twisted's own signal handlers."""
-    read_before_timers(loop)
-    loop.run(installSignalHandlers=False)
-    # While Python ends, a handled signal would kill the process; an ignored one does
-    # not.
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, signal.SIG_IGN)
--- a/src/bramleyturn/programs/watch.py
+++ b/src/bramleyturn/programs/watch.py
@@ -7,7 +7,8 @@
 import cappa
 from twisted.internet import reactor
 
-from bramleyturn.programs.start import read_settings, run
+from bramleyturn.programs.start import read_settings
+from bramleyturn.runtime.event_loop import run_loop
 from bramleyturn.runtime.http_client import http_client
 from bramleyturn.runtime.http_server import OpenServer, open_server, print_ready
 from bramleyturn.runtime.lifecycle import stop_on_signals
@@ -44,7 +45,7 @@
         start_watching(loop, run_initial_sync)
         stop_on_signals(reactor, lambda: stop(loop, server))
         print_ready(server.address, advertise=settings.advertise or server.address)
-        run(reactor)
+        run_loop(reactor)
 
 
 def stop(loop: WatchLoop, server: OpenServer) -> None:
--- a/src/bramleyturn/runtime/event_loop.py
+++ b/src/bramleyturn/runtime/event_loop.py
@@ -1,9 +1,10 @@
-"""Make the event loop read what has arrived before it runs timers.
+"""Run the event loop, which reads what has arrived before it runs timers.
 
 Twisted runs the timers that are due before it polls the sockets. After a delay of the
 loop, an answer that is in a socket buffer would count as one that has not come.
 """
 
+import signal
 from typing import Any
 
 
@@ -17,3 +18,13 @@
         run_timers()
 
     loop.runUntilCurrent = read_and_run_timers
+
+
+def run_loop(loop: Any) -> None:
+    """Run the reactor without Twisted's own signal handlers."""
+    read_before_timers(loop)
+    loop.run(installSignalHandlers=False)
+    # While Python ends, a handled signal would kill the process; an ignored one does
+    # not.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/site/test_late_loop.py
+++ b/tests/site/test_late_loop.py
@@ -1,5 +1,6 @@
 """Test what callers get if a stopping entry did not run for a while."""
 
+import signal
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -83,3 +84,16 @@
                 end = stream.result()
         found = (end.how, end.status, end.body.count(b"token-"))
         assert found == ("whole", 200, EVENTS), told(fleet, end)
+
+
+class TestFurtherSignals:
+    """SIGTERM comes again and again until the process is gone."""
+
+    def test_entry_that_ended_by_itself_has_no_other_exit_code(
+        self, fleet: SiteFleet
+    ) -> None:
+        process = fleet.entries[0].process
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.001)
+        assert process.returncode == 0
