Read what has arrived before a request times out

Callers saw: 408 on the entry of the platform, and a reset on the own interface, for a request that had arrived in time, if the event loop was late when the time for the request ended.

Cause: a late reactor runs its timers before it reads its sockets. The timer of a request that is being read did not look whether the rest was already in the socket.

Change: while bytes are unread, the timer waits 10 ms for the reactor to read them. What a caller can send that way is bounded by the limits on heads and bodies. A connection that lingers is not given more time.

Measured: the three new cases failed before; the other tests of the two modules pass.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -21,7 +21,7 @@
 from bramleyturn.gateway.exchange import Exchange, Headers
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
-from bramleyturn.runtime.unread_bytes import has_unread_bytes
+from bramleyturn.runtime.unread_bytes import READ_WAIT_S, has_unread_bytes
 
 STATUS_BAD_REQUEST: Final = 400
 STATUS_TIMEOUT: Final = 408
@@ -179,7 +179,7 @@
         if self.first_byte_ms is None:
             self.first_byte_ms = self.server.now_ms()
             self._start_timer(
-                self.server.limits().header_timeout_ms, self._head_is_late
+                self.server.limits().header_timeout_ms, self._request_is_late
             )
         try:
             self.http.receive_data(data)
@@ -359,7 +359,10 @@
         self.body = []
         self.server.handle(exchange)
 
-    def _head_is_late(self) -> None:
+    def _request_is_late(self) -> None:
+        if has_unread_bytes(self.transport):
+            self._start_timer(int(READ_WAIT_S * MS_PER_S), self._request_is_late)
+            return
         self.refuse(STATUS_TIMEOUT)
 
     def refuse(self, status: int) -> None:
--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -12,7 +12,7 @@
 from zope.interface import implementer, provider
 
 from bramleyturn.runtime.timers import stop_timer
-from bramleyturn.runtime.unread_bytes import has_unread_bytes
+from bramleyturn.runtime.unread_bytes import READ_WAIT_S, has_unread_bytes
 
 IDLE_TIMEOUT_S: Final = 30
 REQUEST_TIMEOUT_S: Final = 30
@@ -218,6 +218,9 @@
 
     def _abort_slow_request(self) -> None:
         self._request_timer = None
+        if not self.is_lingering and has_unread_bytes(self.transport):
+            self._request_timer = self.callLater(READ_WAIT_S, self._abort_slow_request)
+            return
         self.forceAbortClient()
 
 
--- a/src/bramleyturn/runtime/unread_bytes.py
+++ b/src/bramleyturn/runtime/unread_bytes.py
@@ -1,7 +1,10 @@
 """Tell whether a socket holds bytes that the reactor has not read yet."""
 
 from socket import MSG_DONTWAIT, MSG_PEEK
-from typing import Any
+from typing import Any, Final
+
+# Time for a late reactor to read what has arrived.
+READ_WAIT_S: Final = 0.01
 
 
 def has_unread_bytes(transport: Any) -> bool:
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -86,6 +86,29 @@
         served.clock.advance(LIMITS.header_timeout_ms / 1_000 + 0.1)
         assert served.written().startswith(b"HTTP/1.1 408")
 
+    @pytest.mark.parametrize("size", [10, len(POST) - 2], ids=["head", "body"])
+    def test_rest_that_a_late_loop_has_not_read_is_not_refused(self, size: int) -> None:
+        served = ServedConnection()
+        served.receive(POST[:size])
+        served.transport.unread = POST[size:]
+        served.clock.advance(LIMITS.header_timeout_ms / 1_000)
+        assert served.written() == b""
+        served.transport.unread = b""
+        served.receive(POST[size:])
+        served.clock.advance(LIMITS.header_timeout_ms / 1_000)
+        assert served.written() == b""
+        assert [each.body for each in served.exchanges] == [b"hello"]
+
+    def test_request_of_which_a_late_loop_has_read_too_little_times_out(self) -> None:
+        served = ServedConnection()
+        served.receive(POST[:10])
+        served.transport.unread = POST[10:20]
+        served.clock.advance(LIMITS.header_timeout_ms / 1_000)
+        served.transport.unread = b""
+        served.receive(POST[10:20])
+        served.clock.advance(0.1)
+        assert served.written().startswith(b"HTTP/1.1 408")
+
     def test_idle_connection_is_closed(self) -> None:
         served = ServedConnection()
         served.clock.advance(LIMITS.idle_timeout_ms / 1_000 + 0.1)
--- a/tests/runtime/test_bounded_http.py
+++ b/tests/runtime/test_bounded_http.py
@@ -162,6 +162,26 @@
         connection.clock.advance(IDLE_TIMEOUT_S + 1)
         assert connection.is_ended
 
+    def test_whose_rest_a_late_reactor_has_not_read_is_served(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 1"))
+        connection.transport.unread = b"x"
+        connection.clock.advance(REQUEST_TIMEOUT_S)
+        assert not connection.is_closed
+        connection.transport.unread = b""
+        connection.send(b"x")
+        assert connection.handled == [b"x"]
+
+    def test_whose_rest_has_not_arrived_is_disconnected(self) -> None:
+        connection = Connection()
+        connection.send(head("Content-Length: 2"))
+        connection.transport.unread = b"x"
+        connection.clock.advance(REQUEST_TIMEOUT_S)
+        connection.transport.unread = b""
+        connection.send(b"x")
+        connection.clock.advance(1)
+        assert connection.is_closed
+
     def test_pausing_between_requests_is_served(self) -> None:
         connection = Connection()
         for _ in range(3):
