Limit the time for a request that was begun before the last answer

Callers saw: a connection that stayed open for ever, with a request of which a part was sent ahead of the last answer and the rest never came.

Cause: after an answer only the idle timer was started, and it spares a connection on which a request is being read.

Change: a request that has begun gets its own timer, also then.

Measured: the new test failed before; the other tests of the module pass.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -177,10 +177,7 @@
                 self.abort()
                 return
         if self.first_byte_ms is None:
-            self.first_byte_ms = self.server.now_ms()
-            self._start_timer(
-                self.server.limits().header_timeout_ms, self._request_is_late
-            )
+            self._begin_request()
         try:
             self.http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -188,6 +185,10 @@
             return
         self._read_events()
 
+    def _begin_request(self) -> None:
+        self.first_byte_ms = self.server.now_ms()
+        self._start_timer(self.server.limits().header_timeout_ms, self._request_is_late)
+
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered, or waits to be read."""
         return (
@@ -242,10 +243,11 @@
         self.http.start_next_cycle()
         self.first_byte_ms = None
         self.idle_since_ms = self.server.now_ms()
-        self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
         if self.http.trailing_data[0]:
-            self.first_byte_ms = self.server.now_ms()
+            self._begin_request()
             self._read_events()
+        else:
+            self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
 
     def cut_answer(self) -> None:
         """End the connection in a way that the caller can't take for an end.
--- a/tests/gateway/test_http1_server.py
+++ b/tests/gateway/test_http1_server.py
@@ -109,6 +109,14 @@
         served.clock.advance(0.1)
         assert served.written().startswith(b"HTTP/1.1 408")
 
+    def test_pipelined_head_that_takes_too_long_times_out(self) -> None:
+        served = ServedConnection()
+        served.receive(GET + b"GET /b HTT")
+        served.exchanges[0].answer(200, [], b"one")
+        served.clock.advance(LIMITS.idle_timeout_ms / 1_000 + 0.1)
+        assert b"HTTP/1.1 408" in served.written()
+        assert served.transport.disconnecting
+
     def test_idle_connection_is_closed(self) -> None:
         served = ServedConnection()
         served.clock.advance(LIMITS.idle_timeout_ms / 1_000 + 0.1)
