--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -21,7 +21,7 @@
 from bramleyturn.gateway.exchange import Exchange, Headers
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
-from bramleyturn.runtime.unread_bytes import has_unread_bytes
+from bramleyturn.runtime.unread_bytes import READ_WAIT_S, has_unread_bytes
 
 STATUS_BAD_REQUEST: Final = 400
 STATUS_TIMEOUT: Final = 408
@@ -177,10 +177,7 @@
                 self.abort()
                 return
         if self.first_byte_ms is None:
-            self.first_byte_ms = self.server.now_ms()
-            self._start_timer(
-                self.server.limits().header_timeout_ms, self._head_is_late
-            )
+            self._begin_request()
         try:
             self.http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -188,6 +185,10 @@
             return
         self._read_events()
 
+    def _begin_request(self) -> None:
+        self.first_byte_ms = self.server.now_ms()
+        self._start_timer(self.server.limits().header_timeout_ms, self._request_is_late)
+
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered, or waits to be read."""
         return (
@@ -245,10 +246,11 @@
         self.http.start_next_cycle()
         self.first_byte_ms = None
         self.idle_since_ms = self.server.now_ms()
-        self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
         if self.http.trailing_data[0]:
-            self.first_byte_ms = self.server.now_ms()
+            self._begin_request()
             self._read_events()
+        else:
+            self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
 
     def cut_answer(self) -> None:
         """End the connection in a way that the caller can't take for an end.
@@ -362,7 +364,10 @@
         self.body = []
         self.server.handle(exchange)
 
-    def _head_is_late(self) -> None:
+    def _request_is_late(self) -> None:
+        if has_unread_bytes(self.transport):
+            self._start_timer(int(READ_WAIT_S * MS_PER_S), self._request_is_late)
+            return
         self.refuse(STATUS_TIMEOUT)
 
     def refuse(self, status: int) -> None:
