--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -20,6 +20,7 @@
 from random import Random
 from typing import Any, Final, NamedTuple
 
+from bramleyturn.core.units import MS_PER_S
 from tests.processes import READY_LIMIT_S, kill
 from tests.site.site_fleet import SiteFleet, launch_entry, running_fleet, wait_until
 from tests.site.soak_checks import (
@@ -176,20 +177,28 @@
         random = Random(self.seed * 1_000 + CALLERS + caller)
         entry = caller % len(self.fleet.entries)
         kept = self.fleet.connection(entry)
+        process = ""
         for number in itertools.count():
             if self.is_over.is_set():
                 kept.close()
                 return
             kind = random.choice((LOOKUP, ORDER, DRAFT))
             attempt_id = f"s{self.seed:x}k{caller:x}n{number:x}"
+            if kept.sock is None:
+                process = self.fleet.entries[entry].name
             sent_s = time.monotonic()
             attempt = self.call(kind, attempt_id, entry, kept)
+            took_ms = int((time.monotonic() - sent_s) * MS_PER_S)
             if not attempt.is_whole:
                 kept.close()
             was_killed = any(
                 place == entry and killed_s > sent_s for place, killed_s in self.kills
             )
-            self.sent.append(attempt._replace(must_end=not was_killed))
+            self.sent.append(
+                attempt._replace(
+                    must_end=not was_killed, entry=process, took_ms=took_ms
+                )
+            )
             time.sleep(CALL_PAUSE_S)
 
     def call(
@@ -349,13 +358,14 @@
 
 
 def run_seed(
-    seed: int, folder: Path, without_faults: bool = False
+    seed: int, folder: Path, without_faults: bool = False, entry_source: str = ""
 ) -> tuple[list[str], Counter[str]]:
     """Run the fault plan of a seed; return violations, and how many attempts ended how.
 
-    ``without_faults`` loads the site and injects no faults.
+    ``without_faults`` loads the site and injects no faults. ``entry_source`` is where
+    the entries' packages are, if not in this project.
     """
-    with running_fleet(folder) as fleet:
+    with running_fleet(folder, entry_source=entry_source) as fleet:
         state = SoakRun(fleet, folder, seed)
         callers = [start(state.call_until_over, caller) for caller in range(CALLERS)]
         callers += [
@@ -372,7 +382,7 @@
             state.is_over.set()
             for thread in callers:
                 thread.join()
-        violations += find_violations(state.sent, state.runs())
+        violations += find_violations(state.sent, state.runs(), folder)
         ends = Counter(f"{each.kind} {each.status}" for each in state.sent)
     return violations, ends
 
--- a/tests/site/soak_checks.py
+++ b/tests/site/soak_checks.py
@@ -1,7 +1,10 @@
 """Compare the answers to callers with the runs that backend servers recorded."""
 
+from pathlib import Path
 from typing import Final, NamedTuple
 
+from tests.site.rolling_checks import CROSSING_MS, STOPPED_IDLE
+
 LOOKUP: Final = "lookup"
 ORDER: Final = "order"
 DRAFT: Final = "draft"
@@ -15,7 +18,8 @@
 
     ``status`` is 0 for a connection that ended without an answer. ``is_whole`` is
     False for an answer that was visibly cut off. ``must_end`` is set for an attempt on
-    a kept connection to an entry that nobody killed meanwhile.
+    a kept connection to an entry that nobody killed meanwhile; ``entry`` names that
+    process, and ``took_ms`` is the time from the request to the end.
     """
 
     attempt_id: str
@@ -25,6 +29,8 @@
     is_whole: bool
     is_signed: bool
     must_end: bool = False
+    entry: str = ""
+    took_ms: int = 0
 
 
 def whole_stream() -> bytes:
@@ -32,25 +38,30 @@
     return b"".join(b"id: %d\ndata: token-%d\n\n" % (n, n) for n in range(EVENTS))
 
 
-def find_violations(sent: list[SentAttempt], runs: dict[str, int]) -> list[str]:
-    """Return every violated guarantee, with the attempt that shows it."""
+def find_violations(
+    sent: list[SentAttempt], runs: dict[str, int], folder: Path
+) -> list[str]:
+    """Return every violated guarantee, with the attempt that shows it.
+
+    ``folder`` has the logs of the entries.
+    """
     known = {attempt.attempt_id for attempt in sent}
     violations = [f"unasked: {each} ran" for each in sorted(runs.keys() - known)]
     for attempt in sent:
         ran = runs.get(attempt.attempt_id, 0)
         violations += [
             f"{fault}: {attempt.attempt_id}"
-            for fault in _attempt_violations(attempt, ran)
+            for fault in _attempt_violations(attempt, ran, folder)
         ]
     return violations
 
 
-def _attempt_violations(attempt: SentAttempt, ran: int) -> list[str]:
+def _attempt_violations(attempt: SentAttempt, ran: int, folder: Path) -> list[str]:
     violations = []
     if attempt.kind == ORDER and ran > 1:
         violations.append(f"doubled, {ran} runs")
-    if attempt.must_end and not attempt.status and ran:
-        violations.append("read, run and closed without an answer")
+    if attempt.must_end and not attempt.status and (ran or _is_read(attempt, folder)):
+        violations.append("read and closed without an answer")
     if attempt.status in NOT_RUN_STATUSES and ran:
         violations.append(f"called not run with {attempt.status}, {ran} runs")
     if attempt.status == 200 and attempt.is_whole:
@@ -66,6 +77,15 @@
     return violations
 
 
+def _is_read(attempt: SentAttempt, folder: Path) -> bool:
+    """Return whether an entry held a request and its log does not rule out a read."""
+    if attempt.took_ms <= CROSSING_MS:
+        return False
+    log = (folder / f"{attempt.entry}.out").read_text()
+    # Every request that is read is named at its end, unless the process ends first.
+    return f'"{attempt.attempt_id}"' in log or not STOPPED_IDLE.search(log)
+
+
 def served_share(sent: list[SentAttempt], kind: str) -> float:
     """Return the share of the attempts of a kind with a complete 200 answer."""
     of_kind = [attempt for attempt in sent if attempt.kind == kind]
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -1,9 +1,12 @@
 """Test the checks with planted violations, and run some seeds of the soak."""
 
+import os
 from pathlib import Path
 
 import pytest
 
+from tests.processes import SOURCE
+from tests.site.rolling_checks import CROSSING_MS
 from tests.site.soak import PLANS, run_seed
 from tests.site.soak_checks import (
     DRAFT,
@@ -26,26 +29,51 @@
 )
 
 
+# Ends a stopping entry with whatever it has in progress.
+EARLY_EXIT = """
+import os, signal, threading
+
+set_handler = signal.signal
+
+
+def plant(number, handler):
+    def stop(*arguments):
+        threading.Timer(0.5, os._exit, (0,)).start()
+        handler(*arguments)
+
+    planted = number == signal.SIGTERM and callable(handler)
+    return set_handler(number, stop if planted else handler)
+
+
+signal.signal = plant
+"""
+
+
 def answered(kind: str, body: bytes = b"answer to a") -> SentAttempt:
     """Return an attempt with a complete, signed answer of status 200."""
     return SentAttempt("a", kind, 200, body, True, True)
 
 
+def closed_after(took_ms: int) -> SentAttempt:
+    """Return an attempt on a kept connection that was closed without an answer."""
+    return SentAttempt(
+        "a", ORDER, 0, b"", False, False, True, "entry-0", took_ms=took_ms
+    )
+
+
 class TestChecks:
     """Each check finds its kind of violation."""
 
-    def test_accepts_correct_answers(self) -> None:
-        assert find_violations([answered(LOOKUP)], {"a": 2}) == []
-        assert find_violations([answered(ORDER)], {"a": 1}) == []
-        assert find_violations([answered(DRAFT, whole_stream())], {"a": 1}) == []
-        closed = SentAttempt("a", ORDER, 0, b"", False, False, must_end=True)
-        assert find_violations([closed], {}) == []
+    def test_accepts_correct_answers(self, tmp_path: Path) -> None:
+        assert find_violations([answered(LOOKUP)], {"a": 2}, tmp_path) == []
+        assert find_violations([answered(ORDER)], {"a": 1}, tmp_path) == []
+        stream = answered(DRAFT, whole_stream())
+        assert find_violations([stream], {"a": 1}, tmp_path) == []
+        assert find_violations([closed_after(0)], {}, tmp_path) == []
         cut = SentAttempt("a", ORDER, 200, b"answ", False, True)
-        assert find_violations([cut], {"a": 1}) == []
-        assert (
-            find_violations([SentAttempt("a", ORDER, 502, b"", True, False)], {"a": 1})
-            == []
-        )
+        assert find_violations([cut], {"a": 1}, tmp_path) == []
+        failed = SentAttempt("a", ORDER, 502, b"", True, False)
+        assert find_violations([failed], {"a": 1}, tmp_path) == []
 
     @pytest.mark.parametrize(
         ("attempt", "runs", "expected"),
@@ -61,11 +89,7 @@
                 {"a": 1},
                 "called not run",
             ),
-            (
-                SentAttempt("a", ORDER, 0, b"", False, False, must_end=True),
-                {"a": 1},
-                "closed without an answer",
-            ),
+            (closed_after(0), {"a": 1}, "closed without an answer"),
             (answered(LOOKUP, b"answer to b"), {"a": 1}, "crossed or cut"),
             (answered(DRAFT, whole_stream()[:-9]), {"a": 1}, "crossed or cut"),
             (answered(DRAFT, whole_stream() * 2), {"a": 1}, "crossed or cut"),
@@ -75,9 +99,32 @@
         ],
     )
     def test_finds_planted_violation(
-        self, attempt: SentAttempt, runs: dict[str, int], expected: str
+        self,
+        attempt: SentAttempt,
+        runs: dict[str, int],
+        expected: str,
+        tmp_path: Path,
     ) -> None:
-        assert any(expected in each for each in find_violations([attempt], runs))
+        violations = find_violations([attempt], runs, tmp_path)
+        assert any(expected in each for each in violations)
+
+    @pytest.mark.parametrize(
+        ("log", "took_ms", "is_read"),
+        [
+            ('{"request_id":"a"}\n{"event":"stopped","in_progress":0}\n', 500, True),
+            ('{"event":"stopped","in_progress":1}\n', 500, True),
+            ("", 500, True),
+            ('{"event":"stopped","in_progress":0}\n', 500, False),
+            ("", CROSSING_MS, False),
+        ],
+        ids=["named", "left in progress", "ended early", "never read", "crosses"],
+    )
+    def test_finds_requests_that_were_read_and_never_run(
+        self, log: str, took_ms: int, is_read: bool, tmp_path: Path
+    ) -> None:
+        (tmp_path / "entry-0.out").write_text(log)
+        violations = find_violations([closed_after(took_ms)], {}, tmp_path)
+        assert violations == ["read and closed without an answer: a"] * is_read
 
     def test_share_that_is_served(self) -> None:
         refused = SentAttempt("b", LOOKUP, 503, b"", True, False)
@@ -101,3 +148,13 @@
     def test_no_guarantee_is_violated(self, seed: int, tmp_path: Path) -> None:
         violations, ends = run_seed(seed, tmp_path)
         assert violations == [], (seed, ends)
+
+    def test_finds_entries_that_end_with_requests_in_progress(
+        self, tmp_path: Path
+    ) -> None:
+        plant = tmp_path / "plant"
+        plant.mkdir()
+        (plant / "sitecustomize.py").write_text(EARLY_EXIT)
+        source = os.pathsep.join((str(plant), str(SOURCE)))
+        violations, ends = run_seed(SEED, tmp_path, entry_source=source)
+        assert any("closed without an answer" in each for each in violations), ends
