Measure the handover of a stage from what the stand-in did

Seen once beside 4 busy processes: a stream took 5.5 s where 4.8 s are allowed, and the stage server's stand-in had worked for 5.4 s on its call of 4.0 s. The product's part was 0.1 s.

Cause: the bound of 0.8 s is for what a change of owner adds, but the test counted from the length that the stand-in was told, so that its own lateness was taken for the product's.

Change: the test takes the time that the call was worked on from the stand-in's ledger, and allows the same 0.8 s in addition, from the request to the whole answer. It is as strict on the product: the time before the call arrives and after it ended counts in full. New, and stricter: both pieces are made in exactly one call.

--- a/tests/site/test_stopping_stages.py
+++ b/tests/site/test_stopping_stages.py
@@ -128,6 +128,11 @@
         servers = self.fleet.send_control("/ledger")["servers"]
         return sum(int(servers[name]["made"]) for name in BOOKS)
 
+    def stage_calls(self) -> list[dict[str, Any]]:
+        """Return the calls that the stage servers have had."""
+        servers = self.fleet.send_control("/ledger")["servers"]
+        return [call for name in BOOKS for call in servers[name]["calls"]]
+
     def busy_stage_server(self) -> str:
         """Return the stage server that has a call in progress."""
         servers = self.fleet.send_control("/ledger")["servers"]
@@ -314,7 +319,15 @@
         call_s = 4.0
         sent = self.begin(site, call_s * 1_000)
         site.stop(OWNER)
-        self.assert_in_time(site, sent, call_s)
+        ended = site.assert_served(sent)
+        calls = site.stage_calls()
+        assert [call["pieces"] for call in calls] == [PIECES]
+        # On a busy machine the stand-in works longer than it was told to.
+        worked_s = (calls[0]["ended_ms"] - calls[0]["began_ms"]) / 1_000
+        extra_s = ended.took_s - worked_s
+        site.record("worked_s", worked_s)
+        site.record("extra_s", round(extra_s, 3))
+        assert extra_s < HANDOVER_S
         assert site.made() == PIECES
         site.assert_ended(OWNER)
 
