--- a/tests/core/waiting/test_shutdown.py
+++ b/tests/core/waiting/test_shutdown.py
@@ -13,6 +13,7 @@
         assert shutdown.out_of_rotation_ms == 4_000
         assert shutdown.ends_ms == 8_750
         assert shutdown.ends_ms < shutdown.exits_ms < 1_000 + GRACE_MS
+        assert shutdown.exits_ms < shutdown.exits_at_latest_ms < 1_000 + GRACE_MS
 
     def test_late_signal_handler_counts_the_grace_period_from_the_signal(self) -> None:
         late = plan_shutdown(1_000, 1_900, GRACE_MS, 0)
