Give the idle loop of a test the timers that the run of a loop wraps

test_signals_are_handled_before_that_of_a_site failed since: the stand-in for a reactor had no runUntilCurrent. Nothing about the product; the check is unchanged.

--- a/tests/standin/test_process.py
+++ b/tests/standin/test_process.py
@@ -33,6 +33,9 @@
     def stop(self) -> None:
         """Do nothing."""
 
+    def runUntilCurrent(self) -> None:  # noqa: N802
+        """Do nothing: no timer is due."""
+
     def run(self, installSignalHandlers: bool = True) -> None:  # noqa: N803
         """Return at once."""
 
