--- a/tests/programs/test_stopping.py
+++ b/tests/programs/test_stopping.py
@@ -425,9 +425,13 @@
         with raw_connection(fleet.addresses[FIRST]) as caller:
             caller.sendall(draft_bytes("drained"))
             wait_until_running(fleet, FIRST, "drained")
+            admin = fleet.addresses[ADMIN]
+            wait_until(
+                lambda: operate(admin, "/readyz").status == 200, "admin is ready"
+            )
             for _ in range(2):
                 order = {"process": FIRST}
-                drained = operate(fleet.addresses[ADMIN], "/v1/drain", document=order)
+                drained = operate(admin, "/v1/drain", document=order)
                 assert drained.status == 202
             reply = read_answer(caller)
         assert reply.status == 200
