--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -113,7 +113,7 @@
     return outcome
 
 
-def pass_on(planner: Planner, moved: MovedPiece) -> MovedPiece | None:
+def forward_moved(planner: Planner, moved: MovedPiece) -> MovedPiece | None:
     """Return a piece for the next planner, None if its ask was not handed over."""
     state = planner.asks.get(moved.ask_id)
     is_here = state is not None and not state.is_moved
--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -95,7 +95,7 @@
 
 
 def take_back(pipeline: Pipeline, now_ms: int) -> int:
-    """Continue the asks that were handed over in vain; return their number."""
+    """Resume asks whose handover was not acknowledged; return their number."""
     taken = 0
     for planner in pipeline.planners.values():
         for state in planner.asks.values():
--- a/src/bramleyturn/core/waiting/run_times.py
+++ b/src/bramleyturn/core/waiting/run_times.py
@@ -1,7 +1,7 @@
 """Tell which requests can end before a shutdown, from how long recent ones took.
 
 Load pattern handled here: all instances restart in turn while streams arrive. A stream
-that is begun too late is cut, and its caller has waited in vain; refused at once, the
+that is begun too late is cut, after its caller has waited for it; refused at once, the
 caller still has time to retry at another instance. Callers that come while the instance
 is in rotation often find no other, so theirs are begun if they are likely to end in
 time. Later ones must be almost certain to.
@@ -14,8 +14,7 @@
 from bramleyturn.core.waiting.shutdown import Shutdown
 
 RECENT_RUNS: Final = 32
-# Runs differ in length and engines in load: of 6,024 streams, 2 % took longer than this
-# many times the longest of the 32 before them or the latency target.
+# Run times vary with the length of requests and the load of engines.
 SAFETY_FACTOR: Final = 2
 
 
@@ -58,8 +57,8 @@
 ) -> bool:
     """Return whether another instance should serve a request that was read late.
 
-    A stream may take longer than any before it, and is cut then. If the caller finds
-    another instance in its zone, it loses less by being refused at once.
+    A stream may take longer than any before it, and is cut then. If the
+    zone has another instance, an immediate refusal lets the caller retry there.
     """
     is_late = arrived_ms >= shutdown.out_of_rotation_ms
     return is_late and is_stream and has_alternative
--- a/src/bramleyturn/core/waiting/shutdown.py
+++ b/src/bramleyturn/core/waiting/shutdown.py
@@ -10,7 +10,7 @@
 LEAVE_ROTATION_MS: Final = 3_000
 # Requests still in progress are answered this long before the process is killed, and
 # the process ends later, when the answers have been sent.
-ANSWER_MARGIN_MS: Final = 250
+END_MARGIN_MS: Final = 250
 EXIT_MARGIN_MS: Final = 80
 # A process whose loop is late answers until this long before it is killed.
 LATEST_EXIT_MARGIN_MS: Final = 20
@@ -45,7 +45,7 @@
     ``loop_delay_ms`` how late the event loop was at most before that.
     """
     killed_ms = asked_ms + grace_ms
-    margin_ms = ANSWER_MARGIN_MS + min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
+    margin_ms = END_MARGIN_MS + min(loop_delay_ms, MAX_DELAY_MARGIN_MS)
     return Shutdown(
         out_of_rotation_ms=asked_ms + LEAVE_ROTATION_MS,
         closes_idle_ms=now_ms + LEAVE_ROTATION_MS,
--- a/src/bramleyturn/gateway/held_bodies.py
+++ b/src/bramleyturn/gateway/held_bodies.py
@@ -8,7 +8,7 @@
 
 from bramleyturn.gateway.answer_bounds import MAX_BODY_BYTES
 
-# Two of the largest bodies; with the one that is read on, three.
+# The body that is read on is not among them.
 MAX_HELD_BYTES: Final = 2 * MAX_BODY_BYTES
 # A body up to this size, the bound of an event, is always read on.
 SMALL_BODY_BYTES: Final = 1024 * 1024
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -54,7 +54,7 @@
 from bramleyturn.runtime.timers import stop_timer
 
 # Time for an answer to reach the caller before its deadline.
-ANSWER_MARGIN_MS: Final = 15
+DEADLINE_MARGIN_MS: Final = 15
 NO_CONFIGURATION_RETRY_AFTER_MS: Final = 500
 # Other instances can serve the request at once.
 STOPPING_RETRY_AFTER_MS: Final = 100
@@ -86,7 +86,7 @@
         self.serving.in_progress += 1
         work = Deferred.fromCoroutine(self._serve(admitted))
         left_ms = max(
-            1, admitted.deadline_ms - self.serving.now_ms() - ANSWER_MARGIN_MS
+            1, admitted.deadline_ms - self.serving.now_ms() - DEADLINE_MARGIN_MS
         )
         timer = self.serving.reactor.callLater(
             left_ms / MS_PER_S, self._time_out, admitted, work
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -10,8 +10,8 @@
     call_ended,
     call_failed,
     fail_asks,
+    forward_moved,
     isolate_asks,
-    pass_on,
     take_moved,
 )
 from bramleyturn.core.pieces.handover import (
@@ -136,9 +136,9 @@
         planner = self._planner(moved.pool)
         if planner is None:
             return
-        passed_on = pass_on(planner, moved) if self.successor else None
-        if passed_on is not None:
-            self.links.send(self.successor, encode_moved(passed_on))
+        forwarded = forward_moved(planner, moved) if self.successor else None
+        if forwarded is not None:
+            self.links.send(self.successor, encode_moved(forwarded))
         else:
             now_ms = self.serving.now_ms()
             self._apply(planner, take_moved(planner, moved, now_ms))
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -41,8 +41,7 @@
 
 # The bound of one message by default in NATS (max_payload).
 MAX_LINE_BYTES: Final = 1024 * 1024
-# Eight of them.
-MAX_OUTPUT_BYTES: Final = 8 * 1024 * 1024
+MAX_OUTPUT_BYTES: Final = 8 * MAX_LINE_BYTES
 # The bound in Go's net/http on a body that is read to keep its connection.
 MAX_REFUSAL_BYTES: Final = 256 * 1024
 CANCEL_TIMEOUT_MS: Final = 1_000
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -36,7 +36,7 @@
 # The interim answers and the head of one answer, together: the longest line that
 # CPython's http.client reads.
 MAX_HEAD_BYTES: Final = 64 * 1024
-# Sixteen times the bound of one message by default in NATS (max_payload).
+# The bound of one message by default in NATS (max_payload), for 16 messages.
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 HeaderMap = dict[bytes | str, bytes | str]
 
@@ -270,15 +270,15 @@
 async def read_body(url: str, response: Any) -> bytes:
     """Read the body of an answer; close its connection if it exceeds the bound."""
     parts: list[bytes] = []
-    told = response.length if isinstance(response.length, int) else 0
+    declared_bytes = response.length if isinstance(response.length, int) else 0
     size = 0
 
     def collect(data: bytes) -> None:
         nonlocal size
         size += len(data)
-        if max(size, told) > MAX_ANSWER_BYTES:
+        if max(size, declared_bytes) > MAX_ANSWER_BYTES:
             parts.clear()
-            log_over_bound(url, "body", max(size, told))
+            log_over_bound(url, "body", max(size, declared_bytes))
             raise OverBoundError(f"more than {MAX_ANSWER_BYTES} bytes")
         parts.append(data)
 
--- a/src/bramleyturn/runtime/listening_port.py
+++ b/src/bramleyturn/runtime/listening_port.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-MAX_ACCEPTED_AT_CLOSE: Final = 64
+MAX_ACCEPT_ROUNDS: Final = 64
 # From the headers of Linux: a socket option that Python has no name for, and the size
 # of an instruction of the classic packet filter.
 SO_ATTACH_FILTER: Final = 26
@@ -65,7 +65,7 @@
 
     Closing the port would reset them, whatever they have sent.
     """
-    for _ in range(MAX_ACCEPTED_AT_CLOSE):
+    for _ in range(MAX_ACCEPT_ROUNDS):
         before = accepted()
         port.doRead()
         if accepted() == before:
--- a/tests/core/pieces/test_handover.py
+++ b/tests/core/pieces/test_handover.py
@@ -5,7 +5,7 @@
     MAX_HOPS,
     call_ended,
     call_failed,
-    pass_on,
+    forward_moved,
     take_moved,
 )
 from bramleyturn.core.pieces.handover import hand_over, take_back, take_over
@@ -118,10 +118,10 @@
             moved += call_ended(old, call.call_id, made, 300).moved
         done = []
         for each in moved:
-            passed_on = pass_on(second, each)
-            assert passed_on is not None
-            assert pass_on(third, passed_on) is None
-            done += take_moved(third, passed_on, 310).done
+            forwarded = forward_moved(second, each)
+            assert forwarded is not None
+            assert forward_moved(third, forwarded) is None
+            done += take_moved(third, forwarded, 310).done
         assert [len(each.handles) for each in done] == [6]
 
     def test_result_is_used_by_a_planner_that_did_not_await_it(self) -> None:
@@ -147,10 +147,10 @@
         ]
         assert plan(whole, 20)[POOL].calls == []
 
-    def test_pieces_are_not_passed_on_forever(self) -> None:
+    def test_pieces_are_not_forwarded_forever(self) -> None:
         _, planner = pipeline()
         moved = MovedPiece(POOL, "r.0", 0, "h", "s", "z", MAX_HOPS)
-        assert pass_on(planner, moved) is None
+        assert forward_moved(planner, moved) is None
 
     def test_calls_in_progress_do_not_hand_over_the_servers_again(self) -> None:
         before, old = pipeline()
