Ignore SIGHUP too while Python ends

Cause: as with SIGTERM, Python puts a handled SIGHUP back to its default while it ends, and the platform's SIGHUP came in that moment.

Change: run_loop ignores it as well after the loop; the fixture of a test that runs a program in its own process puts it back.

Measured: the test, which now sends either signal until the process is gone, failed before with -1 for SIGHUP, and passes.

--- a/src/bramleyturn/runtime/event_loop.py
+++ b/src/bramleyturn/runtime/event_loop.py
@@ -26,5 +26,5 @@
     loop.run(installSignalHandlers=False)
     # While Python ends, a handled signal would kill the process; an ignored one does
     # not.
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
--- a/tests/site/test_late_loop.py
+++ b/tests/site/test_late_loop.py
@@ -87,13 +87,15 @@
 
 
 class TestFurtherSignals:
-    """SIGTERM comes again and again until the process is gone."""
+    """A signal comes again and again until the process is gone."""
 
+    @pytest.mark.parametrize("further", [signal.SIGTERM, signal.SIGHUP])
     def test_entry_that_ended_by_itself_has_no_other_exit_code(
-        self, fleet: SiteFleet
+        self, fleet: SiteFleet, further: signal.Signals
     ) -> None:
         process = fleet.entries[0].process
+        process.send_signal(signal.SIGTERM)
         while process.poll() is None:
-            process.send_signal(signal.SIGTERM)
+            process.send_signal(further)
             time.sleep(0.001)
         assert process.returncode == 0
--- a/tests/standin/test_process.py
+++ b/tests/standin/test_process.py
@@ -43,7 +43,8 @@
 @pytest.fixture
 def ready_line() -> Iterator[ReadyLine]:
     """Return a standard output, and put the signal handlers back afterwards."""
-    before = {each: signal.getsignal(each) for each in (signal.SIGTERM, signal.SIGINT)}
+    changed = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    before = {each: signal.getsignal(each) for each in changed}
     signal.signal(signal.SIGTERM, signal.SIG_DFL)
     yield ReadyLine()
     for number, handler in before.items():
