Name the length that a head declares, and say when the process exits

Cause: told_length was left by, and a docstring was no sentence. Change: names and a docstring only; callers see nothing.

--- a/src/bramleyturn/gateway/answer_bounds.py
+++ b/src/bramleyturn/gateway/answer_bounds.py
@@ -40,7 +40,7 @@
     BODY = "body"
 
 
-def told_length(framing: Framing, headers: Headers) -> int:
+def declared_length(framing: Framing, headers: Headers) -> int:
     """Return the length that a head states for its body, 0 if none."""
     if framing is not Framing.LENGTH:
         return 0
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -23,7 +23,7 @@
     MAX_BODY_BYTES,
     MAX_UNUSED_BODY_BYTES,
     Bound,
-    told_length,
+    declared_length,
 )
 from bramleyturn.gateway.calls import CallFailed, connect, peer_of
 from bramleyturn.gateway.connection_pool import ConnectionPool
@@ -127,7 +127,7 @@
         )
         if not is_passed_on:
             self.max_bytes = MAX_UNUSED_BODY_BYTES
-        length = told_length(framing, headers)
+        length = declared_length(framing, headers)
         if not self.is_stream and length > self.max_bytes:
             self.connection.end_at_bound(Bound.BODY, length)
 
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -15,7 +15,7 @@
     MAX_BODY_BYTES,
     MAX_UNUSED_BODY_BYTES,
     Bound,
-    told_length,
+    declared_length,
 )
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
@@ -80,7 +80,7 @@
         self.framing = framing
         if status != STATUS_OK:
             self.max_bytes = MAX_UNUSED_BODY_BYTES
-        length = told_length(framing, headers)
+        length = declared_length(framing, headers)
         if length > self.max_bytes:
             self.connection.end_at_bound(Bound.BODY, length)
 
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -309,7 +309,7 @@
         serving.reactor.callLater(interval_s, self.check_stopped, shutdown)
 
     def exit(self, shutdown: Shutdown) -> None:
-        """End the process once everything that arrived is answered, or the time is."""
+        """End the process once all that arrived is answered, or at the latest time."""
         self.end_requests()
         is_latest = self.serving.now_ms() >= shutdown.exits_at_latest_ms
         if not is_latest and not (self.is_idle() and self.front.has_read_all()):
