--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -4,7 +4,7 @@
 
 from bramleyturn.core.answer_end import EndVerdict
 from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.catalog.prompt import own_tokens
+from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
 from bramleyturn.core.catalog.server_registry import is_ready
 from bramleyturn.core.event_splitter import StreamEvent
 from bramleyturn.core.placement.choice import (
@@ -217,6 +217,7 @@
                 "server": server.id,
                 "attempt": len(request.tried),
                 "fingerprint": request.fingerprint,
+                "prompt_parts": logged_parts(request.head.prompt),
                 "outcome": kind,
                 "detail": detail,
                 "took_ms": now_ms - sent_ms,
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from bramleyturn.core.catalog.model import RouteKind
-from bramleyturn.core.catalog.prompt import own_tokens
+from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.placement.verdicts import FIRST_SERVER_ERROR, is_safe_to_retry
 from bramleyturn.core.retry.shared_budget import note_request, take_retry
@@ -381,6 +381,7 @@
                 "route": request.route.name,
                 "caller": request.exchange.connection.caller_address(),
                 "fingerprint": request.fingerprint,
+                "prompt_parts": logged_parts(request.head.prompt),
                 "prompt_tokens": request.head.prompt_tokens,
                 "output_tokens": request.head.output_tokens,
                 "own_tokens": own_tokens(request.head.prompt),
