Reproduce the requests that crash servers by a prompt part they share (red)

Callers saw 502, and other requests on the same engines broken streams, for as long as requests with that part came. The stand-ins' engines can now crash when they begin to write an answer on a part.

--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -14,6 +14,11 @@
 
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.exchange import Exchange, Headers
+from bramleyturn.standin.site.crashing_parts import (
+    CrashingParts,
+    CrashPoint,
+    has_crashing_part,
+)
 from bramleyturn.standin.site.deployment import PoolPlan
 from bramleyturn.standin.site.raw_answers import (
     AnswerShape,
@@ -86,7 +91,8 @@
     ``endless`` has the bytes and the time until its close of each answer without end.
 
     ``answer_bytes`` is the least size of a plain answer's body, ``event_bytes`` that of
-    an event's text. An engine sends its first event after ``start_ms``.
+    an event's text. An engine sends its first event after ``start_ms``, and crashes on
+    ``crashing_parts``.
     """
 
     def __init__(
@@ -111,6 +117,7 @@
         self.processing_ms = plan["work_ms"]
         self.gap_ms = plan["gap_ms"][0]
         self.start_ms = 0
+        self.crashing_parts = CrashingParts()
         self.answer_bytes = 0
         self.event_bytes = plan["event_bytes"]
         self.ran: list[RunRecord] = []
@@ -152,6 +159,7 @@
 def engine_handler(server: SiteServer) -> Callable[[Exchange], None]:
     """Return the request handler of an engine, which streams events."""
     plan = server.plan
+    started = server.starts
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
@@ -172,6 +180,9 @@
         server.running += 1
         headers = _answer_headers(server, ran.attempt_id)
         headers.append((b"Content-Type", b"text/event-stream"))
+        if has_crashing_part(server.crashing_parts, exchange):
+            begin_and_crash(exchange, headers, ran.attempt_id)
+            return
         if _is_endless(server, exchange, headers, _event(first)):
             return
         if server.shape is not None:
@@ -189,6 +200,20 @@
         else:
             send(exchange, ran, first, events)
 
+    def begin_and_crash(exchange: Exchange, headers: Headers, attempt_id: str) -> None:
+        crashing = server.crashing_parts
+        if crashing.point is not CrashPoint.NOTHING:
+            exchange.start(200, headers)
+        if crashing.point is CrashPoint.EVENT:
+            exchange.send(_event(0, text_bytes=server.event_bytes))
+
+        def crash() -> None:
+            if server.starts == started:
+                server.crashed_by.append(attempt_id)
+                server.crash()
+
+        server.reactor.callLater(crashing.after_ms / MS_PER_S, crash)
+
     def send_raw(raw: RawAnswer, stream: list[bytes], number: int, middle: int) -> None:
         point = raw.shape.break_point
         is_middle = number >= middle
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -1,9 +1,9 @@
 """Run a small site of stand-ins on one address, controlled by a test.
 
-The control address accepts `POST /fault`, `/crash`, `/swap` (two servers crash and
-start again at each other's address), `/restarts`, `/leave`, `/remove`, `/deafen` (a
-server accepts no more connections), `/store` and `/configuration`, and answers
-`GET /ledger`.
+The control address accepts `POST /fault`, `/crash`, `/crashing-parts` (engines crash
+when they begin to write an answer on one of them), `/swap` (two servers crash and start
+again at each other's address), `/restarts`, `/leave`, `/remove`, `/deafen` (a server
+accepts no more connections), `/store` and `/configuration`, and answers `GET /ledger`.
 """
 
 from collections.abc import Callable, Mapping
@@ -16,6 +16,7 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_server import HttpServer
+from bramleyturn.standin.site.crashing_parts import read_crashing_parts
 from bramleyturn.standin.site.deployment import (
     SMALL_SITE,
     Deployment,
@@ -229,6 +230,9 @@
             server.event_bytes = body.get("event_bytes", server.plan["event_bytes"])
         elif target == "/crash":
             site.servers[body["server"]].crash()
+        elif target == "/crashing-parts":
+            for server in site.servers.values():
+                server.crashing_parts = read_crashing_parts(body)
         elif target == "/swap":
             one, other = (site.servers[name] for name in body["servers"])
             one.address, other.address = other.address, one.address
