Withhold requests with a prompt part on which servers crash, on the users' platform

Cause: the belief was held for one request. A crash was known by the digest of workspace, target and body, which is another one for each request. What many requests share, the parts of their prompts, was not looked at.

Change: each crash has the parts that were on the server. A part of which no request has finished since is blamed after three crashes one after another, of different requests. Sound parts beside it have finished, many servers that crash at once count as one crash, and the part with most crashes explains them for the others. Instances tell each other which parts were there, and which have finished since or before. It is withheld from the workspaces whose requests crashed servers, from all if there are two; a success ends that, or 10 minutes, four times as long after each further crash.

--- /dev/null
+++ b/src/bramleyturn/core/poison_parts.py
@@ -0,0 +1,279 @@
+"""Find poison parts: parts of prompts or inputs on which servers crash.
+
+Requests that are all different may share such a part, so that none of them is ever
+known from before. What tells the part from the others in the same requests:
+
+- A crash counts against a part that was on the server and of which no request has
+  finished since. Parts of sound requests finish again and again, anywhere.
+- Crashes count one after another: of several servers that crash at the same moment
+  one counts, unless a request was sent to another when the first crash was known.
+- The part with the most crashes explains them for the others, and one of which no
+  request has ever finished does so before one that was known as sound.
+- A request that was on all of these servers explains them without its parts.
+- Many parts with the same crashes show that servers crash, not on which part.
+
+A part is withheld from the workspaces whose requests were on the servers; from all of
+them once there are two, so that no workspace can get another's part withheld.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from itertools import starmap
+from random import Random
+from typing import Final, NamedTuple
+
+from bramleyturn.core.poison import (
+    MAX_HINTS,
+    Crash,
+    CrashHint,
+    PartMark,
+    PoisonPart,
+    RequestNames,
+    Suspects,
+    request_name,
+    unfinished_names,
+)
+
+# Crashes one after another on a part of which no request has ever finished.
+QUARANTINE_DEPTH: Final = 3
+MIN_CRASHES: Final = QUARANTINE_DEPTH
+# The same for a part of which requests had finished before.
+SOUND_QUARANTINE_DEPTH: Final = 5
+# Crashes, at the same moment or not, that count if there was another one later.
+MANY_CRASHES: Final = 5
+MANY_CRASHES_DEPTH: Final = 2
+# Parts that may be blamed for the same crashes.
+MAX_TIED_PARTS: Final = 4
+WORKSPACES_TO_WITHHOLD_FROM_ALL: Final = 2
+# Newest crashes that are sent to peers each time.
+NEWEST_HINTS: Final = MAX_HINTS // 2
+# Marks of a crash that are sent at once.
+MAX_SENT_MARKS: Final = 32
+FIRST_QUARANTINE_MS: Final = 600_000
+QUARANTINE_GROWTH: Final = 4
+MAX_QUARANTINE_MS: Final = 43_200_000
+
+
+class Strength(NamedTuple):
+    """Count the crashes on a part: one after another, and in all."""
+
+    depths: int
+    crashes: int
+
+
+class Evidence(NamedTuple):
+    """Hold the depths of the crashes that count against a part, by their place."""
+
+    depths: dict[int, int]
+    is_known_sound: bool
+
+
+def next_depth(suspects: Suspects, part: str) -> int:
+    """Return the depth of the mark that a request with the part leaves now."""
+    if part not in unfinished_names(suspects):
+        return 1
+    return 1 + max(
+        mark.depth
+        for crash in suspects.crashes
+        for mark in crash.parts
+        if mark.part == part and part not in crash.finished
+    )
+
+
+def find_poison_parts(suspects: Suspects) -> dict[str, PoisonPart]:
+    """Return all poison parts, also those whose quarantine is over."""
+    if suspects.poison_parts is None or suspects.poison_parts[0] != suspects.changes:
+        found = _find_poison_parts(suspects.crashes)
+        suspects.poison_parts = (suspects.changes, found)
+        suspects.blamed_parts = frozenset(found)
+    return suspects.poison_parts[1]
+
+
+def part_marks(suspects: Suspects, names: RequestNames) -> tuple[PartMark, ...]:
+    """Return the marks that a request leaves on a server, when it is sent there."""
+    request = request_name(names.fingerprint)
+    return tuple(
+        PartMark(part, names.workspace, next_depth(suspects, part), request)
+        for part in names.parts
+    )
+
+
+def quarantined_part(
+    suspects: Suspects, names: RequestNames, now_ms: int
+) -> PoisonPart | None:
+    """Return the part for which a request must not be sent, if any."""
+    if unfinished_names(suspects).isdisjoint(names.parts):
+        return None
+    found = find_poison_parts(suspects)
+    for part in names.parts:
+        poison = found.get(part)
+        if poison is None or poison.until_ms <= now_ms:
+            continue
+        is_from_many = len(poison.workspaces) >= WORKSPACES_TO_WITHHOLD_FROM_ALL
+        if is_from_many or names.workspace in poison.workspaces:
+            return poison
+    return None
+
+
+def choose_part_hints(
+    suspects: Suspects, random: Random, max_marks: int, now_ms: int
+) -> tuple[CrashHint, ...]:
+    """Return crashes with some marks of each, to send to peers at intervals.
+
+    Crashes on poison parts go first, then the newest and a random choice of others.
+    """
+    poison = find_poison_parts(suspects).keys()
+    marked = [crash for crash in suspects.crashes if crash.parts]
+    reasons = [
+        crash
+        for crash in marked
+        if any(mark.part in poison and _counts(crash, mark) for mark in crash.parts)
+    ]
+    chosen = dict.fromkeys([*reasons[: -MAX_HINTS // 2 : -1], *marked[-NEWEST_HINTS:]])
+    others = [crash for crash in marked if crash not in chosen]
+    count = max(0, min(len(others), MAX_HINTS - len(chosen)))
+    chosen |= dict.fromkeys(random.sample(others, count))
+    crashes_of = _count_crashes(marked)
+    hints = []
+    left = max_marks
+    for index, crash in enumerate(list(chosen)[:MAX_HINTS]):
+        most = left // (min(len(chosen), MAX_HINTS) - index)
+        marks = _choose_marks(crash, crashes_of, random, most)
+        left -= len(marks)
+        hints.append(_part_hint(crash, marks, now_ms))
+    return tuple(hints)
+
+
+def most_shared_marks(crash: Crash, crashes: Iterable[Crash]) -> Crash:
+    """Return a crash without the marks that are too many to send to a peer."""
+    if len(crash.parts) <= MAX_SENT_MARKS:
+        return crash
+    marks = _choose_marks(crash, _count_crashes(crashes), Random(0), MAX_SENT_MARKS)
+    return crash._replace(parts=frozenset(marks))
+
+
+def _count_crashes(crashes: Iterable[Crash]) -> Counter[str]:
+    """Count the crashes that count against each part."""
+    return Counter(
+        part
+        for crash in crashes
+        for part in {mark.part for mark in crash.parts} - crash.finished
+    )
+
+
+def _choose_marks(
+    crash: Crash, crashes_of: Counter[str], random: Random, most: int
+) -> list[PartMark]:
+    """Return the marks of parts with most crashes, and some of parts that finished."""
+    marks = sorted(crash.parts)
+    random.shuffle(marks)
+    counted = [mark for mark in marks if _counts(crash, mark)]
+    counted.sort(key=lambda mark: -crashes_of[mark.part])
+    finished = [mark for mark in marks if not _counts(crash, mark)]
+    of_finished = min(len(finished), most // 3)
+    of_counted = min(len(counted), most - of_finished)
+    return counted[:of_counted] + finished[: most - of_counted]
+
+
+def _counts(crash: Crash, mark: PartMark) -> bool:
+    return mark.part not in crash.finished
+
+
+def _part_hint(crash: Crash, marks: list[PartMark], now_ms: int) -> CrashHint:
+    names = {mark.part for mark in marks}
+    return CrashHint(
+        crash.server,
+        (),
+        max(0, now_ms - crash.at_ms),
+        tuple(sorted(crash.finished & names)),
+        tuple(marks),
+        tuple(sorted(crash.sound & names)),
+    )
+
+
+def _find_poison_parts(crashes: list[Crash]) -> dict[str, PoisonPart]:
+    """Blame the strongest parts first; what explains a crash explains it for others."""
+    evidence = _evidence(crashes)
+    found: dict[str, PoisonPart] = {}
+    explained: set[int] = set()
+    for is_known_sound in (False, True):
+        left = {
+            part: each.depths
+            for part, each in evidence.items()
+            if each.is_known_sound is is_known_sound
+        }
+        while left:
+            strength, tied = _strongest(left, explained)
+            most_tied = _max_tied(strength, is_known_sound)
+            if not most_tied:
+                break
+            blamed = {part: left.pop(part).keys() - explained for part in tied}
+            crashes_on = {
+                part: [crashes[place] for place in sorted(places)]
+                for part, places in blamed.items()
+            }
+            is_due_to_request = any(starmap(_has_one_request, crashes_on.items()))
+            if len(tied) <= most_tied and not is_due_to_request:
+                found |= {part: _poison_part(part, crashes_on[part]) for part in tied}
+            explained.update(*blamed.values())
+    return found
+
+
+def _has_one_request(part: str, crashes: Iterable[Crash]) -> bool:
+    """Return whether one request with the part was on all of the servers."""
+    requests = [
+        {mark.request for mark in crash.parts if mark.part == part} for crash in crashes
+    ]
+    return bool(set.intersection(*requests))
+
+
+def _evidence(crashes: list[Crash]) -> dict[str, Evidence]:
+    depths: dict[str, dict[int, int]] = {}
+    sound: set[str] = set()
+    for place, crash in enumerate(crashes):
+        for mark in crash.parts:
+            if mark.part in crash.finished:
+                continue
+            of_part = depths.setdefault(mark.part, {})
+            of_part[place] = max(mark.depth, of_part.get(place, 0))
+        sound |= crash.sound | crash.finished
+    return {
+        part: Evidence(of_part, part in sound)
+        for part, of_part in depths.items()
+        if len(of_part) >= MIN_CRASHES
+    }
+
+
+def _strongest(
+    left: dict[str, dict[int, int]], explained: set[int]
+) -> tuple[Strength, list[str]]:
+    """Return the parts with the most crashes that nothing explains yet."""
+    by_strength: dict[Strength, list[str]] = {}
+    for part, depths in left.items():
+        counted = [depth for place, depth in depths.items() if place not in explained]
+        strength = Strength(len(set(counted)), len(counted))
+        by_strength.setdefault(strength, []).append(part)
+    most = max(by_strength)
+    return most, by_strength[most]
+
+
+def _max_tied(strength: Strength, is_known_sound: bool) -> int:
+    """Return how many parts may be blamed for the same crashes, 0 if they are few."""
+    if is_known_sound:
+        return 1 if strength.depths >= SOUND_QUARANTINE_DEPTH else 0
+    if strength.depths >= QUARANTINE_DEPTH:
+        return MAX_TIED_PARTS
+    is_many = strength.depths >= MANY_CRASHES_DEPTH and strength.crashes >= MANY_CRASHES
+    return 1 if is_many else 0
+
+
+def _poison_part(part: str, crashes: list[Crash]) -> PoisonPart:
+    marks = [mark for crash in crashes for mark in crash.parts if mark.part == part]
+    repeats = max(0, len({mark.depth for mark in marks}) - QUARANTINE_DEPTH)
+    quarantine_ms = FIRST_QUARANTINE_MS * QUARANTINE_GROWTH**repeats
+    return PoisonPart(
+        part,
+        tuple(crash.server for crash in crashes),
+        frozenset(mark.workspace for mark in marks),
+        max(crash.at_ms for crash in crashes) + min(quarantine_ms, MAX_QUARANTINE_MS),
+    )
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -109,6 +109,7 @@
             return request.is_at_server
 
         request.server = server
+        request.marks = self.crashes.marks(request.names)
         request.heard_ms = sent_ms
         note_sent(serving.loads, server.id)
         try:
@@ -126,9 +127,10 @@
         self._note_attempt(request, server, ended, sent_ms)
         if isinstance(ended, AttemptFailed):
             if ended.reason in BROKEN_CONNECTION:
-                await self.crashes.connection_broke(server, [request.fingerprint])
+                fingerprints = [request.names.fingerprint]
+                await self.crashes.connection_broke(server, fingerprints, request.marks)
         elif is_success(ended):
-            self.crashes.request_finished(request.fingerprint)
+            self.crashes.request_finished(request.names)
         return ended
 
     async def _confirm(
@@ -138,7 +140,8 @@
         ended: Answered | Streamed,
     ) -> AttemptEnd:
         """Take a close as the end of an answer only if its server still runs."""
-        if await self.crashes.is_running(server, [request.fingerprint]):
+        fingerprints = [request.names.fingerprint]
+        if await self.crashes.is_running(server, fingerprints, request.marks):
             return ended
         return AttemptFailed(FailureReason.UNCONFIRMED, ended.body_end)
 
@@ -216,7 +219,7 @@
             {
                 "server": server.id,
                 "attempt": len(request.tried),
-                "fingerprint": request.fingerprint,
+                "fingerprint": request.names.fingerprint,
                 "prompt_parts": logged_parts(request.head.prompt),
                 "outcome": kind,
                 "detail": detail,
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -4,7 +4,14 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
-from bramleyturn.core.poison import caller_fingerprint
+from bramleyturn.core.catalog.prompt import shared_prefix
+from bramleyturn.core.poison import (
+    PartMark,
+    RequestNames,
+    caller_fingerprint,
+    part_name,
+    workspace_name,
+)
 from bramleyturn.core.stream_position import StreamPosition
 from bramleyturn.gateway.attempts import (
     Answered,
@@ -36,11 +43,18 @@
     wait_ms: int | None
 
 
+class Quarantine(NamedTuple):
+    """Hold why a request must not be sent, and how much longer."""
+
+    reason: str
+    left_ms: int
+
+
 class CallerRequest:
     """Hold the state of a request until it is answered.
 
     ``server`` is the server that it was sent to last, and ``heard_ms`` when that server
-    was last heard of.
+    was last heard of. ``marks`` are those that it left there.
     """
 
     def __init__(
@@ -57,10 +71,11 @@
         self.route = route
         self.workspace = workspace
         self.pool = pool
-        self.fingerprint = caller_fingerprint(
-            workspace.name if workspace is not None else "",
-            exchange.target,
-            exchange.body,
+        owner = workspace.name if workspace is not None else ""
+        self.names = RequestNames(
+            caller_fingerprint(owner, exchange.target, exchange.body),
+            tuple(part_name(part.id) for part in shared_prefix(head.prompt)),
+            workspace_name(owner),
         )
         self.arrived_ms = exchange.arrived_ms
         self.first_sent_ms = exchange.arrived_ms
@@ -68,12 +83,14 @@
         self.may_have_run = False
         self.is_at_server = False
         self.server: BackendServer | None = None
+        self.marks: tuple[PartMark, ...] = ()
         self.heard_ms = exchange.arrived_ms
         self.tried: list[str] = []
         self.position = StreamPosition(head.last_event_id)
         self.first_event_ms: int | None = None
         self.is_timed_out = False
         self.is_stopped = False
+        self.quarantine: Quarantine | None = None
         self.stages: StageWork | None = None
         self.inputs: tuple[str, ...] = ()
 
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from typing import Final
+from typing import Any, Final, NamedTuple
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
@@ -15,14 +15,23 @@
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.poison import (
     CrashHint,
+    PartMark,
+    PoisonPart,
     Quarantined,
+    RequestNames,
     classify_request,
     connection_lost,
     import_hints,
     request_finished,
 )
+from bramleyturn.core.poison_parts import (
+    find_poison_parts,
+    part_marks,
+    quarantined_part,
+)
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.caller_request import Quarantine
 from bramleyturn.gateway.http1_client import FailureReason, ServerConnection
 from bramleyturn.gateway.metrics import count, gauge, observe
 from bramleyturn.gateway.server_check import (
@@ -46,45 +55,77 @@
 logger = logging.getLogger(__name__)
 
 
+class OnServer(NamedTuple):
+    """Hold the requests that were on a server, and the marks of their parts."""
+
+    fingerprints: frozenset[str]
+    marks: tuple[PartMark, ...]
+
+
 class CrashWatch:
     """Record the crashes of servers and the requests that were on them.
 
-    ``on_crash`` is called for each crash that this instance detected or first heard of.
+    ``on_crash`` is called for each crash that this instance detected or first heard of,
+    ``on_quarantine`` when a prompt part is quarantined.
     """
 
     def __init__(self, serving: Serving) -> None:
         self.serving = serving
         self.on_crash: Callable[[], None] = lambda: None
+        self.on_quarantine: Callable[[], None] = lambda: None
+        self.noted_changes = 0
+        self.noted_parts: frozenset[str] = frozenset()
 
-    def quarantined_ms(self, fingerprint: str) -> int | None:
-        """Return how much longer a request is quarantined, None if it may be sent."""
+    def quarantine_of(self, names: RequestNames) -> Quarantine | None:
+        """Return why a request must not be sent now, None if it may be."""
+        suspects = self.serving.suspects
         now_ms = self.serving.now_ms()
-        status = classify_request(self.serving.suspects, fingerprint, now_ms)
-        return status.until_ms - now_ms if isinstance(status, Quarantined) else None
+        poison = quarantined_part(suspects, names, now_ms)
+        if poison is not None:
+            return Quarantine("quarantined_part", poison.until_ms - now_ms)
+        status = classify_request(suspects, names.fingerprint, now_ms)
+        if isinstance(status, Quarantined):
+            return Quarantine("quarantined", status.until_ms - now_ms)
+        return None
+
+    def marks(self, names: RequestNames) -> tuple[PartMark, ...]:
+        """Return the marks of a request that is sent to a server now."""
+        return part_marks(self.serving.suspects, names)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a request was on a server that crashed."""
         crashes = self.serving.suspects.crashes
         return any(fingerprint in crash.fingerprints for crash in crashes)
 
-    def request_finished(self, fingerprint: str) -> None:
-        """Clear a request that a server ran to its end."""
-        request_finished(self.serving.suspects, fingerprint, self.serving.now_ms())
+    def request_finished(self, names: RequestNames) -> None:
+        """Clear a request that a server ran to its end, and its parts."""
+        serving = self.serving
+        request_finished(
+            serving.suspects, names.fingerprint, serving.now_ms(), names.parts
+        )
+        self._note_poison_parts()
 
     def connection_broke(
-        self, server: BackendServer, fingerprints: Iterable[str]
+        self,
+        server: BackendServer,
+        fingerprints: Iterable[str],
+        marks: tuple[PartMark, ...] = (),
     ) -> "Deferred[None]":
         """Check a server whose connection broke.
 
         The result fires once it is known whether it accepts connections.
         """
         checked: Deferred[None] = Deferred()
-        work = self._check(server, frozenset(fingerprints), True, checked)
+        on_server = OnServer(frozenset(fingerprints), marks)
+        work = self._check(server, on_server, True, checked)
         run_in_background(work, "check of a server")
         return checked
 
     def is_running(
-        self, server: BackendServer, fingerprints: Iterable[str]
+        self,
+        server: BackendServer,
+        fingerprints: Iterable[str],
+        marks: tuple[PartMark, ...] = (),
     ) -> "Deferred[bool]":
         """Check a server that closed a connection at what may be an answer's end.
 
@@ -93,13 +134,17 @@
         only.
         """
         checked: Deferred[bool] = Deferred()
-        work = self._check_running(server, frozenset(fingerprints), checked)
+        on_server = OnServer(frozenset(fingerprints), marks)
+        work = self._check_running(server, on_server, checked)
         run_in_background(work, "check of a server")
         return checked
 
-    def request_abandoned(self, server: BackendServer, fingerprint: str) -> None:
+    def request_abandoned(
+        self, server: BackendServer, fingerprint: str, marks: tuple[PartMark, ...]
+    ) -> None:
         """Check a server that had not answered when its request was given up."""
-        work = self._check(server, frozenset((fingerprint,)), False, Deferred())
+        on_server = OnServer(frozenset((fingerprint,)), marks)
+        work = self._check(server, on_server, False, Deferred())
         run_in_background(work, "check of a server")
 
     def merge(self, sender: str, hints: Iterable[CrashHint]) -> None:
@@ -107,6 +152,7 @@
         suspects = self.serving.suspects
         before = {crash.server for crash in suspects.crashes}
         import_hints(suspects, hints, self.serving.now_ms())
+        self._note_poison_parts()
         new = [crash for crash in suspects.crashes if crash.server not in before]
         for crash in new:
             self._log_crash(crash.server, crash.fingerprints, sender, crash.at_ms)
@@ -116,7 +162,7 @@
     async def _check(
         self,
         server: BackendServer,
-        fingerprints: frozenset[str],
+        on_server: OnServer,
         is_broken: bool,
         checked: "Deferred[None]",
     ) -> None:
@@ -132,17 +178,17 @@
             is_broken and connection is ServerState.UNREACHABLE
         )
         if has_ended:
-            self._record(server, fingerprints, at_ms)
+            self._record(server, on_server, at_ms)
         if not checked.called:
             checked.callback(None)
         if has_ended:
             return
         if await self._has_closed_port(connection, server):
-            self._record(server, fingerprints, at_ms)
+            self._record(server, on_server, at_ms)
             return
         await deferLater(self.serving.reactor, EXPIRY_MS / MS_PER_S)
         if not self._is_registered(server):
-            self._record(server, fingerprints, at_ms)
+            self._record(server, on_server, at_ms)
 
     async def _has_closed_port(
         self, connection: ServerConnection | ServerState, server: BackendServer
@@ -164,7 +210,7 @@
     async def _check_running(
         self,
         server: BackendServer,
-        fingerprints: frozenset[str],
+        on_server: OnServer,
         checked: "Deferred[bool]",
     ) -> None:
         serving = self.serving
@@ -180,7 +226,7 @@
             extra={"server": server.id, "state": state, "took_ms": took_ms},
         )
         if state in ENDED and self._is_expected(server):
-            self._record(server, fingerprints, at_ms)
+            self._record(server, on_server, at_ms)
         if not checked.called:
             checked.callback(state is ServerState.RUNNING)
 
@@ -193,14 +239,40 @@
         entry = self.serving.registry.entries.get(server.id)
         return entry is not None and entry.server.started_ms == server.started_ms
 
-    def _record(
-        self, server: BackendServer, fingerprints: frozenset[str], at_ms: int
-    ) -> None:
+    def _record(self, server: BackendServer, on_server: OnServer, at_ms: int) -> None:
         name = run_name(server)
-        connection_lost(self.serving.suspects, name, fingerprints, at_ms)
+        fingerprints, marks = on_server
+        connection_lost(self.serving.suspects, name, fingerprints, at_ms, marks)
         self._log_crash(name, fingerprints, self.serving.me.name, at_ms)
+        self._note_poison_parts()
         self.on_crash()
 
+    def _note_poison_parts(self) -> None:
+        """Log the parts that were found, or cleared, since the last call."""
+        serving = self.serving
+        if serving.suspects.changes == self.noted_changes:
+            return
+        self.noted_changes = serving.suspects.changes
+        found = find_poison_parts(serving.suspects)
+        for part in found.keys() - self.noted_parts:
+            logger.warning("prompt part quarantined", extra=self._describe(found[part]))
+        for part in self.noted_parts - found.keys():
+            logger.info("prompt part cleared", extra={"part": part})
+        is_any_new = not found.keys() <= self.noted_parts
+        self.noted_parts = frozenset(found)
+        if is_any_new:
+            self.on_quarantine()
+        gauge(serving.metrics, "quarantined_parts", len(found))
+
+    def _describe(self, poison: PoisonPart) -> dict[str, Any]:
+        return {
+            "part": poison.part,
+            "crashes": len(poison.servers),
+            "servers": poison.servers[-MAX_LOGGED_FINGERPRINTS:],
+            "workspaces": len(poison.workspaces),
+            "left_ms": poison.until_ms - self.serving.now_ms(),
+        }
+
     def _log_crash(
         self, server: str, fingerprints: frozenset[str], reporter: str, at_ms: int
     ) -> None:
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -26,7 +26,8 @@
     silent_zones,
 )
 from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
-from bramleyturn.core.poison import MAX_HINTS, CrashHint, choose_hints
+from bramleyturn.core.poison import MAX_HINTS, CrashHint, PartMark, choose_hints
+from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.metrics import count, gauge
@@ -34,8 +35,10 @@
 
 MAX_DATAGRAM_BYTES: Final = 8_192
 MAX_HEARTBEATS: Final = 64
-# A datagram with this many fingerprints stays well below ``MAX_DATAGRAM_BYTES``.
+# A datagram with this many fingerprints and marks of parts stays below
+# ``MAX_DATAGRAM_BYTES``.
 MAX_SENT_FINGERPRINTS: Final = 128
+MAX_SENT_MARKS: Final = 48
 # Connections to a server that crashed break one after another: news of them waits for
 # this long, to be sent together.
 NEWS_DELAY_MS: Final = 25
@@ -91,6 +94,11 @@
                     serving.suspects, serving.random, MAX_SENT_FINGERPRINTS, now_ms
                 )
             ),
+            "part_crashes": encode_part_hints(
+                choose_part_hints(
+                    serving.suspects, serving.random, MAX_SENT_MARKS, now_ms
+                )
+            ),
         }
         data = orjson.dumps(document)
         transport: Any = self.transport
@@ -177,7 +185,10 @@
         eras = document.get("eras", [UNKNOWN_ERA] * len(rows))[:MAX_HEARTBEATS]
         heartbeats = [_decode(*row) for row in zip(rows, eras, strict=True)]
         version = document.get("configuration_version", 0)
-        crashes = decode_hints(document.get("crashes", []))
+        crashes = (
+            *decode_hints(document.get("crashes", [])),
+            *decode_part_hints(document.get("part_crashes", [])),
+        )
     except (ValueError, TypeError, KeyError, IndexError):
         return None
     if not isinstance(store_age_ms, int) or store_age_ms < 0 or not heartbeats:
@@ -203,6 +214,65 @@
     return tuple(hints)
 
 
+def encode_part_hints(hints: Iterable[CrashHint]) -> list[Any]:
+    """Encode reports of crashes with the marks of parts."""
+    return [
+        [
+            hint.server,
+            hint.age_ms,
+            [
+                [*mark, int(mark.part in hint.finished), int(mark.part in hint.sound)]
+                for mark in hint.parts
+            ],
+        ]
+        for hint in hints
+    ]
+
+
+def decode_part_hints(rows: Any) -> tuple[CrashHint, ...]:
+    """Decode reports of crashes with parts; raise as ``decode_hints`` does."""
+    hints = []
+    for server, crashed_ago_ms, marks in rows[:MAX_HINTS]:
+        if not isinstance(server, str) or not isinstance(crashed_ago_ms, int):
+            raise TypeError("a report of a crash is malformed")
+        decoded = [_decode_mark(*mark) for mark in marks]
+        hints.append(
+            CrashHint(
+                server,
+                (),
+                crashed_ago_ms,
+                tuple(each.mark.part for each in decoded if each.has_finished),
+                tuple(each.mark for each in decoded),
+                tuple(each.mark.part for each in decoded if each.is_sound),
+            )
+        )
+    return tuple(hints)
+
+
+class ToldMark(NamedTuple):
+    """Hold a mark that a peer tells, and whether its part finished after or before."""
+
+    mark: PartMark
+    has_finished: bool
+    is_sound: bool
+
+
+def _decode_mark(
+    part: Any,
+    workspace: Any,
+    depth: Any,
+    request: Any,
+    has_finished: Any,
+    is_sound: Any,
+) -> ToldMark:
+    if not all(isinstance(text, str) for text in (part, workspace, request)):
+        raise TypeError("a name of a mark is no text")
+    if type(depth) is not int or depth < 1:
+        raise ValueError("the depth of a mark is no positive number")
+    mark = PartMark(part, workspace, depth, request)
+    return ToldMark(mark, bool(has_finished), bool(is_sound))
+
+
 def _encode(heartbeat: Heartbeat) -> list[Any]:
     return [
         *heartbeat.member,
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -76,6 +76,7 @@
         self.crashes = crashes
         self.attempts = CallerAttempts(serving, crashes)
         self.running: dict[CallerRequest, Deferred[None]] = {}
+        crashes.on_quarantine = self.refuse_quarantined
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request until it is answered or its caller is gone."""
@@ -101,6 +102,15 @@
             request.is_stopped = True
             self._time_out(request, work)
 
+    def refuse_quarantined(self) -> None:
+        """Refuse the requests that wait for their stages and must not be sent now."""
+        for request, work in list(self.running.items()):
+            if request.server is not None:
+                continue
+            request.quarantine = self.crashes.quarantine_of(request.names)
+            if request.quarantine is not None:
+                work.cancel()
+
     def _admit(self, exchange: Exchange) -> CallerRequest | Refusal:
         """Find the route and workspace of a request, or refuse it."""
         serving = self.serving
@@ -128,9 +138,9 @@
         if head.wait_ms is not None:
             spent_ms = time_spent_ms(serving.longest_waits, route.name, head.wait_ms)
             request.first_sent_ms -= spent_ms
-        quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
-        if quarantined_ms is not None:
-            return Refusal(503, "quarantined", quarantined_ms)
+        quarantine = self.crashes.quarantine_of(request.names)
+        if quarantine is not None:
+            return Refusal(503, quarantine.reason, quarantine.left_ms)
         request_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
         if self._is_better_elsewhere(request) or self._ends_too_late(
             request, request_ms
@@ -193,7 +203,7 @@
             deadline_ms=request.deadline_ms,
             urgency=urgency_of(request),
             near_zone=engine.zone if engine is not None else "",
-            fingerprint=request.fingerprint,
+            fingerprint=request.names.fingerprint,
         )
         request.stages = StageWork(serving, self.asks, spec)
         return await self._run_stages(request, request.stages)
@@ -217,11 +227,11 @@
         runs = 0
         failed_answer: Answered | None = None
         while True:
-            quarantined_ms = self.crashes.quarantined_ms(request.fingerprint)
-            if quarantined_ms is not None:
+            quarantine = self.crashes.quarantine_of(request.names)
+            if quarantine is not None:
                 if request.exchange.is_started or request.may_have_run:
-                    return Refusal(502, "quarantined", None)
-                return Refusal(503, "quarantined", quarantined_ms)
+                    return Refusal(502, quarantine.reason, None)
+                return Refusal(503, quarantine.reason, quarantine.left_ms)
             server = self.attempts.choose(request, frozenset(request.tried))
             if server is None:
                 break
@@ -349,7 +359,9 @@
         if not request.is_at_server or silent_ms < SILENCE_MS:
             return
         if request.server is not None:
-            self.crashes.request_abandoned(request.server, request.fingerprint)
+            self.crashes.request_abandoned(
+                request.server, request.names.fingerprint, request.marks
+            )
 
     def _end(self, result: Any, request: CallerRequest, timer: Any) -> None:
         stop_timer(timer)
@@ -372,6 +384,11 @@
             self._refuse(request.exchange, self._timeout_refusal(request), request)
         elif request.is_timed_out:
             self._refuse(request.exchange, self._timeout_refusal(request), request)
+        elif request.quarantine is not None:
+            refusal = Refusal(
+                503, request.quarantine.reason, request.quarantine.left_ms
+            )
+            self._refuse(request.exchange, refusal, request)
         took_ms = self._elapsed_ms(request)
         observe(self.serving.metrics, "request", took_ms, request.route.name)
         log_request(
@@ -380,7 +397,7 @@
             {
                 "route": request.route.name,
                 "caller": request.exchange.connection.caller_address(),
-                "fingerprint": request.fingerprint,
+                "fingerprint": request.names.fingerprint,
                 "prompt_parts": logged_parts(request.head.prompt),
                 "prompt_tokens": request.head.prompt_tokens,
                 "output_tokens": request.head.output_tokens,
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -40,6 +40,7 @@
     withdraw,
 )
 from bramleyturn.core.pieces.stage_server import StageServer, note_report
+from bramleyturn.core.poison import RequestNames
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallFailed, WholeAnswer, call, peer_of
@@ -369,7 +370,8 @@
             ask_id
             for ask_id in ask_ids
             if (state := planner.asks.get(ask_id)) is not None
-            and self.crashes.quarantined_ms(state.ask.fingerprint) is not None
+            and self.crashes.quarantine_of(RequestNames(state.ask.fingerprint))
+            is not None
         ]
         for ask_id in quarantined:
             attempt_id = planner.asks[ask_id].ask.attempt_id
--- a/tests/core/test_crash_spread.py
+++ b/tests/core/test_crash_spread.py
@@ -9,19 +9,34 @@
     Clear,
     CrashHint,
     Quarantined,
+    RequestNames,
     Suspect,
     Suspects,
     choose_hints,
     classify_request,
     connection_lost,
     import_hints,
+    request_finished,
+)
+from bramleyturn.core.poison_parts import (
+    choose_part_hints,
+    find_poison_parts,
+    part_marks,
+    quarantined_part,
+)
+from bramleyturn.gateway.heartbeats import (
+    MAX_SENT_FINGERPRINTS,
+    MAX_SENT_MARKS,
+    NEWS_DELAY_MS,
 )
-from bramleyturn.gateway.heartbeats import MAX_SENT_FINGERPRINTS, NEWS_DELAY_MS
 
 BEAT_MS = 400
 # Time within which every instance in contact must know of a crash.
 CONTACT_MS = 3_000
+# Crashes on a part from which the time counts within which it must be withheld.
+PART_CRASHES = 5
 POISON = "poison"
+SYSTEM = "system"
 
 
 class Fleet:
@@ -50,8 +65,10 @@
 
     def send(self, place: int) -> None:
         """Send what an instance knows."""
-        hints = choose_hints(
-            self.instances[place], self.random, MAX_SENT_FINGERPRINTS, self.now_ms
+        sender = self.instances[place]
+        hints = (
+            *choose_hints(sender, self.random, MAX_SENT_FINGERPRINTS, self.now_ms),
+            *choose_part_hints(sender, self.random, MAX_SENT_MARKS, self.now_ms),
         )
         side = [
             other
@@ -64,6 +81,7 @@
             suspects = self.instances[other]
             known = len(suspects.crashes)
             import_hints(suspects, hints, self.now_ms + 5)
+            find_poison_parts(suspects)
             if len(suspects.crashes) > known:
                 self.next_ms[other] = self.now_ms + NEWS_DELAY_MS
 
@@ -77,6 +95,31 @@
         connection_lost(self.instances[place], server, names, self.now_ms)
         self.next_ms[place] = self.now_ms + NEWS_DELAY_MS
 
+    def crash_on_part(self, place: int, server: str, others: int) -> None:
+        """Let a server crash on a part, beside other requests of the instance."""
+        suspects = self.instances[place]
+        requests = [
+            RequestNames(f"{server}-{each}", (SYSTEM, f"{server}-{each}"))
+            for each in range(others)
+        ]
+        for names in (RequestNames(server, (SYSTEM, POISON)), *requests):
+            marks = part_marks(suspects, names)
+            connection_lost(suspects, server, [names.fingerprint], self.now_ms, marks)
+        self.next_ms[place] = self.now_ms + NEWS_DELAY_MS
+
+    def finish(self, place: int, *parts: str) -> None:
+        """Let an instance have a request with the parts that ends well."""
+        request_finished(self.instances[place], "any", self.now_ms, parts)
+
+    def withheld_at(self, *parts: str) -> set[int]:
+        """Return the instances that withhold new requests with the parts."""
+        names = RequestNames("new", parts)
+        return {
+            place
+            for place, suspects in enumerate(self.instances)
+            if quarantined_part(suspects, names, self.now_ms) is not None
+        }
+
     def quarantined_at(self) -> set[int]:
         """Return the instances that do not send the poison request any more."""
         return {
@@ -139,6 +182,72 @@
         assert 0 in fleet.quarantined_at()
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("instances", [2, 14, 100])
+class TestPartsSpread:
+    """Servers crash on a part, each beside others of one instance after another."""
+
+    def crash_in_turn(self, fleet: Fleet) -> None:
+        count = len(fleet.instances)
+        fleet.finish(0, SYSTEM)
+        for number in range(PART_CRASHES):
+            fleet.crash_on_part(number % count, f"s{number}@1", others=20)
+            fleet.run(200)
+
+    def test_all_withhold_it_in_time_though_messages_are_lost(
+        self, instances: int, seed: int
+    ) -> None:
+        fleet = Fleet(instances, loss=0.3, seed=seed)
+        self.crash_in_turn(fleet)
+        fleet.run(CONTACT_MS)
+        assert fleet.withheld_at(POISON) == set(range(instances))
+        assert not fleet.withheld_at(SYSTEM, "other")
+
+    def test_restarted_instance_withholds_it_in_time_after_many_other_crashes(
+        self, instances: int, seed: int
+    ) -> None:
+        fleet = Fleet(instances, loss=0.1, seed=seed)
+        self.crash_in_turn(fleet)
+        for number in range(40):
+            name = f"t{number}@1"
+            names = RequestNames(name, (SYSTEM, f"session-{number}"))
+            suspects = fleet.instances[number % instances]
+            marks = part_marks(suspects, names)
+            connection_lost(suspects, name, [name], fleet.now_ms, marks)
+            fleet.finish(number % instances, SYSTEM, f"session-{number}")
+        fleet.run(CONTACT_MS)
+        fleet.instances[0] = Suspects(CRASH_RETENTION_MS)
+        fleet.run(CONTACT_MS)
+        assert fleet.withheld_at(POISON) == set(range(instances))
+        assert not fleet.withheld_at(SYSTEM, "session-1")
+
+    def test_instances_that_were_cut_off_withhold_it_in_time_after_the_cut(
+        self, instances: int, seed: int
+    ) -> None:
+        fleet = Fleet(instances, loss=0.1, seed=seed)
+        fleet.cut_off = set(range(instances // 2))
+        for number in range(3):
+            fleet.crash_on_part(instances - 1, f"s{number}@1", 20)
+            fleet.finish(0, SYSTEM)
+            fleet.finish(instances - 1, SYSTEM)
+        fleet.run(10_000)
+        assert fleet.withheld_at(POISON).isdisjoint(fleet.cut_off)
+        fleet.cut_off = set()
+        fleet.run(CONTACT_MS)
+        assert fleet.withheld_at(POISON) == set(range(instances))
+        assert not fleet.withheld_at(SYSTEM, "other")
+
+    def test_success_at_one_instance_ends_it_at_all(
+        self, instances: int, seed: int
+    ) -> None:
+        fleet = Fleet(instances, loss=0.1, seed=seed)
+        self.crash_in_turn(fleet)
+        fleet.run(CONTACT_MS)
+        fleet.finish(instances - 1, POISON)
+        fleet.run(CONTACT_MS)
+        assert not fleet.withheld_at(POISON)
+
+
 class TestSameRun:
     """Reports of one crash, which reach an instance at different times."""
 
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -12,21 +12,27 @@
     CRASH_RETENTION_MS,
     MAX_HINTS,
     CrashHint,
+    PartMark,
     Suspects,
     caller_fingerprint,
     choose_hints,
     connection_lost,
+    part_name,
 )
+from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.gateway.heartbeats import (
     MAX_SENT_FINGERPRINTS,
+    MAX_SENT_MARKS,
     decode_heartbeats,
     encode_hints,
+    encode_part_hints,
 )
 from bramleyturn.gateway.stage_messages import decode_ask, encode_ask
 from bramleyturn.gateway.store_relay import decode_relayed
 from tests.core.pieces.test_handover import ask
 
 HEARTBEAT: list[Any] = ["front-1", "north", "10.0.0.1:7740", "7-ab", 215, 9, 41, 0]
+MARK: list[Any] = ["part", "workspace", 1, "request", 0, 0]
 MESSAGE: dict[str, Any] = {"store_age_ms": 120, "heartbeats": [HEARTBEAT]}
 RELAYED: dict[str, Any] = {
     "revision": 7,
@@ -74,6 +80,15 @@
             with_field(MESSAGE, "crashes", [["i-1@9", "40", ["f"]]]),
             with_field(MESSAGE, "crashes", [[None, 40, ["f"]]]),
             with_field(MESSAGE, "crashes", [["i-1@9", 40, None]]),
+            with_field(MESSAGE, "part_crashes", 7),
+            with_field(MESSAGE, "part_crashes", [["i-1@9", 40]]),
+            with_field(MESSAGE, "part_crashes", [["i-1@9", "40", [MARK]]]),
+            with_field(MESSAGE, "part_crashes", [["i-1@9", 40, None]]),
+            with_field(MESSAGE, "part_crashes", [["i-1@9", 40, [MARK[:-1]]]]),
+            with_field(MESSAGE, "part_crashes", [["i-1@9", 40, [[7, *MARK[1:]]]]]),
+            with_field(
+                MESSAGE, "part_crashes", [["i-1@9", 40, [["p", "w", 0, "r", 0, 0]]]]
+            ),
         ],
     )
     def test_rejects_malformed_input(self, datagram: bytes) -> None:
@@ -93,6 +108,14 @@
         assert message is not None
         assert message.crashes == (crash,)
 
+    def test_decodes_crashes_on_parts(self) -> None:
+        marks = (PartMark("p1", "w", 1, "r"), PartMark("p2", "w", 3, "r"))
+        crash = CrashHint("i-1@9", (), 40, ("p1",), marks, ("p2",))
+        document = {**MESSAGE, "part_crashes": encode_part_hints([crash])}
+        message = decode_heartbeats(orjson.dumps(document))
+        assert message is not None
+        assert message.crashes == (crash,)
+
     def test_largest_message_fits_in_a_datagram(self) -> None:
         suspects = Suspects(CRASH_RETENTION_MS)
         for number in range(2 * MAX_HINTS):
@@ -101,17 +124,26 @@
                 for each in range(200)
             ]
             server = f"i-{number:032x}@{2**41 + number}"
-            connection_lost(suspects, server, names, 1_000)
+            marks = [
+                PartMark(part_name("f" * 64 + str(each)), "ffffff", 99, name[:6])
+                for each, name in enumerate(names)
+            ]
+            connection_lost(suspects, server, names, 1_000, marks)
+        part_hints = choose_part_hints(suspects, Random(1), MAX_SENT_MARKS, 10_000)
         hints = choose_hints(suspects, Random(1), MAX_SENT_FINGERPRINTS, 10_000)
         heartbeat = ["front-" + "x" * 40, "zone-" + "x" * 20, *HEARTBEAT[2:]]
         document = {
             "store_age_ms": 10**9,
             "heartbeats": [heartbeat] * (GOSSIP_MEMBERS + 1),
+            "eras": [2**31] * (GOSSIP_MEMBERS + 1),
+            "configuration_version": 2**31,
             "crashes": encode_hints(hints),
+            "part_crashes": encode_part_hints(part_hints),
         }
         decoded = decode_heartbeats(orjson.dumps(document))
         assert decoded is not None
-        assert decoded.crashes == hints
+        assert decoded.crashes == (*hints, *part_hints)
+        assert sum(len(each.parts) for each in part_hints) == MAX_SENT_MARKS
         assert sum(len(each.fingerprints) for each in hints) == MAX_SENT_FINGERPRINTS
 
 
