Withhold inputs with a member on which servers crash, in the own interface

The members of an object are now its parts, and the decision is the one of core/poison_parts.py. Gossip tells the parts that were on a server and those that finished; peers of earlier builds ignore them.

--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -126,7 +126,8 @@
     progress.ended_ms = now_ms
     progress.outcome_is_certain = True
     progress.tokens = []
-    request_finished(state.suspects, attempt.fingerprint, now_ms)
+    names = attempt.names
+    request_finished(state.suspects, names.fingerprint, now_ms, names.parts)
     settle_stage(state, request, progress, now_ms)
     record_stage(
         state.latencies,
@@ -204,12 +205,17 @@
 
 def suspect_inputs(state: EntryState, attempt: Attempt, now_ms: int) -> None:
     """Mark all inputs on a server whose connection was lost as crash suspects."""
+    server = attempt.server.name
     on_server = [
-        other.fingerprint
-        for other in state.attempts.values()
-        if other.server.name == attempt.server.name
+        other for other in state.attempts.values() if other.server.name == server
     ]
-    connection_lost(state.suspects, attempt.server.name, on_server, now_ms)
+    connection_lost(
+        state.suspects,
+        server,
+        [other.names.fingerprint for other in on_server],
+        now_ms,
+        [mark for other in on_server for mark in other.marks],
+    )
     state.gossip.is_urgent = True
 
 
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -7,15 +7,18 @@
 from bramleyturn.core.actions import Action, StartAttempt
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.hedging import hedge_after_ms
+from bramleyturn.core.input_parts import input_parts
 from bramleyturn.core.latency import stage_deadline_ms
 from bramleyturn.core.model import Pool, PoolKind, Stage
 from bramleyturn.core.permission import next_attempt_id
 from bramleyturn.core.poison import (
     Quarantined,
+    RequestNames,
     Suspect,
-    classify_request,
     request_fingerprint,
+    workspace_name,
 )
+from bramleyturn.core.poison_parts import classify, part_marks
 from bramleyturn.core.progress import (
     Attempt,
     RunningRequest,
@@ -61,10 +64,10 @@
         return wait_for_server(state, request, progress, SERVER_WAIT_MS, now_ms)
     work = stage_input(request, stage)
     encoded = orjson.dumps(work)
-    fingerprint = request_fingerprint(request.pipeline.name, stage.name, encoded)
+    names = input_names(request, stage, work, encoded)
     size_tokens = size_of_stage(stage, encoded)
     prefix = prefix_of(pool, encoded)
-    status = classify_request(state.suspects, fingerprint, now_ms)
+    status = classify(state.suspects, names, now_ms)
     if isinstance(status, Quarantined):
         if is_hedge:
             return []
@@ -99,7 +102,8 @@
         started_ms=now_ms,
         timeout_at_ms=now_ms + timeout_ms,
         size_tokens=size_tokens,
-        fingerprint=fingerprint,
+        names=names,
+        marks=part_marks(state.suspects, names),
         resume_offset=len(progress.tokens),
         is_hedge=is_hedge,
         is_written=stage.repeatable,
@@ -142,10 +146,19 @@
     state: EntryState, request: RunningRequest, stage: Stage, now_ms: int
 ) -> bool:
     """Tell whether the input of a stage is known to crash backend servers."""
-    encoded = orjson.dumps(stage_input(request, stage))
-    fingerprint = request_fingerprint(request.pipeline.name, stage.name, encoded)
-    return isinstance(
-        classify_request(state.suspects, fingerprint, now_ms), Quarantined
+    work = stage_input(request, stage)
+    names = input_names(request, stage, work, orjson.dumps(work))
+    return isinstance(classify(state.suspects, names, now_ms), Quarantined)
+
+
+def input_names(
+    request: RunningRequest, stage: Stage, work: Any, encoded: bytes
+) -> RequestNames:
+    """Return what the input of a stage is known by, if servers crash on it."""
+    return RequestNames(
+        request_fingerprint(request.pipeline.name, stage.name, encoded),
+        input_parts(work),
+        workspace_name(request.workspace.name),
     )
 
 
--- a/src/bramleyturn/core/gossip.py
+++ b/src/bramleyturn/core/gossip.py
@@ -21,7 +21,7 @@
 import orjson
 
 from bramleyturn.core.membership import Liveness, Rumour
-from bramleyturn.core.poison import CrashHint
+from bramleyturn.core.poison import CrashHint, PartMark
 from bramleyturn.core.server_load import LoadReport
 from bramleyturn.core.spend import SpendCounter
 from bramleyturn.core.tickets import ProcessRef
@@ -255,7 +255,7 @@
     required_rumours: int,
 ) -> Iterable[Item]:
     for crash, number in zip(message.crashes, crash_numbers, strict=True):
-        yield Item("crashes", list(crash), number)
+        yield Item("crashes", _encode_crash(crash), number)
     for hint in message.leaving:
         yield Item("leaving", list(hint))
     for rumour in message.rumours[required_rumours:]:
@@ -266,6 +266,12 @@
         yield Item("loads", list(report))
 
 
+def _encode_crash(crash: CrashHint) -> list[Any]:
+    server, fingerprints, age_ms, finished, parts, sound = crash
+    marks = [list(mark) for mark in parts]
+    return [server, fingerprints, age_ms, finished, marks, sound]
+
+
 def _number_reader(document: dict[str, Any]) -> Callable[[str], int]:
     def number(name: str) -> int:
         value = document.get(name)
@@ -304,16 +310,23 @@
 
 def _parse_crash(item: list[Any]) -> CrashHint:
     server, fingerprints, age_ms = item[:3]
-    # Peers of earlier builds do not tell which requests have finished.
-    finished = item[3] if len(item) > 3 else ()
+    # Peers of earlier builds do not tell which requests have finished, nor the parts.
+    finished, parts, sound = (*item[3:6], *([()] * 3))[:3]
     return CrashHint(
         _text(server),
         tuple(map(_text, fingerprints)),
         _count(age_ms),
         tuple(map(_text, finished)),
+        tuple(_parse_mark(mark) for mark in parts),
+        tuple(map(_text, sound)),
     )
 
 
+def _parse_mark(item: list[Any]) -> PartMark:
+    part, workspace, depth, request = item[:4]
+    return PartMark(_text(part), _text(workspace), _count(depth), _text(request))
+
+
 def _parse_leaving(item: list[Any]) -> LeavingHint:
     return LeavingHint(_text(item[0]), _count(item[1]))
 
--- a/src/bramleyturn/core/gossip_exchange.py
+++ b/src/bramleyturn/core/gossip_exchange.py
@@ -27,7 +27,8 @@
     record_draining,
     record_heard,
 )
-from bramleyturn.core.poison import crash_hint, import_hints
+from bramleyturn.core.poison import import_hints
+from bramleyturn.core.poison_parts import crash_hints
 from bramleyturn.core.routing import load_reported, server_leaving
 from bramleyturn.core.spend import CounterKey, SpendCounter, merge_spend
 from bramleyturn.core.tickets import ProcessRef
@@ -51,7 +52,7 @@
     is_about_receiver = bool(rumours) and rumours[0].address == receiver.address
     message = GossipMessage(
         rumours=tuple(rumours),
-        crashes=tuple(crash_hint(crash, now_ms) for crash, _ in crashes),
+        crashes=crash_hints(state.suspects, [crash for crash, _ in crashes], now_ms),
         leaving=_leaving_hints(state, now_ms),
         spend=tuple(counter for counter, _ in counters),
         loads=_loads(state, now_ms) if zone == state.zone else (),
--- a/src/bramleyturn/core/poison.py
+++ b/src/bramleyturn/core/poison.py
@@ -157,7 +157,12 @@
     """Return a short name for a part that requests share, the same in all processes."""
     if len(part_id) <= 2 * PART_DIGEST_BYTES:
         return part_id
-    return _digest(PART_DIGEST_BYTES, part_id.encode())
+    return part_digest(part_id.encode())
+
+
+def part_digest(content: bytes) -> str:
+    """Return a name for a part that has no id, the same in all processes."""
+    return _digest(PART_DIGEST_BYTES, content)
 
 
 def request_name(fingerprint: str) -> str:
--- a/src/bramleyturn/core/poison_parts.py
+++ b/src/bramleyturn/core/poison_parts.py
@@ -24,12 +24,17 @@
 
 from bramleyturn.core.poison import (
     MAX_HINTS,
+    Clear,
     Crash,
     CrashHint,
     PartMark,
     PoisonPart,
+    Quarantined,
     RequestNames,
+    Suspect,
     Suspects,
+    classify_request,
+    crash_hint,
     request_name,
     unfinished_names,
 )
@@ -48,7 +53,7 @@
 # Newest crashes that are sent to peers each time.
 NEWEST_HINTS: Final = MAX_HINTS // 2
 # Marks of a crash that are sent at once.
-MAX_SENT_MARKS: Final = 32
+MAX_SENT_MARKS: Final = 16
 FIRST_QUARANTINE_MS: Final = 600_000
 QUARANTINE_GROWTH: Final = 4
 MAX_QUARANTINE_MS: Final = 43_200_000
@@ -115,6 +120,16 @@
     return None
 
 
+def classify(
+    suspects: Suspects, names: RequestNames, now_ms: int
+) -> Clear | Suspect | Quarantined:
+    """Return whether a request may run, as it and its parts are known."""
+    poison = quarantined_part(suspects, names, now_ms)
+    if poison is not None:
+        return Quarantined(names.fingerprint, poison.servers, poison.until_ms)
+    return classify_request(suspects, names.fingerprint, now_ms)
+
+
 def choose_part_hints(
     suspects: Suspects, random: Random, max_marks: int, now_ms: int
 ) -> tuple[CrashHint, ...]:
@@ -144,12 +159,26 @@
     return tuple(hints)
 
 
-def most_shared_marks(crash: Crash, crashes: Iterable[Crash]) -> Crash:
-    """Return a crash without the marks that are too many to send to a peer."""
-    if len(crash.parts) <= MAX_SENT_MARKS:
-        return crash
-    marks = _choose_marks(crash, _count_crashes(crashes), Random(0), MAX_SENT_MARKS)
-    return crash._replace(parts=frozenset(marks))
+def crash_hints(
+    suspects: Suspects, crashes: Iterable[Crash], now_ms: int
+) -> tuple[CrashHint, ...]:
+    """Return reports of crashes, each with the marks that matter most, for a peer."""
+    crashes_of = _count_crashes(suspects.crashes)
+    hints = []
+    for crash in crashes:
+        # The same choice each time, as a crash is only sent again after a change.
+        marks = _choose_marks(crash, crashes_of, Random(0), MAX_SENT_MARKS)
+        requests = crash_hint(crash, now_ms)
+        parts = _part_hint(crash, marks, now_ms)
+        finished = sorted(crash.finished & crash.fingerprints)
+        hints.append(
+            requests._replace(
+                finished=(*finished, *parts.finished),
+                parts=parts.parts,
+                sound=parts.sound,
+            )
+        )
+    return tuple(hints)
 
 
 def _count_crashes(crashes: Iterable[Crash]) -> Counter[str]:
--- a/src/bramleyturn/core/progress.py
+++ b/src/bramleyturn/core/progress.py
@@ -6,6 +6,7 @@
 
 from bramleyturn.core.model import Pipeline, Pool, Server, Stage, Workspace
 from bramleyturn.core.outcomes import OutcomeKind, StageOutcome
+from bramleyturn.core.poison import PartMark, RequestNames
 
 
 class StageState(StrEnum):
@@ -24,6 +25,7 @@
     """Hold one attempt of a stage on a backend server.
 
     ``heard_ms`` is when the last part of the answer arrived, or the attempt started.
+    ``names`` are those of the input, ``marks`` what its parts left on the server.
     """
 
     attempt_id: str
@@ -34,7 +36,8 @@
     started_ms: int
     timeout_at_ms: int
     size_tokens: int
-    fingerprint: str
+    names: RequestNames
+    marks: tuple[PartMark, ...]
     resume_offset: int
     is_hedge: bool
     is_written: bool
--- a/src/bramleyturn/core/requests.py
+++ b/src/bramleyturn/core/requests.py
@@ -15,7 +15,7 @@
     request_admission,
 )
 from bramleyturn.core.attempt_results import cancel_attempts
-from bramleyturn.core.attempts import BYTES_PER_TOKEN
+from bramleyturn.core.attempts import BYTES_PER_TOKEN, input_names
 from bramleyturn.core.budgets import release_budget, reserve_budget
 from bramleyturn.core.entry_state import EntryState, new_key
 from bramleyturn.core.events import FailureReason, RequestArrived
@@ -30,7 +30,8 @@
 from bramleyturn.core.model import Pipeline, Workspace
 from bramleyturn.core.outcomes import Outcome, OutcomeKind, not_run
 from bramleyturn.core.permission import finish_ticket
-from bramleyturn.core.poison import Quarantined, classify_request, request_fingerprint
+from bramleyturn.core.poison import Quarantined
+from bramleyturn.core.poison_parts import classify
 from bramleyturn.core.progress import (
     RunningRequest,
     StageProgress,
@@ -141,12 +142,8 @@
     for stage in request.pipeline.stages:
         if stage.after:
             continue
-        status = classify_request(
-            state.suspects,
-            request_fingerprint(request.pipeline.name, stage.name, encoded),
-            now_ms,
-        )
-        if isinstance(status, Quarantined):
+        names = input_names(request, stage, request.input, encoded)
+        if isinstance(classify(state.suspects, names, now_ms), Quarantined):
             return Outcome(OutcomeKind.FAILED, CRASHES_SERVERS)
     too_late = refuse_too_late(state, request, len(encoded) // BYTES_PER_TOKEN, now_ms)
     if too_late is not None and not may_probe(state, request, now_ms):
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -6,8 +6,8 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
-from typing import Any, Final, NamedTuple
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
@@ -41,6 +41,7 @@
     stays_open,
 )
 from bramleyturn.gateway.serving import Serving
+from bramleyturn.runtime.poison_part_log import log_poison_parts
 
 # Reasons that a crash of the server may explain.
 BROKEN_CONNECTION: Final = frozenset(
@@ -74,7 +75,7 @@
         self.on_crash: Callable[[], None] = lambda: None
         self.on_quarantine: Callable[[], None] = lambda: None
         self.noted_changes = 0
-        self.noted_parts: frozenset[str] = frozenset()
+        self.noted_parts: Mapping[str, PoisonPart] = {}
 
     def quarantine_of(self, names: RequestNames) -> Quarantine | None:
         """Return why a request must not be sent now, None if it may be."""
@@ -254,24 +255,12 @@
             return
         self.noted_changes = serving.suspects.changes
         found = find_poison_parts(serving.suspects)
-        for part in found.keys() - self.noted_parts:
-            logger.warning("prompt part quarantined", extra=self._describe(found[part]))
-        for part in self.noted_parts - found.keys():
-            logger.info("prompt part cleared", extra={"part": part})
-        is_any_new = not found.keys() <= self.noted_parts
-        self.noted_parts = frozenset(found)
+        log_poison_parts(self.noted_parts, found, serving.now_ms())
+        is_any_new = not found.keys() <= self.noted_parts.keys()
+        self.noted_parts = found
+        gauge(serving.metrics, "quarantined_parts", len(found))
         if is_any_new:
             self.on_quarantine()
-        gauge(serving.metrics, "quarantined_parts", len(found))
-
-    def _describe(self, poison: PoisonPart) -> dict[str, Any]:
-        return {
-            "part": poison.part,
-            "crashes": len(poison.servers),
-            "servers": poison.servers[-MAX_LOGGED_FINGERPRINTS:],
-            "workspaces": len(poison.workspaces),
-            "left_ms": poison.until_ms - self.serving.now_ms(),
-        }
 
     def _log_crash(
         self, server: str, fingerprints: frozenset[str], reporter: str, at_ms: int
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -1,6 +1,6 @@
 """Drive the core of an entry process: feed it events and perform its actions."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from bramleyturn.core.actions import (
@@ -30,7 +30,8 @@
     TimePassed,
 )
 from bramleyturn.core.intake import AccessTable, access_table
-from bramleyturn.core.poison import Crash
+from bramleyturn.core.poison import Crash, PoisonPart
+from bramleyturn.core.poison_parts import find_poison_parts
 from bramleyturn.core.server_confirmation import PAUSE_MS
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.backend_client import (
@@ -51,6 +52,7 @@
     forward_to_primary,
     send_to_backup,
 )
+from bramleyturn.runtime.poison_part_log import log_poison_parts
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 
@@ -76,6 +78,7 @@
         self.next_waiter = 0
         self.last_event_ms = clock.monotonic_ms()
         self.logged_crashes: frozenset[Crash] = frozenset()
+        self.logged_poison_parts: Mapping[str, PoisonPart] = {}
         self.gossip_now: Callable[[], None] = lambda: None
         self.wake_call: DelayedCall | None = None
         self.wake_at_ms: int | None = None
@@ -111,6 +114,9 @@
         crashes = frozenset(loop.state.suspects.crashes)
         log_crashes(crashes - loop.logged_crashes, type(event).__name__, now_ms)
         loop.logged_crashes = crashes
+        poison_parts = find_poison_parts(loop.state.suspects)
+        log_poison_parts(loop.logged_poison_parts, poison_parts, now_ms)
+        loop.logged_poison_parts = poison_parts
     for action in actions:
         perform(loop, action)
     schedule_wake(loop)
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -35,7 +35,12 @@
 from bramleyturn.core.gossip_exchange import build_gossip
 from bramleyturn.core.membership import Liveness, Rumour
 from bramleyturn.core.peers import choose_backup
-from bramleyturn.core.poison import CrashHint, connection_lost
+from bramleyturn.core.poison import (
+    CrashHint,
+    PartMark,
+    connection_lost,
+    request_finished,
+)
 from bramleyturn.core.routing import LoadReport
 from bramleyturn.core.spend import SpendCounter, record_spend, spent
 from tests.core.gossip_simulation import Simulation
@@ -175,6 +180,30 @@
         deliver(simulation, first, second)
         assert second.suspects.crashes == first.suspects.crashes
 
+    def test_crash_is_told_with_its_parts_and_which_finished(self) -> None:
+        simulation, first, second = two_states()
+        now_ms = simulation.now_ms
+        request_finished(first.suspects, "before", now_ms - 9, ("sound",))
+        marks = [PartMark(part, "w", 2, "r") for part in ("poison", "sound", "late")]
+        connection_lost(first.suspects, "gpu-1", ["aa" * 16], now_ms, marks)
+        request_finished(first.suspects, "after", now_ms + 1, ("late",))
+        deliver(simulation, first, second)
+        assert second.suspects.crashes == first.suspects.crashes
+        assert second.suspects.crashes[0].sound == {"sound"}
+        assert second.suspects.crashes[0].finished == {"late"}
+
+    def test_crash_of_a_peer_that_tells_no_parts_is_merged(self) -> None:
+        for item in (["s", ["f"], 4], ["s", ["f"], 4, ["f"]]):
+            (crash,) = parse_gossip({"version": 1, "crashes": [item]}).crashes
+            assert crash.fingerprints == ("f",)
+            assert crash.parts == ()
+
+    @pytest.mark.parametrize("marks", [7, [7], [["p", "w", 1]], [["p", "w", "1", "r"]]])
+    def test_malformed_marks_drop_their_crash(self, marks: Any) -> None:
+        items = [["s", ["f"], 4, [], marks, []], ["t", ["f"], 4]]
+        (crash,) = parse_gossip({"version": 1, "crashes": items}).crashes
+        assert crash.server == "t"
+
     def test_peers_that_disagree_by_the_latency_do_not_repeat_a_crash(self) -> None:
         simulation, first, second = two_states()
         connection_lost(first.suspects, "gpu-1", ["aa" * 16], simulation.now_ms)
--- a/tests/proofs/poison_simulation.py
+++ b/tests/proofs/poison_simulation.py
@@ -4,7 +4,7 @@
 """
 
 from random import Random
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.actions import Action, Answer, CancelAttempt, StartAttempt
 from bramleyturn.core.events import (
@@ -16,7 +16,8 @@
 )
 from bramleyturn.core.model import PoolKind
 from bramleyturn.core.outcomes import Outcome
-from bramleyturn.core.poison import export_hints, import_hints
+from bramleyturn.core.poison import MAX_HINTS, import_hints
+from bramleyturn.core.poison_parts import crash_hints
 from tests.core.entry_simulation import FOLDER, EntrySimulation
 
 MARKER: Final = "poison"
@@ -95,11 +96,11 @@
             run_ms = TICK_MS
         self.running_attempts.append(RunningAttempt(entry, action, now_ms + run_ms))
 
-    def send(self, entry: int, waiter: str, text: str) -> None:
+    def send(self, entry: int, waiter: str, work: Any) -> None:
         """Send a caller's draft request to one entry."""
         simulation = self.entries[entry]
         actions = simulation.send(
-            "draft", input_=text, request_id=waiter, waiter=waiter, left_ms=DEADLINE_MS
+            "draft", input_=work, request_id=waiter, waiter=waiter, left_ms=DEADLINE_MS
         )
         self.apply_actions(entry, actions)
 
@@ -166,7 +167,9 @@
     def exchange_hints(self) -> None:
         """Give every entry the crash hints of every other one."""
         for source in self.entries:
-            hints = export_hints(source.state.suspects, source.now_ms)
+            suspects = source.state.suspects
+            newest = suspects.crashes[-MAX_HINTS:]
+            hints = crash_hints(suspects, newest, source.now_ms)
             for target in self.entries:
                 if target is not source:
                     import_hints(target.state.suspects, hints, target.now_ms)
@@ -213,3 +216,33 @@
     return PoisonResult(
         tuple(simulation.crashed), simulation.suspects, tuple(poisoned), found
     )
+
+
+def send_poison_members(
+    simulation: PoisonSimulation, requests: int, neighbours: int
+) -> PoisonResult:
+    """Send requests that share a member on which servers crash, each unlike the others.
+
+    Before each one every entry gets ``neighbours`` requests that share another member
+    with it.
+    """
+    names: list[str] = []
+    poisoned: list[Outcome] = []
+    for number in range(requests):
+        for entry in range(len(simulation.entries)):
+            for place in range(neighbours):
+                name = f"neighbour-{number}-{entry}-{place}"
+                names.append(name)
+                simulation.send(entry, name, {"class": "5b", "week": name})
+        for _ in range(simulation.random.randint(1, 8)):
+            simulation.tick()
+        waiter = f"poison-{number}"
+        work = {"class": "5b", "curriculum": MARKER, "week": waiter}
+        simulation.send(number % len(simulation.entries), waiter, work)
+        poisoned.append(simulation.run_until_outcome(waiter))
+        for name in names:
+            simulation.run_until_outcome(name)
+    found = {name: simulation.outcomes[name] for name in names}
+    return PoisonResult(
+        tuple(simulation.crashed), simulation.suspects, tuple(poisoned), found
+    )
--- a/tests/proofs/test_poison.py
+++ b/tests/proofs/test_poison.py
@@ -19,12 +19,14 @@
     SERVERS_PER_POOL,
     PoisonResult,
     PoisonSimulation,
+    send_poison_members,
     send_poison_to_all,
 )
 
 SEEDS = range(40)
 MAX_CRASHES = 2
 MAX_CRASHES_OF_MANY = 3
+MAX_CRASHES_OF_PART = 3
 
 
 def assert_contained(result: PoisonResult, seed: int) -> None:
@@ -65,6 +67,24 @@
         assert len(result.crashed) > MAX_CRASHES
 
 
+class TestSharedMember:
+    """Requests that are all different share a member on which servers crash."""
+
+    @pytest.mark.parametrize("entries", [1, 3])
+    @pytest.mark.parametrize("neighbours", [0, 2])
+    def test_three_servers_lost_and_requests_with_its_other_members_answered(
+        self, entries: int, neighbours: int
+    ) -> None:
+        for seed in SEEDS:
+            simulation = PoisonSimulation(seed, entries=entries, crashes_stage="encode")
+            result = send_poison_members(simulation, 6, neighbours)
+            assert len(result.crashed) <= MAX_CRASHES_OF_PART, f"seed {seed}"
+            assert result.poisoned[-1].reason == "input_crashes_servers"
+            outcomes = result.neighbours.values()
+            kinds = {outcome.kind for outcome in outcomes}
+            assert kinds <= {OutcomeKind.ANSWERED}, f"seed {seed}: {outcomes}"
+
+
 NEIGHBOURS = 6
 ROUNDS = 2
 
