--- a/src/bramleyturn/core/attempt_results.py
+++ b/src/bramleyturn/core/attempt_results.py
@@ -5,11 +5,11 @@
 from bramleyturn.core.actions import Action, CancelAttempt
 from bramleyturn.core.budgets import charge_budget
 from bramleyturn.core.cost import Charge, attempt_cost_micros, charge
+from bramleyturn.core.crashes import connection_lost, request_finished
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptFailed, FailureReason, OutputArrived
 from bramleyturn.core.latency import record_stage
 from bramleyturn.core.permission import settle_stage, take_back_dispatch
-from bramleyturn.core.poison import connection_lost, request_finished
 from bramleyturn.core.progress import Attempt, RunningRequest, StageProgress, StageState
 from bramleyturn.core.routing import (
     AttemptEnd,
--- a/src/bramleyturn/core/attempts.py
+++ b/src/bramleyturn/core/attempts.py
@@ -11,13 +11,7 @@
 from bramleyturn.core.latency import stage_deadline_ms
 from bramleyturn.core.model import Pool, PoolKind, Stage
 from bramleyturn.core.permission import next_attempt_id
-from bramleyturn.core.poison import (
-    Quarantined,
-    RequestNames,
-    Suspect,
-    request_fingerprint,
-    workspace_name,
-)
+from bramleyturn.core.poison import Quarantined, Suspect
 from bramleyturn.core.poison_parts import classify, part_marks
 from bramleyturn.core.progress import (
     Attempt,
@@ -26,6 +20,11 @@
     StageState,
     stage_input,
 )
+from bramleyturn.core.request_names import (
+    RequestNames,
+    request_fingerprint,
+    workspace_name,
+)
 from bramleyturn.core.retry_budget import count_first_attempt
 from bramleyturn.core.routing import (
     Choice,
--- a/src/bramleyturn/core/entry.py
+++ b/src/bramleyturn/core/entry.py
@@ -8,6 +8,7 @@
     handle_output,
     handle_stream_end,
 )
+from bramleyturn.core.crashes import server_answered
 from bramleyturn.core.due_timers import FORGET_INTERVAL_MS, run_due_timers
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import (
@@ -52,7 +53,6 @@
 from bramleyturn.core.membership import apply_listed_entries, record_miss
 from bramleyturn.core.permission import permit_write
 from bramleyturn.core.platform_updates import accept_configuration, apply_server_list
-from bramleyturn.core.poison import server_answered
 from bramleyturn.core.routing import load_reported
 from bramleyturn.core.server_confirmation import (
     confirm_server,
--- a/src/bramleyturn/core/entry_state.py
+++ b/src/bramleyturn/core/entry_state.py
@@ -7,6 +7,7 @@
 
 from bramleyturn.core.admission import Admission, admission
 from bramleyturn.core.cost import CostTotals
+from bramleyturn.core.crashes import Suspects
 from bramleyturn.core.events import RequestArrived
 from bramleyturn.core.forecast import TooBusy, forecast
 from bramleyturn.core.gossip import GossipState
@@ -14,7 +15,6 @@
 from bramleyturn.core.latency import StageLatencies
 from bramleyturn.core.membership import Membership
 from bramleyturn.core.model import Configuration, Stage
-from bramleyturn.core.poison import Suspects
 from bramleyturn.core.progress import Attempt, RunningRequest
 from bramleyturn.core.retry_budget import RetryBudget
 from bramleyturn.core.routing import (
--- a/src/bramleyturn/core/gossip.py
+++ b/src/bramleyturn/core/gossip.py
@@ -20,8 +20,8 @@
 
 import orjson
 
+from bramleyturn.core.crashes import CrashHint, PartMark
 from bramleyturn.core.membership import Liveness, Rumour
-from bramleyturn.core.poison import CrashHint, PartMark
 from bramleyturn.core.server_load import LoadReport
 from bramleyturn.core.spend import SpendCounter
 from bramleyturn.core.tickets import ProcessRef
--- a/src/bramleyturn/core/gossip_exchange.py
+++ b/src/bramleyturn/core/gossip_exchange.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Final
 
+from bramleyturn.core.crashes import import_hints
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.gossip import (
     CRASH_BYTES,
@@ -27,7 +28,6 @@
     record_draining,
     record_heard,
 )
-from bramleyturn.core.poison import import_hints
 from bramleyturn.core.poison_parts import crash_hints
 from bramleyturn.core.routing import load_reported, server_leaving
 from bramleyturn.core.spend import CounterKey, SpendCounter, merge_spend
--- a/src/bramleyturn/core/input_parts.py
+++ b/src/bramleyturn/core/input_parts.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from bramleyturn.core.poison import part_digest
+from bramleyturn.core.request_names import part_digest
 
 MAX_INPUT_PARTS: Final = 16
 
--- a/src/bramleyturn/core/poison_parts.py
+++ b/src/bramleyturn/core/poison_parts.py
@@ -22,22 +22,18 @@
 from random import Random
 from typing import Final, NamedTuple
 
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     MAX_HINTS,
-    Clear,
     Crash,
     CrashHint,
     PartMark,
     PoisonPart,
-    Quarantined,
-    RequestNames,
-    Suspect,
     Suspects,
-    classify_request,
     crash_hint,
-    request_name,
     unfinished_names,
 )
+from bramleyturn.core.poison import Clear, Quarantined, Suspect, classify_request
+from bramleyturn.core.request_names import RequestNames, request_name
 
 # Crashes one after another on a part of which no request has ever finished.
 QUARANTINE_DEPTH: Final = 3
--- a/src/bramleyturn/core/progress.py
+++ b/src/bramleyturn/core/progress.py
@@ -4,9 +4,10 @@
 from enum import StrEnum
 from typing import Any
 
+from bramleyturn.core.crashes import PartMark
 from bramleyturn.core.model import Pipeline, Pool, Server, Stage, Workspace
 from bramleyturn.core.outcomes import OutcomeKind, StageOutcome
-from bramleyturn.core.poison import PartMark, RequestNames
+from bramleyturn.core.request_names import RequestNames
 
 
 class StageState(StrEnum):
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -5,8 +5,8 @@
 
 from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
 from bramleyturn.core.catalog.prompt import shared_prefix
-from bramleyturn.core.poison import (
-    PartMark,
+from bramleyturn.core.crashes import PartMark
+from bramleyturn.core.request_names import (
     RequestNames,
     caller_fingerprint,
     part_name,
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -13,22 +13,21 @@
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     CrashHint,
     PartMark,
     PoisonPart,
-    Quarantined,
-    RequestNames,
-    classify_request,
     connection_lost,
     import_hints,
     request_finished,
 )
+from bramleyturn.core.poison import Quarantined, classify_request
 from bramleyturn.core.poison_parts import (
     find_poison_parts,
     part_marks,
     quarantined_part,
 )
+from bramleyturn.core.request_names import RequestNames
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.caller_request import Quarantine
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -11,6 +11,7 @@
 import orjson
 from twisted.internet.protocol import DatagramProtocol
 
+from bramleyturn.core.crashes import MAX_HINTS, CrashHint, PartMark
 from bramleyturn.core.fleet.freshness import (
     age_ms,
     full_revision,
@@ -26,7 +27,7 @@
     silent_zones,
 )
 from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
-from bramleyturn.core.poison import MAX_HINTS, CrashHint, PartMark, choose_hints
+from bramleyturn.core.poison import choose_hints
 from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.crash_watch import CrashWatch
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -17,12 +17,12 @@
 from bramleyturn.core.catalog.routes import RouteIndex, workspaces_by_key
 from bramleyturn.core.catalog.server_registry import ServerRegistry, ready_servers
 from bramleyturn.core.clock import Clock
+from bramleyturn.core.crashes import CRASH_RETENTION_MS, Suspects
 from bramleyturn.core.fleet.freshness import Freshness
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
 from bramleyturn.core.fleet.store_revision import StoreRevision
 from bramleyturn.core.placement.choice import LoadTracker
 from bramleyturn.core.placement.health import HealthTracker
-from bramleyturn.core.poison import CRASH_RETENTION_MS, Suspects
 from bramleyturn.core.retry.shared_budget import (
     BudgetLimits,
     SharedBudget,
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -40,7 +40,7 @@
     withdraw,
 )
 from bramleyturn.core.pieces.stage_server import StageServer, note_report
-from bramleyturn.core.poison import RequestNames
+from bramleyturn.core.request_names import RequestNames
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallFailed, WholeAnswer, call, peer_of
--- a/src/bramleyturn/runtime/entry_logs.py
+++ b/src/bramleyturn/runtime/entry_logs.py
@@ -4,10 +4,10 @@
 from collections.abc import Iterable
 
 from bramleyturn.core.actions import Answer, StartAttempt
+from bramleyturn.core.crashes import Crash
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import AttemptFailed
 from bramleyturn.core.outcomes import OutcomeKind
-from bramleyturn.core.poison import Crash
 
 logger = logging.getLogger(__name__)
 
--- a/src/bramleyturn/runtime/entry_loop.py
+++ b/src/bramleyturn/runtime/entry_loop.py
@@ -20,6 +20,7 @@
     TicketRefused,
 )
 from bramleyturn.core.clock import Clock
+from bramleyturn.core.crashes import Crash, PoisonPart
 from bramleyturn.core.entry import next_wake_ms, step
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import (
@@ -30,7 +31,6 @@
     TimePassed,
 )
 from bramleyturn.core.intake import AccessTable, access_table
-from bramleyturn.core.poison import Crash, PoisonPart
 from bramleyturn.core.poison_parts import find_poison_parts
 from bramleyturn.core.server_confirmation import PAUSE_MS
 from bramleyturn.core.units import MS_PER_S
--- a/src/bramleyturn/runtime/poison_part_log.py
+++ b/src/bramleyturn/runtime/poison_part_log.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from bramleyturn.core.poison import PoisonPart
+from bramleyturn.core.crashes import PoisonPart
 
 MAX_LOGGED_SERVERS: Final = 8
 
--- a/tests/core/test_crash_spread.py
+++ b/tests/core/test_crash_spread.py
@@ -4,26 +4,28 @@
 
 import pytest
 
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     CRASH_RETENTION_MS,
-    Clear,
     CrashHint,
-    Quarantined,
-    RequestNames,
-    Suspect,
     Suspects,
-    choose_hints,
-    classify_request,
     connection_lost,
     import_hints,
     request_finished,
 )
+from bramleyturn.core.poison import (
+    Clear,
+    Quarantined,
+    Suspect,
+    choose_hints,
+    classify_request,
+)
 from bramleyturn.core.poison_parts import (
     choose_part_hints,
     find_poison_parts,
     part_marks,
     quarantined_part,
 )
+from bramleyturn.core.request_names import RequestNames
 from bramleyturn.gateway.heartbeats import (
     MAX_SENT_FINGERPRINTS,
     MAX_SENT_MARKS,
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -9,6 +9,12 @@
 
 from bramleyturn.core.actions import GossipNow
 from bramleyturn.core.configuration import RefusedConfiguration, load_configuration
+from bramleyturn.core.crashes import (
+    CrashHint,
+    PartMark,
+    connection_lost,
+    request_finished,
+)
 from bramleyturn.core.entry import step
 from bramleyturn.core.entry_state import EntryState
 from bramleyturn.core.events import (
@@ -35,12 +41,6 @@
 from bramleyturn.core.gossip_exchange import build_gossip
 from bramleyturn.core.membership import Liveness, Rumour
 from bramleyturn.core.peers import choose_backup
-from bramleyturn.core.poison import (
-    CrashHint,
-    PartMark,
-    connection_lost,
-    request_finished,
-)
 from bramleyturn.core.routing import LoadReport
 from bramleyturn.core.spend import SpendCounter, record_spend, spent
 from tests.core.gossip_simulation import Simulation
--- a/tests/core/test_poison.py
+++ b/tests/core/test_poison.py
@@ -9,22 +9,24 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     CRASH_RETENTION_MS,
     MAX_CRASHES,
-    Clear,
     CrashHint,
-    Quarantined,
-    Suspect,
     Suspects,
-    classify_request,
     connection_lost,
-    export_hints,
     import_hints,
-    request_fingerprint,
     request_finished,
     server_answered,
 )
+from bramleyturn.core.poison import (
+    Clear,
+    Quarantined,
+    Suspect,
+    classify_request,
+    export_hints,
+)
+from bramleyturn.core.request_names import request_fingerprint
 
 CASES: Final[list[dict[str, Any]]] = json.loads(
     (Path(__file__).parent / "data" / "verdicts.json").read_text()
--- a/tests/core/test_poison_parts.py
+++ b/tests/core/test_poison_parts.py
@@ -4,17 +4,14 @@
 
 import pytest
 
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     CRASH_RETENTION_MS,
     PART_MEMORY_MS,
-    Clear,
-    Quarantined,
-    RequestNames,
     Suspects,
-    classify_request,
     connection_lost,
     request_finished,
 )
+from bramleyturn.core.poison import Clear, Quarantined, classify_request
 from bramleyturn.core.poison_parts import (
     FIRST_QUARANTINE_MS,
     MAX_TIED_PARTS,
@@ -25,6 +22,7 @@
     part_marks,
     quarantined_part,
 )
+from bramleyturn.core.request_names import RequestNames
 
 NOW_MS = 1_000_000
 POISON = "poison"
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -6,20 +6,19 @@
 import orjson
 import pytest
 
-from bramleyturn.core.fleet.members import GOSSIP_MEMBERS
-from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
-from bramleyturn.core.poison import (
+from bramleyturn.core.crashes import (
     CRASH_RETENTION_MS,
     MAX_HINTS,
     CrashHint,
     PartMark,
     Suspects,
-    caller_fingerprint,
-    choose_hints,
     connection_lost,
-    part_name,
 )
+from bramleyturn.core.fleet.members import GOSSIP_MEMBERS
+from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
+from bramleyturn.core.poison import choose_hints
 from bramleyturn.core.poison_parts import choose_part_hints
+from bramleyturn.core.request_names import caller_fingerprint, part_name
 from bramleyturn.gateway.heartbeats import (
     MAX_SENT_FINGERPRINTS,
     MAX_SENT_MARKS,
--- a/tests/proofs/poison_simulation.py
+++ b/tests/proofs/poison_simulation.py
@@ -7,6 +7,7 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.actions import Action, Answer, CancelAttempt, StartAttempt
+from bramleyturn.core.crashes import MAX_HINTS, import_hints
 from bramleyturn.core.events import (
     AttemptFailed,
     FailureReason,
@@ -16,7 +17,6 @@
 )
 from bramleyturn.core.model import PoolKind
 from bramleyturn.core.outcomes import Outcome
-from bramleyturn.core.poison import MAX_HINTS, import_hints
 from bramleyturn.core.poison_parts import crash_hints
 from tests.core.entry_simulation import FOLDER, EntrySimulation
 
