Let the site soak send drafts with a prompt part on which engines crash

A fifth series sends 50 drafts, no two alike, with a part on which engines crash having written nothing, the head or an event. The ledger must not show more than three of them at servers later than 3 s after the fifth crash, sent by entries that were not disturbed or had been told by the other one. The plans moved to a module of their own.

--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -115,6 +115,7 @@
         body: bytes = b"x",
         piece_key: str = "7c1e",
         pieces: str = "2",
+        prompt: str = "aa:80,bb:20",
         **options: Any,
     ) -> Answer:
         """Request a stream with two pieces of a stage, or ``pieces`` of its stages."""
@@ -122,7 +123,7 @@
             "Bramleyturn-Pieces": pieces,
             "Bramleyturn-Piece-Key": piece_key,
             "Bramleyturn-Token-Counts": "100,20",
-            "Bramleyturn-Prompt-Prefix": "aa:80,bb:20",
+            "Bramleyturn-Prompt-Prefix": prompt,
             "Bramleyturn-Model": "m",
         }
         options.setdefault("wait_ms", 8_000)
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -18,133 +18,40 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.standin.site.servers import wall_ms
 from tests.processes import READY_LIMIT_S, kill
 from tests.site.site_fleet import SiteFleet, launch_entry, running_fleet, wait_until
 from tests.site.soak_checks import (
     DRAFT,
     LOOKUP,
     ORDER,
+    PART,
     SentAttempt,
     find_violations,
     served_share,
 )
+from tests.site.soak_parts import (
+    PROMPT,
+    Arrival,
+    Disturbance,
+    draw_crash,
+    find_late_arrivals,
+)
+from tests.site.soak_plans import LOST_CONFIGURATIONS, PLANS, SERVERS, SLOW_MS, Fault
 
 CALLERS: Final = 8
 # Callers that use one connection to one entry for as long as it stays open.
 KEPT_CALLERS: Final = 4
 CALL_PAUSE_S: Final = 0.03
-# Time between the starts of two faults, short enough that faults overlap.
-FAULT_GAPS_S: Final = (0.2, 1.2)
-FAULT_DURATIONS_S: Final = (0.3, 2.5)
-FAULT_COUNT: Final = 8
 # As in the deployments' settings: the longest time from the last fault until callers
 # are served again.
 RECOVERY_S: Final = 12.0
 APPLY_S: Final = 2.0
 RECOVERY_WINDOW_S: Final = 2.0
 MIN_SERVED_SHARE: Final = 0.9
-SERVERS: Final = tuple(
-    f"i-{pool}-{place}" for pool in ("members", "drafts", "books") for place in (0, 1)
-)
-SERVER_FAULTS: Final = ("shed", "reset", "cut", "error", "hang")
-# Where an answer without a length is broken off, and how it ends. A running server that
-# closes between events, or within an answer that is no stream, can't be told from one
-# that has finished.
-SHAPES: Final = ("none framed", "inside reset", "inside crashed", "between crashed")
-SHAPE_COUNT: Final = 6
-SHAPE_SEED_OFFSET: Final = 1_000_000
-# What is lost when the store comes back from its copy.
-LOSSES: Final = ("nothing", "configuration", "server")
-LOST_CONFIGURATIONS: Final = 20
-RETURN_COUNT: Final = 2
-RETURN_SEED_OFFSET: Final = 2_000_000
-RESTART_COUNT: Final = 2
-SLOW_MS: Final = 600
-RESTART_SEED_OFFSET: Final = 3_000_000
-
-
-class Fault(NamedTuple):
-    """Hold a fault, its start relative to the previous fault and its duration."""
-
-    after_s: float
-    lasts_s: float
-    kind: str
-    place: int
-    how: str
-
-
-def draw_faults(seed: int) -> list[Fault]:
-    """Return the fault plan of a seed."""
-    random = Random(seed)
-    drawn = []
-    for _ in range(FAULT_COUNT):
-        kind = random.choice(("kill", "pause", "stop", "hup", "store", "server", "new"))
-        how = ""
-        if kind == "store":
-            how = random.choice(("busy", "many", "silent", "forget"))
-        if kind == "server":
-            how = random.choice(SERVER_FAULTS)
-        place = random.randrange(len(SERVERS))
-        after_s, lasts_s = (
-            random.uniform(*FAULT_GAPS_S),
-            random.uniform(*FAULT_DURATIONS_S),
-        )
-        drawn.append(Fault(after_s, lasts_s, kind, place, how))
-    return drawn
-
-
-def draw_shapes(seed: int) -> list[Fault]:
-    """Return the series of answers without a length, whole or broken off, of a seed.
-
-    It overlaps the fault plan, and its draws leave that of a seed as it is.
-    """
-    random = Random(SHAPE_SEED_OFFSET + seed)
-    return [
-        Fault(
-            random.uniform(*FAULT_GAPS_S),
-            random.uniform(*FAULT_DURATIONS_S),
-            "shape",
-            random.randrange(len(SERVERS)),
-            random.choice(SHAPES),
-        )
-        for _ in range(SHAPE_COUNT)
-    ]
-
-
-def draw_returns(seed: int) -> list[Fault]:
-    """Return the series of returns of the store from older copies, of a seed."""
-    random = Random(RETURN_SEED_OFFSET + seed)
-    return [
-        Fault(
-            random.uniform(*FAULT_GAPS_S),
-            random.uniform(*FAULT_DURATIONS_S),
-            "return",
-            random.randrange(len(SERVERS)),
-            random.choice(LOSSES),
-        )
-        for _ in range(RETURN_COUNT)
-    ]
-
-
-def draw_restarts(seed: int) -> list[Fault]:
-    """Return the series of entries that are asked to stop, of a seed."""
-    random = Random(RESTART_SEED_OFFSET + seed)
-    return [
-        Fault(
-            random.uniform(*FAULT_GAPS_S),
-            random.uniform(*FAULT_DURATIONS_S),
-            "stop",
-            random.randrange(len(SERVERS)),
-            "slow",
-        )
-        for _ in range(RESTART_COUNT)
-    ]
-
-
-PLANS: Final = (draw_faults, draw_shapes, draw_returns, draw_restarts)
 
 
 class SoakRun:
@@ -159,6 +66,8 @@
         self.restarting = [threading.Lock() for _ in fleet.entries]
         self.starts = itertools.count(1)
         self.kills: list[tuple[int, float]] = []
+        self.disturbances: list[Disturbance] = []
+        self.part_entries: dict[str, int] = {}
 
     def call_until_over(self, caller: int) -> None:
         """Send requests one after the other, each to a random entry."""
@@ -211,8 +120,9 @@
         """Send one request."""
         options: Any = {"entry": entry, "attempt_id": attempt_id, "kept": kept}
         try:
-            if kind == DRAFT:
-                answer = self.fleet.draft(attempt_id.encode(), **options)
+            if kind in (DRAFT, PART):
+                prompt = {"prompt": PROMPT} if kind == PART else {}
+                answer = self.fleet.draft(attempt_id.encode(), **prompt, **options)
             else:
                 method = "POST" if kind == ORDER else "GET"
                 answer = self.fleet.call(f"/{kind}/{attempt_id}", method, **options)
@@ -235,14 +145,19 @@
     def inject(self, fault: Fault) -> None:
         """Inject a fault, wait for its duration and end it."""
         entry = fault.place % len(self.fleet.entries)
+        began_ms = wall_ms()
         if fault.kind in ("kill", "stop"):
             self.restart(entry, fault)
+            self.disturbances.append(Disturbance(entry, began_ms, wall_ms(), True))
+        elif fault.kind == "part":
+            self.send_part(entry)
         elif fault.kind == "pause":
             with self.restarting[entry]:
                 pid = self.fleet.entries[entry].pid
                 os.kill(pid, signal.SIGSTOP)
                 time.sleep(fault.lasts_s)
                 os.kill(pid, signal.SIGCONT)
+            self.disturbances.append(Disturbance(entry, began_ms, wall_ms(), False))
         elif fault.kind == "hup":
             with self.restarting[entry]:
                 # A process that has not run its first lines has no SIGHUP handler yet,
@@ -268,6 +183,23 @@
         else:
             self.fleet.send_control("/configuration")
 
+    def send_part(self, entry: int) -> None:
+        """Send a draft, unlike any other, with the part on which engines crash."""
+        attempt_id = f"s{self.seed:x}p{next(self.starts):x}"
+        self.part_entries[attempt_id] = entry
+        self.sent.append(self.call(PART, attempt_id, entry))
+
+    def part_violations(self) -> list[str]:
+        """Return the drafts with the part that reached servers too late."""
+        servers = self.fleet.send_control("/ledger")["servers"].values()
+        arrivals = [
+            Arrival(attempt_id, self.part_entries[attempt_id], ran["began_ms"])
+            for server in servers
+            for ran in server["ran"]
+            if (attempt_id := ran["attempt_id"]) in self.part_entries
+        ]
+        return find_late_arrivals(arrivals, self.disturbances)
+
     def restart(self, entry: int, fault: Fault) -> None:
         """Kill an entry or stop it with SIGTERM, and start it again."""
         with self.restarting[entry]:
@@ -367,6 +299,7 @@
     """
     with running_fleet(folder, entry_source=entry_source) as fleet:
         state = SoakRun(fleet, folder, seed)
+        fleet.send_control("/crashing-parts", **draw_crash(seed))
         callers = [start(state.call_until_over, caller) for caller in range(CALLERS)]
         callers += [
             start(state.call_on_kept_connection, caller)
@@ -382,6 +315,7 @@
             state.is_over.set()
             for thread in callers:
                 thread.join()
+        violations += state.part_violations()
         violations += find_violations(state.sent, state.runs(), folder)
         ends = Counter(f"{each.kind} {each.status}" for each in state.sent)
     return violations, ends
--- a/tests/site/soak_checks.py
+++ b/tests/site/soak_checks.py
@@ -8,6 +8,8 @@
 LOOKUP: Final = "lookup"
 ORDER: Final = "order"
 DRAFT: Final = "draft"
+# A draft with a prompt part on which engines crash.
+PART: Final = "part"
 EVENTS: Final = 8
 # Statuses that state that the request has not run and never will.
 NOT_RUN_STATUSES: Final = (408, 421, 429, 503)
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -7,7 +7,7 @@
 
 from tests.processes import SOURCE
 from tests.site.rolling_checks import CROSSING_MS
-from tests.site.soak import PLANS, run_seed
+from tests.site.soak import run_seed
 from tests.site.soak_checks import (
     DRAFT,
     LOOKUP,
@@ -17,9 +17,13 @@
     served_share,
     whole_stream,
 )
+from tests.site.soak_parts import Arrival, Disturbance, find_late_arrivals
+from tests.site.soak_plans import PLANS
 
 # A seed whose plan has faults of processes and of the store.
 SEED = 2
+# A seed whose entries are not restarted together in the second half.
+SEED_OF_PARTS = 3
 # Seeds that once found a fault, with its cause.
 REGRESSIONS = (
     # SIGHUP ended an entry that was still importing.
@@ -61,6 +65,14 @@
     )
 
 
+# Lets an entry find no part on which servers crash.
+NO_PARTS = """
+from bramleyturn.core import poison_parts
+
+poison_parts._find_poison_parts = lambda crashes: {}
+"""
+
+
 class TestChecks:
     """Each check finds its kind of violation."""
 
@@ -132,6 +144,35 @@
         assert served_share([refused], ORDER) == 1.0
 
 
+class TestPartCheck:
+    """Requests with a crashing part after the fifth crash, beside disturbances."""
+
+    FIRST = tuple(Arrival(f"c{number}", 0, 1_000 + number) for number in range(5))
+
+    def late(self, entry: int = 0, at_ms: int = 5_000) -> list[Arrival]:
+        """Return the first crashes and as many requests as are too many after them."""
+        late = (Arrival(f"l{number}", entry, at_ms + number) for number in range(4))
+        return [*self.FIRST, *late]
+
+    def test_requests_of_an_entry_that_ran_all_the_while_are_found(self) -> None:
+        assert len(find_late_arrivals(self.late(), [])) == 4
+        assert find_late_arrivals(self.late()[:-1], []) == []
+        assert find_late_arrivals(self.late(at_ms=4_000), []) == []
+
+    def test_entry_that_another_one_could_tell_is_not_excused(self) -> None:
+        restart = Disturbance(0, 2_000, 2_500, True)
+        late = self.late(at_ms=12_000)
+        assert find_late_arrivals(late, [restart])
+        assert find_late_arrivals(late, [restart, Disturbance(1, 6_000, 6_500, True)])
+        both = [restart, Disturbance(1, 2_400, 2_600, True)]
+        assert find_late_arrivals(late, both) == []
+
+    def test_entry_that_was_disturbed_just_before_is_excused(self) -> None:
+        pause = Disturbance(0, 2_000, 2_500, False)
+        assert find_late_arrivals(self.late(), [pause]) == []
+        assert find_late_arrivals(self.late(entry=1), [pause])
+
+
 class TestPlan:
     """Plans are deterministic."""
 
@@ -149,12 +190,20 @@
         violations, ends = run_seed(seed, tmp_path)
         assert violations == [], (seed, ends)
 
-    def test_finds_entries_that_end_with_requests_in_progress(
-        self, tmp_path: Path
+    @pytest.mark.parametrize(
+        ("planted", "seed", "expected"),
+        [
+            (EARLY_EXIT, SEED, "closed without an answer"),
+            (NO_PARTS, SEED_OF_PARTS, "sent to a server"),
+        ],
+        ids=["early exit", "no parts"],
+    )
+    def test_finds_a_fault_that_is_planted_in_the_entries(
+        self, planted: str, seed: int, expected: str, tmp_path: Path
     ) -> None:
         plant = tmp_path / "plant"
         plant.mkdir()
-        (plant / "sitecustomize.py").write_text(EARLY_EXIT)
+        (plant / "sitecustomize.py").write_text(planted)
         source = os.pathsep.join((str(plant), str(SOURCE)))
-        violations, ends = run_seed(SEED, tmp_path, entry_source=source)
-        assert any("closed without an answer" in each for each in violations), ends
+        violations, ends = run_seed(seed, tmp_path, entry_source=source)
+        assert any(expected in each for each in violations), (violations, ends)
