--- a/tests/site/endless_load.py
+++ b/tests/site/endless_load.py
@@ -18,8 +18,8 @@
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.standin.site.deployment import Deployment
-from tests.site.rolling import DEPLOYMENT
 from tests.site.rolling_callers import Platform, run_caller, watch_readiness
+from tests.site.rolling_deployment import DEPLOYMENT
 from tests.site.site_fleet import TIMEOUT_S, SiteFleet, running_fleet
 from tests.site.test_endless_answers import BODIES, CHUNKS, HEADS, memory_bytes
 
--- a/tests/site/rolling.py
+++ b/tests/site/rolling.py
@@ -24,13 +24,9 @@
 
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.standin.site.deployment import (
-    Deployment,
     RoutePlan,
-    engine_pool,
-    plain_pool,
     route,
     route_document,
-    stage_pool,
 )
 from tests.site.rolling_callers import (
     Attempt,
@@ -50,63 +46,11 @@
     find_lost,
     read_ledger,
 )
+from tests.site.rolling_deployment import CALLERS, DEPLOYMENT, HOSTS
+from tests.site.rolling_parts import PartOutcome, find_part_outcome
 from tests.site.site_fleet import launch_entry, running_fleet
+from tests.site.soak_parts import CRASHING_PART
 
-DEPLOYMENT: Final[Deployment] = {
-    "zones": {"north": 8, "middle": 7, "south": 5},
-    "grace_s": 8,
-    "pools": [
-        engine_pool(
-            "writers",
-            servers=5,
-            slots=64,
-            events=0,
-            first_ms=(100, 400),
-            gap_ms=(20, 100),
-            event_bytes=45,
-        ),
-        plain_pool("desk", servers=3, slots=6, work_ms=60),
-        stage_pool("rows", 3, work_ms=150, item_ms=(8, 32), batch=8, room_mb=8.0),
-        stage_pool("links", 3, work_ms=150, item_ms=(8, 32), batch=8, room_mb=2.0),
-        stage_pool("index", 3, work_ms=150, item_ms=(8, 32), batch=16, room_mb=0.5),
-    ],
-    "routes": [
-        route(
-            "digest",
-            "streaming",
-            "writers",
-            8_000,
-            1_900,
-            priority=0,
-            max_attempts=1,
-            is_sticky=True,
-            stages=[
-                {"service": "rows", "after": [], "bytes": 8_000},
-                {"service": "links", "after": [0], "bytes": 40_000},
-                {"service": "index", "after": [1], "bytes": 5_000},
-            ],
-        ),
-        route(
-            "chapter",
-            "streaming",
-            "writers",
-            15_000,
-            1_900,
-            priority=1,
-            is_sticky=True,
-            is_resumable=True,
-            stages=[
-                {"service": "rows", "after": [], "bytes": 8_000},
-                {"service": "links", "after": [0], "bytes": 40_000},
-            ],
-        ),
-        route("note", "streaming", "writers", 8_000, 900, is_sticky=True),
-        route("order", "non_idempotent", "desk", 2_000, 300, max_attempts=1),
-        route("lookup", "idempotent", "desk", 2_000, 300),
-    ],
-}
-CALLERS: Final = {"digest": 24, "chapter": 10, "note": 6, "order": 8, "lookup": 8}
-HOSTS: Final = tuple(f"127.0.1.{number}" for number in range(1, 21))
 PAIR_GAP_S: Final = 0.5
 POLL_S: Final = 0.02
 WARM_UP_S: Final = 5.0
@@ -114,6 +58,10 @@
 SLOW_FACTOR: Final = 5
 SLOW_GAP_MS: Final = 150
 MAX_EXTRA_ROUTES: Final = 4
+SECONDS_PER_MINUTE: Final = 60
+# Part of a run before requests have a part on which engines crash.
+CALM_PART: Final = 0.3
+PART_CRASH_MS: Final = 60
 PLAIN_TRAIT: Final = Trait(False, 0.0, 0.0, 0.0)
 SHOWN_PER_KIND: Final = 1
 
@@ -133,13 +81,14 @@
 
 
 class Outcome(NamedTuple):
-    """Hold what a run found."""
+    """Hold what a run found; ``parts`` if requests had a part that crashes engines."""
 
     attempts: list[Attempt]
     stops: list[Stop]
     lost: list[Lost]
     broken: list[str]
     lags_ms: list[int]
+    parts: PartOutcome | None = None
 
 
 async def control(state: Rolling, target: str, **fields: Any) -> dict[str, Any]:
@@ -310,7 +259,16 @@
     await asyncio.gather(*tasks)
 
 
-async def run_load(state: Rolling, minutes: float) -> None:
+async def send_crashing_parts(state: Rolling, after_s: float, share: float) -> None:
+    """Let a share of the streams have a part on which engines crash, from then on."""
+    await asyncio.sleep(after_s)
+    if not share:
+        return
+    await control(state, "/crashing-parts", ids=[CRASHING_PART], after_ms=PART_CRASH_MS)
+    state.platform.part_share = share
+
+
+async def run_load(state: Rolling, minutes: float, part_share: float) -> None:
     """Load the deployment and trouble it until the time is over."""
     platform = state.platform
     numbers = itertools.count()
@@ -328,19 +286,27 @@
         watch_lag,
     )
     work += [each(state) for each in series]
+    parts_after_s = minutes * SECONDS_PER_MINUTE * CALM_PART
+    work.append(send_crashing_parts(state, parts_after_s, part_share))
 
     async def end() -> None:
-        await asyncio.sleep(minutes * 60)
+        await asyncio.sleep(minutes * SECONDS_PER_MINUTE)
         platform.is_over = True
 
     await asyncio.gather(end(), *work)
 
 
-def run(seed: int, minutes: float, folder: Path, entry_source: str = "") -> Outcome:
+def run(
+    seed: int,
+    minutes: float,
+    folder: Path,
+    entry_source: str = "",
+    part_share: float = 0.0,
+) -> Outcome:
     """Run one seed, and write what was recorded to the folder."""
     with running_fleet(folder, len(HOSTS), DEPLOYMENT, HOSTS, entry_source) as fleet:
         state = Rolling(Platform(fleet, DEPLOYMENT, seed), folder)
-        asyncio.run(run_load(state, minutes))
+        asyncio.run(run_load(state, minutes, part_share))
         ledger = fleet.send_control("/ledger")["servers"]
     attempts = state.platform.attempts
     write_records(folder, attempts, state.stops, ledger)
@@ -348,7 +314,11 @@
     grace_ms = DEPLOYMENT["grace_s"] * MS_PER_S
     lost = find_lost(attempts, state.stops, records, folder, grace_ms)
     broken = find_broken_promises(attempts, records)
-    return Outcome(attempts, state.stops, lost, broken, sorted(state.lags_ms))
+    parts = None
+    if part_share:
+        parts = find_part_outcome(attempts, state.stops, ledger)
+        broken += parts.late
+    return Outcome(attempts, state.stops, lost, broken, sorted(state.lags_ms), parts)
 
 
 def write_records(
@@ -379,6 +349,8 @@
     print(
         f"callers were late by {late_ms} ms (99th percentile), {lags_ms[-1]} ms (most)"
     )
+    if outcome.parts is not None:
+        print(f"parts {outcome.parts._asdict()}")
     print(f"LOST {len(outcome.lost)}", dict(kinds), f"broken {len(outcome.broken)}")
     print(*outcome.broken[:10], sep="\n")
     shown: Counter[str] = Counter()
@@ -403,6 +375,12 @@
     parser.add_argument(
         "--entry-source", default="", help="the packages that the entries run"
     )
+    parser.add_argument(
+        "--part-share",
+        type=float,
+        default=0.0,
+        help="streams with a prompt part on which engines crash",
+    )
     parser.add_argument(
         "--busy", type=int, default=0, help="processes that keep a core busy each"
     )
@@ -412,7 +390,13 @@
         for _ in range(options.busy):
             busy = subprocess.Popen([sys.executable, "-c", "while True: pass"])
             stack.callback(busy.kill)
-        outcome = run(options.seed, options.minutes, folder, options.entry_source)
+        outcome = run(
+            options.seed,
+            options.minutes,
+            folder,
+            options.entry_source,
+            options.part_share,
+        )
     report(outcome, folder)
     return 1 if outcome.lost or outcome.broken else 0
 
--- a/tests/site/rolling_callers.py
+++ b/tests/site/rolling_callers.py
@@ -18,6 +18,7 @@
 from bramleyturn.standin.site.deployment import Deployment, RoutePlan
 from bramleyturn.standin.site.site import API_KEY
 from tests.site.site_fleet import SiteFleet
+from tests.site.soak_parts import CRASHING_PART
 
 READINESS_INTERVAL_S: Final = 1.0
 # Readiness checks without a 200 that take an entry out of rotation.
@@ -60,6 +61,8 @@
         self.entry = name
         self.reuse = 0
         self.trait = Trait(False, 0.0, 0.0, 0.0)
+        self.is_first = True
+        self.has_crashing_part = False
         self.sent_ms = 0
         self.last_sent_ms = 0
         self.first_read_ms = 0
@@ -95,6 +98,8 @@
         self.attempts: list[Attempt] = []
         self.is_over = False
         self.ids = itertools.count(1)
+        # Share of the streams with a prompt part on which engines crash.
+        self.part_share = 0.0
 
 
 def wall_ms() -> int:
@@ -192,6 +197,9 @@
     name = link.entry if link else platform.fleet.entries[place].name
     attempt = Attempt(f"r{next(platform.ids):07x}", plan, place, name)
     attempt.trait = trait
+    attempt.is_first = other_than < 0
+    if plan["kind"] == "streaming" and platform.part_share:
+        attempt.has_crashing_part = random.random() < platform.part_share
     platform.attempts.append(attempt)
     if link is None:
         link = await connect(platform, place, name, trait)
@@ -278,10 +286,11 @@
         mean = 17 if attempt.wait_ms < 10_000 else 40
         attempt.expected_events = max(1, int(random.gauss(mean, mean / 4)))
         counts = (1, random.randrange(2, 8), random.randrange(6, 20))
+        middle = f"{CRASHING_PART}:300," if attempt.has_crashing_part else ""
         headers += [
             ("Bramleyturn-Model", "m"),
             ("Bramleyturn-Token-Counts", f"2000,{attempt.expected_events}"),
-            ("Bramleyturn-Prompt-Prefix", f"aa:1500,{attempt.id[1:]}:500"),
+            ("Bramleyturn-Prompt-Prefix", f"aa:1500,{middle}{attempt.id[1:]}:500"),
         ]
         if plan["stages"]:
             pieces = counts[: len(plan["stages"])]
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -39,6 +39,7 @@
     Disturbance,
     draw_crash,
     find_late_arrivals,
+    last_loss_ms,
 )
 from tests.site.soak_plans import LOST_CONFIGURATIONS, PLANS, SERVERS, SLOW_MS, Fault
 
@@ -198,7 +199,8 @@
             for ran in server["ran"]
             if (attempt_id := ran["attempt_id"]) in self.part_entries
         ]
-        return find_late_arrivals(arrivals, self.disturbances)
+        known_since_ms = last_loss_ms(self.disturbances)
+        return find_late_arrivals(arrivals, self.disturbances, known_since_ms)
 
     def restart(self, entry: int, fault: Fault) -> None:
         """Kill an entry or stop it with SIGTERM, and start it again."""
--- a/tests/site/soak_parts.py
+++ b/tests/site/soak_parts.py
@@ -40,14 +40,13 @@
 
 
 def find_late_arrivals(
-    arrivals: list[Arrival], disturbances: list[Disturbance]
+    arrivals: list[Arrival], disturbances: list[Disturbance], known_since_ms: int
 ) -> list[str]:
     """Return the requests that entries in touch sent after the fifth crash, if many.
 
-    Each of the requests crashed its server as it arrived, or shortly after. Those
-    before the last time when no entry was left to know of crashes don't count.
+    Each of the requests crashed its server as it arrived, or shortly after. Those up to
+    ``known_since_ms`` don't count, since no entry was left then to know of crashes.
     """
-    known_since_ms = last_loss_ms(disturbances)
     counted = [each for each in arrivals if each.at_ms > known_since_ms]
     if len(counted) < CRASHES_FIRST:
         return []
@@ -64,7 +63,7 @@
 
 
 def last_loss_ms(disturbances: list[Disturbance]) -> int:
-    """Return when entries last started before any other could tell them of crashes."""
+    """Return when one of two entries last started before the other could tell it."""
     restarts = [each for each in disturbances if each.is_restart]
     return max(
         (
--- a/tests/site/test_rolling.py
+++ b/tests/site/test_rolling.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from tests.site.rolling import DEPLOYMENT
 from tests.site.rolling_callers import Attempt
 from tests.site.rolling_checks import (
     Records,
@@ -14,6 +13,7 @@
     find_lost,
     read_ledger,
 )
+from tests.site.rolling_deployment import DEPLOYMENT
 
 GRACE_MS = 8_000
 # When SIGTERM came; the process ended at the end of its grace.
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -17,7 +17,12 @@
     served_share,
     whole_stream,
 )
-from tests.site.soak_parts import Arrival, Disturbance, find_late_arrivals
+from tests.site.soak_parts import (
+    Arrival,
+    Disturbance,
+    find_late_arrivals,
+    last_loss_ms,
+)
 from tests.site.soak_plans import PLANS
 
 # A seed whose plan has faults of processes and of the store.
@@ -154,23 +159,27 @@
         late = (Arrival(f"l{number}", entry, at_ms + number) for number in range(4))
         return [*self.FIRST, *late]
 
+    def find(self, arrivals: list[Arrival], *disturbances: Disturbance) -> list[str]:
+        """Return what is found, if entries lost what they knew as they were stopped."""
+        known_since_ms = last_loss_ms(list(disturbances))
+        return find_late_arrivals(arrivals, list(disturbances), known_since_ms)
+
     def test_requests_of_an_entry_that_ran_all_the_while_are_found(self) -> None:
-        assert len(find_late_arrivals(self.late(), [])) == 4
-        assert find_late_arrivals(self.late()[:-1], []) == []
-        assert find_late_arrivals(self.late(at_ms=4_000), []) == []
+        assert len(self.find(self.late())) == 4
+        assert self.find(self.late()[:-1]) == []
+        assert self.find(self.late(at_ms=4_000)) == []
 
     def test_entry_that_another_one_could_tell_is_not_excused(self) -> None:
         restart = Disturbance(0, 2_000, 2_500, True)
         late = self.late(at_ms=12_000)
-        assert find_late_arrivals(late, [restart])
-        assert find_late_arrivals(late, [restart, Disturbance(1, 6_000, 6_500, True)])
-        both = [restart, Disturbance(1, 2_400, 2_600, True)]
-        assert find_late_arrivals(late, both) == []
+        assert self.find(late, restart)
+        assert self.find(late, restart, Disturbance(1, 6_000, 6_500, True))
+        assert self.find(late, restart, Disturbance(1, 2_400, 2_600, True)) == []
 
     def test_entry_that_was_disturbed_just_before_is_excused(self) -> None:
         pause = Disturbance(0, 2_000, 2_500, False)
-        assert find_late_arrivals(self.late(), [pause]) == []
-        assert find_late_arrivals(self.late(entry=1), [pause])
+        assert self.find(self.late(), pause) == []
+        assert self.find(self.late(entry=1), pause)
 
 
 class TestPlan:
