Log the limit that a server names in its answers

`attempt ended` has it now, and a counter says how often. The header applies to the server, so it is not forwarded to callers. Nothing is decided by it yet.

--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -111,6 +111,7 @@
         request.server = server
         request.marks = self.crashes.marks(request.names)
         request.heard_ms = sent_ms
+        request.named_limit_per_s = None
         note_sent(serving.loads, server.id)
         try:
             ended = await run_attempt(
@@ -149,6 +150,9 @@
         self, request: CallerRequest, server: BackendServer, answer: AnswerHead
     ) -> None:
         request.heard_ms = self.serving.now_ms()
+        request.named_limit_per_s = answer.limit_per_s
+        if answer.limit_per_s is not None:
+            count(self.serving.metrics, "server_limits_named", request.pool)
         load = answer.load
         if load is not None:
             now_ms = self.serving.now_ms()
@@ -226,6 +230,7 @@
                 "took_ms": now_ms - sent_ms,
                 "server_avoided": is_avoided,
                 "body_end": body_end._asdict() if body_end is not None else None,
+                "server_limit_per_s": request.named_limit_per_s,
             },
         )
 
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -85,6 +85,7 @@
         self.server: BackendServer | None = None
         self.marks: tuple[PartMark, ...] = ()
         self.heard_ms = exchange.arrived_ms
+        self.named_limit_per_s: float | None = None
         self.tried: list[str] = []
         self.position = StreamPosition(head.last_event_id)
         self.first_event_ms: int | None = None
--- a/src/bramleyturn/platform/answers.py
+++ b/src/bramleyturn/platform/answers.py
@@ -12,6 +12,7 @@
 NOT_EXECUTED: Final = b"bramleyturn-not-executed"
 ATTEMPT_ID: Final = b"bramleyturn-attempt-id"
 INSTANCE_LOAD: Final = b"bramleyturn-instance-load"
+SERVER_LIMIT: Final = b"server-limit"
 STATUS_MISDIRECTED: Final = 421
 # Headers that apply to one connection or one server only, not to the caller.
 DROPPED_HEADERS: Final = frozenset(
@@ -26,10 +27,12 @@
         b"content-length",
         NOT_EXECUTED,
         INSTANCE_LOAD,
+        SERVER_LIMIT,
         b"bramleyturn-instance-id",
     }
 )
 KEEP_ALIVE_PATTERN: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
+RATE_PATTERN: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 LOAD_PATTERN: Final = re.compile(r"([0-9]{1,6}),([0-9]{1,6}),([0-9]{1,6})")
 
 
@@ -46,7 +49,9 @@
 
     ``was_not_run`` is set if the server states that it did not run the request.
     ``is_signed`` is set if the server itself wrote the answer. ``idle_ms`` is how long
-    the server keeps an idle connection open, None if it does not say.
+    the server keeps an idle connection open, None if it does not say. ``limit_per_s``
+    is how many requests the server accepts from all instances together, None if it
+    names no limit.
     """
 
     status: int
@@ -56,6 +61,7 @@
     was_not_run: bool
     idle_ms: int | None
     load: ServerLoad | None
+    limit_per_s: float | None = None
 
 
 def read_answer_head(status: int, headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
@@ -69,6 +75,7 @@
         was_not_run=NOT_EXECUTED in by_name or status == STATUS_MISDIRECTED,
         idle_ms=_idle_ms(by_name.get(b"keep-alive", b"")),
         load=read_load(by_name.get(INSTANCE_LOAD, b"")),
+        limit_per_s=read_limit(by_name.get(SERVER_LIMIT, b"")),
     )
 
 
@@ -85,6 +92,12 @@
     return ServerLoad(int(matched[1]), int(matched[2]), int(matched[3]))
 
 
+def read_limit(value: bytes) -> float | None:
+    """Parse the limit that an answer names; return None if absent or malformed."""
+    text = value.decode("latin-1").strip()
+    return float(text) if RATE_PATTERN.fullmatch(text) else None
+
+
 def _idle_ms(value: bytes) -> int | None:
     matched = KEEP_ALIVE_PATTERN.search(value.decode("latin-1"))
     return int(matched[1]) * MS_PER_S if matched else None
--- /dev/null
+++ b/tests/platform/test_answers.py
@@ -0,0 +1,30 @@
+"""Test how the headers of servers' answers are read."""
+
+import pytest
+
+from bramleyturn.platform.answers import caller_headers, read_answer_head, read_limit
+
+
+class TestServerLimit:
+    """A server in need names how many requests a second it accepts."""
+
+    @pytest.mark.parametrize(
+        ("value", "limit_per_s"),
+        [(b"1", 1.0), (b" 2.50 ", 2.5), (b"0", 0.0), (b".5", 0.5), (b"3.", 3.0)],
+    )
+    def test_decimal_number_is_read(self, value: bytes, limit_per_s: float) -> None:
+        """The limit is a decimal number."""
+        assert read_limit(value) == limit_per_s
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"none", b"-1", b"1e9", b"nan", b"1 2", b".", b"\xff"]
+    )
+    def test_malformed_limit_is_none(self, value: bytes) -> None:
+        """A malformed header names no limit."""
+        assert read_limit(value) is None
+
+    def test_it_is_not_forwarded_to_callers(self) -> None:
+        """The limit is meant for all instances together, not for a caller."""
+        headers = [(b"server-limit", b"1"), (b"x-other", b"2")]
+        assert read_answer_head(200, headers).limit_per_s == 1.0
+        assert caller_headers(headers) == [(b"x-other", b"2")]
