Reproduce the servers that get more requests than the limit they name (red)

Servers in need were sent as many requests as sound ones: callers' streams there were slow, and the server stayed in need. The stand-ins' servers can name a limit, and record when each request arrives.

--- /dev/null
+++ b/src/bramleyturn/standin/site/server_limits.py
@@ -0,0 +1,68 @@
+"""Let servers name how many requests a second they accept, and record what arrives."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bramleyturn.gateway.exchange import AnswerWriter, Exchange, Headers
+from bramleyturn.platform.answers import SERVER_LIMIT
+
+
+class ServerLimit:
+    """Hold the limit that a server names in its answers, "" for none.
+
+    ``arrivals_ms`` has the time of each request of whatever kind, ``named_ms`` when the
+    limit was set.
+    """
+
+    def __init__(self) -> None:
+        self.text = ""
+        self.named_ms = 0
+        self.arrivals_ms: list[int] = []
+
+
+class LimitNamingWriter:
+    """Add the header to each answer that is written."""
+
+    def __init__(self, connection: AnswerWriter, limit: ServerLimit) -> None:
+        self.connection = connection
+        self.transport: Any = connection.transport
+        self.limit = limit
+
+    def caller_address(self) -> str:
+        """Return the address and port of the caller."""
+        return self.connection.caller_address()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer, with the limit if there is one."""
+        if self.limit.text:
+            headers = [*headers, (SERVER_LIMIT, self.limit.text.encode())]
+        self.connection.send_head(status, headers)
+
+    def send_body(self, data: bytes) -> None:
+        """Write a part of the body of an answer."""
+        self.connection.send_body(data)
+
+    def end_answer(self) -> None:
+        """End the answer."""
+        self.connection.end_answer()
+
+    def cut_answer(self) -> None:
+        """End the connection in a way that the caller can't take for an end."""
+        self.connection.cut_answer()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.connection.abort()
+
+
+def limited_handler(
+    handle: Callable[[Exchange], None], limit: ServerLimit, wall_ms: Callable[[], int]
+) -> Callable[[Exchange], None]:
+    """Return a handler that records requests and names the limit in the answers."""
+
+    def handle_limited(exchange: Exchange) -> None:
+        limit.arrivals_ms.append(wall_ms())
+        exchange.connection = LimitNamingWriter(exchange.connection, limit)
+        handle(exchange)
+
+    return handle_limited
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -27,6 +27,7 @@
     RawAnswer,
     send_endless,
 )
+from bramleyturn.standin.site.server_limits import ServerLimit
 
 NANOSECONDS_PER_MS: Final = 1_000_000
 RUN_TARGET: Final = b"/bramleyturn/stage-run"
@@ -118,6 +119,7 @@
         self.gap_ms = plan["gap_ms"][0]
         self.start_ms = 0
         self.crashing_parts = CrashingParts()
+        self.limit = ServerLimit()
         self.answer_bytes = 0
         self.event_bytes = plan["event_bytes"]
         self.ran: list[RunRecord] = []
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -2,8 +2,9 @@
 
 The control address accepts `POST /fault`, `/crash`, `/crashing-parts` (engines crash
 when they begin to write an answer on one of them), `/swap` (two servers crash and start
-again at each other's address), `/restarts`, `/leave`, `/remove`, `/deafen` (a server
-accepts no more connections), `/store` and `/configuration`, and answers `GET /ledger`.
+again at each other's address), `/limit` (a server names how many requests a second it
+accepts), `/restarts`, `/leave`, `/remove`, `/deafen` (a server accepts no more
+connections), `/store` and `/configuration`, and answers `GET /ledger`.
 """
 
 from collections.abc import Callable, Mapping
@@ -24,6 +25,7 @@
     route_document,
 )
 from bramleyturn.standin.site.raw_answers import read_shape
+from bramleyturn.standin.site.server_limits import limited_handler
 from bramleyturn.standin.site.servers import (
     SiteServer,
     engine_handler,
@@ -114,9 +116,8 @@
 ) -> None:
     """Listen at the server's address, or at a free one, and register the server."""
     server.starts += 1
-    http = HttpServer(
-        site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, new_handler(server)
-    )
+    handle = limited_handler(new_handler(server), server.limit, wall_ms)
+    http = HttpServer(site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, handle)
     port_number = int(server.address.rpartition(":")[2] or 0)
     port = site.reactor.listenTCP(port_number, http.factory(), interface=host)
     server.address = f"{host}:{port.getHost().port}"
@@ -233,6 +234,10 @@
         elif target == "/crashing-parts":
             for server in site.servers.values():
                 server.crashing_parts = read_crashing_parts(body)
+        elif target == "/limit":
+            limit = site.servers[body["server"]].limit
+            limit.text = body["per_s"]
+            limit.named_ms = wall_ms()
         elif target == "/swap":
             one, other = (site.servers[name] for name in body["servers"])
             one.address, other.address = other.address, one.address
@@ -308,6 +313,8 @@
                 "made": server.made,
                 "kept": len(server.results),
                 "endless": server.endless,
+                "arrivals_ms": server.limit.arrivals_ms,
+                "limit_named_ms": server.limit.named_ms,
             }
             for server in site.servers.values()
         },
