Keep the limits that servers name, for all instances together

Cause: nothing read the limit that a server names in its answers.

Change: a limit is divided among a few instances, its senders, whom all know by a hash of the server and their names: 4, and one more for each request a second. Each earns at its share of 0.8 of the limit and saves one request at most, so that all that they may have saved stays within what is allowed. Instances that join begin with nothing, silent ones keep their share for 15 s. Streams, resumed streams, repeats, lookups and orders, calls of stages, their reports and releases, and checks of servers are counted. Requests go to other servers first; if all have reached their limits a request waits up to 1 s for its turn, taken in advance, or is refused at once with 503 and the time of the next turn. The instance that plans the stages uses the limits of their servers alone; releases wait and are merged. News goes out at once, in a datagram of its own, and ages with each instance, so that it can't circulate. A limit ends with an answer without it, 0.5 s after one with it, or with the run of its server.

--- a/src/bramleyturn/core/fleet/members.py
+++ b/src/bramleyturn/core/fleet/members.py
@@ -128,6 +128,19 @@
     return live if members.is_ending else [members.me, *live]
 
 
+def recent_members(members: Members, now_ms: int) -> list[str]:
+    """Return the names of the instances that are live or have been lately.
+
+    Those that are shutting down are left out.
+    """
+    recent = [
+        name
+        for name, state in members.others.items()
+        if not state.heartbeat.is_ending and now_ms - state.heard_ms <= RECENT_MS
+    ]
+    return recent if members.is_ending else [members.me.name, *recent]
+
+
 def silent_zones(members: Members, now_ms: int) -> frozenset[str]:
     """Return the other zones whose instances have all become silent recently.
 
--- a/src/bramleyturn/core/pieces/releases.py
+++ b/src/bramleyturn/core/pieces/releases.py
@@ -55,3 +55,13 @@
     server.full_until_ms = 0
     for handle in confirmed.handles:
         remove_result(server.results, handle)
+
+
+def merge_releases(releases: Iterable[Release]) -> list[Release]:
+    """Return one release for each server."""
+    by_server: dict[str, list[str]] = {}
+    for each in releases:
+        by_server.setdefault(each.server_id, []).extend(each.handles)
+    return [
+        Release(server_id, tuple(handles)) for server_id, handles in by_server.items()
+    ]
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import TypeGuard
 
+from twisted.internet.task import deferLater
+
 from bramleyturn.core.answer_end import EndVerdict
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
@@ -18,6 +20,7 @@
 from bramleyturn.core.placement.health import note_answered, note_failed
 from bramleyturn.core.placement.verdicts import FIRST_REDIRECT, is_safe_to_retry
 from bramleyturn.core.stream_position import accept_event
+from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import note_first_event
 from bramleyturn.gateway.attempts import (
     Answered,
@@ -37,6 +40,14 @@
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.http1_client import FailureReason, Headers
 from bramleyturn.gateway.metrics import count, observe
+from bramleyturn.gateway.server_limits import (
+    LimitReached,
+    Turn,
+    count_request,
+    note_answer,
+    open_servers,
+    take_turn,
+)
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.platform.answers import AnswerHead, caller_headers
 from bramleyturn.platform.requests import ServerHead, server_headers
@@ -56,7 +67,7 @@
         serving = self.serving
         now_ms = serving.now_ms()
         servers = usable_servers(
-            serving.ready(request.pool),
+            open_servers(serving, serving.ready(request.pool)),
             tried,
             serving.health,
             now_ms,
@@ -68,6 +79,26 @@
             )
         return choose_by_load(servers, serving.loads, serving.random, now_ms)
 
+    async def choose_or_wait(
+        self, request: CallerRequest, tried: frozenset[str]
+    ) -> BackendServer | LimitReached | None:
+        """Return the server to try next, once its limit allows the request.
+
+        Return None if none is left.
+        """
+        serving = self.serving
+        server = self.choose(request, tried)
+        if server is not None:
+            count_request(serving, server)
+            return server
+        untried = [each for each in serving.ready(request.pool) if each.id not in tried]
+        most_ms = (request.deadline_ms - serving.now_ms()) // 2
+        turn = take_turn(serving, untried, most_ms)
+        if not isinstance(turn, Turn):
+            return turn
+        await deferLater(serving.reactor, turn.wait_ms / MS_PER_S)
+        return turn.server
+
     async def send(self, request: CallerRequest, server: BackendServer) -> AttemptEnd:
         """Send the request to a server and return the outcome."""
         serving = self.serving
@@ -151,6 +182,8 @@
     ) -> None:
         request.heard_ms = self.serving.now_ms()
         request.named_limit_per_s = answer.limit_per_s
+        if answer.is_signed or answer.limit_per_s is not None:
+            note_answer(self.serving, server, answer.limit_per_s)
         if answer.limit_per_s is not None:
             count(self.serving.metrics, "server_limits_named", request.pool)
         load = answer.load
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -39,6 +39,7 @@
     connect_to,
     stays_open,
 )
+from bramleyturn.gateway.server_limits import count_request, run_name
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.runtime.poison_part_log import log_poison_parts
 
@@ -218,6 +219,7 @@
         published = serving.published
         pool = published.pools.get(server.pool) if published is not None else None
         target = pool.status_target if pool is not None else None
+        count_request(serving, server)
         state = await check_server(serving.servers_pool, server, target)
         took_ms = serving.now_ms() - at_ms
         observe(serving.metrics, "server_check", took_ms, f"{server.pool} {state}")
@@ -278,8 +280,3 @@
                 "suspects": len(fingerprints),
             },
         )
-
-
-def run_name(server: BackendServer) -> str:
-    """Return a name for the current run of a server, which may keep its id."""
-    return f"{server.id}@{server.started_ms}"
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -24,14 +24,26 @@
     is_live,
     merge_heartbeats,
     next_heartbeat,
+    recent_members,
     silent_zones,
 )
 from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
+from bramleyturn.core.placement.server_limits import (
+    LimitHint,
+    choose_limit_hints,
+    update_instances,
+)
 from bramleyturn.core.poison import choose_hints
 from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.crash_watch import CrashWatch
 from bramleyturn.gateway.metrics import count, gauge
+from bramleyturn.gateway.server_limits import (
+    MAX_SENT_LIMITS,
+    decode_limits,
+    encode_limits,
+    merge_limits,
+)
 from bramleyturn.gateway.serving import Serving
 
 MAX_DATAGRAM_BYTES: Final = 8_192
@@ -83,13 +95,16 @@
         heartbeats, addresses = next_heartbeat(
             serving.members, serving.freshness.revision, serving.random, now_ms
         )
-        document = {
+        published = serving.published
+        own = {
             "store_age_ms": age_ms(serving.freshness, now_ms),
+            "heartbeats": [_encode(heartbeats[0])],
+            "eras": [heartbeats[0].revision.era],
+            "configuration_version": published.version if published is not None else 0,
+        }
+        document = own | {
             "heartbeats": [_encode(heartbeat) for heartbeat in heartbeats],
             "eras": [heartbeat.revision.era for heartbeat in heartbeats],
-            "configuration_version": (
-                serving.published.version if serving.published is not None else 0
-            ),
             "crashes": encode_hints(
                 choose_hints(
                     serving.suspects, serving.random, MAX_SENT_FINGERPRINTS, now_ms
@@ -101,6 +116,15 @@
                 )
             ),
         }
+        self._send(document, addresses)
+        # There is no room left for these in the largest datagram.
+        limits = choose_limit_hints(
+            serving.server_limits, serving.random, MAX_SENT_LIMITS, now_ms
+        )
+        if limits:
+            self._send(own | {"server_limits": encode_limits(limits)}, addresses)
+
+    def _send(self, document: dict[str, Any], addresses: Iterable[str]) -> None:
         data = orjson.dumps(document)
         transport: Any = self.transport
         for address in addresses:
@@ -127,6 +151,7 @@
             state.configuration_version = message.configuration_version
         if message.crashes:
             self.crashes.merge(sender.member.name, message.crashes)
+        merge_limits(self.serving, sender.member.name, message.server_limits)
         note_peer_confirmation(freshness, sender.revision, message.store_age_ms, now_ms)
 
     def _log_live_changes(self, now_ms: int) -> None:
@@ -144,6 +169,8 @@
                 extra={"peer": name, "age_ms": age_ms, "live": len(live)},
             )
         self._update_silent_zones(now_ms)
+        recent = recent_members(members, now_ms)
+        update_instances(self.serving.server_limits, recent, now_ms)
         self.logged_live = live
         gauge(self.serving.metrics, "live_instances", len(live) + 1)
 
@@ -165,14 +192,16 @@
     """Hold the contents of a datagram: its sender's heartbeat first, then others.
 
     ``store_age_ms`` is how long ago the store had nothing newer than the sender knows.
-    ``crashes`` are crashes of backend servers that the sender knows of. Instances of
-    earlier builds send neither eras nor the version of their configuration.
+    ``crashes`` are crashes of backend servers that the sender knows of, and
+    ``server_limits`` the limits that servers named. Instances of earlier builds send
+    neither these nor eras nor the version of their configuration.
     """
 
     store_age_ms: int
     heartbeats: list[Heartbeat]
     crashes: tuple[CrashHint, ...] = ()
     configuration_version: int = 0
+    server_limits: tuple[LimitHint, ...] = ()
 
 
 def decode_heartbeats(datagram: bytes) -> HeartbeatMessage | None:
@@ -190,13 +219,14 @@
             *decode_hints(document.get("crashes", [])),
             *decode_part_hints(document.get("part_crashes", [])),
         )
+        limits = decode_limits(document.get("server_limits", []))
     except (ValueError, TypeError, KeyError, IndexError):
         return None
     if not isinstance(store_age_ms, int) or store_age_ms < 0 or not heartbeats:
         return None
     if not isinstance(version, int):
         return None
-    return HeartbeatMessage(store_age_ms, heartbeats, crashes, version)
+    return HeartbeatMessage(store_age_ms, heartbeats, crashes, version, limits)
 
 
 def encode_hints(hints: Iterable[CrashHint]) -> list[Any]:
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -41,6 +41,7 @@
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_client import Headers
 from bramleyturn.gateway.metrics import count, observe
+from bramleyturn.gateway.server_limits import LimitReached
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_asks import StageAsks
 from bramleyturn.gateway.stage_work import StageResults, StageSpec, StageWork
@@ -225,6 +226,7 @@
         serving = self.serving
         refused = 0
         runs = 0
+        limited_ms: int | None = None
         failed_answer: Answered | None = None
         while True:
             quarantine = self.crashes.quarantine_of(request.names)
@@ -232,7 +234,11 @@
                 if request.exchange.is_started or request.may_have_run:
                     return Refusal(502, quarantine.reason, None)
                 return Refusal(503, quarantine.reason, quarantine.left_ms)
-            server = self.attempts.choose(request, frozenset(request.tried))
+            tried = frozenset(request.tried)
+            server = await self.attempts.choose_or_wait(request, tried)
+            if isinstance(server, LimitReached):
+                limited_ms = server.wait_ms
+                break
             if server is None:
                 break
             is_repeat = bool(request.tried)
@@ -287,6 +293,8 @@
             return None
         if request.exchange.is_started or request.may_have_run:
             return Refusal(502, "server_failed", None)
+        if limited_ms is not None:
+            return Refusal(503, "server_limits", limited_ms)
         return Refusal(503, "servers_full", DEFAULT_RETRY_AFTER_MS)
 
     def _may_run_again(self, request: CallerRequest, runs: int) -> bool:
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -23,6 +23,7 @@
 from bramleyturn.core.fleet.store_revision import StoreRevision
 from bramleyturn.core.placement.choice import LoadTracker
 from bramleyturn.core.placement.health import HealthTracker
+from bramleyturn.core.placement.server_limits import ServerLimits
 from bramleyturn.core.retry.shared_budget import (
     BudgetLimits,
     SharedBudget,
@@ -70,6 +71,7 @@
         self.registry = ServerRegistry()
         self.health = HealthTracker()
         self.loads = LoadTracker()
+        self.server_limits = ServerLimits(me.name, now_ms)
         # Crashes are recorded by run of a server, and a run crashes only once.
         self.suspects = Suspects(CRASH_RETENTION_MS)
         self.first_events = FirstEventTimes()
@@ -89,6 +91,7 @@
         self.run_times = RunTimes()
         self.in_progress = 0
         self.on_servers_changed: list[Callable[[], None]] = []
+        self.on_limits_changed: list[Callable[[], None]] = []
 
     def now_ms(self) -> int:
         """Return the monotonic time, which all deadlines refer to."""
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -34,7 +34,6 @@
     update_servers,
 )
 from bramleyturn.core.pieces.releases import (
-    confirm_release,
     release,
     release_foreign,
     withdraw,
@@ -47,21 +46,26 @@
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
+from bramleyturn.gateway.server_limits import count_request, wait_for
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.gateway.stage_messages import (
     encode_done,
     encode_handover,
     encode_moved,
 )
+from bramleyturn.gateway.stage_releases import (
+    CONTROL_CALL_TIMEOUT_MS,
+    StageReleases,
+    describe_answer,
+    note_call_answer,
+)
 from bramleyturn.platform.answers import read_answer_head
 from bramleyturn.platform.stage_calls import (
-    RELEASE_TARGET,
     REPORT_TARGET,
     RUN_TARGET,
     call_headers,
     decode_free_bytes,
     decode_run,
-    encode_release,
     encode_run,
     handle_address,
 )
@@ -69,8 +73,6 @@
 STATUS_OK: Final = 200
 # Interval between plans of waiting work when no event triggers one.
 TICK_INTERVAL_MS: Final = 60
-# For calls that release results or read a server's report.
-CONTROL_CALL_TIMEOUT_MS: Final = 1_000
 # Planning time grows with the number of open asks. The interval between two plans grows
 # by 1 ms for this many asks, which leaves most of a core for the calls.
 ASKS_PLANNED_PER_MS: Final = 16
@@ -92,6 +94,7 @@
         self.origins: dict[str, str] = {}
         self.is_ticking = False
         self.planned_ms = serving.now_ms()
+        self.releases = StageReleases(serving, self._schedule_plan)
         self.plan_timer: Any = None
         self.successor = ""
         self.own_until_ms = 0
@@ -122,15 +125,15 @@
         planner = self.pipeline.planners.get(pool)
         self.origins.pop(ask_id, None)
         if planner is not None:
-            self._release(planner, withdraw(planner, ask_id))
+            self.releases.send(planner, withdraw(planner, ask_id))
 
     def handle_release(self, pool: str, handles: list[str], size: int) -> None:
         """Release used results of ``size`` bytes each."""
         planner = self._planner(pool)
         if planner is None:
             return
-        self._release(planner, release(planner, handles))
-        self._release(planner, self._foreign_releases(planner, handles, size))
+        self.releases.send(planner, release(planner, handles))
+        self.releases.send(planner, self._foreign_releases(planner, handles, size))
 
     def handle_moved(self, moved: MovedPiece) -> None:
         """Handle the outcome of a piece that the previous owner had started."""
@@ -257,14 +260,25 @@
     def _plan(self) -> None:
         self.plan_timer = None
         now_ms = self.planned_ms = self.serving.now_ms()
+        self._await_turns(now_ms)
         outcomes = plan(self.pipeline, now_ms)
         for pool, outcome in outcomes.items():
             self._apply(self.pipeline.planners[pool], outcome)
         self._request_reports(now_ms)
+        self.releases.send_held(self.pipeline)
         if not self.is_ticking:
             self.is_ticking = True
             self.serving.reactor.callLater(TICK_INTERVAL_MS / MS_PER_S, self._tick)
 
+    def _await_turns(self, now_ms: int) -> None:
+        """Keep calls from the servers whose limits do not allow another one yet."""
+        for planner in self.pipeline.planners.values():
+            for state in planner.servers.values():
+                turn_ms = wait_for(self.serving, state.server, is_sole=True)
+                if turn_ms:
+                    until_ms = now_ms + turn_ms
+                    state.backoff_until_ms = max(state.backoff_until_ms, until_ms)
+
     def _tick(self) -> None:
         self.is_ticking = False
         self._hand_over()
@@ -276,7 +290,7 @@
             self._schedule_plan()
 
     def _apply(self, planner: Planner, outcome: Outcome) -> None:
-        self._release(planner, outcome.releases)
+        self.releases.send(planner, outcome.releases)
         for refused in outcome.refused:
             fields = refused._asdict()
             fields["request_id"] = fields.pop("attempt_id")
@@ -301,6 +315,7 @@
         serving = self.serving
         state = planner.servers[stage_call.server_id]
         sent_ms = serving.now_ms()
+        count_request(serving, state.server)
         answer = await call(
             serving.servers_pool,
             peer_of(state.server),
@@ -311,10 +326,11 @@
             stage_call.timeout_ms,
         )
         now_ms = serving.now_ms()
+        note_call_answer(serving, state.server, answer)
         made = None
         if isinstance(answer, WholeAnswer) and answer.status == STATUS_OK:
             made = decode_run(answer.body, len(stage_call.pieces))
-        result = _describe(answer) if made is None else "made"
+        result = describe_answer(answer) if made is None else "made"
         count(serving.metrics, "stage_calls", f"{planner.pool} {result}")
         count(serving.metrics, "stage_pieces", planner.pool, len(stage_call.pieces))
         observe(serving.metrics, "stage_call", now_ms - sent_ms, planner.pool)
@@ -380,6 +396,9 @@
 
     def _request_reports(self, now_ms: int) -> None:
         for planner, state in reports_wanted(self.pipeline, now_ms):
+            if wait_for(self.serving, state.server, is_sole=True):
+                continue
+            count_request(self.serving, state.server)
             state.report_asked_ms = now_ms
             work = self._read_report(planner, state)
             run_in_background(work, "stage server report")
@@ -396,6 +415,7 @@
             b"",
             CONTROL_CALL_TIMEOUT_MS,
         )
+        note_call_answer(self.serving, state.server, answer)
         free = None
         if isinstance(answer, WholeAnswer) and answer.status == STATUS_OK:
             free = decode_free_bytes(answer.body)
@@ -412,41 +432,6 @@
             )
             self._schedule_plan()
 
-    def _release(self, planner: Planner, releases: list[Release]) -> None:
-        for to_release in releases:
-            work = self._call_release(planner, to_release)
-            run_in_background(work, "release of results")
-
-    async def _call_release(self, planner: Planner, to_release: Release) -> None:
-        """Tell a server to release results, and plan with the freed capacity."""
-        state = planner.servers.get(to_release.server_id)
-        if state is None:
-            return
-        answer = await call(
-            self.serving.servers_pool,
-            peer_of(state.server),
-            b"POST",
-            RELEASE_TARGET,
-            call_headers(to_release.server_id),
-            encode_release(to_release.handles),
-            CONTROL_CALL_TIMEOUT_MS,
-        )
-        if isinstance(answer, CallFailed) or answer.status != STATUS_OK:
-            # The results count as stored until the server itself drops them.
-            logger.info(
-                "results not released",
-                extra={"server": to_release.server_id, "reason": _describe(answer)},
-            )
-            return
-        confirm_release(planner, to_release)
-        self._schedule_plan()
-
-
-def _describe(answer: WholeAnswer | CallFailed) -> str:
-    if isinstance(answer, CallFailed):
-        return str(answer.reason)
-    return f"status {answer.status}"
-
 
 def _failures(made: Any) -> list[str]:
     if made is None:
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -22,6 +22,7 @@
 from bramleyturn.core.placement.health import forget_servers
 from bramleyturn.gateway.connection_pool import drop_idle
 from bramleyturn.gateway.metrics import count, gauge
+from bramleyturn.gateway.server_limits import forget_limits
 from bramleyturn.gateway.serving import (
     Serving,
     apply_configuration,
@@ -212,6 +213,7 @@
     known = frozenset(serving.registry.entries)
     forget_servers(serving.health, known)
     forget_loads(serving.loads, known)
+    forget_limits(serving)
     for name in set(serving.servers_pool.idle) - known:
         drop_idle(serving.servers_pool, name)
     notify_servers_changed(serving)
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -16,6 +16,7 @@
 )
 from bramleyturn.core.fleet.members import GOSSIP_MEMBERS
 from bramleyturn.core.fleet.store_revision import UNKNOWN_ERA, StoreRevision
+from bramleyturn.core.placement.server_limits import LimitHint
 from bramleyturn.core.poison import choose_hints
 from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.core.request_names import caller_fingerprint, part_name
@@ -26,6 +27,7 @@
     encode_hints,
     encode_part_hints,
 )
+from bramleyturn.gateway.server_limits import MAX_SENT_LIMITS, encode_limits
 from bramleyturn.gateway.stage_messages import decode_ask, encode_ask
 from bramleyturn.gateway.store_relay import decode_relayed
 from tests.core.pieces.test_handover import ask
@@ -115,6 +117,23 @@
         assert message is not None
         assert message.crashes == (crash,)
 
+    @pytest.mark.parametrize(
+        "limit", [["i-1@9", 1.0], [1, 1.0, 0], ["i-1@9", -1, 0], ["i-1@9", 1, -5]]
+    )
+    def test_malformed_limits_are_dropped(self, limit: list[Any]) -> None:
+        document = {**MESSAGE, "server_limits": [limit]}
+        assert decode_heartbeats(orjson.dumps(document)) is None
+
+    def test_most_limits_fit_in_a_datagram(self) -> None:
+        limits = [
+            LimitHint(f"i-{number:032x}@{2**41}", 123_456.789_012, 10**9)
+            for number in range(MAX_SENT_LIMITS)
+        ]
+        document = {**MESSAGE, "server_limits": encode_limits(limits)}
+        decoded = decode_heartbeats(orjson.dumps(document))
+        assert decoded is not None
+        assert decoded.server_limits == tuple(limits)
+
     def test_largest_message_fits_in_a_datagram(self) -> None:
         suspects = Suspects(CRASH_RETENTION_MS)
         for number in range(2 * MAX_HINTS):
--- a/tests/site/test_server_limits.py
+++ b/tests/site/test_server_limits.py
@@ -51,7 +51,7 @@
             "drafts", ENGINES, slots=64, events=4, first_ms=(5, 10), gap_ms=(5, 5)
         ),
         plain_pool("members", 3, slots=64, work_ms=5),
-        stage_pool("scans", 3, work_ms=10, item_ms=(5, 10), batch=2),
+        stage_pool("books", 3, work_ms=10, item_ms=(5, 10), batch=2),
     ]
     new = {pool["name"] for pool in pools}
     others = [pool for pool in SMALL_SITE["pools"] if pool["name"] not in new]
@@ -142,7 +142,7 @@
     """One server of a pool names a limit of one request a second."""
 
     @pytest.mark.parametrize(
-        ("send", "pool"), [(note, "drafts"), (lookup, "members"), (draft, "scans")]
+        ("send", "pool"), [(note, "drafts"), (lookup, "members"), (draft, "books")]
     )
     def test_all_instances_together_keep_the_limit(
         self, site: SiteFleet, send: Callable[[SiteFleet, int], Answer], pool: str
