Check for a quarantine again when a request has waited for a server's turn

A repeat that waited up to 1 s for the turn of a server with a limit was then sent even if its request or prompt part had been quarantined meanwhile, so that one more server could crash.

Cause: the wait, new with the limits, stands between the check and the sending. First attempts that wait are refused when a part is found, repeats are not.

Change: the check is made before and after the wait, by one function.

Result: found by reading; no test of its own (a repeat has to wait at the moment of the third crash).

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -229,11 +229,9 @@
         limited_ms: int | None = None
         failed_answer: Answered | None = None
         while True:
-            quarantine = self.crashes.quarantine_of(request.names)
-            if quarantine is not None:
-                if request.exchange.is_started or request.may_have_run:
-                    return Refusal(502, quarantine.reason, None)
-                return Refusal(503, quarantine.reason, quarantine.left_ms)
+            refusal = self._quarantine_refusal(request)
+            if refusal is not None:
+                return refusal
             tried = frozenset(request.tried)
             server = await self.attempts.choose_or_wait(request, tried)
             if isinstance(server, LimitReached):
@@ -241,6 +239,10 @@
                 break
             if server is None:
                 break
+            # Servers may have crashed while the request waited for its turn.
+            refusal = self._quarantine_refusal(request)
+            if refusal is not None:
+                return refusal
             is_repeat = bool(request.tried)
             if is_repeat and not take_retry(
                 serving.budget, request.pool, serving.now_ms()
@@ -297,6 +299,15 @@
             return Refusal(503, "server_limits", limited_ms)
         return Refusal(503, "servers_full", DEFAULT_RETRY_AFTER_MS)
 
+    def _quarantine_refusal(self, request: CallerRequest) -> Refusal | None:
+        """Return the refusal of a quarantined request, None if it may be sent."""
+        quarantine = self.crashes.quarantine_of(request.names)
+        if quarantine is None:
+            return None
+        if request.exchange.is_started or request.may_have_run:
+            return Refusal(502, quarantine.reason, None)
+        return Refusal(503, quarantine.reason, quarantine.left_ms)
+
     def _may_run_again(self, request: CallerRequest, runs: int) -> bool:
         is_resumable = request.route.is_resumable and can_resume(request.position)
         if request.exchange.is_started and not is_resumable:
