--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -25,13 +25,13 @@
     route_document,
 )
 from bramleyturn.standin.site.raw_answers import read_shape
+from bramleyturn.standin.site.run_records import wall_ms
 from bramleyturn.standin.site.server_limits import limited_handler
 from bramleyturn.standin.site.servers import (
     SiteServer,
     engine_handler,
     plain_handler,
     stage_handler,
-    wall_ms,
 )
 from bramleyturn.standin.site.store import (
     Store,
--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -21,7 +21,7 @@
 from typing import Any, Final
 
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.standin.site.servers import wall_ms
+from bramleyturn.standin.site.run_records import wall_ms
 from tests.processes import READY_LIMIT_S, kill
 from tests.site.site_fleet import SiteFleet, launch_entry, running_fleet, wait_until
 from tests.site.soak_checks import (
--- a/tests/site/test_server_limits.py
+++ b/tests/site/test_server_limits.py
@@ -18,7 +18,7 @@
     plain_pool,
     stage_pool,
 )
-from bramleyturn.standin.site.servers import wall_ms
+from bramleyturn.standin.site.run_records import wall_ms
 from tests.processes import kill
 from tests.site.server_limit_checks import (
     CONTACT_MS,
