Tidy the limits of servers: no work without news, and one place for names of runs

Each heartbeat built the set of all registered runs, though hardly any tells a limit; now only those that do. run_name stands with the model of a server, STATUS_OK in one place, and note_limit reads without nesting.

--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -134,3 +134,8 @@
 def server_address(server: BackendServer) -> str:
     """Return the server's address as IP:PORT."""
     return f"{server.host}:{server.port}"
+
+
+def run_name(server: BackendServer) -> str:
+    """Return a name for the current run of a server, which may keep its id."""
+    return f"{server.id}@{server.started_ms}"
--- a/src/bramleyturn/core/placement/server_limits.py
+++ b/src/bramleyturn/core/placement/server_limits.py
@@ -74,13 +74,11 @@
     limits: ServerLimits, run: str, rate_per_s: float | None, now_ms: int
 ) -> bool:
     """Record the limit that an answer names; return whether it changed."""
-    known = limits.by_run.get(run)
-    if known is None and rate_per_s is None:
-        return False
-    is_limited_yet = known is not None and known.rate_per_s is not None
-    if rate_per_s is None and known is not None and is_limited_yet:
-        has_just_named = now_ms - known.said_ms < LEAST_NAMED_MS
-        if has_just_named:
+    if rate_per_s is None:
+        known = limits.by_run.get(run)
+        if known is None or known.rate_per_s is None:
+            return False
+        if now_ms - known.said_ms < LEAST_NAMED_MS:
             return False
     return _record(limits, LimitHint(run, rate_per_s, 0), now_ms)
 
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -12,7 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
-from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.model import BackendServer, run_name
 from bramleyturn.core.crashes import (
     CrashHint,
     PartMark,
@@ -39,7 +39,7 @@
     connect_to,
     stays_open,
 )
-from bramleyturn.gateway.server_limits import count_request, run_name
+from bramleyturn.gateway.server_limits import count_request
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.runtime.poison_part_log import log_poison_parts
 
--- a/src/bramleyturn/gateway/server_limits.py
+++ b/src/bramleyturn/gateway/server_limits.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Any, Final, NamedTuple
 
-from bramleyturn.core.catalog.model import BackendServer
+from bramleyturn.core.catalog.model import BackendServer, run_name
 from bramleyturn.core.placement.server_limits import (
     LimitHint,
     forget_runs,
@@ -39,11 +39,6 @@
     wait_ms: int
 
 
-def run_name(server: BackendServer) -> str:
-    """Return a name for the current run of a server, which may keep its id."""
-    return f"{server.id}@{server.started_ms}"
-
-
 def note_answer(
     serving: Serving, server: BackendServer, rate_per_s: float | None
 ) -> None:
@@ -58,14 +53,19 @@
 
 def merge_limits(serving: Serving, sender: str, hints: Iterable[LimitHint]) -> None:
     """Record the limits of registered servers that another instance told."""
+    told = list(hints)
+    if not told:
+        return
     runs = registered_runs(serving)
-    known = [hint for hint in hints if hint.run in runs]
+    known = [hint for hint in told if hint.run in runs]
     for hint in import_limits(serving.server_limits, known, serving.now_ms()):
         _log_change(serving, hint, sender)
 
 
 def forget_limits(serving: Serving) -> None:
     """Drop the limits of runs that are no longer registered."""
+    if not serving.server_limits.by_run:
+        return
     forget_runs(serving.server_limits, registered_runs(serving), serving.now_ms())
 
 
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -42,7 +42,13 @@
 from bramleyturn.core.request_names import RequestNames
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
-from bramleyturn.gateway.calls import CallFailed, WholeAnswer, call, peer_of
+from bramleyturn.gateway.calls import (
+    STATUS_OK,
+    CallFailed,
+    WholeAnswer,
+    call,
+    peer_of,
+)
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
@@ -70,7 +76,6 @@
     handle_address,
 )
 
-STATUS_OK: Final = 200
 # Interval between plans of waiting work when no event triggers one.
 TICK_INTERVAL_MS: Final = 60
 # Planning time grows with the number of open asks. The interval between two plans grows
--- a/src/bramleyturn/gateway/stage_releases.py
+++ b/src/bramleyturn/gateway/stage_releases.py
@@ -9,7 +9,13 @@
 from bramleyturn.core.pieces.planner import Pipeline, Planner
 from bramleyturn.core.pieces.releases import confirm_release, merge_releases
 from bramleyturn.gateway.background import run_in_background
-from bramleyturn.gateway.calls import CallFailed, WholeAnswer, call, peer_of
+from bramleyturn.gateway.calls import (
+    STATUS_OK,
+    CallFailed,
+    WholeAnswer,
+    call,
+    peer_of,
+)
 from bramleyturn.gateway.server_limits import count_request, note_answer, wait_for
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.platform.answers import read_answer_head
@@ -19,7 +25,6 @@
     encode_release,
 )
 
-STATUS_OK: Final = 200
 # For calls that release results or read a server's report.
 CONTROL_CALL_TIMEOUT_MS: Final = 1_000
 
