Estimate a server's pace relative to the fastest of its pool

Replayed without any burst: at a steady 0.7 of the capacity 220 of 566 requests were late, at 0.8 115 of 647, with a latency of up to 10 s, while first-stage servers were idle.

Cause: the pace of a server was learned from the work of a piece, and the work from the pace. Only their product shows in the time of a call, so the round trip of 4 ms drove work up and pace down (0.62 to 0.8 within 10 s at servers of nominal speed). Forecasts took requests for late that were not, and held them back.

Change: the pace that work is learned with is relative to the fastest server of the pool, so that both have a reference.

--- a/src/bramleyturn/core/pieces/timing.py
+++ b/src/bramleyturn/core/pieces/timing.py
@@ -66,13 +66,19 @@
 def learn_work(
     planner: Planner, server: StageServer, running: RunningCall, took_ms: int
 ) -> None:
-    """Update the work of a piece from a call whose pieces have equal results."""
+    """Update the work of a piece from a call whose pieces have equal results.
+
+    A server's pace counts relative to the fastest one of the pool. Its own pace is in
+    turn estimated from the work, so that both would drift apart without a reference.
+    """
     sizes = set(running.result_bytes)
     limits = planner.limits
     if len(sizes) != 1 or limits.item_ms <= 0 or server.pace <= 0:
         return
     size = running.result_bytes[0]
-    item_ms = (took_ms / server.pace - limits.call_ms) / len(running.result_bytes)
+    fastest = min(each.pace for each in planner.servers.values())
+    own_ms = took_ms * fastest / server.pace
+    item_ms = (own_ms - limits.call_ms) / len(running.result_bytes)
     seen = min(MAX_WORK, max(MIN_WORK, item_ms / limits.item_ms))
     known = planner.work.get(size, 1.0)
     planner.work[size] = known + WORK_WEIGHT * (seen - known)
