Leave more margin in the forecast of stages

Seen: in a burst 25 of 297 served requests were late by 30 to 200 ms, and took the places of others. Cause: the margin covered pieces of other requests, but not the wait for calls in progress at each stage. Change: the margin is 0.35 of the remaining work instead of 0.15.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -48,9 +48,9 @@
 # A late request only starts if its longest wait is no longer than this fraction of the
 # time for which results are kept: they could expire while it waits for a later stage.
 HELD_FRACTION: Final = 0.4
-# Safety margin of the forecast as a fraction of the remaining work: network latency
-# and pieces of other requests make calls longer than their nominal time.
-MARGIN_FRACTION: Final = 0.15
+# Safety margin of the forecast as a fraction of the remaining work: pieces of other
+# requests make calls longer, and each stage waits for calls that are in progress.
+MARGIN_FRACTION: Final = 0.35
 # How much later a request is ordered for each step of its urgency. The largest
 # difference within one workspace stays below the usual latency target of a pipeline.
 URGENCY_STEP_MS: Final = 100
--- a/tests/core/pieces/test_unused_results.py
+++ b/tests/core/pieces/test_unused_results.py
@@ -20,6 +20,8 @@
 SETTLED_MS: Final = PAGE.aim_ms + max(each.result_ttl_ms for each in LIMITS.values())
 # Rounding of the times that pieces share.
 MAX_UNUSED: Final = 0.01
+# A late request takes the place of one that would be in time.
+MAX_LATE: Final = 0.05
 
 
 class Measured(StageSimulation):
@@ -86,6 +88,11 @@
         )
         assert unused_ms <= MAX_UNUSED * sum(measured.spent_ms.values())
 
+    def test_what_is_served_is_in_time(self, measured: Measured) -> None:
+        served = [job for job in measured.jobs.values() if job.ended_ms is not None]
+        late = [job for job in served if not is_in_time(job)]
+        assert len(late) <= MAX_LATE * len(served)
+
     def test_all_is_in_time_soon_after_it(self, measured: Measured) -> None:
         late = [
             job.at_ms
