--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -5,7 +5,6 @@
 from typing import Any, Final, NamedTuple
 
 import orjson
-import treq
 from treq.client import HTTPClient
 from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -16,15 +15,20 @@
     TimeoutError,
 )
 from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
 from twisted.web._newclient import HEADER, STATUS, RequestNotSent
 from twisted.web.client import (
     URI,
     Agent,
     HTTPConnectionPool,
+    ResponseDone,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from bramleyturn.core.answer_end import EndVerdict, judge_json_end
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.errors import CallFailed, CallFailure
 from bramleyturn.runtime.timers import stop_timer
@@ -66,6 +70,10 @@
     headers: dict[str, str]
 
 
+class BrokenOffError(Exception):
+    """Signal that an answer without a length ended in the middle of its content."""
+
+
 class OverBoundError(Exception):
     """Signal that the body of an answer exceeds its bound."""
 
@@ -324,22 +332,65 @@
 
 
 async def read_body(url: str, response: Any) -> bytes:
-    """Read the body of an answer; close its connection if it exceeds the bound."""
-    parts: list[bytes] = []
-    declared_bytes = response.length if isinstance(response.length, int) else 0
-    size = 0
-
-    def collect(data: bytes) -> None:
-        nonlocal size
-        size += len(data)
-        if max(size, declared_bytes) > MAX_ANSWER_BYTES:
-            parts.clear()
-            log_over_bound(url, "body", max(size, declared_bytes))
-            raise OverBoundError(f"more than {MAX_ANSWER_BYTES} bytes")
-        parts.append(data)
-
-    await treq.collect(response, collect)
-    return b"".join(parts)
+    """Read the body of an answer; close its connection if it exceeds the bound.
+
+    Raise ``BrokenOffError`` if nothing marks the end of the body.
+    """
+    reader = BodyReader(url, response)
+    response.deliverBody(reader)
+    return await reader.ended
+
+
+class BodyReader(Protocol):
+    """Collect the body of an answer."""
+
+    def __init__(self, url: str, response: Any) -> None:
+        self.url = url
+        self.size = response.length if isinstance(response.length, int) else 0
+        self.parts: list[bytes] = []
+        self.received = 0
+        self.ended: Deferred[bytes] = Deferred(lambda _: self.abort())
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Close the connection at once if a larger body is announced."""
+        self.check_size()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Collect a part of the body."""
+        if self.ended.called:
+            return
+        self.parts.append(data)
+        self.received += len(data)
+        self.size = max(self.size, self.received)
+        self.check_size()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """End with the body, if its framing or its content marks it as whole."""
+        if self.ended.called:
+            return
+        body = b"".join(self.parts)
+        if reason.check(ResponseDone) or (
+            reason.check(PotentialDataLoss)
+            and judge_json_end(body) is EndVerdict.COMPLETE
+        ):
+            self.ended.callback(body)
+        elif reason.check(PotentialDataLoss):
+            self.ended.errback(BrokenOffError("the end of the answer is missing"))
+        else:
+            self.ended.errback(reason)
+
+    def check_size(self) -> None:
+        """Abort an answer that exceeds its bound."""
+        if self.size > MAX_ANSWER_BYTES:
+            self.parts.clear()
+            log_over_bound(self.url, "body", self.size)
+            self.ended.errback(OverBoundError(f"more than {MAX_ANSWER_BYTES} bytes"))
+            self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        transport: Any = self.transport
+        transport.loseConnection()
 
 
 async def call_json(
