--- a/scripts/journal_table.py
+++ b/scripts/journal_table.py
@@ -21,6 +21,9 @@
     "hvsb-diaries",
     "lakeshore-commons-grown",
     "hvsb-diaries-grown",
+    "kijun-costing",
+    "kijun-costing-grown",
+    "lakeshore-commons-large",
 )
 MARKED_FALL: Final = 0.05
 WORTH_DIGITS: Final = 4
