Release results once they are fetched while space for them is short

Cause: a result of 3 MB held its place from its call until the first event of its engine, although the engine fetches its inputs as it is asked. 84 results fit into the 7 servers; the burst asks for 126 a second and holds each for most of a second.

While less than half of a pool's space is free, inputs of stages are released 150 ms after the last call that reads them began, and those of an engine 150 ms after it was asked. With space free they stay until the reader is done, so that another can take over. A piece that fails without its inputs is not sent again.

The ask has a new field, which earlier builds do not send: test_peer_input covers it and no longer counts it as required.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -13,6 +13,7 @@
     RunningCall,
 )
 from bramleyturn.core.pieces.releases import release
+from bramleyturn.core.pieces.short_space import is_short
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
     note_full,
@@ -87,7 +88,11 @@
         if state.is_moved:
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
-        if number not in state.made:
+        if number in state.made:
+            continue
+        if state.are_inputs_freed:
+            fail_ask(planner, state, PieceFailure.INPUT_GONE, outcome, now_ms)
+        else:
             state.waiting.append(number)
     if not was_refused:
         failed = [ask_id for ask_id, _ in running.parts]
@@ -230,7 +235,14 @@
     made = [state.made[number] for number in range(state.ask.piece_count)]
     handles = tuple(handle for handle, _ in made)
     zones = tuple(zone for _, zone in made)
-    _end(planner, AskDone(state.ask.ask_id, handles, zones, None), outcome, now_ms)
+    done = AskDone(
+        ask_id=state.ask.ask_id,
+        handles=handles,
+        zones=zones,
+        failure=None,
+        is_space_short=is_short(planner, now_ms),
+    )
+    _end(planner, done, outcome, now_ms)
 
 
 def fail_ask(
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -57,6 +57,7 @@
     piece reads all of them. ``has_started`` is whether another stage of the request
     is already done, and ``later`` has the stages that depend on this one.
     ``fingerprint`` is the same for all repeats of the request, empty if unknown.
+    ``is_only_reader`` is whether nothing else needs the inputs.
     """
 
     ask_id: str
@@ -75,12 +76,14 @@
     later: tuple[LaterStage, ...]
     input_bytes: tuple[tuple[str, int], ...] = ()
     fingerprint: str = ""
+    is_only_reader: bool = False
 
 
 class AskDone(NamedTuple):
     """Hold the results of an ask in the order of its pieces, or why it failed.
 
-    ``wait_ms`` is after how long a refused request may be retried.
+    ``wait_ms`` is after how long a refused request may be retried. ``is_space_short``
+    is whether the results should be released as soon as they are fetched.
     """
 
     ask_id: str
@@ -88,6 +91,7 @@
     zones: tuple[str, ...]
     failure: PieceFailure | None
     wait_ms: int = 0
+    is_space_short: bool = False
 
 
 class StageCall(NamedTuple):
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -22,6 +22,7 @@
     that nothing new starts here. ``awaited`` has the pieces that the previous planner
     still has in progress, and until when they are waited for. The pieces of a suspect,
     an ask that was on a server when it crashed, are not batched with those of others.
+    Once ``are_inputs_freed``, a piece that fails can't be made again.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -35,6 +36,7 @@
         self.moved_ms = now_ms
         self.failed_calls = 0
         self.is_suspect = False
+        self.are_inputs_freed = False
         self.last_served_ms = now_ms
 
 
@@ -57,7 +59,11 @@
 
 
 class Planner:
-    """Hold the asks, the servers and the calls of one pool."""
+    """Hold the asks, the servers and the calls of one pool.
+
+    ``freed`` has results that were released before their request was done with them,
+    and when they would have expired.
+    """
 
     def __init__(self, pool: str, limits: BatchLimits) -> None:
         self.pool = pool
@@ -68,6 +74,7 @@
         self.calls: dict[int, RunningCall] = {}
         self.work: dict[int, float] = {}
         self.next_call_id = 1
+        self.freed: dict[str, int] = {}
 
 
 class Pipeline:
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -1,6 +1,6 @@
 """Choose servers for a caller's request and send it to one after another."""
 
-from typing import TypeGuard
+from typing import Any, TypeGuard
 
 from twisted.internet.task import deferLater
 
@@ -9,6 +9,7 @@
 from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
 from bramleyturn.core.catalog.server_registry import is_ready
 from bramleyturn.core.event_splitter import StreamEvent
+from bramleyturn.core.pieces.short_space import FETCH_MS
 from bramleyturn.core.placement.choice import (
     choose_by_load,
     choose_by_prefix,
@@ -57,6 +58,7 @@
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.platform.answers import AnswerHead, caller_headers
 from bramleyturn.platform.requests import ServerHead, server_headers
+from bramleyturn.runtime.timers import stop_timer
 
 
 class CallerAttempts:
@@ -142,12 +144,16 @@
             is_resumed=is_resumed,
         )
         may_reuse = is_safe_to_retry(request.route)
+        fetched: Any = None
 
         def may_send() -> bool:
             is_usable = is_ready(serving.registry, server.id, serving.now_ms())
             request.is_at_server = is_usable and not has_paused_since(
                 serving.server_pauses, run_name(server), sent_ms
             )
+            if request.is_at_server:
+                nonlocal fetched
+                fetched = self._release_when_fetched(request)
             return request.is_at_server
 
         request.server = server
@@ -163,6 +169,7 @@
                 may_send,
             )
         finally:
+            stop_timer(fetched)
             note_ended(serving.loads, server.id)
         if is_unconfirmed(ended):
             ended = await self._confirm(request, server, ended)
@@ -176,6 +183,14 @@
             self.crashes.request_finished(request.names)
         return ended
 
+    def _release_when_fetched(self, request: CallerRequest) -> Any:
+        """Release the inputs once their server has fetched them, if space is short."""
+        if request.stages is None or not request.stages.is_space_short():
+            return None
+        return self.serving.reactor.callLater(
+            FETCH_MS / MS_PER_S, request.stages.release_all
+        )
+
     async def _confirm(
         self,
         request: CallerRequest,
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -61,6 +61,7 @@
                 (str(zone), int(size)) for zone, size in message["input_bytes"]
             ),
             fingerprint=str(message.get("fingerprint", "")),
+            is_only_reader=message.get("is_only_reader") is True,
         )
     except (KeyError, TypeError, ValueError):
         return None
@@ -82,6 +83,7 @@
             zones=tuple(str(zone) for zone in message["zones"]),
             failure=None if failure is None else PieceFailure(failure),
             wait_ms=int(message["wait_ms"]),
+            is_space_short=message.get("is_space_short") is True,
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -38,6 +38,7 @@
     release_foreign,
     withdraw,
 )
+from bramleyturn.core.pieces.short_space import drop_freed, release_fetched
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
     note_report,
@@ -157,8 +158,9 @@
         planner = self._planner(pool)
         if planner is None:
             return
-        self.releases.send(planner, release(planner, handles))
-        self.releases.send(planner, self._foreign_releases(planner, handles, size))
+        left = drop_freed(planner, handles, self.serving.now_ms())
+        self.releases.send(planner, release(planner, left))
+        self.releases.send(planner, self._foreign_releases(planner, left, size))
 
     def handle_moved(self, moved: MovedPiece) -> None:
         """Handle the outcome of a piece that the previous owner had started."""
@@ -322,6 +324,8 @@
         outcomes = plan(self.pipeline, now_ms)
         for pool, outcome in outcomes.items():
             self._apply(self.pipeline.planners[pool], outcome)
+        for pool, releases in release_fetched(self.pipeline, now_ms).items():
+            self.releases.send(self.pipeline.planners[pool], releases)
         self._request_reports(now_ms)
         self.releases.send_held(self.pipeline)
         if not self.is_ticking:
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -111,6 +111,7 @@
             later=later_stages(spec.route, spec.counts, number),
             input_bytes=self._input_bytes(needed),
             fingerprint=spec.fingerprint,
+            is_only_reader=self._is_only_reader(number, needed),
         )
         pending = self.asks.ask(ask)
         self.running[number] = pending
@@ -151,6 +152,18 @@
         if ended is not None and not ended.called:
             ended.callback(StageResults((), (), failure, wait_ms))
 
+    def _is_only_reader(self, number: int, needed: list[int]) -> bool:
+        """Return whether no other stage needs the results of the ``needed`` ones."""
+        return all(
+            not set(stage.after).intersection(needed)
+            for later, stage in enumerate(self.spec.route.stages)
+            if later != number and self.spec.counts[later]
+        )
+
+    def is_space_short(self) -> bool:
+        """Return whether results should be released once they are fetched."""
+        return any(done.is_space_short for done in self.results.values())
+
     def _release_used(self) -> None:
         """Release the results that all of the following stages have read."""
         for number in list(self.results):
--- a/tests/core/pieces/stage_simulation.py
+++ b/tests/core/pieces/stage_simulation.py
@@ -13,13 +13,16 @@
     AskDone,
     LaterStage,
     MadePiece,
+    Piece,
     PieceFailure,
+    Release,
     StageAsk,
     StageCall,
 )
 from bramleyturn.core.pieces.pipeline import reports_wanted, take_ask
 from bramleyturn.core.pieces.planner import Outcome, Pipeline, Planner, update_servers
 from bramleyturn.core.pieces.releases import confirm_release, release
+from bramleyturn.core.pieces.short_space import FETCH_MS, drop_freed, release_fetched
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
     note_report,
@@ -29,6 +32,8 @@
 TICK_MS = 60
 # Round trips of a call to a server and of an ask to the planner.
 CALL_LATENCY_MS = 4
+# A server has fetched the inputs of a call after this time.
+FETCHED_MS = 30
 ASK_LATENCY_MS = 3
 Policy = Callable[[Pipeline, int], dict[str, Outcome]]
 
@@ -104,6 +109,7 @@
         self.unresponsive: set[str] = set()
         self.call_count = 0
         self.unused_pieces = 0
+        self.missed: set[Piece] = set()
         for pool, limit in limits.items():
             planner = Planner(pool, limit)
             servers_of_pool = [pool_server(pool, place) for place in range(servers)]
@@ -149,6 +155,7 @@
             has_started=job.stage > 0,
             later=tuple(LaterStage(*later) for later in needs[job.stage + 1 :]),
             fingerprint=job.name,
+            is_only_reader=True,
         )
         take_ask(self.pipeline, ask, self.now_ms)
         self.run()
@@ -164,6 +171,8 @@
                 state.heard_ms = self.now_ms
         for pool, outcome in self.policy(self.pipeline, self.now_ms).items():
             self.carry_out(self.pipeline.planners[pool], outcome)
+        for pool, releases in release_fetched(self.pipeline, self.now_ms).items():
+            self.confirm(self.pipeline.planners[pool], releases)
         for planner, server in reports_wanted(self.pipeline, self.now_ms):
             note_report_asked(server, self.now_ms)
             if server.server.id not in self.unresponsive:
@@ -178,6 +187,7 @@
 
     def carry_out(self, planner: Planner, outcome: Outcome) -> None:
         """Make the calls of an outcome and end its asks."""
+        self.confirm(planner, outcome.releases)
         for ordered in outcome.calls:
             self.call(planner, ordered)
         for done in outcome.done:
@@ -186,6 +196,7 @@
     def call(self, planner: Planner, ordered: StageCall) -> None:
         """Start a call on a server."""
         self.call_count += 1
+        self.at(self.now_ms + FETCHED_MS, lambda: self.fetch(ordered))
         if ordered.server_id in self.unresponsive:
             give_up_ms = self.now_ms + ordered.timeout_ms
             self.at(give_up_ms, lambda: self.lost(planner, ordered))
@@ -199,6 +210,12 @@
             return
         self.at(self.now_ms + took_ms, lambda: self.answer(planner, ordered))
 
+    def fetch(self, ordered: StageCall) -> None:
+        """Fetch the inputs of a call, and note the pieces that lack one."""
+        for piece in ordered.pieces:
+            if any(self.kept.get(handle, 0) < self.now_ms for handle in piece.inputs):
+                self.missed.add(piece)
+
     def lost(self, planner: Planner, ordered: StageCall) -> None:
         """End a call without an answer."""
         outcome = call_failed(planner, ordered.call_id, False, self.now_ms)
@@ -209,7 +226,8 @@
         """Answer a call; its results expire after the configured time."""
         made = []
         for piece in ordered.pieces:
-            if any(self.kept.get(handle, 0) < self.now_ms for handle in piece.inputs):
+            if piece in self.missed:
+                self.missed.discard(piece)
                 made.append(MadePiece("", PieceFailure.INPUT_GONE))
                 continue
             handle = (
@@ -237,6 +255,8 @@
             return
         end_ms = self.now_ms + job.kind.run_ms
         self.at(end_ms, lambda: self.finish(job, end_ms))
+        if done.is_space_short:
+            self.at(self.now_ms + FETCH_MS, lambda: self.release(done.handles))
 
     def finish(self, job: Job, end_ms: int) -> None:
         """End a job and release its results."""
@@ -247,8 +267,15 @@
     def release(self, handles: tuple[str, ...]) -> None:
         """Release results and confirm it at once."""
         for planner in self.pipeline.planners.values():
-            for ordered in release(planner, handles):
-                confirm_release(planner, ordered)
+            left = drop_freed(planner, list(handles), self.now_ms)
+            self.confirm(planner, release(planner, left))
+
+    def confirm(self, planner: Planner, releases: Iterable[Release]) -> None:
+        """Free the space of results, which are gone then."""
+        for ordered in releases:
+            confirm_release(planner, ordered)
+            for handle in ordered.handles:
+                self.kept.pop(handle, None)
 
     def worth_in_time(self, kind: str = "") -> float:
         """Return the fraction of the worth that was served in time."""
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -227,8 +227,16 @@
         assert decoded is not None
         assert decoded == ask("r")._replace(fingerprint="")
 
+    def test_ask_of_an_earlier_build_may_have_other_readers(self) -> None:
+        message = encode_ask(ask("r")._replace(is_only_reader=True), 0)
+        del message["is_only_reader"]
+        decoded = decode_ask(message, 0)
+        assert decoded is not None
+        assert not decoded.is_only_reader
+
     @pytest.mark.parametrize(
-        "field", sorted(encode_ask(ask("r"), 0).keys() - {"fingerprint"})
+        "field",
+        sorted(encode_ask(ask("r"), 0).keys() - {"fingerprint", "is_only_reader"}),
     )
     def test_rejects_a_message_that_lacks_a_field(self, field: str) -> None:
         message = encode_ask(ask("r"), 0)
