Let a new instance hear of the others before it takes itself for a watcher of the store

Cause: an instance that has just started knows no other of its zone, takes itself for a watcher, and each server that registers then wakes all instances. Change: one that has read everything waits for 1 s, in which heartbeats tell of all, before it may be a watcher; a copy that is not confirmed for 1.5 s is watched as before.

--- a/src/bramleyturn/core/fleet/freshness.py
+++ b/src/bramleyturn/core/fleet/freshness.py
@@ -5,6 +5,11 @@
 others which revision of the store they have, and how long ago it was known to be the
 newest. An instance whose copy is not confirmed as fresh watches the store itself until
 it is.
+
+Load pattern handled here: hundreds of instances that start together, while servers
+register. An instance knows few others at first and would take itself for a watcher, and
+each change would be sent to all. So one that has just read everything relies on that
+until it has heard of the others.
 """
 
 from collections.abc import Iterable
@@ -23,6 +28,9 @@
 WATCHERS_PER_ZONE: Final = 2
 # A waiting watch confirms nothing until it returns, and heartbeats take a while.
 STALE_MS: Final = 1_500
+# Heartbeats have told of all instances after this time, and what was read at the start
+# is still fresh.
+SETTLE_MS: Final = 1_000
 # Assumed network delay of a heartbeat. Without it, a confirmation that is passed on
 # between instances would look fresher with each step.
 NETWORK_DELAY_MS: Final = 50
@@ -31,13 +39,14 @@
 class Freshness:
     """Hold when ``revision`` was last known to be the newest of the store.
 
-    ``first_era`` is the era of the first revision known, None before.
+    ``started_ms`` is when the process started. ``first_era`` is the era of the first revision known, None before.
     """
 
     def __init__(self, now_ms: int) -> None:
         self.revision = FIRST_REVISION
         self.first_era: int | None = None
         self.confirmed_ms = now_ms - STALE_MS
+        self.started_ms = now_ms
 
 
 def full_revision(freshness: Freshness, era: int, number: int) -> StoreRevision:
@@ -84,7 +93,9 @@
     freshness: Freshness, me: MemberRef, live: Iterable[MemberRef], now_ms: int
 ) -> bool:
     """Return whether this instance should watch the store itself."""
-    return age_ms(freshness, now_ms) > STALE_MS or is_watcher(me, live)
+    if age_ms(freshness, now_ms) > STALE_MS:
+        return True
+    return now_ms - freshness.started_ms >= SETTLE_MS and is_watcher(me, live)
 
 
 def is_watcher(me: MemberRef, live: Iterable[MemberRef]) -> bool:
--- a/tests/core/fleet/test_freshness.py
+++ b/tests/core/fleet/test_freshness.py
@@ -1,6 +1,7 @@
 """Test the freshness of the copy of the store, and which instances watch it."""
 
 from bramleyturn.core.fleet.freshness import (
+    SETTLE_MS,
     STALE_MS,
     WATCHERS_PER_ZONE,
     Freshness,
@@ -32,8 +33,8 @@
 
 
 def fresh(now_ms: int) -> Freshness:
-    """Return the freshness of a copy that was just confirmed."""
-    freshness = Freshness(now_ms)
+    """Return the freshness of a copy that was just confirmed, long after the start."""
+    freshness = Freshness(now_ms - SETTLE_MS)
     note_confirmed(freshness, at(7), now_ms)
     return freshness
 
@@ -74,6 +75,13 @@
         live = fleet(40)
         assert all(should_watch(Freshness(0), each, live, 1) for each in live)
 
+    def test_new_process_that_has_read_everything_hears_of_others_first(self) -> None:
+        (me,) = alone = fleet(1)
+        freshness = Freshness(0)
+        note_confirmed(freshness, at(7), 10)
+        assert not should_watch(freshness, me, alone, SETTLE_MS - 1)
+        assert should_watch(freshness, me, alone, SETTLE_MS)
+
 
 class TestAge:
     """Which confirmations count."""
