--- a/src/bramleyturn/core/fleet/freshness.py
+++ b/src/bramleyturn/core/fleet/freshness.py
@@ -39,7 +39,8 @@
 class Freshness:
     """Hold when ``revision`` was last known to be the newest of the store.
 
-    ``started_ms`` is when the process started. ``first_era`` is the era of the first revision known, None before.
+    ``started_ms`` is when the process started. ``first_era`` is the era of the first
+    revision known, None before.
     """
 
     def __init__(self, now_ms: int) -> None:
