Read folders and lists of the own interface for as long as they make progress

Change: one timer for both interfaces (runtime/transfer_timer.py) after core/waiting/transfers.py; calls without a gap keep their limit for the whole answer. test_large_one_is_read_while_it_makes_progress can't pass before: there is no gap to give; without one the same answer still ends at 1 s, as the test beside it shows.

--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -4,15 +4,13 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError
 
 from bramleyturn.core.answer_end import EndVerdict, Framing, judge_json_end
 from bramleyturn.core.catalog.model import BackendServer
-from bramleyturn.core.units import MS_PER_S
-from bramleyturn.core.waiting.transfers import Transfer, note_received
 from bramleyturn.gateway.answer_bounds import (
     MAX_BODY_BYTES,
     MAX_UNUSED_BODY_BYTES,
@@ -25,7 +23,7 @@
     take_idle,
 )
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
-from bramleyturn.runtime.timers import stop_timer
+from bramleyturn.runtime.transfer_timer import TransferTimer
 
 STATUS_OK: Final = 200
 
@@ -65,13 +63,10 @@
         self,
         ended: "Deferred[WholeAnswer | CallFailed]",
         connection: ServerConnection,
-        transfer: Transfer,
-        now_ms: Callable[[], int],
     ) -> None:
         self.ended = ended
         self.connection = connection
-        self.transfer = transfer
-        self.now_ms = now_ms
+        self.on_received: Callable[[int], None] = lambda _: None
         self.status = 0
         self.headers: Headers = []
         self.framing = Framing.CLOSE
@@ -81,7 +76,7 @@
 
     def head(self, status: int, headers: Headers, framing: Framing) -> None:
         """Store the status, the headers and the framing."""
-        note_received(self.transfer, 0, self.now_ms())
+        self.on_received(0)
         self.status = status
         self.headers = headers
         self.framing = framing
@@ -93,7 +88,7 @@
 
     def data(self, data: bytes) -> None:
         """Buffer a part of the body, or end the call if it is too large."""
-        note_received(self.transfer, len(data), self.now_ms())
+        self.on_received(len(data))
         self.size += len(data)
         if self.size > self.max_bytes:
             self.connection.end_at_bound(Bound.BODY, self.size)
@@ -174,30 +169,20 @@
 ) -> WholeAnswer | CallFailed:
     """Send one request on a connection, as ``call`` does."""
     ended: Deferred[WholeAnswer | CallFailed] = Deferred(lambda _: connection.drop())
-    transfer = Transfer(pool.now_ms(), timeout_ms, gap_ms)
-    listener = WholeAnswerListener(ended, connection, transfer, pool.now_ms)
+    listener = WholeAnswerListener(ended, connection)
     host = (b"Host", f"{peer.host}:{peer.port}".encode())
     all_headers = [host, *headers]
     if body:
         all_headers.append((b"Content-Length", b"%d" % len(body)))
 
-    timer: Any = None
-
     def time_out() -> None:
-        left_ms = transfer.give_up_ms - pool.now_ms()
-        if gap_ms is not None and left_ms > 0:
-            wait(left_ms)
-            return
         connection.drop()
         listener.failed(FailureReason.SILENT)
 
-    def wait(left_ms: int) -> None:
-        nonlocal timer
-        timer = pool.reactor.callLater(left_ms / MS_PER_S, time_out)
-
-    wait(timeout_ms)
+    timer = TransferTimer(pool.reactor, pool.now_ms, timeout_ms, gap_ms, time_out)
+    listener.on_received = timer.received
     try:
         connection.send(method, target.encode(), all_headers, body, listener)
         return await ended
     finally:
-        stop_timer(timer)
+        timer.stop()
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -31,7 +31,7 @@
 from bramleyturn.core.answer_end import EndVerdict, judge_json_end
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.runtime.errors import CallFailed, CallFailure
-from bramleyturn.runtime.timers import stop_timer
+from bramleyturn.runtime.transfer_timer import TransferTimer
 from bramleyturn.runtime.twisted_types import Reactor
 from bramleyturn.runtime.unread_bytes import has_unread_bytes
 
@@ -290,13 +290,19 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     timeout_ms: int,
+    gap_ms: int | None = None,
 ) -> BytesAnswer | CallFailed:
     """Send one request and return its answer, or how the call failed.
 
-    The whole call, body included, must end within ``timeout_ms``.
+    The whole call, body included, must end within ``timeout_ms``. With ``gap_ms`` an
+    answer that has begun by then is read for as long as it makes progress.
     """
-    sent = Deferred.fromCoroutine(fetch(client, method, url, body, headers))
-    timer = reactor.callLater(timeout_ms / MS_PER_S, sent.cancel)
+    timer = TransferTimer(
+        reactor, lambda: now_ms(reactor), timeout_ms, gap_ms, lambda: sent.cancel()
+    )
+    sent = Deferred.fromCoroutine(
+        fetch(client, method, url, body, headers, timer.received)
+    )
     try:
         return await sent
     except (CancelledError, ConnectingCancelledError):
@@ -304,7 +310,12 @@
     except Exception as error:
         return failure_of(error)
     finally:
-        stop_timer(timer)
+        timer.stop()
+
+
+def now_ms(reactor: Reactor) -> int:
+    """Return the time of a reactor in milliseconds."""
+    return int(reactor.seconds() * MS_PER_S)
 
 
 async def fetch(
@@ -313,6 +324,7 @@
     url: str,
     body: bytes | None,
     headers: Mapping[str, str] | None,
+    on_received: Callable[[int], None],
 ) -> BytesAnswer:
     """Send one request and read its answer completely."""
     all_headers: HeaderMap = JSON_HEADERS.copy() if body is not None else {}
@@ -323,7 +335,7 @@
     )
     return BytesAnswer(
         status=response.code,
-        content=await read_body(url, response),
+        content=await read_body(url, response, on_received),
         headers={
             name.decode().lower(): values[-1].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
@@ -331,12 +343,16 @@
     )
 
 
-async def read_body(url: str, response: Any) -> bytes:
+async def read_body(
+    url: str, response: Any, on_received: Callable[[int], None]
+) -> bytes:
     """Read the body of an answer; close its connection if it exceeds the bound.
 
-    Raise ``BrokenOffError`` if nothing marks the end of the body.
+    ``on_received`` is called with 0 for the head, and with the size of each part. Raise
+    ``BrokenOffError`` if nothing marks the end of the body.
     """
-    reader = BodyReader(url, response)
+    on_received(0)
+    reader = BodyReader(url, response, on_received)
     response.deliverBody(reader)
     return await reader.ended
 
@@ -344,8 +360,11 @@
 class BodyReader(Protocol):
     """Collect the body of an answer."""
 
-    def __init__(self, url: str, response: Any) -> None:
+    def __init__(
+        self, url: str, response: Any, on_received: Callable[[int], None]
+    ) -> None:
         self.url = url
+        self.on_received = on_received
         self.size = response.length if isinstance(response.length, int) else 0
         self.parts: list[bytes] = []
         self.received = 0
@@ -359,6 +378,7 @@
         """Collect a part of the body."""
         if self.ended.called:
             return
+        self.on_received(len(data))
         self.parts.append(data)
         self.received += len(data)
         self.size = max(self.size, self.received)
@@ -402,6 +422,7 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     timeout_ms: int,
+    gap_ms: int | None = None,
     count: Callable[[int], None] = lambda _size: None,
     parse: Callable[[bytes], Any] = orjson.loads,
 ) -> JsonAnswer | CallFailed:
@@ -411,7 +432,14 @@
     raises JSONDecodeError.
     """
     answer = await call_bytes(
-        client, reactor, method, url, body=body, headers=headers, timeout_ms=timeout_ms
+        client,
+        reactor,
+        method,
+        url,
+        body=body,
+        headers=headers,
+        timeout_ms=timeout_ms,
+        gap_ms=gap_ms,
     )
     if isinstance(answer, CallFailed):
         return answer
--- a/src/bramleyturn/runtime/twisted_types.py
+++ b/src/bramleyturn/runtime/twisted_types.py
@@ -46,6 +46,9 @@
 class Reactor(Protocol):
     """Describe the reactor."""
 
+    def seconds(self) -> float:
+        """Return the reactor's time, from an arbitrary start."""
+
     # Only Twisted itself needs the other methods, so they are not declared.
     def callLater(  # noqa: N802
         self, delay: float, callable: Callable[..., Any], *args: Any
--- a/src/bramleyturn/watch/reader.py
+++ b/src/bramleyturn/watch/reader.py
@@ -18,6 +18,8 @@
 from bramleyturn.watch.errors import PlatformFailed, PlatformFailure
 
 CALL_TIMEOUT_MS: Final = 2_000
+# How long the bytes of a folder or list that has begun may pause.
+GAP_MS: Final = 2_000
 TARGET_MAC_HEADER: Final = "Bramleyturn-Mac"
 STATUS_OK: Final = 200
 STATUS_TOO_MANY: Final = 429
@@ -46,6 +48,7 @@
         f"{url}{query}",
         headers={TARGET_MAC_HEADER: target_mac(target, key)} if key else None,
         timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+        gap_ms=GAP_MS,
         count=count,
     )
     document = usable_document(answer)
@@ -67,6 +70,7 @@
         "GET",
         url,
         timeout_ms=CALL_TIMEOUT_MS,
+        gap_ms=GAP_MS,
         count=count,
         parse=read_list,
     )
--- a/tests/runtime/test_cut_answers.py
+++ b/tests/runtime/test_cut_answers.py
@@ -42,6 +42,46 @@
         assert isinstance(called(part, end), CallFailed)
 
 
+class TestSlow:
+    """Answers whose bytes take longer than the time for the first one."""
+
+    def read(self, gap_ms: int | None, parts: int, pause_s: float) -> list[Any]:
+        """Return how a call has ended after so many parts of its body."""
+        reactor: Any = MemoryReactorClock()
+        sent = call_bytes(
+            http_client(reactor),
+            reactor,
+            "GET",
+            "http://127.0.0.1:80/",
+            timeout_ms=1_000,
+            gap_ms=gap_ms,
+        )
+        ended: list[Any] = []
+        Deferred.fromCoroutine(sent).addBoth(ended.append)
+        connection = reactor.tcpClients.pop()[2].buildProtocol(None)
+        connection.makeConnection(Wire())
+        size = parts * PART_BYTES
+        connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(parts):
+            reactor.advance(pause_s)
+            if not ended:
+                connection.dataReceived(b"x" * PART_BYTES)
+        return ended
+
+    def test_large_one_is_read_while_it_makes_progress(self) -> None:
+        (answer,) = self.read(1_000, parts=40, pause_s=0.1)
+        assert isinstance(answer, BytesAnswer)
+
+    def test_without_a_gap_the_time_is_for_the_whole_one(self) -> None:
+        (answer,) = self.read(None, parts=40, pause_s=0.1)
+        assert isinstance(answer, CallFailed)
+
+    def test_stalled_one_ends(self) -> None:
+        (answer,) = self.read(1_000, parts=3, pause_s=1.1)
+        assert isinstance(answer, CallFailed)
+
+
+PART_BYTES = 25_000
 BODY_CUTS = [
     pytest.param(UNFRAMED[:place], id=f"{place}")
     for place in range(UNFRAMED.index(b"{"), len(UNFRAMED))
