Refuse streams at once that can't begin while their callers wait

Cause: stages were planned up to the deadline only. In virtual time requests were held for up to 11.9 s before they were refused. The owner still recognises returning requests by their deadlines.

--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -36,6 +36,8 @@
 
     ``aim_ms`` is the latency target. ``priority`` 0 is the most urgent.
     ``uses_prefix_affinity`` marks routes whose requests name the parts of their prompt.
+    ``pause_aim_ms`` is the longest pause between events of a stream in time, 0 if none
+    is named.
     """
 
     name: str
@@ -51,6 +53,7 @@
     is_public: bool
     uses_prefix_affinity: bool
     is_resumable: bool
+    pause_aim_ms: int = 0
 
 
 class BatchLimits(NamedTuple):
--- a/src/bramleyturn/core/pieces/dispatch.py
+++ b/src/bramleyturn/core/pieces/dispatch.py
@@ -11,7 +11,12 @@
 
 from typing import Final
 
-from bramleyturn.core.pieces.model import Piece, StageAsk, StageCall
+from bramleyturn.core.pieces.model import (
+    Piece,
+    StageAsk,
+    StageCall,
+    useful_until_ms,
+)
 from bramleyturn.core.pieces.planner import AskState, Outcome, Planner, RunningCall
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
@@ -204,5 +209,5 @@
 
 def _piece(ask: StageAsk, number: int) -> Piece:
     return Piece(
-        ask.attempt_id, ask.stage, number, ask.key, ask.inputs, ask.deadline_ms
+        ask.attempt_id, ask.stage, number, ask.key, ask.inputs, useful_until_ms(ask)
     )
--- a/src/bramleyturn/core/pieces/model.py
+++ b/src/bramleyturn/core/pieces/model.py
@@ -57,7 +57,9 @@
     piece reads all of them. ``has_started`` is whether another stage of the request
     is already done, and ``later`` has the stages that depend on this one.
     ``fingerprint`` is the same for all repeats of the request, empty if unknown.
-    ``is_only_reader`` is whether nothing else needs the inputs.
+    ``is_only_reader`` is whether nothing else needs the inputs. ``given_up_ms`` is when
+    all stages must be done for the caller still to wait, None if it waits until the
+    deadline.
     """
 
     ask_id: str
@@ -77,6 +79,14 @@
     input_bytes: tuple[tuple[str, int], ...] = ()
     fingerprint: str = ""
     is_only_reader: bool = False
+    given_up_ms: int | None = None
+
+
+def useful_until_ms(ask: StageAsk) -> int:
+    """Return when the stages of a request must be done to be of any use."""
+    if ask.given_up_ms is None:
+        return ask.deadline_ms
+    return min(ask.deadline_ms, ask.given_up_ms)
 
 
 class AskDone(NamedTuple):
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -22,7 +22,12 @@
     remaining_stages,
     remaining_work_ms,
 )
-from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
+from bramleyturn.core.pieces.model import (
+    AskDone,
+    PieceFailure,
+    StageAsk,
+    useful_until_ms,
+)
 from bramleyturn.core.pieces.planner import (
     AskState,
     Outcome,
@@ -181,7 +186,7 @@
         planner = pipeline.planners[ask.pool]
         queue_ms = longest_late_queue_ms(forecast, state)
         end_ms = expected_finish_ms(pipeline, forecast, state, is_late=True)
-        if end_ms > ask.deadline_ms:
+        if end_ms > useful_until_ms(ask):
             note_refusal(pipeline.refused, ask, now_ms)
             _refuse(planner, forecast, state, int(end_ms), outcomes[ask.pool])
             continue
@@ -220,10 +225,10 @@
             for stage in remaining_stages(state)
         },
         end_ms - forecast.now_ms,
-        ask.deadline_ms - forecast.now_ms,
+        useful_until_ms(ask) - forecast.now_ms,
     )
     outcome.refused.append(refused)
-    excess_ms = end_ms - ask.deadline_ms
+    excess_ms = end_ms - useful_until_ms(ask)
     fail_ask(planner, state, PieceFailure.LATE, outcome, forecast.now_ms, excess_ms)
 
 
@@ -236,7 +241,7 @@
 
 def _cannot_meet_deadline(planner: Planner, state: AskState, now_ms: int) -> bool:
     needed_ms = stage_ms(planner, 1, state.ask.result_bytes)
-    return now_ms + needed_ms > state.ask.deadline_ms
+    return now_ms + needed_ms > useful_until_ms(state.ask)
 
 
 def _expire_asks(planner: Planner, outcome: Outcome, now_ms: int) -> None:
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -14,6 +14,7 @@
 from bramleyturn.core.stream_position import can_resume
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms
+from bramleyturn.core.waiting.patience import patience_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.run_times import (
     ends_in_time,
@@ -191,6 +192,7 @@
         engine = self.attempts.choose(request, frozenset())
         tokens = own_tokens(request.head.prompt)
         run_ms = first_event_ms(serving.first_events, request.pool, tokens)
+        patience = patience_ms(request.route)
         spec = StageSpec(
             route=request.route,
             attempt_id=request.head.attempt_id,
@@ -201,6 +203,9 @@
             urgency=urgency_of(request),
             near_zone=engine.zone if engine is not None else "",
             fingerprint=request.names.fingerprint,
+            given_up_ms=(
+                request.arrived_ms + patience - run_ms if patience is not None else None
+            ),
         )
         request.stages = StageWork(serving, self.asks, spec)
         return await self._run_stages(request, request.stages)
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -26,7 +26,9 @@
 
 def _ask_fields(ask: StageAsk, now_ms: int) -> Message:
     fields = ask._asdict()
-    del fields["due_ms"], fields["deadline_ms"]
+    del fields["due_ms"], fields["deadline_ms"], fields["given_up_ms"]
+    if ask.given_up_ms is not None:
+        fields["given_up_in_ms"] = ask.given_up_ms - now_ms
     return {
         "due_in_ms": ask.due_ms - now_ms,
         "left_ms": ask.deadline_ms - now_ms,
@@ -62,6 +64,11 @@
             ),
             fingerprint=str(message.get("fingerprint", "")),
             is_only_reader=message.get("is_only_reader") is True,
+            given_up_ms=(
+                now_ms + int(message["given_up_in_ms"])
+                if "given_up_in_ms" in message
+                else None
+            ),
         )
     except (KeyError, TypeError, ValueError):
         return None
--- a/src/bramleyturn/gateway/stage_work.py
+++ b/src/bramleyturn/gateway/stage_work.py
@@ -17,7 +17,8 @@
 class StageSpec(NamedTuple):
     """Hold the data of a request that its stages need.
 
-    ``due_ms`` is when all stages must be done for the request to be in time.
+    ``due_ms`` is when all stages must be done for the request to be in time, and
+    ``given_up_ms`` for its caller still to wait, None if it waits until the deadline.
     """
 
     route: Route
@@ -29,6 +30,7 @@
     urgency: int
     near_zone: str
     fingerprint: str
+    given_up_ms: int | None
 
 
 class StageResults(NamedTuple):
@@ -112,6 +114,7 @@
             input_bytes=self._input_bytes(needed),
             fingerprint=spec.fingerprint,
             is_only_reader=self._is_only_reader(number, needed),
+            given_up_ms=spec.given_up_ms,
         )
         pending = self.asks.ask(ask)
         self.running[number] = pending
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -126,6 +126,7 @@
         # not that a caller must stay at one server.
         uses_prefix_affinity=flag_field(document, "sticky"),
         is_resumable=flag_field(document, "resumable"),
+        pause_aim_ms=int_field(document, "gapAimMs") or 0,
     )
 
 
--- a/tests/core/pieces/stage_simulation.py
+++ b/tests/core/pieces/stage_simulation.py
@@ -47,7 +47,10 @@
 
 
 class RequestKind(NamedTuple):
-    """Hold a kind of request: its stages, times, urgency and worth."""
+    """Hold a kind of request: its stages, times, urgency and worth.
+
+    ``patience_ms`` is how long its callers wait for a beginning, 0 until the deadline.
+    """
 
     name: str
     stages: tuple[StageNeed, ...]
@@ -56,6 +59,7 @@
     urgency: int
     worth: float
     run_ms: int
+    patience_ms: int = 0
 
 
 class Arrival(NamedTuple):
@@ -156,6 +160,11 @@
             later=tuple(LaterStage(*later) for later in needs[job.stage + 1 :]),
             fingerprint=job.name,
             is_only_reader=True,
+            given_up_ms=(
+                job.sent_ms + job.kind.patience_ms - job.kind.run_ms
+                if job.kind.patience_ms
+                else None
+            ),
         )
         take_ask(self.pipeline, ask, self.now_ms)
         self.run()
