Decode every configuration that arrives while a large one is decoded

Found on reading the change again: an older version that came behind a newer one took its place among those to be decoded, and the newer one was not in force until another instance told of it.

--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -50,8 +50,8 @@
     Removals are known since ``whole_revision``, at which all items were read.
     ``returned_ms`` is when the store was last reached again after an outage, or came
     back from an older copy. ``configuration`` is the item of the configuration in
-    force, ``decoded`` the one that is being decoded and ``undecoded`` the one that
-    follows it. ``on_new_revision`` is called for each newer revision.
+    force, ``decoded`` the one that is being decoded and ``undecoded`` those that
+    follow it. ``on_new_revision`` is called for each newer revision.
     """
 
     def __init__(self, serving: Serving) -> None:
@@ -62,7 +62,7 @@
         self.returned_ms: int | None = None
         self.configuration: StoreItem | None = None
         self.decoded: StoreItem | None = None
-        self.undecoded: StoreItem | None = None
+        self.undecoded: list[StoreItem] = []
         self.packed = PackedValues()
         self.on_new_revision: Callable[[], None] = lambda: None
 
@@ -159,19 +159,19 @@
     if item.value is None:
         logger.warning("configuration removed", extra=item.revision._asdict())
         return
-    known = (copy.configuration, copy.decoded, copy.undecoded)
+    known = (copy.configuration, copy.decoded, *copy.undecoded)
     if any(each is not None and each.value == item.value for each in known):
         return
-    copy.undecoded = item
+    copy.undecoded.append(item)
     if copy.decoded is None:
         run_in_background(_decode_configurations(copy), "decode configuration")
 
 
 async def _decode_configurations(copy: StoreCopy) -> None:
-    """Decode the newest configuration until none is left."""
+    """Decode one configuration after the other; their versions decide which counts."""
     try:
-        while copy.undecoded is not None:
-            copy.decoded, copy.undecoded = copy.undecoded, None
+        while copy.undecoded:
+            copy.decoded = copy.undecoded.pop(0)
             await _decode_configuration(copy, copy.decoded)
     finally:
         copy.decoded = None
--- a/tests/gateway/test_large_configurations.py
+++ b/tests/gateway/test_large_configurations.py
@@ -154,13 +154,13 @@
         self.apply(item(1, routes=0))
         assert self.instance.version() == 1
 
-    def test_newest_of_those_that_arrive_meanwhile_follows(self) -> None:
-        self.apply(item(1), item(2), item(3))
+    def test_newest_of_those_that_arrive_meanwhile_is_in_force(self) -> None:
+        self.apply(item(1), item(3), item(2))
         assert self.versions()[-1] == 3
 
     def test_one_that_arrives_again_is_not_decoded_again(self) -> None:
         self.apply(item(1), item(1))
-        assert self.instance.copy.undecoded is None
+        assert self.instance.copy.undecoded == []
         assert self.versions() == [0, 1]
         self.apply(item(1))
         assert self.instance.copy.decoded is None
