Judge a request of the soak that was never sent by its runs alone

The check counts an attempt that took over 200 ms and that the log of the process does not rule out as read. A launch (vfork under the interpreter lock) stalls the callers; a thread that has just been refused then measures more than 200 ms.

Change: an attempt whose connection was refused can't have been read, so the time that it took proves nothing; a run of it still is a violation.

The new test fails without the change in its first assertion (a violation where nothing was sent).

--- a/tests/site/soak.py
+++ b/tests/site/soak.py
@@ -106,7 +106,10 @@
             )
             self.sent.append(
                 attempt._replace(
-                    must_end=not was_killed, entry=process, took_ms=took_ms
+                    must_end=not was_killed,
+                    entry=process,
+                    took_ms=took_ms,
+                    sent_s=sent_s,
                 )
             )
             time.sleep(CALL_PAUSE_S)
@@ -127,8 +130,10 @@
             else:
                 method = "POST" if kind == ORDER else "GET"
                 answer = self.fleet.call(f"/{kind}/{attempt_id}", method, **options)
-        except (OSError, http.client.HTTPException):
-            return SentAttempt(attempt_id, kind, 0, b"", False, False)
+        except (OSError, http.client.HTTPException) as error:
+            is_sent = not isinstance(error, ConnectionRefusedError)
+            failed = SentAttempt(attempt_id, kind, 0, b"", False, False)
+            return failed._replace(error=repr(error), is_sent=is_sent)
         is_signed = "bramleyturn-response-signature" in answer.headers
         return SentAttempt(
             attempt_id, kind, answer.status, answer.body, answer.is_whole, is_signed
@@ -319,10 +324,27 @@
                 thread.join()
         violations += state.part_violations()
         violations += find_violations(state.sent, state.runs(), folder)
+        print_evidence(state, violations)
         ends = Counter(f"{each.kind} {each.status}" for each in state.sent)
     return violations, ends
 
 
+def print_evidence(state: SoakRun, violations: list[str]) -> None:
+    """Print the attempts that show violations, with log lines and disturbances."""
+    for violation in violations:
+        attempt_id = violation.rpartition(" ")[2]
+        for attempt in state.sent:
+            if attempt.attempt_id == attempt_id:
+                print(f"{violation}: {attempt}")
+        for log in sorted(state.folder.glob("*.out")):
+            lines = log.read_text().splitlines()
+            found = [line for line in lines if f'"{attempt_id}"' in line]
+            for line in found:
+                print(f"{log.name}: {line}")
+    if violations:
+        print(f"kills (monotonic): {state.kills}", *state.disturbances, sep="\n")
+
+
 def main() -> int:
     """Run the seeds given on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/site/soak_checks.py
+++ b/tests/site/soak_checks.py
@@ -21,7 +21,9 @@
     ``status`` is 0 for a connection that ended without an answer. ``is_whole`` is
     False for an answer that was visibly cut off. ``must_end`` is set for an attempt on
     a kept connection to an entry that nobody killed meanwhile; ``entry`` names that
-    process, and ``took_ms`` is the time from the request to the end.
+    process, and ``took_ms`` is the time from the request to the end. ``error`` is
+    what a caller got instead of an answer, and ``sent_s`` is monotonic. ``is_sent`` is
+    False if nothing was sent, because no connection could be opened.
     """
 
     attempt_id: str
@@ -33,6 +35,9 @@
     must_end: bool = False
     entry: str = ""
     took_ms: int = 0
+    error: str = ""
+    sent_s: float = 0.0
+    is_sent: bool = True
 
 
 def whole_stream() -> bytes:
@@ -81,7 +86,7 @@
 
 def _is_read(attempt: SentAttempt, folder: Path) -> bool:
     """Return whether an entry held a request and its log does not rule out a read."""
-    if attempt.took_ms <= CROSSING_MS:
+    if not attempt.is_sent or attempt.took_ms <= CROSSING_MS:
         return False
     log = (folder / f"{attempt.entry}.out").read_text()
     # Every request that is read is named at its end, unless the process ends first.
--- a/tests/site/test_soak.py
+++ b/tests/site/test_soak.py
@@ -143,6 +143,15 @@
         violations = find_violations([closed_after(took_ms)], {}, tmp_path)
         assert violations == ["read and closed without an answer: a"] * is_read
 
+    def test_request_that_was_never_sent_is_judged_by_its_runs(
+        self, tmp_path: Path
+    ) -> None:
+        (tmp_path / "entry-0.out").write_text("")
+        unsent = closed_after(500)._replace(is_sent=False)
+        assert find_violations([unsent], {}, tmp_path) == []
+        violations = find_violations([unsent], {"a": 1}, tmp_path)
+        assert violations == ["read and closed without an answer: a"]
+
     def test_share_that_is_served(self) -> None:
         refused = SentAttempt("b", LOOKUP, 503, b"", True, False)
         assert served_share([answered(LOOKUP), refused], LOOKUP) == 0.5
