Send no piece again whose inputs were released

A piece of such an ask that failed for want of room or with an error was still sent once more, as was one that the planner before a handover had not finished. The server can only answer that the input is gone: a call of a full pool is wasted, in the burst that fills it.

Cause: are_inputs_freed was looked at in one of the five places that requeue a piece, and a handover did not carry it.

Change: plan() ends such asks before it orders the others, wherever their piece was requeued; the handover has the fact (instances of earlier builds leave it out, which is read as false).

The test of a call without an answer now looks at the plan after it instead of at the outcome of the call; it also asserts that no call is made.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -88,11 +88,7 @@
         if state.is_moved:
             outcome.moved.append(MovedPiece(planner.pool, ask_id, number, "", "", ""))
             continue
-        if number in state.made:
-            continue
-        if state.are_inputs_freed:
-            fail_ask(planner, state, PieceFailure.INPUT_GONE, outcome, now_ms)
-        else:
+        if number not in state.made:
             state.waiting.append(number)
     if not was_refused:
         failed = [ask_id for ask_id, _ in running.parts]
--- a/src/bramleyturn/core/pieces/handover.py
+++ b/src/bramleyturn/core/pieces/handover.py
@@ -54,12 +54,16 @@
 
 
 class AskHandover(NamedTuple):
-    """Hold an ask, the instance that sent it, and its progress."""
+    """Hold an ask, the instance that sent it, and its progress.
+
+    Once ``are_inputs_freed``, a piece that fails can't be made again.
+    """
 
     ask: StageAsk
     origin: str
     made: tuple[MadeResult, ...]
     awaited: tuple[AwaitedPiece, ...]
+    are_inputs_freed: bool = False
 
 
 class Handover(NamedTuple):
@@ -183,7 +187,9 @@
     ]
     state.awaited = {}
     made = [MadeResult(number, *result) for number, result in state.made.items()]
-    return AskHandover(state.ask, origin, tuple(made), tuple(awaited))
+    return AskHandover(
+        state.ask, origin, tuple(made), tuple(awaited), state.are_inputs_freed
+    )
 
 
 def _running_numbers(planner: Planner, state: AskState) -> set[int]:
@@ -205,6 +211,7 @@
     state = planner.asks.get(ask.ask_id)
     if state is None:
         state = planner.asks[ask.ask_id] = AskState(ask, now_ms)
+    state.are_inputs_freed |= given.are_inputs_freed
     for made in given.made:
         state.made.setdefault(made.number, (made.handle, made.zone))
     for awaited in given.awaited:
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -80,6 +80,7 @@
     for name, planner in pipeline.planners.items():
         requeue_overdue_pieces(planner, now_ms)
         _expire_asks(planner, outcomes[name], now_ms)
+        _fail_asks_without_inputs(planner, outcomes[name], now_ms)
     order = _order(pipeline, outcomes, now_ms)
     for name, planner in pipeline.planners.items():
         own = [state for state in order if state.ask.pool == name]
@@ -244,6 +245,13 @@
     return now_ms + needed_ms > useful_until_ms(state.ask)
 
 
+def _fail_asks_without_inputs(planner: Planner, outcome: Outcome, now_ms: int) -> None:
+    """Fail the asks with pieces to be made again whose inputs were released."""
+    for state in list(planner.asks.values()):
+        if state.are_inputs_freed and state.waiting and not state.is_moved:
+            fail_ask(planner, state, PieceFailure.INPUT_GONE, outcome, now_ms)
+
+
 def _expire_asks(planner: Planner, outcome: Outcome, now_ms: int) -> None:
     """Drop asks that are no longer repeated, and fail those without a server."""
     for ask_id, (_, ended_ms) in list(planner.done.items()):
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -143,6 +143,7 @@
                 "origin": each.origin,
                 "made": [list(made) for made in each.made],
                 "awaited": [list(awaited) for awaited in each.awaited],
+                "are_inputs_freed": each.are_inputs_freed,
             }
             for each in handover.asks
         ],
@@ -190,4 +191,5 @@
             AwaitedPiece(int(number), int(left_ms))
             for number, left_ms in document["awaited"]
         ),
+        document.get("are_inputs_freed") is True,
     )
--- a/tests/core/pieces/test_short_space.py
+++ b/tests/core/pieces/test_short_space.py
@@ -10,17 +10,25 @@
 import pytest
 
 from bramleyturn.core.catalog.model import BatchLimits
-from bramleyturn.core.pieces.call_results import call_failed
+from bramleyturn.core.pieces.call_results import call_ended, call_failed, take_moved
+from bramleyturn.core.pieces.handover import hand_over, take_over
 from bramleyturn.core.pieces.held_results import add_result
-from bramleyturn.core.pieces.model import PieceFailure, StageAsk
+from bramleyturn.core.pieces.model import MadePiece, PieceFailure, StageAsk
 from bramleyturn.core.pieces.pipeline import plan, take_ask
-from bramleyturn.core.pieces.planner import Pipeline, Planner, update_servers
+from bramleyturn.core.pieces.planner import (
+    MovedPiece,
+    Outcome,
+    Pipeline,
+    Planner,
+    update_servers,
+)
 from bramleyturn.core.pieces.short_space import (
     FETCH_MS,
     drop_freed,
     is_short,
     release_fetched,
 )
+from bramleyturn.gateway.stage_messages import decode_handover, encode_handover
 from tests.core.pieces.stage_simulation import (
     Arrival,
     RequestKind,
@@ -132,6 +140,37 @@
     ) -> None:
         call_id = self.start(pipeline, ask("a0"))
         self.released(pipeline, FETCH_MS)
-        outcome = call_failed(pipeline.planners["second"], call_id, False, FETCH_MS)
-        (done,) = outcome.done
-        assert done.failure is PieceFailure.INPUT_GONE
+        call_failed(pipeline.planners["second"], call_id, False, FETCH_MS)
+        assert_ended_without_inputs(plan(pipeline, FETCH_MS))
+
+    @pytest.mark.parametrize("failure", [PieceFailure.NO_ROOM, PieceFailure.FAILED])
+    def test_piece_that_failed_without_its_inputs_is_not_sent_again(
+        self, pipeline: Pipeline, failure: PieceFailure
+    ) -> None:
+        call_id = self.start(pipeline, ask("a0"))
+        self.released(pipeline, FETCH_MS)
+        made = [MadePiece("", failure)]
+        call_ended(pipeline.planners["second"], call_id, made, FETCH_MS)
+        assert_ended_without_inputs(plan(pipeline, FETCH_MS))
+
+    def test_next_planner_does_not_send_it_again(self, pipeline: Pipeline) -> None:
+        self.start(pipeline, ask("a0"))
+        self.released(pipeline, FETCH_MS)
+        _, handover = hand_over(pipeline, {"a0": "origin"}, FETCH_MS)
+        decoded = decode_handover(encode_handover(handover, FETCH_MS), FETCH_MS)
+        assert decoded is not None
+        following = Pipeline()
+        planner = following.planners["second"] = Planner(
+            "second", pipeline.planners["second"].limits
+        )
+        update_servers(planner, [pool_server("second", 0)])
+        take_over(planner, decoded, FETCH_MS)
+        take_moved(planner, MovedPiece("second", "a0", 0, "", "", ""), FETCH_MS)
+        assert_ended_without_inputs(plan(following, FETCH_MS))
+
+
+def assert_ended_without_inputs(outcomes: dict[str, Outcome]) -> None:
+    """Assert that the only ask of the second pool ended because its inputs are gone."""
+    assert outcomes["second"].calls == []
+    (done,) = outcomes["second"].done
+    assert done.failure is PieceFailure.INPUT_GONE
