Assign less to engines that are late with the requests of any instance

Cause: nothing but failures told instances apart engines that are slow; the owner of the stages, which now assigns them, took all to be equally fast.

Change: an instance reports an engine when a first event takes twice as long as expected and 200 ms more, and again with the first event (engine_late). The owner counts the delay as work that the engine still has to do, so that it gets nothing until it should have caught up; reports do not add up, and count for 5 s at most. Counter engines_late.

--- a/src/bramleyturn/core/placement/engine_queues.py
+++ b/src/bramleyturn/core/placement/engine_queues.py
@@ -5,7 +5,8 @@
 prefer the same engine for a prompt part: its queue grows to seconds while others are
 idle. The owner of the stages hears of the requests of all instances before they reach
 their engines. It counts what it has assigned to each engine, and knows by which one a
-part was read lately.
+part was read lately. Engines that turn slow are found by the instances whose requests
+wait there: what they report counts as work that the engine still has to do.
 """
 
 from collections import OrderedDict
@@ -17,6 +18,10 @@
 PART_KEPT_MS: Final = 10_000
 MAX_READ_PARTS: Final = 8_192
 MAX_ASSIGNED: Final = 8_192
+# A first event that takes longer than this is reported, and how late at most.
+LATE_FACTOR: Final = 2
+LATE_EXTRA_MS: Final = 200
+MAX_LATE_MS: Final = 5_000
 
 
 class EngineOption(NamedTuple):
@@ -97,6 +102,20 @@
         queues.busy_until_ms[server_id] -= assigned.work_ms
 
 
+def report_after_ms(expected_ms: int) -> int:
+    """Return after which time without a first event an engine is reported."""
+    return LATE_FACTOR * expected_ms + LATE_EXTRA_MS
+
+
+def note_late_engine(
+    queues: EngineQueues, server_id: str, late_ms: int, now_ms: int
+) -> None:
+    """Expect an engine to be as late as it was with the request of an instance."""
+    until_ms = now_ms + min(MAX_LATE_MS, late_ms)
+    known_ms = queues.busy_until_ms.get(server_id, now_ms)
+    queues.busy_until_ms[server_id] = max(known_ms, until_ms)
+
+
 def _end_ms(
     queues: EngineQueues, option: EngineOption, need: EngineNeed, now_ms: int
 ) -> int:
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -1,5 +1,6 @@
 """Choose servers for a caller's request and send it to one after another."""
 
+from collections.abc import Callable
 from typing import Any, TypeGuard
 
 from twisted.internet.task import deferLater
@@ -19,7 +20,7 @@
     note_sent,
     usable_servers,
 )
-from bramleyturn.core.placement.engine_queues import EngineNeed
+from bramleyturn.core.placement.engine_queues import EngineNeed, report_after_ms
 from bramleyturn.core.placement.health import note_answered, note_failed
 from bramleyturn.core.placement.server_pauses import has_paused_since
 from bramleyturn.core.placement.verdicts import (
@@ -29,7 +30,7 @@
 )
 from bramleyturn.core.stream_position import accept_event
 from bramleyturn.core.units import MS_PER_S
-from bramleyturn.core.waiting.first_events import note_first_event
+from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
 from bramleyturn.gateway.attempts import (
     Answered,
     AttemptEnd,
@@ -66,9 +67,15 @@
 class CallerAttempts:
     """Send callers' requests to servers."""
 
-    def __init__(self, serving: Serving, crashes: CrashWatch) -> None:
+    def __init__(
+        self,
+        serving: Serving,
+        crashes: CrashWatch,
+        report_late_engine: Callable[[str, int], None],
+    ) -> None:
         self.serving = serving
         self.crashes = crashes
+        self.report_late_engine = report_late_engine
 
     def choose(
         self, request: CallerRequest, tried: frozenset[str]
@@ -164,6 +171,7 @@
         )
         may_reuse = is_safe_to_retry(request.route)
         fetched: Any = None
+        late = self._report_if_late(request, server)
 
         def may_send() -> bool:
             is_usable = is_ready(serving.registry, server.id, serving.now_ms())
@@ -189,6 +197,7 @@
             )
         finally:
             stop_timer(fetched)
+            stop_timer(late)
             note_ended(serving.loads, server.id)
         if is_unconfirmed(ended):
             ended = await self._confirm(request, server, ended)
@@ -202,6 +211,31 @@
             self.crashes.request_finished(request.names)
         return ended
 
+    def _report_if_late(self, request: CallerRequest, server: BackendServer) -> Any:
+        """Report an engine if its first event does not come in the expected time."""
+        if not request.route.uses_prefix_affinity or request.exchange.is_started:
+            return None
+        after_ms = report_after_ms(self._expected_ms(request))
+
+        def report() -> None:
+            if not request.exchange.is_started:
+                self._report_engine(request, server.id, after_ms)
+
+        return self.serving.reactor.callLater(after_ms / MS_PER_S, report)
+
+    def _expected_ms(self, request: CallerRequest) -> int:
+        """Return the expected time to the first event of a request."""
+        tokens = own_tokens(request.head.prompt)
+        return first_event_ms(self.serving.first_events, request.pool, tokens)
+
+    def _report_engine(
+        self, request: CallerRequest, server_id: str, took_ms: int
+    ) -> None:
+        """Report how late a first event is, if that is more than it may vary."""
+        expected_ms = self._expected_ms(request)
+        if took_ms >= report_after_ms(expected_ms):
+            self.report_late_engine(server_id, took_ms - expected_ms)
+
     def _release_when_fetched(self, request: CallerRequest) -> Any:
         """Release the inputs once their server has fetched them, if space is short."""
         if request.stages is None or not request.stages.is_space_short():
@@ -258,6 +292,8 @@
         if not request.exchange.is_started:
             now_ms = self.serving.now_ms()
             request.first_event_ms = now_ms
+            if request.route.uses_prefix_affinity and request.server is not None:
+                self._report_engine(request, request.server.id, now_ms - sent_ms)
             note_first_event(
                 self.serving.first_events,
                 request.pool,
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -19,6 +19,7 @@
     decode_engine_ask,
     decode_engine_chosen,
     decode_handover,
+    decode_late_engine,
     decode_moved,
 )
 from bramleyturn.gateway.stage_owner import StageOwner
@@ -75,6 +76,11 @@
             if chosen is not None:
                 self.asks.handle_engine(chosen)
                 return
+        elif kind == "engine_late":
+            late = decode_late_engine(message)
+            if late is not None:
+                self.owner.handle_late_engine(late)
+                return
         elif kind == "withdraw":
             self.owner.handle_withdrawal(
                 str(message.get("pool")), str(message.get("ask_id"))
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -76,7 +76,7 @@
         self.serving = serving
         self.asks = asks
         self.crashes = crashes
-        self.attempts = CallerAttempts(serving, crashes)
+        self.attempts = CallerAttempts(serving, crashes, asks.report_late_engine)
         self.running: dict[CallerRequest, Deferred[None]] = {}
         crashes.on_quarantine = self.refuse_quarantined
 
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -18,8 +18,10 @@
 from bramleyturn.gateway.stage_messages import (
     EngineAsk,
     EngineChosen,
+    LateEngine,
     encode_ask,
     encode_engine_ask,
+    encode_late_engine,
     encode_withdrawal,
 )
 from bramleyturn.runtime.timers import stop_timer
@@ -91,6 +93,15 @@
         count(self.serving.metrics, "engines_chosen", how)
         waiting.callback(chosen.engine)
 
+    def report_late_engine(self, server_id: str, late_ms: int) -> None:
+        """Tell the owner that an engine was late with a request."""
+        owner = owner_of(STAGES, self.serving.live())
+        if owner is None:
+            return
+        count(self.serving.metrics, "engines_late")
+        late = encode_late_engine(LateEngine(server_id, late_ms))
+        self.links.send(owner.name, late)
+
     def release(self, pool: str, handles: tuple[str, ...], size: int) -> None:
         """Tell the owner of a pool that results are no longer needed."""
         owner = owner_of(STAGES, self.serving.live())
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -147,6 +147,26 @@
         return None
 
 
+class LateEngine(NamedTuple):
+    """Report how much later than expected the first event of a request came."""
+
+    engine: str
+    late_ms: int
+
+
+def encode_late_engine(late: LateEngine) -> Message:
+    """Encode the report of a late engine."""
+    return {"type": "engine_late", **late._asdict()}
+
+
+def decode_late_engine(message: Message) -> LateEngine | None:
+    """Decode the report of a late engine; return None if malformed."""
+    engine, late_ms = message.get("engine"), message.get("late_ms")
+    if not isinstance(engine, str) or type(late_ms) is not int or late_ms < 0:
+        return None
+    return LateEngine(engine, late_ms)
+
+
 def encode_done(done: AskDone) -> Message:
     """Encode the outcome of an ask."""
     failure = None if done.failure is None else str(done.failure)
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -45,7 +45,7 @@
     note_report_asked,
     note_report_failed,
 )
-from bramleyturn.core.placement.engine_queues import assign_engine
+from bramleyturn.core.placement.engine_queues import assign_engine, note_late_engine
 from bramleyturn.core.request_names import RequestNames
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
@@ -68,6 +68,7 @@
 from bramleyturn.gateway.stage_messages import (
     EngineAsk,
     EngineChosen,
+    LateEngine,
     encode_done,
     encode_engine_chosen,
     encode_handover,
@@ -155,6 +156,11 @@
         chosen = EngineChosen(ask.attempt_id, engine)
         self.links.send(origin, encode_engine_chosen(chosen))
 
+    def handle_late_engine(self, late: LateEngine) -> None:
+        """Assign less to an engine that was late with a request of an instance."""
+        now_ms = self.serving.now_ms()
+        note_late_engine(self.pipeline.engines, late.engine, late.late_ms, now_ms)
+
     def handle_withdrawal(self, pool: str, ask_id: str) -> None:
         """Drop an ask that was withdrawn."""
         planner = self.pipeline.planners.get(pool)
--- a/tests/core/placement/engine_simulation.py
+++ b/tests/core/placement/engine_simulation.py
@@ -1,8 +1,9 @@
 """Simulate engines that read prompts with shared parts, in virtual time."""
 
 import heapq
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
+from types import MappingProxyType
 from typing import NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer
@@ -16,13 +17,20 @@
     note_report,
     note_sent,
 )
-from bramleyturn.core.placement.engine_queues import EngineQueues, assign_engine
+from bramleyturn.core.placement.engine_queues import (
+    EngineQueues,
+    assign_engine,
+    note_late_engine,
+    report_after_ms,
+)
 
 ENTRIES = 10
 ENGINES = 5
 # How fast an engine reads prompts, and how long it writes an output.
 TOKENS_PER_MS = 60.0
 OUTPUT_MS = 900
+# What instances expect of the first event of a prompt.
+EXPECTED_MS = 280
 Choice = Callable[
     [list[BackendServer], "Request", LoadTracker, Random, int], BackendServer | None
 ]
@@ -74,17 +82,30 @@
 
 
 def first_event_times_ms(
-    requests_sent: list[Request], choose: Choice, engine_count: int = ENGINES
+    requests_sent: list[Request],
+    choose: Choice,
+    engine_count: int = ENGINES,
+    slow: Mapping[int, float] = MappingProxyType({}),
+    report: Callable[[str, int, int], None] | None = None,
 ) -> list[int]:
-    """Return the time to first event of each request."""
+    """Return the time to first event of each request.
+
+    ``slow`` has the factor by which an engine is slower. ``report`` is told which one
+    has no first event after some time, how late it is and when, and again with the
+    first event.
+    """
     servers = [engine_server(place) for place in range(engine_count)]
     engines = [Engine() for _ in servers]
     entries = max(request.entry for request in requests_sent) + 1
     trackers = [LoadTracker() for _ in range(entries)]
     random = Random(1)
     ends: list[tuple[float, int, int]] = []
+    late: list[tuple[int, str, int]] = []
     times = []
     for request in requests_sent:
+        while report is not None and late and late[0][0] <= request.at_ms:
+            at_ms, server_id, late_ms = heapq.heappop(late)
+            report(server_id, late_ms, at_ms)
         while ends and ends[0][0] <= request.at_ms:
             _, entry, place = heapq.heappop(ends)
             engines[place].requests -= 1
@@ -104,8 +125,12 @@
         )
         engine.kept.update(part.id for part in request.prompt)
         begin_ms = max(float(request.at_ms), engine.free_ms)
-        engine.free_ms = begin_ms + tokens / TOKENS_PER_MS
+        engine.free_ms = begin_ms + tokens / TOKENS_PER_MS * slow.get(place, 1.0)
         times.append(int(engine.free_ms - request.at_ms))
+        if times[-1] > report_after_ms(EXPECTED_MS):
+            for waited_ms in (report_after_ms(EXPECTED_MS), times[-1]):
+                known = (request.at_ms + waited_ms, chosen.id, waited_ms - EXPECTED_MS)
+                heapq.heappush(late, known)
         heapq.heappush(ends, (engine.free_ms + OUTPUT_MS, request.entry, place))
     return times
 
@@ -121,9 +146,9 @@
     return choose_by_prefix(servers, request.prompt, tracker, random, now_ms)
 
 
-def by_common_queues() -> Choice:
+def by_common_queues(queues: EngineQueues | None = None) -> Choice:
     """Return a choice as the owner of the stages makes it for all entries."""
-    queues = EngineQueues()
+    queues = queues or EngineQueues()
 
     def choose(
         servers: list[BackendServer],
@@ -140,6 +165,13 @@
     return choose
 
 
+def late_report(queues: EngineQueues) -> Callable[[str, int, int], None]:
+    """Return what the owner of the stages does with the report of a late engine."""
+    return lambda server_id, late_ms, at_ms: note_late_engine(
+        queues, server_id, late_ms, at_ms
+    )
+
+
 def by_least_load(
     servers: list[BackendServer],
     _request: Request,
--- a/tests/core/placement/test_engine_load.py
+++ b/tests/core/placement/test_engine_load.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bramleyturn.core.placement.engine_queues import EngineQueues
 from tests.core.placement.engine_simulation import (
     Choice,
     Request,
@@ -12,6 +13,7 @@
     by_prefix_alone,
     by_reading_cost,
     first_event_times_ms,
+    late_report,
     requests,
 )
 
@@ -83,3 +85,23 @@
             late_alone = 1 - self.share_in_time(seed, by_reading_cost)
             late_together = 1 - self.share_in_time(seed, by_common_queues())
             assert late_together < late_alone / 4
+
+    @pytest.mark.parametrize("factor", [4.0, 8.0])
+    def test_slow_engines_make_less_late_once_they_are_reported(
+        self, factor: float
+    ) -> None:
+        slow = dict.fromkeys(range(8), factor)
+        for seed in SEEDS:
+            sent = requests(seed, 63.0, 850, entries=ENTRIES_OF_LARGE_FLEET)
+            late = []
+            for is_reported in (False, True):
+                queues = EngineQueues()
+                times = first_event_times_ms(
+                    sent,
+                    by_common_queues(queues),
+                    ENGINES_OF_LARGE_FLEET,
+                    slow,
+                    late_report(queues) if is_reported else None,
+                )
+                late.append(sum(took_ms > ENGINE_AIM_MS for took_ms in times))
+            assert late[1] < late[0] / 2, (seed, late)
--- a/tests/core/placement/test_engine_queues.py
+++ b/tests/core/placement/test_engine_queues.py
@@ -1,11 +1,13 @@
 """Test the choice of engines for the requests of all instances."""
 
 from bramleyturn.core.placement.engine_queues import (
+    MAX_LATE_MS,
     PART_KEPT_MS,
     EngineNeed,
     EngineOption,
     EngineQueues,
     assign_engine,
+    note_late_engine,
     take_back_engine,
 )
 
@@ -57,3 +59,26 @@
     def test_request_without_engines_gets_none(self) -> None:
         need = NEED._replace(options=())
         assert assign_engine(EngineQueues(), "r0", need, 0) is None
+
+
+class TestLateEngines:
+    """Reports that first events of an engine were late."""
+
+    def test_late_engine_gets_nothing_until_it_should_have_caught_up(self) -> None:
+        queues = EngineQueues()
+        note_late_engine(queues, "e0", 700, 0)
+        assert assign_engine(queues, "r0", NEED, 0) == SECOND
+        assert assign_engine(queues, "r1", NEED, 2_000) == SECOND
+        later_ms = 2_000 + PART_KEPT_MS + 1
+        assert assign_engine(queues, "r2", NEED, later_ms) == FIRST
+
+    def test_reports_of_many_requests_do_not_add_up(self) -> None:
+        queues = EngineQueues()
+        for late_ms in (700, 900, 800):
+            note_late_engine(queues, "e0", late_ms, 100)
+        assert queues.busy_until_ms == {"e0": 1_000}
+
+    def test_report_counts_up_to_a_bound(self) -> None:
+        queues = EngineQueues()
+        note_late_engine(queues, "e0", 10**9, 0)
+        assert queues.busy_until_ms == {"e0": MAX_LATE_MS}
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -32,12 +32,15 @@
 from bramleyturn.gateway.stage_messages import (
     EngineAsk,
     EngineChosen,
+    LateEngine,
     decode_ask,
     decode_engine_ask,
     decode_engine_chosen,
+    decode_late_engine,
     encode_ask,
     encode_engine_ask,
     encode_engine_chosen,
+    encode_late_engine,
 )
 from bramleyturn.gateway.store_relay import decode_relayed
 from tests.core.pieces.test_handover import ask
@@ -268,6 +271,13 @@
         del message[field]
         assert decode_engine_chosen(message) is None
 
+    @pytest.mark.parametrize("late_ms", [-1, 0.5, "9", None, True])
+    def test_rejects_a_malformed_report_of_a_late_engine(self, late_ms: Any) -> None:
+        message = encode_late_engine(LateEngine("e0", 700))
+        assert decode_late_engine(message) == LateEngine("e0", 700)
+        assert decode_late_engine({**message, "late_ms": late_ms}) is None
+        assert decode_late_engine({**message, "engine": 7}) is None
+
     def test_ask_of_an_earlier_build_has_no_fingerprint(self) -> None:
         message = encode_ask(ask("r"), 0)
         del message["fingerprint"]
--- a/tests/site/test_common_engines.py
+++ b/tests/site/test_common_engines.py
@@ -12,6 +12,7 @@
 # The own load of an instance outweighs reading this prompt again at six requests.
 PROMPT = "aa:13300,bb:3700"
 REQUESTS = 8
+SLOW_MS = 2_000
 
 
 @pytest.fixture
@@ -45,3 +46,28 @@
         ]
         assert sum(counts) == REQUESTS
         assert min(counts) >= 2, counts
+
+
+class TestSlowEngine:
+    """An engine that turns slow, and keeps a part that others need."""
+
+    def engine_of(self, site: SiteFleet, attempt_id: str, entry: int) -> str:
+        """Send a request; return the engine that ran it."""
+        answer = site.draft(prompt=PROMPT, entry=entry, attempt_id=attempt_id)
+        assert answer.status == 200
+        servers = site.send_control("/ledger")["servers"]
+        (engine,) = [
+            name
+            for name in ENGINES
+            if any(ran["attempt_id"] == attempt_id for ran in servers[name]["ran"])
+        ]
+        return engine
+
+    def test_is_not_chosen_by_another_instance_after_it_was_late(
+        self, site: SiteFleet
+    ) -> None:
+        engine = self.engine_of(site, "s0", 0)
+        assert self.engine_of(site, "s1", 1) == engine
+        site.send_control("/fault", server=engine, fault="", start_ms=SLOW_MS)
+        assert self.engine_of(site, "s2", 0) == engine
+        assert self.engine_of(site, "s3", 1) != engine
