Bound what a prompt, its caller and other instances can make the choice of engines believe

Found by reading the change again: a caller names the length of its prompt, so that one request could keep an engine from all others for any time; engines that had left were never forgotten; a message could name any time to read.

Change: a prompt counts for 2 s of shared parts and 2 s of its rest at most, messages with more are rejected, and engines without work are forgotten beyond 1,024. Tests failed before.

--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -12,7 +12,11 @@
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart, own_tokens, shared_prefix
-from bramleyturn.core.placement.engine_queues import EngineNeed, EngineOption
+from bramleyturn.core.placement.engine_queues import (
+    MAX_READ_MS,
+    EngineNeed,
+    EngineOption,
+)
 from bramleyturn.core.placement.health import HealthTracker, is_avoided
 from bramleyturn.core.short_hash import short_hash
 
@@ -164,11 +168,15 @@
         named = random.sample(servers, count)
     return EngineNeed(
         part=part,
-        shared_ms=int(sum(each.tokens for each in shared) * READ_TOKEN_MS),
-        own_ms=int(own_tokens(prompt) * READ_TOKEN_MS),
+        shared_ms=_read_ms(sum(each.tokens for each in shared)),
+        own_ms=_read_ms(own_tokens(prompt)),
         options=tuple(EngineOption(server.id, server.zone) for server in named),
     )
 
 
+def _read_ms(tokens: int) -> int:
+    return min(MAX_READ_MS, int(tokens * READ_TOKEN_MS))
+
+
 def _rank(prefix_id: str, server_id: str) -> bytes:
     return short_hash(f"{prefix_id}\0{server_id}")
--- a/src/bramleyturn/core/placement/engine_queues.py
+++ b/src/bramleyturn/core/placement/engine_queues.py
@@ -16,6 +16,10 @@
 REQUEST_MS: Final = 10
 # For how long an engine is expected to keep a part that no other request has used.
 PART_KEPT_MS: Final = 10_000
+# Callers name the length of their prompts. One that names too much must not keep an
+# engine from others.
+MAX_READ_MS: Final = 2_000
+MAX_ENGINES: Final = 1_024
 MAX_READ_PARTS: Final = 8_192
 MAX_ASSIGNED: Final = 8_192
 # A first event that takes longer than this is reported, and how late at most.
@@ -36,7 +40,7 @@
 
     ``part`` is the last part of the prompt that others may share, empty if there is
     none. ``shared_ms`` is the time to read the shared parts, ``own_ms`` that for the
-    rest. Of equal ``options`` the first is chosen.
+    rest, each ``MAX_READ_MS`` at most. Of equal ``options`` the first is chosen.
     """
 
     part: str
@@ -81,7 +85,7 @@
     end_ms = min(ends_ms)
     option = need.options[ends_ms.index(end_ms)]
     work_ms = _work_ms(queues, option, need, now_ms)
-    queues.busy_until_ms[option.server_id] = end_ms
+    _set_busy(queues, option.server_id, end_ms, now_ms)
     if need.part:
         key = (need.part, option.server_id)
         queues.read_ms[key] = now_ms
@@ -97,8 +101,10 @@
 def take_back_engine(queues: EngineQueues, attempt_id: str) -> None:
     """Give the time of an engine free that a refused request would have taken."""
     assigned = queues.assigned.pop(attempt_id, None)
-    if assigned is not None:
-        server_id = assigned.option.server_id
+    if assigned is None:
+        return
+    server_id = assigned.option.server_id
+    if server_id in queues.busy_until_ms:
         queues.busy_until_ms[server_id] -= assigned.work_ms
 
 
@@ -113,7 +119,16 @@
     """Expect an engine to be as late as it was with the request of an instance."""
     until_ms = now_ms + min(MAX_LATE_MS, late_ms)
     known_ms = queues.busy_until_ms.get(server_id, now_ms)
-    queues.busy_until_ms[server_id] = max(known_ms, until_ms)
+    _set_busy(queues, server_id, max(known_ms, until_ms), now_ms)
+
+
+def _set_busy(queues: EngineQueues, server_id: str, until_ms: int, now_ms: int) -> None:
+    busy = queues.busy_until_ms
+    busy[server_id] = until_ms
+    if len(busy) > MAX_ENGINES:
+        queues.busy_until_ms = {
+            each: ends_ms for each, ends_ms in busy.items() if ends_ms > now_ms
+        }
 
 
 def _end_ms(
--- a/src/bramleyturn/gateway/stage_messages.py
+++ b/src/bramleyturn/gateway/stage_messages.py
@@ -15,7 +15,11 @@
 )
 from bramleyturn.core.pieces.model import AskDone, LaterStage, PieceFailure, StageAsk
 from bramleyturn.core.pieces.planner import MovedPiece
-from bramleyturn.core.placement.engine_queues import EngineNeed, EngineOption
+from bramleyturn.core.placement.engine_queues import (
+    MAX_READ_MS,
+    EngineNeed,
+    EngineOption,
+)
 
 Message = dict[str, Any]
 
@@ -54,8 +58,8 @@
     if document is None:
         return None
     part, shared_ms, own_ms, options = document
-    if int(shared_ms) < 0 or int(own_ms) < 0:
-        raise ValueError("time to read is negative")
+    if not all(0 <= int(each) <= MAX_READ_MS for each in (shared_ms, own_ms)):
+        raise ValueError("time to read is out of range")
     return EngineNeed(
         str(part),
         int(shared_ms),
--- a/tests/core/placement/test_engine_queues.py
+++ b/tests/core/placement/test_engine_queues.py
@@ -1,7 +1,13 @@
 """Test the choice of engines for the requests of all instances."""
 
+from random import Random
+
+from bramleyturn.core.catalog.prompt import PromptPart
+from bramleyturn.core.placement.choice import engine_need
 from bramleyturn.core.placement.engine_queues import (
+    MAX_ENGINES,
     MAX_LATE_MS,
+    MAX_READ_MS,
     PART_KEPT_MS,
     EngineNeed,
     EngineOption,
@@ -10,6 +16,7 @@
     note_late_engine,
     take_back_engine,
 )
+from tests.core.pieces.stage_simulation import pool_server
 
 FIRST = EngineOption("e0", "north")
 SECOND = EngineOption("e1", "south")
@@ -56,6 +63,19 @@
         take_back_engine(queues, "r0")
         assert queues.busy_until_ms == {"e0": 0}
 
+    def test_engines_that_are_gone_are_forgotten(self) -> None:
+        queues = EngineQueues()
+        for number in range(MAX_ENGINES + 1):
+            need = NEED._replace(options=(EngineOption(f"e{number}", "north"),))
+            assign_engine(queues, f"r{number}", need, number * 1_000)
+        assert len(queues.busy_until_ms) == 1
+        take_back_engine(queues, "r0")
+
+    def test_prompt_takes_a_bounded_time_whatever_its_caller_names(self) -> None:
+        prompt = (PromptPart("part", 10**12), PromptPart("own", 10**12))
+        need = engine_need([pool_server("drafts", 0)], prompt, Random(1))
+        assert (need.shared_ms, need.own_ms) == (MAX_READ_MS, MAX_READ_MS)
+
     def test_request_without_engines_gets_none(self) -> None:
         need = NEED._replace(options=())
         assert assign_engine(EngineQueues(), "r0", need, 0) is None
