--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A replica runs orders, its connections are reset, and it can't be reached for a while.
+"""A replica runs an order and its answer is lost; the next opening packet is lost, too.
 
 The entry answers 503, which promises that the order has not run and never will.
 """
@@ -10,38 +10,45 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from cuttable import CuttableServer  # noqa: E402
 from fleet import (  # noqa: E402
     BROKEN,
     COULD_NOT_RUN,
     HELD,
     HOST_NAME,
-    Answer,
     Fleet,
     Record,
     Request,
     answer_bytes,
     configuration,
+    reset,
     run_case,
 )
+from lossy import LossyServer  # noqa: E402
 
 PROMISES = {408, 421, 429, 503}
-# The members service works 15 ms on average, 110 ms at most, and 5 times as long if slow.
-WORK_S = 0.25
+WORK_S = 0.025
 # What a client has left that comes again within its deadline of 1,000 ms.
-LEFT_MS = 450
-CUT_AFTER_S = 0.15
-ORDERS = 12
+LEFT_MS = 300
+ORDERS = 120
+# Of the answers of one of the two replicas, two in five are lost, with a reset.
+LOST_OF_FIVE = 2
+# The share of all opening packets to the replicas that may be lost.
+LOST_PACKETS = 0.025
+LOSS_S = 0.6
 
 
 async def case(record: Record, has_trouble: bool) -> int:
-    """Send orders; cut one of two replicas off while it works on them."""
+    """Send orders one after the other, with lost answers and lost packets."""
     fleet = Fleet(record)
     began: dict[str, str] = {}
-    replicas: list[CuttableServer] = []
+    replicas: list[LossyServer] = []
+    lost_packets = 0
+
+    def replica(server_id: str, loses_answers: bool) -> LossyServer:
+        orders = 0
 
-    def replica(server_id: str) -> CuttableServer:
         async def handle(request: Request, _: object, writer: asyncio.StreamWriter) -> bool:
+            nonlocal orders, lost_packets
             attempt_id = request.headers.get("bramleyturn-attempt-id", "")
             if request.headers.get("bramleyturn-expected-instance", server_id) != server_id:
                 writer.write(answer_bytes(421, {"Bramleyturn-Not-Executed": "1"}, b""))
@@ -50,22 +57,35 @@
                 writer.write(answer_bytes(200, {"Bramleyturn-Instance-Id": server_id}, b""))
                 return True
             began[attempt_id] = server_id
+            orders += 1
             record.write(f"{server_id} begins to work on {attempt_id}")
             await asyncio.sleep(WORK_S)
+            if loses_answers and orders % 5 < LOST_OF_FIVE:
+                opened = sum(each.opened for each in replicas)
+                if lost_packets + 1 <= LOST_PACKETS * opened:
+                    lost_packets += 1
+                    record.write(
+                        f"the next packet that opens a connection to {server_id} is lost"
+                        f" ({lost_packets} of {opened})"
+                    )
+                    replicas[0].lose()
+                    asyncio.get_running_loop().call_later(LOSS_S, replicas[0].restore)
+                record.write(f"{server_id} has run {attempt_id}; its answer is lost")
+                reset(writer)
+                return False
             headers = {
                 "Bramleyturn-Attempt-Id": attempt_id,
                 "Bramleyturn-Response-Signature": "3e1b.07.5a2.600.0.c9f2a4d1",
                 "Content-Type": "text/plain",
             }
             writer.write(answer_bytes(200, headers, f"order {attempt_id}".encode()))
-            record.write(f"{server_id} has run {attempt_id}")
             return True
 
-        return CuttableServer(fleet.next_host(), handle)
+        return LossyServer(fleet.next_host(), handle)
 
     try:
-        for server_id in ("i-7f3a91c2", "i-02d9e6b4"):
-            replicas.append(replica(server_id))
+        for place, server_id in enumerate(("i-7f3a91c2", "i-02d9e6b4")):
+            replicas.append(replica(server_id, has_trouble and place == 0))
             fleet.register(server_id, "wuno96b", replicas[-1].address)
         route = {
             "name": "orders",
@@ -89,39 +109,33 @@
         }
         fleet.store.put("op/config", configuration([route], [service]))
         await fleet.start_entries()
-
-        async def order(place: int) -> tuple[str, Answer]:
+        false = []
+        answered = 0
+        for place in range(ORDERS):
             attempt_id = f"9c41d07be2a3{place:04x}"
             entry = fleet.entries[place % len(fleet.entries)]
-            record.write(f"client sends {attempt_id} with {LEFT_MS} ms left")
             answer = await fleet.call(
                 entry, "POST", f"/bobo563/{place}", attempt_id, LEFT_MS, body=b"x" * 600
             )
-            retry = answer.headers.get("retry-after")
+            answered += answer.status == 200
             record.write(
                 f"client gets {answer.status} for {attempt_id} after {answer.took_ms} ms"
-                f" (Retry-After: {retry}) {answer.body[:80]!r}"
+                f" {answer.body[:80]!r}"
             )
-            return attempt_id, answer
-
-        orders = [asyncio.create_task(order(place)) for place in range(ORDERS)]
-        await asyncio.sleep(CUT_AFTER_S)
-        if has_trouble:
-            record.write("the first replica is cut off; its connections are reset")
-            replicas[0].cut()
-        answers = await asyncio.gather(*orders)
-        await asyncio.sleep(0.5)
-        if not any(began.get(attempt_id) == "i-7f3a91c2" for attempt_id, _ in answers):
-            record.write("no order was at the first replica")
+            if answer.status in PROMISES and attempt_id in began:
+                false.append(attempt_id)
+            while any(each.is_losing for each in replicas):
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(0.1)
+        opened = sum(each.opened for each in replicas)
+        record.write(
+            f"{len(began)} of {ORDERS} orders ran, {answered} were answered;"
+            f" {lost_packets} of {opened} opening packets were lost;"
+            f" orders that ran and got a promise: {false}"
+        )
+        if has_trouble and not lost_packets:
             return COULD_NOT_RUN
-        false = [
-            attempt_id
-            for attempt_id, answer in answers
-            if answer.status in PROMISES and attempt_id in began
-        ]
-        record.write(f"{len(began)} orders ran; {len(false)} of them got a promise: {false}")
-        if not has_trouble and any(answer.status != 200 for _, answer in answers):
-            record.write("not all orders were answered though nothing happened")
+        if not has_trouble and answered != ORDERS:
             return BROKEN
         return BROKEN if false else HELD
     finally:
