--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -330,6 +331,8 @@
                 entry.process.wait()
         for server in self.servers:
             server.close()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def call(
         self,
@@ -420,7 +423,7 @@
         if entry.process is not None and entry.process.poll() is not None:
             break
         await asyncio.sleep(0.1)
-    raise RuntimeError(f"entry not ready; its output is in {entry.log}")
+    raise RuntimeError("an entry is not ready; KEEP_LOGS=1 keeps its output")
 
 
 def free_ports(net: str, count: int) -> dict[str, int]:
