--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,217 +1,181 @@
-"""Many clients send large orders at once; the entry exceeds its memory and is killed.
+"""A replica crashes behind a cut and starts again under its id; then the cut heals.
 
-Each order stays within the limit that the operator sets for bodies.
+The entry takes the end of the broken stream, which has no length, for its whole end.
 """
 
 import asyncio
+import subprocess
 import sys
+import threading
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+STANDINS = FOLDER.parent / "standins"
+sys.path.insert(0, str(STANDINS))
 
 from fleet import (  # noqa: E402
     BROKEN,
     COULD_NOT_RUN,
     HELD,
     HOST_NAME,
-    KEY,
-    Entry,
+    Answer,
     Fleet,
     Record,
-    Request,
-    answer_bytes,
     configuration,
-    read_answer,
     run_case,
 )
+from link import Link  # noqa: E402
+
+ENGINES = 5
+EVENTS = 40
+PAUSE_S = 0.1
+STREAMS = 15
+CUT_AT_S = 1.0
+# The cut lasts for less time than clients wait for an event, 4 x 1.3 s.
+CUT_S = 4.0
+CRASH_AFTER_S = 0.5
+DOWN_S = 2.0
+
+
+class Engine:
+    """Hold a replica's process, and the link to it."""
+
+    def __init__(self, fleet: Fleet, server_id: str) -> None:
+        self.fleet = fleet
+        self.server_id = server_id
+        self.host = fleet.next_host()
+        self.port = 8749
+        self.link = Link((self.host, self.port))
+        self.process: subprocess.Popen[str] | None = None
+        self.born_ms = 0
+        self.reading: threading.Thread | None = None
+
+    async def start(self) -> None:
+        """Start the process, and wait until it listens."""
+        command = [sys.executable, str(STANDINS / "engine.py"), self.host, str(self.port)]
+        command += [self.server_id, str(EVENTS), str(PAUSE_S)]
+        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        assert self.process.stdout is not None
+        line = await asyncio.to_thread(self.process.stdout.readline)
+        self.born_ms = int(line.rpartition(" ")[2])
+        self.reading = threading.Thread(target=self._copy_output, daemon=True)
+        self.reading.start()
+
+    def _copy_output(self) -> None:
+        process = self.process
+        if process is not None and process.stdout is not None:
+            for line in process.stdout:
+                self.fleet.record.write(f"{self.server_id} {line.strip()}")
+
+    def register(self) -> None:
+        """Write the replica's entry into the store, with the time of its start."""
+        self.fleet.register(
+            self.server_id, "huvo11a", self.link.address, slots=64, born=self.born_ms
+        )
 
-MEMORY_MB = 222
-WORK_S = 0.025
-SLOTS = 6
-QUEUE = 24
-# The operator allows 4,194,304 bytes.
-BODY_BYTES = 4_000_000
-BURST = 32
-BURSTS = 3
-KEPT_CLIENTS = 12
-DEADLINE_MS = 8000
-RESTART_S = 0.5
-
-
-def memory_mb(entry: Entry) -> int:
-    """Return the memory of a process, 0 if it is gone."""
-    try:
-        text = Path(f"/proc/{entry.process.pid}/status").read_text()
-    except OSError:
-        return 0
-    sizes = [line.split()[1] for line in text.splitlines() if line.startswith("VmRSS")]
-    return int(sizes[0]) // 1024 if sizes else 0
+    def crash(self) -> None:
+        """Kill the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        if self.reading is not None:
+            self.reading.join()
 
 
 async def case(record: Record, has_trouble: bool) -> int:
-    """Run kept connections with small orders, and bursts of large ones."""
+    """Send streams to five replicas; cut one off and crash it behind the cut."""
     fleet = Fleet(record)
-    began: set[str] = set()
-    lost: list[str] = []
-    answered = 0
-    peak_mb = 0
-    kills = 0
-    has_ended = False
-
-    def replica(server_id: str):
-        slots = asyncio.Semaphore(SLOTS)
-        waiting = 0
-
-        async def handle(request: Request, _: object, writer: asyncio.StreamWriter) -> bool:
-            nonlocal waiting
-            attempt_id = request.headers.get("bramleyturn-attempt-id", "")
-            if request.headers.get("bramleyturn-expected-instance", server_id) != server_id:
-                writer.write(answer_bytes(421, {"Bramleyturn-Not-Executed": "1"}, b""))
-                return True
-            if request.target == "/health":
-                writer.write(answer_bytes(200, {"Bramleyturn-Instance-Id": server_id}, b""))
-                return True
-            if waiting >= QUEUE:
-                headers = {"Bramleyturn-Not-Executed": "1", "Bramleyturn-Attempt-Id": attempt_id}
-                writer.write(answer_bytes(503, headers, b""))
-                return True
-            waiting += 1
-            async with slots:
-                waiting -= 1
-                began.add(attempt_id)
-                await asyncio.sleep(WORK_S)
-            headers = {
-                "Bramleyturn-Attempt-Id": attempt_id,
-                "Bramleyturn-Response-Signature": "3e1b.07.5a2.600.0.c9f2a4d1",
-                "Content-Type": "text/plain",
-            }
-            writer.write(answer_bytes(200, headers, f"order {attempt_id}".encode()))
-            return True
-
-        return handle
-
-    def restart(entry: Entry) -> None:
-        if not has_ended:
-            fleet.launch(entry)
-
-    async def watch_memory() -> None:
-        """Kill a process that exceeds its memory and start it again, as the platform does."""
-        nonlocal peak_mb, kills
-        while not has_ended:
-            for entry in fleet.entries:
-                size_mb = memory_mb(entry)
-                peak_mb = max(peak_mb, size_mb)
-                if size_mb > MEMORY_MB:
-                    kills += 1
-                    record.write(f"{entry.host} has {size_mb} MB and is killed ({kills})")
-                    entry.process.kill()
-                    entry.process.wait()
-                    asyncio.get_running_loop().call_later(RESTART_S, restart, entry)
-            await asyncio.sleep(0.01)
-
-    async def keep_ordering(entry: Entry, name: int) -> None:
-        """Send small orders on a kept connection, one after the other."""
-        nonlocal answered
-        number = 0
-        while not has_ended:
-            try:
-                reader, writer = await asyncio.open_connection(
-                    entry.host, entry.ports["front"]
-                )
-            except OSError:
-                await asyncio.sleep(0.1)
-                continue
-            requests = 0
-            while not has_ended:
-                number += 1
-                requests += 1
-                attempt_id = f"{name:04x}{number:012x}"
-                head = (
-                    f"POST /bobo563/{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-                    f"Bramleyturn-Attempt-Id: {attempt_id}\r\n"
-                    f"Bramleyturn-Deadline-Ms: {DEADLINE_MS}\r\n"
-                    f"Authorization: Bearer {KEY}\r\nContent-Length: 600\r\n\r\n"
-                )
-                try:
-                    writer.write(head.encode() + b"x" * 600)
-                    answer = await read_answer(reader)
-                except OSError:
-                    answer = (0, {}, b"", False)
-                if answer[0] and answer[3]:
-                    answered += 1
-                    continue
-                if attempt_id in began and requests > 1:
-                    lost.append(attempt_id)
-                    record.write(f"order {attempt_id} has run; its kept connection is closed")
-                break
-            writer.close()
-
+    engines = [Engine(fleet, f"i-5c1e07a{number}") for number in range(ENGINES)]
     try:
-        for server_id in ("i-7f3a91c2", "i-02d9e6b4"):
-            fleet.register(server_id, "wuno96b", await fleet.listen(replica(server_id)))
+        for engine in engines:
+            await engine.link.listen(fleet.next_host())
+            await engine.start()
+            engine.register()
         route = {
-            "name": "orders",
+            "name": "drafts",
             "host": HOST_NAME,
-            "prefix": "/bobo563/",
-            "kind": "non_idempotent",
-            "timeoutMs": DEADLINE_MS,
-            "targetLatencyMs": 100,
-            "priority": 2,
-            "service": "wuno96b",
-            "maxAttempts": 1,
+            "prefix": "/puxa400/",
+            "kind": "streaming",
+            "timeoutMs": 12000,
+            "targetLatencyMs": 1300,
+            "priority": 1,
+            "service": "huvo11a",
+            "maxAttempts": 2,
             "stages": [],
             "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gapAimMs": 250,
         }
         service = {
-            "name": "wuno96b",
+            "name": "huvo11a",
             "healthPath": "/health",
-            "maxConnections": 200,
+            "maxConnections": 720,
             "protocol": "h1",
             "tls": False,
+            "engine": {"slots": 64, "kvCapacityTokens": 581741, "models": [{"name": "m"}]},
         }
         fleet.store.put("op/config", configuration([route], [service]))
         await fleet.start_entries()
-        tasks = [asyncio.create_task(watch_memory())]
-        for name in range(KEPT_CLIENTS):
-            entry = fleet.entries[name % 2]
-            tasks.append(asyncio.create_task(keep_ordering(entry, name)))
-        await asyncio.sleep(3.5)
-        body = b"x" * BODY_BYTES
-
-        async def order(place: int) -> int:
-            attempt_id = f"9c41d07be2a3{place:04x}"
-            entry = fleet.entries[place % 2]
+        await asyncio.sleep(1.0)
+
+        async def draft(place: int) -> Answer:
+            attempt_id = f"5b2907c14da6{place:04x}"
+            headers = {
+                "Bramleyturn-Model": "m",
+                "Bramleyturn-Token-Counts": f"1460,{3 * EVENTS}",
+                "Bramleyturn-Prompt-Prefix": f"{0xb000 + place:x}:350,{0xa000 + place:x}:1110",
+            }
+            entry = fleet.entries[place % len(fleet.entries)]
             answer = await fleet.call(
-                entry, "POST", f"/bobo563/{place}", attempt_id, DEADLINE_MS, body=body
+                entry, "POST", f"/puxa400/{place}", attempt_id, 12000, headers, b"x" * 1500
             )
-            return answer.status
-
-        statuses: list[int] = []
-        for burst in range(BURSTS):
-            places = range(burst * 2 * BURST, (burst + 1) * 2 * BURST)
-            if has_trouble:
-                record.write(f"{BURST} clients at each entry send {BODY_BYTES} bytes each")
-                statuses += await asyncio.gather(*(order(place) for place in places))
-            else:
-                # As many orders as large, but not at once.
-                for place in places:
-                    statuses.append(await order(place))
-            await asyncio.sleep(4.0)
-        has_ended = True
-        await asyncio.gather(*tasks)
-        if not has_trouble and any(status != 200 for status in statuses):
-            return COULD_NOT_RUN
+            record.write(
+                f"client of {attempt_id} gets {answer.status}, {answer.body.count(b'id: ')}"
+                f" of {EVENTS} events, {'whole' if answer.is_whole else 'broken off'},"
+                f" after {answer.took_ms} ms"
+            )
+            return answer
+
+        record.write(f"{STREAMS} clients ask for drafts")
+        tasks = [asyncio.create_task(draft(place)) for place in range(STREAMS)]
+        await asyncio.sleep(CUT_AT_S)
+        if has_trouble:
+            victim = engines[0]
+            record.write(f"{victim.server_id} is cut off")
+            victim.link.cut()
+            await asyncio.sleep(CRASH_AFTER_S)
+            record.write(f"{victim.server_id} crashes")
+            victim.crash()
+            await asyncio.sleep(DOWN_S)
+            await victim.start()
+            record.write(f"{victim.server_id} has started again")
+            await asyncio.sleep(CUT_S - CRASH_AFTER_S - DOWN_S)
+            victim.register()
+            record.write("the cut heals")
+            victim.link.heal()
+        answers = await asyncio.gather(*tasks)
+        short = [
+            answer
+            for answer in answers
+            if answer.status == 200 and answer.is_whole
+            and answer.body.count(b"id: ") < EVENTS
+        ]
+        whole = sum(
+            answer.is_whole and answer.body.count(b"id: ") == EVENTS for answer in answers
+        )
         record.write(
-            f"large orders: { {status: statuses.count(status) for status in set(statuses)} };"
-            f" small ones answered: {answered}; at most {peak_mb} MB of {MEMORY_MB};"
-            f" {kills} kills; orders from kept connections that ran and whose connection"
-            f" was closed without an answer: {len(lost)}"
+            f"{whole} of {STREAMS} streams were whole; {len(short)} ended as complete"
+            " before their last piece"
         )
-        return BROKEN if len(lost) > 3 else HELD
+        if not has_trouble and whole != STREAMS:
+            return COULD_NOT_RUN
+        return BROKEN if short else HELD
     finally:
-        has_ended = True
         fleet.stop()
+        for engine in engines:
+            engine.crash()
+            engine.link.close()
 
 
 run_case(FOLDER, case)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -472,4 +472,5 @@
         code = COULD_NOT_RUN
     outcome = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "no result"}
     record.write(outcome[code])
-    sys.exit(code)
+    # Connections that are still open need no orderly end.
+    os._exit(code)
