--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,11 @@
-"""Many clients send large orders at once; the entry exceeds its memory and is killed.
+"""The two entries of a zone are stopped in turn; one takes streams late and cuts them.
 
-Each order stays within the limit that the operator sets for bodies.
+Each is stopped while it answers a request. The streams come when neither is ready, as
+the platform then sends new connections to all entries of the zone.
 """
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -15,7 +17,7 @@
     COULD_NOT_RUN,
     HELD,
     HOST_NAME,
-    KEY,
+    Answer,
     Entry,
     Fleet,
     Record,
@@ -24,193 +26,179 @@
     configuration,
     read_answer,
     run_case,
+    wait_ready,
 )
 
-MEMORY_MB = 222
-WORK_S = 0.025
-SLOTS = 6
-QUEUE = 24
-# The operator allows 4,194,304 bytes.
-BODY_BYTES = 4_000_000
-BURST = 32
-BURSTS = 3
-KEPT_CLIENTS = 12
-DEADLINE_MS = 8000
+GRACE_S = 8.0
+GAP_S = 1.0
 RESTART_S = 0.5
-
-
-def memory_mb(entry: Entry) -> int:
-    """Return the memory of a process, 0 if it is gone."""
-    try:
-        text = Path(f"/proc/{entry.process.pid}/status").read_text()
-    except OSError:
-        return 0
-    sizes = [line.split()[1] for line in text.splitlines() if line.startswith("VmRSS")]
-    return int(sizes[0]) // 1024 if sizes else 0
+PAUSE_S = 0.03
+# craft-idea: 57 events on average, 200 at most.
+USUAL_EVENTS = 40
+LONG_EVENTS = 190
+LATE_AT_S = 3.2
+LATE_STREAMS = 3
 
 
 async def case(record: Record, has_trouble: bool) -> int:
-    """Run kept connections with small orders, and bursts of large ones."""
+    """Send streams, stop both entries in turn, and send long streams late."""
     fleet = Fleet(record)
-    began: set[str] = set()
-    lost: list[str] = []
-    answered = 0
-    peak_mb = 0
-    kills = 0
-    has_ended = False
-
-    def replica(server_id: str):
-        slots = asyncio.Semaphore(SLOTS)
-        waiting = 0
+    passed_on: dict[str, int] = {}
+    at_work: set[str] = set()
 
+    def engine(server_id: str):
         async def handle(request: Request, _: object, writer: asyncio.StreamWriter) -> bool:
-            nonlocal waiting
-            attempt_id = request.headers.get("bramleyturn-attempt-id", "")
             if request.headers.get("bramleyturn-expected-instance", server_id) != server_id:
                 writer.write(answer_bytes(421, {"Bramleyturn-Not-Executed": "1"}, b""))
                 return True
-            if request.target == "/health":
-                writer.write(answer_bytes(200, {"Bramleyturn-Instance-Id": server_id}, b""))
-                return True
-            if waiting >= QUEUE:
-                headers = {"Bramleyturn-Not-Executed": "1", "Bramleyturn-Attempt-Id": attempt_id}
-                writer.write(answer_bytes(503, headers, b""))
+            if request.target in ("/health", "/bramleyturn/report"):
+                headers = {"Bramleyturn-Instance-Id": server_id}
+                writer.write(answer_bytes(200, headers, b'{"running":1,"waiting":0}'))
                 return True
-            waiting += 1
-            async with slots:
-                waiting -= 1
-                began.add(attempt_id)
-                await asyncio.sleep(WORK_S)
-            headers = {
-                "Bramleyturn-Attempt-Id": attempt_id,
-                "Bramleyturn-Response-Signature": "3e1b.07.5a2.600.0.c9f2a4d1",
-                "Content-Type": "text/plain",
-            }
-            writer.write(answer_bytes(200, headers, f"order {attempt_id}".encode()))
+            attempt_id = request.headers["bramleyturn-attempt-id"]
+            events = int(request.headers["bramleyturn-token-counts"].split(",")[1]) // 3
+            passed_on[attempt_id] = record.now_ms()
+            at_work.add(attempt_id)
+            record.write(f"{server_id} begins to run {attempt_id}, {events} events")
+            head = (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"Bramleyturn-Attempt-Id: {attempt_id}\r\n"
+                "Bramleyturn-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"
+            )
+            await asyncio.sleep(0.1)
+            writer.write(head.encode())
+            try:
+                for number in range(1, events + 1):
+                    text = f"id: {number}\ndata: piece {number} of {events}\n\n".encode()
+                    writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+                    await writer.drain()
+                    await asyncio.sleep(PAUSE_S)
+                writer.write(b"0\r\n\r\n")
+            finally:
+                at_work.discard(attempt_id)
             return True
 
         return handle
 
-    def restart(entry: Entry) -> None:
-        if not has_ended:
-            fleet.launch(entry)
-
-    async def watch_memory() -> None:
-        """Kill a process that exceeds its memory and start it again, as the platform does."""
-        nonlocal peak_mb, kills
-        while not has_ended:
-            for entry in fleet.entries:
-                size_mb = memory_mb(entry)
-                peak_mb = max(peak_mb, size_mb)
-                if size_mb > MEMORY_MB:
-                    kills += 1
-                    record.write(f"{entry.host} has {size_mb} MB and is killed ({kills})")
-                    entry.process.kill()
-                    entry.process.wait()
-                    asyncio.get_running_loop().call_later(RESTART_S, restart, entry)
-            await asyncio.sleep(0.01)
+    numbers = iter(range(1, 1000))
 
-    async def keep_ordering(entry: Entry, name: int) -> None:
-        """Send small orders on a kept connection, one after the other."""
-        nonlocal answered
-        number = 0
-        while not has_ended:
-            try:
-                reader, writer = await asyncio.open_connection(
-                    entry.host, entry.ports["front"]
-                )
-            except OSError:
-                await asyncio.sleep(0.1)
-                continue
-            requests = 0
-            while not has_ended:
-                number += 1
-                requests += 1
-                attempt_id = f"{name:04x}{number:012x}"
-                head = (
-                    f"POST /bobo563/{name} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
-                    f"Bramleyturn-Attempt-Id: {attempt_id}\r\n"
-                    f"Bramleyturn-Deadline-Ms: {DEADLINE_MS}\r\n"
-                    f"Authorization: Bearer {KEY}\r\nContent-Length: 600\r\n\r\n"
-                )
-                try:
-                    writer.write(head.encode() + b"x" * 600)
-                    answer = await read_answer(reader)
-                except OSError:
-                    answer = (0, {}, b"", False)
-                if answer[0] and answer[3]:
-                    answered += 1
-                    continue
-                if attempt_id in began and requests > 1:
-                    lost.append(attempt_id)
-                    record.write(f"order {attempt_id} has run; its kept connection is closed")
+    async def draft(entry: Entry, events: int) -> tuple[str, Answer]:
+        place = next(numbers)
+        attempt_id = f"5b2907c14da6{place:04x}"
+        headers = {
+            "Bramleyturn-Model": "m",
+            "Bramleyturn-Token-Counts": f"1460,{3 * events}",
+            "Bramleyturn-Prompt-Prefix": f"{0xb000 + place:x}:350,{0xa000 + place:x}:1110",
+        }
+        record.write(f"client sends {attempt_id} to {entry.host}, {events} events")
+        answer = await fleet.call(
+            entry, "POST", f"/puxa400/{place}", attempt_id, 15000, headers, b"x" * 1500
+        )
+        record.write(
+            f"client of {attempt_id} gets {answer.status},"
+            f" {answer.body.count(b'id: ')} of {events} events,"
+            f" {'whole' if answer.is_whole else 'broken off'}, after {answer.took_ms} ms"
+        )
+        return attempt_id, answer
+
+    async def is_ready(entry: Entry) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(
+                entry.host, entry.ports["ready"]
+            )
+        except OSError:
+            return False
+        writer.write(b"GET /bramleyturn/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+        status = (await read_answer(reader))[0]
+        writer.close()
+        return status == 200
+
+    async def stop_and_start(entry: Entry) -> None:
+        """Send SIGTERM, SIGKILL after the grace, and start the entry again."""
+        record.write(f"{entry.host} gets SIGTERM")
+        entry.signal(signal.SIGTERM)
+        for _ in range(int(GRACE_S / 0.01)):
+            if entry.process.poll() is not None:
                 break
-            writer.close()
+            await asyncio.sleep(0.01)
+        else:
+            record.write(f"{entry.host} gets SIGKILL")
+            entry.signal(signal.SIGKILL)
+            entry.process.wait()
+        record.write(f"{entry.host} has ended")
+        await asyncio.sleep(RESTART_S)
+        fleet.launch(entry)
+        await wait_ready(entry)
+        record.write(f"{entry.host} is ready again")
 
     try:
-        for server_id in ("i-7f3a91c2", "i-02d9e6b4"):
-            fleet.register(server_id, "wuno96b", await fleet.listen(replica(server_id)))
+        for server_id in ("i-5c1e07a2", "i-91bd3f06"):
+            address = await fleet.listen(engine(server_id))
+            fleet.register(server_id, "huvo11a", address, slots=64)
         route = {
-            "name": "orders",
+            "name": "drafts",
             "host": HOST_NAME,
-            "prefix": "/bobo563/",
-            "kind": "non_idempotent",
-            "timeoutMs": DEADLINE_MS,
-            "targetLatencyMs": 100,
+            "prefix": "/puxa400/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 1600,
             "priority": 2,
-            "service": "wuno96b",
-            "maxAttempts": 1,
+            "service": "huvo11a",
+            "maxAttempts": 2,
             "stages": [],
             "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gapAimMs": 250,
         }
         service = {
-            "name": "wuno96b",
+            "name": "huvo11a",
             "healthPath": "/health",
-            "maxConnections": 200,
+            "maxConnections": 720,
             "protocol": "h1",
             "tls": False,
+            "engine": {"slots": 64, "kvCapacityTokens": 581741, "models": [{"name": "m"}]},
         }
         fleet.store.put("op/config", configuration([route], [service]))
         await fleet.start_entries()
-        tasks = [asyncio.create_task(watch_memory())]
-        for name in range(KEPT_CLIENTS):
-            entry = fleet.entries[name % 2]
-            tasks.append(asyncio.create_task(keep_ordering(entry, name)))
-        await asyncio.sleep(3.5)
-        body = b"x" * BODY_BYTES
-
-        async def order(place: int) -> int:
-            attempt_id = f"9c41d07be2a3{place:04x}"
-            entry = fleet.entries[place % 2]
-            answer = await fleet.call(
-                entry, "POST", f"/bobo563/{place}", attempt_id, DEADLINE_MS, body=body
-            )
-            return answer.status
-
-        statuses: list[int] = []
-        for burst in range(BURSTS):
-            places = range(burst * 2 * BURST, (burst + 1) * 2 * BURST)
-            if has_trouble:
-                record.write(f"{BURST} clients at each entry send {BODY_BYTES} bytes each")
-                statuses += await asyncio.gather(*(order(place) for place in places))
-            else:
-                # As many orders as large, but not at once.
-                for place in places:
-                    statuses.append(await order(place))
-            await asyncio.sleep(4.0)
-        has_ended = True
-        await asyncio.gather(*tasks)
-        if not has_trouble and any(status != 200 for status in statuses):
+        await asyncio.sleep(2.0)
+        first, second = fleet.entries
+        usual = [draft(entry, USUAL_EVENTS) for entry in fleet.entries for _ in range(4)]
+        await asyncio.gather(*usual)
+        # Each entry is stopped while it answers a request.
+        busy = [asyncio.create_task(draft(each, LONG_EVENTS - 20)) for each in (first, second)]
+        await asyncio.sleep(0.3)
+        stops = []
+        if has_trouble:
+            stops.append(asyncio.create_task(stop_and_start(first)))
+        await asyncio.sleep(GAP_S)
+        if has_trouble:
+            stops.append(asyncio.create_task(stop_and_start(second)))
+        await asyncio.sleep(LATE_AT_S)
+        ready = [entry.host for entry in fleet.entries if await is_ready(entry)]
+        record.write(f"entries of the zone that are ready: {ready}")
+        if has_trouble and ready:
+            record.write("a new connection would go to an entry that is ready")
             return COULD_NOT_RUN
+        late = [asyncio.create_task(draft(second, LONG_EVENTS)) for _ in range(LATE_STREAMS)]
+        ended = await asyncio.gather(*late)
+        others = await asyncio.gather(*busy)
+        await asyncio.gather(*stops)
+        cut = [
+            attempt_id
+            for attempt_id, answer in ended
+            if not answer.is_whole and attempt_id in passed_on
+        ]
         record.write(
-            f"large orders: { {status: statuses.count(status) for status in set(statuses)} };"
-            f" small ones answered: {answered}; at most {peak_mb} MB of {MEMORY_MB};"
-            f" {kills} kills; orders from kept connections that ran and whose connection"
-            f" was closed without an answer: {len(lost)}"
+            f"late streams that were passed on and ended without a complete answer: {cut};"
+            f" streams under way at SIGTERM that were whole:"
+            f" {sum(answer.is_whole for _, answer in others)} of {len(others)}"
         )
-        return BROKEN if len(lost) > 3 else HELD
+        if not has_trouble and not all(answer.is_whole for _, answer in [*ended, *others]):
+            return COULD_NOT_RUN
+        return BROKEN if cut else HELD
     finally:
-        has_ended = True
         fleet.stop()
 
 
