--- a/review/2/case.py
+++ b/review/2/case.py
@@ -47,14 +47,21 @@
     def replica(server_id: str, loses_answers: bool) -> LossyServer:
         orders = 0
 
-        async def handle(request: Request, _: object, writer: asyncio.StreamWriter) -> bool:
+        async def handle(
+            request: Request, _: object, writer: asyncio.StreamWriter
+        ) -> bool:
             nonlocal orders, lost_packets
             attempt_id = request.headers.get("bramleyturn-attempt-id", "")
-            if request.headers.get("bramleyturn-expected-instance", server_id) != server_id:
+            if (
+                request.headers.get("bramleyturn-expected-instance", server_id)
+                != server_id
+            ):
                 writer.write(answer_bytes(421, {"Bramleyturn-Not-Executed": "1"}, b""))
                 return True
             if request.target == "/health":
-                writer.write(answer_bytes(200, {"Bramleyturn-Instance-Id": server_id}, b""))
+                writer.write(
+                    answer_bytes(200, {"Bramleyturn-Instance-Id": server_id}, b"")
+                )
                 return True
             began[attempt_id] = server_id
             orders += 1
@@ -65,7 +72,7 @@
                 if lost_packets + 1 <= LOST_PACKETS * opened:
                     lost_packets += 1
                     record.write(
-                        f"the next packet that opens a connection to {server_id} is lost"
+                        f"the next opening packet to {server_id} is lost"
                         f" ({lost_packets} of {opened})"
                     )
                     replicas[0].lose()
@@ -119,8 +126,8 @@
             )
             answered += answer.status == 200
             record.write(
-                f"client gets {answer.status} for {attempt_id} after {answer.took_ms} ms"
-                f" {answer.body[:80]!r}"
+                f"client gets {answer.status} for {attempt_id}"
+                f" after {answer.took_ms} ms {answer.body[:80]!r}"
             )
             if answer.status in PROMISES and attempt_id in began:
                 false.append(attempt_id)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,7 +52,12 @@
 
     async def start(self) -> None:
         """Start the process, and wait until it listens."""
-        command = [sys.executable, str(STANDINS / "engine.py"), self.host, str(self.port)]
+        command = [
+            sys.executable,
+            str(STANDINS / "engine.py"),
+            self.host,
+            str(self.port),
+        ]
         command += [self.server_id, str(EVENTS), str(PAUSE_S)]
         self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         assert self.process.stdout is not None
@@ -113,7 +118,11 @@
             "maxConnections": 720,
             "protocol": "h1",
             "tls": False,
-            "engine": {"slots": 64, "kvCapacityTokens": 581741, "models": [{"name": "m"}]},
+            "engine": {
+                "slots": 64,
+                "kvCapacityTokens": 581741,
+                "models": [{"name": "m"}],
+            },
         }
         fleet.store.put("op/config", configuration([route], [service]))
         await fleet.start_entries()
@@ -124,15 +133,22 @@
             headers = {
                 "Bramleyturn-Model": "m",
                 "Bramleyturn-Token-Counts": f"1460,{3 * EVENTS}",
-                "Bramleyturn-Prompt-Prefix": f"{0xb000 + place:x}:350,{0xa000 + place:x}:1110",
+                "Bramleyturn-Prompt-Prefix": f"b{place:03x}:350,a{place:03x}:1110",
             }
             entry = fleet.entries[place % len(fleet.entries)]
             answer = await fleet.call(
-                entry, "POST", f"/puxa400/{place}", attempt_id, 12000, headers, b"x" * 1500
+                entry,
+                "POST",
+                f"/puxa400/{place}",
+                attempt_id,
+                12000,
+                headers,
+                b"x" * 1500,
             )
             record.write(
-                f"client of {attempt_id} gets {answer.status}, {answer.body.count(b'id: ')}"
-                f" of {EVENTS} events, {'whole' if answer.is_whole else 'broken off'},"
+                f"client of {attempt_id} gets {answer.status},"
+                f" {answer.body.count(b'id: ')} of {EVENTS} events,"
+                f" {'whole' if answer.is_whole else 'broken off'},"
                 f" after {answer.took_ms} ms"
             )
             return answer
@@ -158,11 +174,13 @@
         short = [
             answer
             for answer in answers
-            if answer.status == 200 and answer.is_whole
+            if answer.status == 200
+            and answer.is_whole
             and answer.body.count(b"id: ") < EVENTS
         ]
         whole = sum(
-            answer.is_whole and answer.body.count(b"id: ") == EVENTS for answer in answers
+            answer.is_whole and answer.body.count(b"id: ") == EVENTS
+            for answer in answers
         )
         record.write(
             f"{whole} of {STREAMS} streams were whole; {len(short)} ended as complete"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -21,6 +21,7 @@
     KEY,
     Entry,
     Fleet,
+    Handler,
     Record,
     Request,
     answer_bytes,
@@ -64,9 +65,14 @@
     passed_on: set[str] = set()
     stopped_ms: dict[str, int] = {}
 
-    def engine(server_id: str):
-        async def handle(request: Request, _: object, writer: asyncio.StreamWriter) -> bool:
-            if request.headers.get("bramleyturn-expected-instance", server_id) != server_id:
+    def engine(server_id: str) -> Handler:
+        async def handle(
+            request: Request, _: object, writer: asyncio.StreamWriter
+        ) -> bool:
+            if (
+                request.headers.get("bramleyturn-expected-instance", server_id)
+                != server_id
+            ):
                 writer.write(answer_bytes(421, {"Bramleyturn-Not-Executed": "1"}, b""))
                 return True
             if request.target in ("/health", "/bramleyturn/report"):
@@ -115,7 +121,7 @@
             f"Authorization: Bearer {KEY}",
             "Bramleyturn-Model: m",
             f"Bramleyturn-Token-Counts: 1460,{3 * events}",
-            f"Bramleyturn-Prompt-Prefix: {0xb000 + place:x}:350,{0xa000 + place:x}:1110",
+            f"Bramleyturn-Prompt-Prefix: b{place:03x}:350,a{place:03x}:1110",
             "Content-Length: 1500",
         ]
         record.write(f"client sends {attempt_id} to {entry.host}, {events} events")
@@ -206,7 +212,11 @@
                 "maxConnections": 720,
                 "protocol": "h1",
                 "tls": False,
-                "engine": {"slots": 64, "kvCapacityTokens": 581741, "models": [{"name": "m"}]},
+                "engine": {
+                    "slots": 64,
+                    "kvCapacityTokens": 581741,
+                    "models": [{"name": "m"}],
+                },
             }
             for name in ("huvo11a", "hole38f")
         ]
@@ -240,7 +250,9 @@
             for each in sent
             if each.sent_ms > stopped_ms.get(second.host, 10**9) + OUT_OF_ROTATION_MS
         ]
-        cut = [each for each in late if not each.is_whole and each.attempt_id in passed_on]
+        cut = [
+            each for each in late if not each.is_whole and each.attempt_id in passed_on
+        ]
         record.write(
             f"{len(late)} streams were sent on kept connections more than 3 s after the"
             " SIGTERM; passed on and ended without a complete answer:"
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -1,7 +1,8 @@
 """Run one model replica as a process: its streams have no length.
 
 Arguments: the address and port to listen at, the id, the number of events of a stream,
-and the pause between them in seconds. It prints when it was born, and what it runs, one line each.
+and the pause between them in seconds. It prints when it was born, and what it runs, one
+line each.
 """
 
 import asyncio
@@ -14,7 +15,9 @@
 FIRST_EVENT_S = 0.1
 
 
-async def main(host: str, port: int, server_id: str, events: int, pause_s: float) -> None:
+async def main(
+    host: str, port: int, server_id: str, events: int, pause_s: float
+) -> None:
     """Serve until the process is killed."""
     born_ms = int(time.time() * 1000)
     running: set[str] = set()
@@ -68,5 +71,7 @@
 
 
 asyncio.run(
-    main(sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4]), float(sys.argv[5]))
+    main(
+        sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4]), float(sys.argv[5])
+    )
 )
