--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -137,7 +137,10 @@
         return turn.server
 
     async def send(self, request: CallerRequest, server: BackendServer) -> AttemptEnd:
-        """Send the request to a server and return the outcome."""
+        """Send the request to a server and return the outcome.
+
+        It is recorded as one that may have run before anything else is waited for.
+        """
         serving = self.serving
         sent_ms = serving.now_ms()
         wait_ms = max(1, request.deadline_ms - sent_ms)
@@ -201,6 +204,8 @@
             note_ended(serving.loads, server.id)
         if is_unconfirmed(ended):
             ended = await self._confirm(request, server, ended)
+        # The deadline may pass while the server is being checked below.
+        request.may_have_run |= not isinstance(ended, NotRun)
         request.is_at_server = False
         self._note_attempt(request, server, ended, sent_ms)
         if isinstance(ended, AttemptFailed):
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -55,7 +55,8 @@
 
     ``server`` is the server that it was sent to last, and ``heard_ms`` when that server
     was last heard of. ``marks`` are those that it left there. ``engine`` was chosen
-    with the stages, empty if none was.
+    with the stages, empty if none was. ``is_at_server`` is set while a server may run
+    it, and ``may_have_run`` from the end of an attempt that may have run it on.
     """
 
     def __init__(
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -270,7 +270,6 @@
                 return None
             if isinstance(ended, Answered):
                 runs += 1
-                request.may_have_run = True
                 # A stream can't go on with an answer that is not a stream.
                 is_started = request.exchange.is_started
                 is_error = ended.head.status >= FIRST_SERVER_ERROR or is_started
@@ -295,7 +294,6 @@
                     break
                 continue
             runs += 1
-            request.may_have_run = True
             if not self._may_run_again(request, runs):
                 break
         if failed_answer is not None and not request.exchange.is_started:
@@ -362,6 +360,7 @@
                 "left_ms": left_ms,
                 "version": serving.published.version if serving.published else None,
                 "answer_begun": exchange.is_started,
+                "may_have_run": request is not None and _may_have_run(request),
             },
         )
         if exchange.is_started:
@@ -449,9 +448,14 @@
         The caller is told to retry only if no server can have started the request.
         """
         reason = "stopping" if request.is_stopped else "no_time_left"
-        if not request.may_have_run and not request.is_at_server:
-            return Refusal(503, reason, 0)
-        return Refusal(504, reason, None)
+        if _may_have_run(request):
+            return Refusal(504, reason, None)
+        return Refusal(503, reason, 0)
 
     def _elapsed_ms(self, request: CallerRequest) -> int:
         return self.serving.now_ms() - request.arrived_ms
+
+
+def _may_have_run(request: CallerRequest) -> bool:
+    """Return whether a server may have run the request, or may do so now."""
+    return request.may_have_run or request.is_at_server
