Let only the run of a server that had a request vouch for its answer

What callers saw: a stream without a length, broken off by a crash behind a partition, ended as complete with 14 of 40 events.

Cause: the end of such an answer is confirmed by the status of its server, and the check compared the id only. The server had started again under its id, and its next run answered.

Change: another start than that of the run which had the request counts as a restart, and the answer as broken off. A status without a start is compared with the present entry. A report that does not come confirms nothing; before, its silence counted as a busy server. A run that a report names before its entry has it is remembered, so that answers to requests sent after that are taken as whole. The stand-ins' reports name their start.

--- a/src/bramleyturn/core/catalog/server_registry.py
+++ b/src/bramleyturn/core/catalog/server_registry.py
@@ -35,16 +35,30 @@
     usable_from_ms: int | None = None
 
 
+class ReportedRun(NamedTuple):
+    """Hold the run that a server named itself, before its entry had it.
+
+    ``registered_ms`` is the start of the run in the entry then, ``started_ms`` that of
+    the run which the server named, and ``heard_ms`` when it did.
+    """
+
+    registered_ms: int
+    started_ms: int
+    heard_ms: int
+
+
 class ServerRegistry:
     """Hold the registered servers by id, and the revisions of removed ones.
 
-    ``announced`` has the start of each run that said itself that it leaves, by id.
+    ``announced`` has the start of each run that said itself that it leaves, by id, and
+    ``reported`` the runs that servers named before their entries had them.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, RegistryEntry] = {}
         self.removed: dict[str, StoreRevision] = {}
         self.announced: OrderedDict[str, int] = OrderedDict()
+        self.reported: dict[str, ReportedRun] = {}
 
 
 def register(
@@ -122,6 +136,47 @@
     return has_news
 
 
+def is_same_run(
+    registry: ServerRegistry,
+    server: BackendServer,
+    started_ms: int | None,
+    sent_ms: int,
+) -> bool:
+    """Return whether a server's present run also had a request sent at ``sent_ms``.
+
+    ``server`` is its entry as of then. ``started_ms`` is the start of the present run
+    as the server names it, None if it names none: then the present entry decides.
+    """
+    if not server.started_ms:
+        return True
+    if started_ms is None:
+        entry = registry.entries.get(server.id)
+        return entry is None or entry.server.started_ms == server.started_ms
+    reported = registry.reported.get(server.id)
+    is_reported = (
+        reported is not None
+        and reported.registered_ms == server.started_ms
+        and reported.heard_ms < sent_ms
+    )
+    if reported is not None and is_reported:
+        return started_ms == reported.started_ms
+    return started_ms == server.started_ms
+
+
+def note_reported_run(
+    registry: ServerRegistry, server: BackendServer, started_ms: int, now_ms: int
+) -> None:
+    """Record the run that a server names, if its entry has another one."""
+    entry = registry.entries.get(server.id)
+    if entry is None or entry.server.started_ms == started_ms:
+        return
+    registered_ms = entry.server.started_ms
+    known = registry.reported.get(server.id)
+    if known is None or known[:2] != (registered_ms, started_ms):
+        reported = ReportedRun(registered_ms, started_ms, now_ms)
+        registry.reported[server.id] = reported
+
+
 def remove(
     registry: ServerRegistry,
     server_id: str,
@@ -146,6 +201,7 @@
         registry.entries[server_id] = lapsed
         return True
     del registry.entries[server_id]
+    registry.reported.pop(server_id, None)
     registry.removed[server_id] = revision
     if not known.server.started_ms:
         # Its runs can't be told apart: one that is registered anew is the next one.
@@ -162,6 +218,7 @@
     ]
     for server_id in dropped:
         registry.removed[server_id] = registry.entries.pop(server_id).revision
+        registry.reported.pop(server_id, None)
     return dropped
 
 
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -203,7 +203,7 @@
             stop_timer(late)
             note_ended(serving.loads, server.id)
         if is_unconfirmed(ended):
-            ended = await self._confirm(request, server, ended)
+            ended = await self._confirm(request, server, ended, sent_ms)
         # The deadline may pass while the server is being checked below.
         request.may_have_run |= not isinstance(ended, NotRun)
         request.is_at_server = False
@@ -254,10 +254,11 @@
         request: CallerRequest,
         server: BackendServer,
         ended: Answered | Streamed,
+        sent_ms: int,
     ) -> AttemptEnd:
-        """Take a close as the end of an answer only if its server still runs."""
+        """Take a close as the end of an answer only if its server's run goes on."""
         fingerprints = [request.names.fingerprint]
-        if await self.crashes.is_running(server, fingerprints, request.marks):
+        if await self.crashes.is_running(server, fingerprints, request.marks, sent_ms):
             return ended
         return AttemptFailed(FailureReason.UNCONFIRMED, ended.body_end)
 
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import deferLater
 
 from bramleyturn.core.catalog.model import BackendServer, run_name
+from bramleyturn.core.catalog.server_registry import is_same_run, note_reported_run
 from bramleyturn.core.crashes import (
     CrashHint,
     PartMark,
@@ -35,6 +36,7 @@
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.caller_request import Quarantine
+from bramleyturn.gateway.calls import WholeAnswer
 from bramleyturn.gateway.http1_client import FailureReason, ServerConnection
 from bramleyturn.gateway.metrics import count, gauge, observe
 from bramleyturn.gateway.server_check import (
@@ -46,6 +48,7 @@
 from bramleyturn.gateway.server_limits import count_request, wait_for
 from bramleyturn.gateway.server_notices import note_call_answer
 from bramleyturn.gateway.serving import Serving
+from bramleyturn.platform.server_status import reported_start_ms
 from bramleyturn.runtime.poison_part_log import log_poison_parts
 
 # Reasons that a crash of the server may explain.
@@ -55,7 +58,9 @@
 # Servers register every 1.2 s and are removed after three misses.
 EXPIRY_MS: Final = 5_000
 # States of a server whose run has ended.
-ENDED: Final = frozenset({ServerState.REFUSED, ServerState.REPLACED})
+ENDED: Final = frozenset(
+    {ServerState.REFUSED, ServerState.REPLACED, ServerState.RESTARTED}
+)
 MAX_LOGGED_FINGERPRINTS: Final = 8
 
 logger = logging.getLogger(__name__)
@@ -133,17 +138,19 @@
         self,
         server: BackendServer,
         fingerprints: Iterable[str],
-        marks: tuple[PartMark, ...] = (),
+        marks: tuple[PartMark, ...],
+        sent_ms: int,
     ) -> "Deferred[bool]":
         """Check a server that closed a connection at what may be an answer's end.
 
-        The result is whether it still runs. One that does not, without having
+        The result is whether the run still runs that had the request, which was sent at
+        ``sent_ms``. One that does not, without having
         announced that it leaves, has crashed; one that can't be reached may be cut off
         only.
         """
         checked: Deferred[bool] = Deferred()
         on_server = OnServer(frozenset(fingerprints), marks)
-        work = self._check_running(server, on_server, checked)
+        work = self._check_running(server, on_server, sent_ms, checked)
         run_in_background(work, "check of a server")
         return checked
 
@@ -223,6 +230,7 @@
         self,
         server: BackendServer,
         on_server: OnServer,
+        sent_ms: int,
         checked: "Deferred[bool]",
     ) -> None:
         serving = self.serving
@@ -235,17 +243,32 @@
             target = None
         else:
             count_request(serving, server)
+        reported_ms: int | None = None
+
+        def is_run_in_question(answer: WholeAnswer) -> bool:
+            nonlocal reported_ms
+            note_call_answer(serving, server, answer)
+            reported_ms = reported_start_ms(answer.body)
+            is_same = is_same_run(serving.registry, server, reported_ms, sent_ms)
+            if reported_ms is not None:
+                now_ms = serving.now_ms()
+                note_reported_run(serving.registry, server, reported_ms, now_ms)
+            return is_same
+
         state = await check_server(
-            serving.servers_pool,
-            server,
-            target,
-            lambda answer: note_call_answer(serving, server, answer),
+            serving.servers_pool, server, target, is_run_in_question
         )
         took_ms = serving.now_ms() - at_ms
         observe(serving.metrics, "server_check", took_ms, f"{server.pool} {state}")
         logger.info(
             "server checked",
-            extra={"server": server.id, "state": state, "took_ms": took_ms},
+            extra={
+                "server": server.id,
+                "state": state,
+                "took_ms": took_ms,
+                "started_ms": server.started_ms,
+                "reported_started_ms": reported_ms,
+            },
         )
         if state in ENDED and self._is_expected(server):
             self._record(server, on_server, at_ms)
--- a/src/bramleyturn/gateway/server_check.py
+++ b/src/bramleyturn/gateway/server_check.py
@@ -1,7 +1,8 @@
 """Check whether a backend server still runs.
 
 That it accepts a connection shows little: a process that ends may close its listening
-socket after its other connections, and its address may belong to another server.
+socket after its other connections, its address may belong to another server, and it may
+have started again under its id.
 """
 
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 from bramleyturn.gateway.http1_client import FailureReason, ServerConnection
 from bramleyturn.platform.server_status import (
     is_answer_of_other_server,
+    may_wait_for_slot,
     status_headers,
 )
 from bramleyturn.runtime.timers import stop_timer
@@ -39,12 +41,14 @@
 class ServerState(StrEnum):
     """Name what a check of a server has shown.
 
-    ``UNKNOWN`` is a server that accepts connections and then closes them unanswered.
+    ``RESTARTED`` is a server whose present run did not have the request in question.
+    ``UNKNOWN`` is a server that accepts connections and does not tell its status.
     """
 
     RUNNING = "running"
     REFUSED = "refused"
     REPLACED = "replaced"
+    RESTARTED = "restarted"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
@@ -65,21 +69,22 @@
     pool: ConnectionPool,
     server: BackendServer,
     status_target: str | None,
-    on_answer: Callable[[WholeAnswer], None] = lambda _: None,
+    is_same_run: Callable[[WholeAnswer], bool] = lambda _: True,
 ) -> ServerState:
     """Return whether a server runs, as its answer to a request for its status shows.
 
     A server that neither answers within ``SETTLE_MS`` nor closes the connection is
-    busy. Lost packets and broken answers are met by up to ``MAX_TRIES`` requests.
-    Without a target, the server is only seen to keep the connection open. ``on_answer``
-    is called with each answer of this server.
+    busy, if its status may wait for a slot. Lost packets and broken answers are met by
+    up to ``MAX_TRIES`` requests. Without a target, the server is only seen to keep the
+    connection open. ``is_same_run`` is called with each answer of this server, and
+    returns whether its present run is the one in question.
     """
     state = ServerState.UNKNOWN
     for _ in range(MAX_TRIES):
         connection = await connect_to(pool, server)
         if isinstance(connection, ServerConnection):
             state = await _check_once(
-                pool, connection, server, status_target, on_answer
+                pool, connection, server, status_target, is_same_run
             )
         else:
             state = connection
@@ -93,7 +98,7 @@
     connection: ServerConnection,
     server: BackendServer,
     status_target: str | None,
-    on_answer: Callable[[WholeAnswer], None],
+    is_same_run: Callable[[WholeAnswer], bool],
 ) -> ServerState:
     if status_target is None:
         is_open = await stays_open(pool, connection)
@@ -109,12 +114,11 @@
         SETTLE_MS,
     )
     if isinstance(answer, CallFailed):
-        is_lost = answer.reason in LOST
+        is_lost = answer.reason in LOST or not may_wait_for_slot(status_target)
         return ServerState.UNKNOWN if is_lost else ServerState.RUNNING
     if is_answer_of_other_server(answer.status, answer.headers, server.id):
         return ServerState.REPLACED
-    on_answer(answer)
-    return ServerState.RUNNING
+    return ServerState.RUNNING if is_same_run(answer) else ServerState.RESTARTED
 
 
 async def stays_open(pool: ConnectionPool, connection: ServerConnection) -> bool:
--- a/src/bramleyturn/platform/server_status.py
+++ b/src/bramleyturn/platform/server_status.py
@@ -5,7 +5,8 @@
 from typing import Any, Final
 
 from bramleyturn.platform.answers import STATUS_MISDIRECTED, Headers
-from bramleyturn.platform.fields import text_field
+from bramleyturn.platform.errors import Malformed
+from bramleyturn.platform.fields import read_object, text_field
 from bramleyturn.platform.stage_calls import REPORT_TARGET
 
 TARGET_PATTERN: Final = re.compile(r"/[!-~]*")
@@ -23,6 +24,20 @@
     return path if TARGET_PATTERN.fullmatch(path) else None
 
 
+def may_wait_for_slot(target: str) -> bool:
+    """Return whether a busy server may leave a request for its status unanswered."""
+    return target != REPORT_TARGET
+
+
+def reported_start_ms(body: bytes) -> int | None:
+    """Return the Unix time of the server's start that its status names, if any."""
+    document = read_object("status", body)
+    if isinstance(document, Malformed):
+        return None
+    started_ms = document.get("born")
+    return started_ms if type(started_ms) is int and started_ms > 0 else None
+
+
 def status_headers(server_id: str) -> Headers:
     """Return the headers of a request for the status of one server only."""
     return [(b"Bramleyturn-Expected-Instance", server_id.encode())]
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -154,7 +154,8 @@
 
     def handle(exchange: Exchange) -> None:
         if exchange.target == REPORT_TARGET:
-            report = orjson.dumps({"waiting": 0, "running": server.running})
+            shown = {"waiting": 0, "running": server.running, "born": server.born_ms}
+            report = orjson.dumps(shown)
             if not _is_endless(server, exchange, [], report, True):
                 exchange.answer(200, [], report)
             return
@@ -278,6 +279,7 @@
                 "waiting": len(waiting),
                 "busy": server.running,
                 "freeMb": plan["room_mb"],
+                "born": server.born_ms,
             }
             report = orjson.dumps(shown)
             if not _is_endless(server, exchange, [], report, True):
