Judge by its size whether a stream ends before a planned stop

What callers saw: streams that were sent on kept connections 3.16 s after SIGTERM were passed on and cut at the end of the grace period, with 145 of 190 events.

Cause: a late request was taken if twice the longest of the pool's last runs, or twice the route's aim, was left. The instance had seen short runs only; the size that the request names was not looked at.

Change: the pace of each pool's streams is recorded, and a stream is expected to take as long as its size says. Late streams of unknown size or pace are refused at once. A request whose deadline comes first is not refused for the stop.

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -17,10 +17,13 @@
 from bramleyturn.core.waiting.patience import patience_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
 from bramleyturn.core.waiting.run_times import (
+    ExpectedRun,
     ends_in_time,
+    expect_run,
+    expect_stream,
     is_better_elsewhere,
-    longest_ms,
     note_run,
+    note_stream,
     typical_ms,
 )
 from bramleyturn.gateway.attempts import (
@@ -140,9 +143,8 @@
         quarantine = self.crashes.quarantine_of(request.names)
         if quarantine is not None:
             return Refusal(503, quarantine.reason, quarantine.left_ms)
-        request_ms = typical_ms(serving.request_times, route.name, route.aim_ms)
         if self._is_better_elsewhere(request) or self._ends_too_late(
-            request, request_ms
+            request, self._typical_stages_ms(request)
         ):
             return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
         return request
@@ -161,22 +163,39 @@
             serving.shutdown, request.arrived_ms, is_stream, has_alternative
         )
 
-    def _ends_too_late(self, request: CallerRequest, expected_ms: int) -> bool:
-        """Return whether the process stops before a request that begins now can end."""
+    def _typical_stages_ms(self, request: CallerRequest) -> int:
+        """Return how long a request usually takes until it is sent to a server."""
         serving = self.serving
-        if serving.shutdown is None:
+        aim_ms = request.route.aim_ms
+        request_ms = typical_ms(serving.request_times, request.route.name, aim_ms)
+        return max(0, request_ms - typical_ms(serving.run_times, request.pool, aim_ms))
+
+    def _ends_too_late(self, request: CallerRequest, stages_ms: int) -> bool:
+        """Return whether the process stops before a request that begins now can end.
+
+        ``stages_ms`` is how long the stages before its run usually take. A request
+        whose deadline comes first ends in time.
+        """
+        serving = self.serving
+        if serving.shutdown is None or request.deadline_ms <= serving.shutdown.ends_ms:
             return False
-        longest_run_ms = longest_ms(
-            serving.run_times, request.pool, request.route.aim_ms
-        )
+        expected = self._expected_run(request)
         return not ends_in_time(
             serving.shutdown,
             request.arrived_ms,
             serving.now_ms(),
-            expected_ms,
-            longest_run_ms,
+            stages_ms + expected.typical_ms,
+            stages_ms + expected.longest_ms,
         )
 
+    def _expected_run(self, request: CallerRequest) -> ExpectedRun:
+        """Return how long the server of a request is expected to work on it."""
+        times, route = self.serving.run_times, request.route
+        if route.kind is not RouteKind.STREAM:
+            return expect_run(times, request.pool, route.aim_ms)
+        tokens = request.head.output_tokens
+        return expect_stream(times, request.pool, tokens, route.aim_ms)
+
     async def _serve(self, request: CallerRequest) -> None:
         refusal = await self._run_input_stages(request)
         if refusal is None:
@@ -257,9 +276,8 @@
             ):
                 log_request(request, "no retry left", {"pool": request.pool})
                 break
-            run_ms = typical_ms(serving.run_times, request.pool, request.route.aim_ms)
             is_first = not request.may_have_run and not request.exchange.is_started
-            if is_first and self._ends_too_late(request, run_ms):
+            if is_first and self._ends_too_late(request, 0):
                 return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
             request.tried.append(server.id)
             sent_ms = serving.now_ms()
@@ -324,7 +342,21 @@
         serving = self.serving
         took_ms = self._elapsed_ms(request)
         note_run(serving.request_times, request.route.name, took_ms)
-        note_run(serving.run_times, request.pool, serving.now_ms() - sent_ms)
+        run_ms = serving.now_ms() - sent_ms
+        note_run(serving.run_times, request.pool, run_ms)
+        first_event_ms = request.first_event_ms
+        is_part = request.head.last_event_id is not None
+        if first_event_ms is None or first_event_ms < sent_ms or is_part:
+            # It has no events, or this server did not make all of them.
+            return
+        until_first_ms = first_event_ms - sent_ms
+        note_stream(
+            serving.run_times,
+            request.pool,
+            until_first_ms,
+            run_ms - until_first_ms,
+            request.head.output_tokens,
+        )
 
     def _finish_stream(self, request: CallerRequest, ended: Streamed) -> None:
         if request.exchange.is_started:
--- a/tests/core/waiting/test_run_times.py
+++ b/tests/core/waiting/test_run_times.py
@@ -1,12 +1,17 @@
 """Test the estimates of how long requests take."""
 
+import pytest
+
 from bramleyturn.core.waiting.run_times import (
     RECENT_RUNS,
+    UNKNOWN_MS,
     RunTimes,
     ends_in_time,
+    expect_stream,
     is_better_elsewhere,
     longest_ms,
     note_run,
+    note_stream,
     typical_ms,
 )
 from bramleyturn.core.waiting.shutdown import Shutdown
@@ -36,6 +41,38 @@
         assert longest_ms(times, "draft", 150) == 150
 
 
+class TestStreamPaces:
+    """The paces of the streams of a pool."""
+
+    POOL = "drafts"
+
+    def times(self) -> RunTimes:
+        """Return times of two streams, one twice as slow as the other."""
+        times = RunTimes()
+        note_stream(times, self.POOL, 200, 1_000, 100)
+        note_stream(times, self.POOL, 100, 4_000, 200)
+        return times
+
+    def test_expected_time_grows_with_the_size(self) -> None:
+        assert expect_stream(self.times(), self.POOL, 100, 7) == (1_100, 2_200)
+        assert expect_stream(self.times(), self.POOL, 600, 7) == (6_100, 12_200)
+
+    @pytest.mark.parametrize(("pool", "tokens"), [("ideas", 100), ("drafts", 0)])
+    def test_unknown_size_or_pace_has_no_bound(self, pool: str, tokens: int) -> None:
+        assert expect_stream(self.times(), pool, tokens, 7) == (7, UNKNOWN_MS)
+
+    def test_stream_without_a_size_is_not_recorded(self) -> None:
+        times = RunTimes()
+        note_stream(times, self.POOL, 100, 1_000, 0)
+        assert not times.paces
+
+    def test_old_paces_are_forgotten(self) -> None:
+        times = self.times()
+        for _ in range(RECENT_RUNS):
+            note_stream(times, self.POOL, 10, 100, 100)
+        assert expect_stream(times, self.POOL, 100, 7) == (110, 110)
+
+
 class TestEndsInTime:
     """A shutdown that leaves the rotation at 3,000 ms and ends requests at 7,750 ms."""
 
--- a/tests/gateway/one_entry.py
+++ b/tests/gateway/one_entry.py
@@ -85,10 +85,11 @@
         wait_ms: int = 1_000,
         method: str = "POST",
         fields: Sequence[str] = (),
+        path: str = "",
     ) -> None:
         """Send a request without a body."""
         lines = [
-            f"{method} /1 HTTP/1.1",
+            f"{method} {path}/1 HTTP/1.1",
             "Host: site.example",
             f"Bramleyturn-Attempt-Id: {attempt_id}",
             f"Bramleyturn-Deadline-Ms: {wait_ms}",
