Leave to the server what the caller of its stream does not read

What callers saw: an engine sent events without end to callers on slow links.

Cause: events were written to the caller's connection as they came, and nothing held the server's connection back.

Evidence: with callers that read fast the memory stayed at 36 MB; with slow ones it grew as fast as the server sent, with no bound reached.

Change: a server's connection is not read while more than 32 KiB wait for the caller of its stream. All that callers leave unread is counted; over 32 MiB the connection that holds the most is closed, logged and counted. Streams are read in small parts, and events that arrive together are passed on together, so that the loop is not kept by many small events.

--- a/src/bramleyturn/gateway/answer_bounds.py
+++ b/src/bramleyturn/gateway/answer_bounds.py
@@ -57,3 +57,13 @@
         "answer over its bound",
         extra={"server": server, "bound": bound, "bytes": size_bytes},
     )
+
+
+def note_unread(metrics: Metrics, caller: str, size_bytes: int) -> None:
+    """Log and count a caller whose connection was closed for what it left unread."""
+    count(metrics, "answers_unread")
+    count(metrics, "answers_unread_bytes", by=size_bytes)
+    logger.warning(
+        "answers not read by callers over their bound",
+        extra={"caller": caller, "bytes": size_bytes},
+    )
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Send a request to one server and read its answer, whole or event by event."""
 
 from collections.abc import Callable
+from itertools import takewhile
 from typing import Final, NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -77,8 +78,10 @@
 class AttemptRequest(NamedTuple):
     """Hold a request to send, and the callbacks for its answer.
 
-    ``on_event`` is called for each event of a stream, with the headers of the answer.
-    ``is_resumed`` is set if the answer goes on with a stream, whose events have ids.
+    ``on_events`` is called with events of a stream that arrived together, and the
+    headers of the answer; ``on_connected`` with the connection, before the request is
+    sent. ``is_resumed`` is set if the answer goes on with a stream, whose events have
+    ids.
     """
 
     server: BackendServer
@@ -87,8 +90,9 @@
     headers: Headers
     body: bytes
     attempt_id: str
-    on_event: Callable[[Headers, StreamEvent], None]
+    on_events: Callable[[Headers, list[StreamEvent]], None]
     on_head: Callable[[AnswerHead], None]
+    on_connected: Callable[[ServerConnection], None] = lambda _: None
     is_resumed: bool = False
 
 
@@ -127,6 +131,7 @@
         self.is_stream = (
             is_passed_on and status == 200 and content_type.startswith(EVENT_STREAM)
         )
+        self.connection.is_stream = self.is_stream
         if not is_passed_on:
             self.max_bytes = MAX_UNUSED_BODY_BYTES
         length = declared_length(framing, headers)
@@ -136,17 +141,7 @@
     def data(self, data: bytes) -> None:
         """Forward the events of a stream, or buffer a part of another answer."""
         if self.is_stream:
-            for event in split_events(self.splitter, data):
-                if event.id is None and self.request.is_resumed:
-                    # It can't be told whether this is a part of the stream.
-                    self.connection.drop()
-                    self.failed(FailureReason.WRONG_ANSWER)
-                    return
-                self.events += 1
-                self.request.on_event(self.headers, event)
-            over_bound_bytes = self.splitter.over_bound_bytes
-            if over_bound_bytes:
-                self.connection.end_at_bound(Bound.EVENT, over_bound_bytes)
+            self._forward_events(data)
             return
         self.size += len(data)
         if self.size > self.max_bytes:
@@ -155,6 +150,24 @@
         self.parts.append(data)
         self.connection.hold(len(data))
 
+    def _forward_events(self, data: bytes) -> None:
+        """Forward the events that ``data`` completes."""
+        events = split_events(self.splitter, data)
+        sound = events
+        if self.request.is_resumed:
+            # It can't be told whether an event without an id is a part of the stream.
+            sound = list(takewhile(lambda event: event.id is not None, events))
+        if sound:
+            self.events += len(sound)
+            self.request.on_events(self.headers, sound)
+        if len(sound) < len(events):
+            self.connection.drop()
+            self.failed(FailureReason.WRONG_ANSWER)
+            return
+        over_bound_bytes = self.splitter.over_bound_bytes
+        if over_bound_bytes:
+            self.connection.end_at_bound(Bound.EVENT, over_bound_bytes)
+
     def end(self) -> None:
         """End the attempt with the answer, if it is whole."""
         if self.ended.called or self.answer is None:
@@ -236,6 +249,7 @@
         return NotRun(0)
     ended: Deferred[AttemptEnd] = Deferred(lambda _: connection.drop())
     listener = AttemptListener(request, ended, connection)
+    request.on_connected(connection)
     connection.send(
         request.method, request.target, request.headers, request.body, listener
     )
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -158,8 +158,8 @@
         )
         exchange = request.exchange
 
-        def on_event(headers: Headers, event: StreamEvent) -> None:
-            self._handle_event(request, sent_ms, headers, event)
+        def on_events(headers: Headers, events: list[StreamEvent]) -> None:
+            self._handle_events(request, sent_ms, headers, events)
 
         attempt = AttemptRequest(
             server=server,
@@ -168,8 +168,9 @@
             headers=server_headers(exchange.headers, server_head, len(exchange.body)),
             body=exchange.body,
             attempt_id=request.head.attempt_id,
-            on_event=on_event,
+            on_events=on_events,
             on_head=lambda answer: self._handle_head(request, server, sent_ms, answer),
+            on_connected=exchange.read_from,
             is_resumed=is_resumed,
         )
         may_reuse = is_safe_to_retry(request.route)
@@ -199,6 +200,7 @@
                 may_send,
             )
         finally:
+            exchange.read_from(None)
             stop_timer(fetched)
             stop_timer(late)
             note_ended(serving.loads, server.id)
@@ -284,16 +286,17 @@
             requests = load.running + load.waiting
             note_report(self.serving.loads, server.id, requests, now_ms)
 
-    def _handle_event(
+    def _handle_events(
         self,
         request: CallerRequest,
         sent_ms: int,
         headers: Headers,
-        event: StreamEvent,
+        events: list[StreamEvent],
     ) -> None:
-        """Forward an event, unless the caller has received it already."""
+        """Forward events, unless the caller has received them already."""
         request.heard_ms = self.serving.now_ms()
-        if not accept_event(request.position, event):
+        news = [event for event in events if accept_event(request.position, event)]
+        if not news:
             return
         if not request.exchange.is_started:
             now_ms = self.serving.now_ms()
@@ -315,7 +318,7 @@
             if request.stages is not None:
                 request.stages.release_all()
             request.exchange.start(200, caller_headers(headers))
-        request.exchange.send(event.data)
+        request.exchange.send(b"".join(event.data for event in news))
 
     def _note_attempt(
         self,
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -109,7 +109,9 @@
 
     def _server(self, handle: Any) -> HttpServer:
         serving = self.serving
-        return HttpServer(serving.reactor, serving.now_ms, serving.limits, handle)
+        server = HttpServer(serving.reactor, serving.now_ms, serving.limits, handle)
+        server.unread = serving.unread
+        return server
 
     def connection_ended(self, connection: CallerConnection) -> None:
         """Count a caller's connection by its state, and log it during a shutdown."""
--- a/src/bramleyturn/gateway/exchange.py
+++ b/src/bramleyturn/gateway/exchange.py
@@ -13,6 +13,10 @@
 
     transport: Any
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the caller has not read what is buffered."""
+
     def caller_address(self) -> str:
         """Return the address and port of the caller."""
 
@@ -32,6 +36,16 @@
         """Close the connection at once, without sending what is buffered."""
 
 
+class Source(Protocol):
+    """Deliver the parts of an answer, for as long as it is not paused."""
+
+    def pause(self) -> None:
+        """Deliver nothing for now."""
+
+    def resume(self) -> None:
+        """Deliver what follows."""
+
+
 class Exchange:
     """Hold one request, and send its answer.
 
@@ -56,6 +70,22 @@
         self.is_cut = False
         self.is_gone = False
         self.on_gone: Callable[[], None] | None = None
+        self.source: Source | None = None
+
+    def read_from(self, source: Source | None) -> None:
+        """Take the parts of the answer from ``source``, as fast as the caller reads."""
+        self.source = source
+        if source is not None and self.connection.is_blocked:
+            source.pause()
+
+    def set_blocked(self, is_blocked: bool) -> None:
+        """Pause the source while the caller does not read what was sent."""
+        if self.source is None:
+            return
+        if is_blocked:
+            self.source.pause()
+        else:
+            self.source.resume()
 
     def header(self, name: bytes) -> str:
         """Return a header of the request, empty if it is absent."""
--- a/src/bramleyturn/gateway/held_bodies.py
+++ b/src/bramleyturn/gateway/held_bodies.py
@@ -7,6 +7,12 @@
 from typing import Any, Final, Protocol
 
 from bramleyturn.gateway.answer_bounds import MAX_BODY_BYTES
+from bramleyturn.gateway.read_pauses import (
+    PauseReason,
+    ReadPauses,
+    pause_reading,
+    resume_reading,
+)
 
 # The body that is read on is not among them.
 MAX_HELD_BYTES: Final = 2 * MAX_BODY_BYTES
@@ -18,6 +24,7 @@
     """Hold the connection of an answer in progress."""
 
     transport: Any
+    pauses: ReadPauses
 
 
 class HeldBodies:
@@ -47,8 +54,12 @@
     if held.total > MAX_HELD_BYTES:
         _pause_all_but_largest(held)
         return
+    _resume_all(held)
+
+
+def _resume_all(held: HeldBodies) -> None:
     for each in held.paused:
-        each.transport.resumeProducing()
+        resume_reading(each.pauses, each.transport, PauseReason.BODIES_TOGETHER)
     held.paused.clear()
 
 
@@ -58,7 +69,7 @@
         is_paused = each is not largest and size > SMALL_BODY_BYTES
         if is_paused and each not in held.paused:
             held.paused.add(each)
-            each.transport.pauseProducing()
+            pause_reading(each.pauses, each.transport, PauseReason.BODIES_TOGETHER)
         elif not is_paused and each in held.paused:
             held.paused.discard(each)
-            each.transport.resumeProducing()
+            resume_reading(each.pauses, each.transport, PauseReason.BODIES_TOGETHER)
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -25,7 +25,18 @@
     Bound,
 )
 from bramleyturn.gateway.held_bodies import HeldBodies, hold_body, release_body
+from bramleyturn.gateway.read_pauses import (
+    PauseReason,
+    ReadPauses,
+    end_pauses,
+    pause_reading,
+    resume_reading,
+)
 
+# What is read of a connection in one turn of the loop. Events of a stream take longer
+# than other bytes, and the loop serves all streams in one turn.
+READ_BYTES: Final = 64 * 1024
+STREAM_READ_BYTES: Final = 2 * 1024
 # The hint with which h11 rejects an event that exceeds its limit.
 STATUS_HEAD_TOO_LARGE: Final = 431
 
@@ -68,7 +79,8 @@
     ``requests`` counts those sent. ``on_over_bound`` is called with the bound that a
     part of an answer exceeded, and its size in bytes. ``head_bytes`` is what was
     received before the end of the head, and ``excess_bytes`` what chunks have besides
-    their data and an allowance.
+    their data and an allowance. A listener sets ``is_stream`` with the head of an
+    answer that is a stream of events.
     """
 
     def __init__(self, on_idle: Callable[["ServerConnection"], None]) -> None:
@@ -78,7 +90,9 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.listener: AnswerListener | None = None
         self.held_bodies = HeldBodies()
+        self.pauses = ReadPauses()
         self.requests = 0
+        self.is_stream = False
         self.method = b""
         self.framing: Framing | None = None
         self.head_bytes = 0
@@ -103,6 +117,8 @@
     ) -> None:
         """Send a request; ``listener`` receives the answer."""
         transport: Any = self.transport
+        transport.bufferSize = STREAM_READ_BYTES
+        self.is_stream = False
         self.listener = listener
         self.requests += 1
         self.method = method
@@ -123,9 +139,22 @@
         return self.ended is not ConnectionEnd.OPEN
 
     def hold(self, size: int) -> None:
-        """Note that the listener keeps bytes of the body until the answer's end."""
+        """Note that the listener keeps bytes of the body until the answer's end.
+
+        ``size`` is below 0 for bytes that it no longer keeps.
+        """
         hold_body(self.held_bodies, self, size)
 
+    def pause(self) -> None:
+        """Read no more of the answer for now, as its caller does not take it."""
+        if not self.is_lost:
+            pause_reading(self.pauses, self.transport, PauseReason.CALLER_IS_SLOW)
+
+    def resume(self) -> None:
+        """Read the answer on."""
+        if not self.is_lost:
+            resume_reading(self.pauses, self.transport, PauseReason.CALLER_IS_SLOW)
+
     def drop(self) -> None:
         """Close the connection at once, without a call to the listener."""
         self.listener = None
@@ -200,6 +229,9 @@
                 if framing is Framing.CHUNKED:
                     self.excess_bytes = len(self.http.trailing_data[0])
                 self.listener.head(event.status_code, headers, framing)
+                if not self.is_stream:
+                    transport: Any = self.transport
+                    transport.bufferSize = READ_BYTES
             elif isinstance(event, h11.Data):
                 self._allow_for_chunk(event)
                 self.listener.data(bytes(event.data))
@@ -231,6 +263,7 @@
             and not self.http.trailing_data[0]
         )
         if is_reusable:
+            end_pauses(self.pauses, self.transport)
             self.http.start_next_cycle()
             self.on_idle(self)
         else:
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -11,7 +11,7 @@
 from typing import Any, Final
 
 import h11
-from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -19,6 +19,12 @@
 from bramleyturn.core.catalog.model import CallerLimits
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.exchange import Exchange, Headers
+from bramleyturn.gateway.unread_answers import (
+    MAX_BUFFERED_BYTES,
+    UnreadAnswers,
+    hold_unread,
+    release_unread,
+)
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.twisted_types import DelayedCall
 from bramleyturn.runtime.unread_bytes import READ_WAIT_S, has_unread_bytes
@@ -68,6 +74,7 @@
         self.connections: set[CallerConnection] = set()
         self.accepted = 0
         self.is_closing = False
+        self.unread = UnreadAnswers()
         self.on_connection_ended: Callable[[CallerConnection], None] = lambda _: None
 
     def factory(self) -> Factory:
@@ -95,9 +102,13 @@
                 connection.refuse(status)
 
 
-@implementer(IHalfCloseableProtocol)
+@implementer(IHalfCloseableProtocol, IPushProducer)
 class CallerConnection(Protocol):
-    """Read requests from one connection and write their answers."""
+    """Read requests from one connection and write their answers.
+
+    ``is_blocked`` is set while the caller has not read what is buffered. The transport
+    reports it, to which the connection is the producer of what is written.
+    """
 
     def __init__(self, server: HttpServer) -> None:
         self.server = server
@@ -111,6 +122,7 @@
         self.requests = 0
         self.is_closed = False
         self.is_closing = False
+        self.is_blocked = False
         self.has_sent_all = False
         self.has_read_all = False
         self.timer: DelayedCall | None = None
@@ -126,12 +138,15 @@
         self.server.accepted += 1
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.bufferSize = MAX_BUFFERED_BYTES
+        transport.registerProducer(self, True)
         self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Notify the request in progress that its caller is gone."""
         self.is_closed = True
         self.server.connections.discard(self)
+        release_unread(self.server.unread, self)
         self._stop_timer()
         self.server.on_connection_ended(self)
         self._notify_gone()
@@ -154,11 +169,31 @@
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Wait for the caller to close its side, now that everything has been sent."""
         self.has_sent_all = True
+        release_unread(self.server.unread, self)
         if self.has_read_all:
             self._close_now()
         else:
             self._start_timer(int(LINGER_S * MS_PER_S), self._close_now)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Hold back the answer, as its caller does not read what is buffered."""
+        if not self.is_blocked:
+            self.is_blocked = True
+            self._tell_blocked()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the answer on, as everything buffered has been sent."""
+        self.is_blocked = False
+        release_unread(self.server.unread, self)
+        self._tell_blocked()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the end of the connection is reported by itself."""
+
+    def _tell_blocked(self) -> None:
+        if self.exchange is not None:
+            self.exchange.set_blocked(self.is_blocked)
+
     def _notify_gone(self) -> None:
         exchange = self.exchange
         self.exchange = None
@@ -275,6 +310,8 @@
         self.is_closing = True
         # A caller that reads slowly has as much time as one that is idle.
         self._start_timer(self.server.limits().idle_timeout_ms, self.abort)
+        # With a producer that is paused the transport would never close.
+        transport.unregisterProducer()
         transport.loseWriteConnection()
         if self.server.is_closing:
             # The process may be killed before the reactor gets to send this. An error
@@ -302,8 +339,11 @@
             logger.error("answer could not be sent", extra={"reason": str(error)})
             self.abort()
             return
-        if data:
-            transport.write(data)
+        if not data:
+            return
+        transport.write(data)
+        if self.is_blocked:
+            hold_unread(self.server.unread, self, len(data))
 
     def _read_events(self) -> None:
         while not self.is_closed and not self.is_closing and self.exchange is None:
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -33,9 +33,10 @@
 from bramleyturn.core.waiting.first_events import FirstEventTimes
 from bramleyturn.core.waiting.run_times import RunTimes
 from bramleyturn.core.waiting.shutdown import Shutdown
-from bramleyturn.gateway.answer_bounds import note_over_bound
+from bramleyturn.gateway.answer_bounds import note_over_bound, note_unread
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.metrics import Metrics
+from bramleyturn.gateway.unread_answers import UnreadAnswers
 from bramleyturn.platform.settings import ServingSettings
 
 logger = logging.getLogger(__name__)
@@ -82,6 +83,8 @@
         self.peers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         for pool in (self.servers_pool, self.peers_pool):
             pool.on_over_bound = partial(note_over_bound, self.metrics)
+        self.unread = UnreadAnswers()
+        self.unread.on_over_bound = partial(note_unread, self.metrics)
         self.members = Members(me, seed_addresses(settings), now_ms)
         self.freshness = Freshness(now_ms)
         self.silent_zones: frozenset[str] = frozenset()
--- a/src/bramleyturn/standin/site/raw_answers.py
+++ b/src/bramleyturn/standin/site/raw_answers.py
@@ -38,7 +38,8 @@
 class EndlessPart(StrEnum):
     """Name the part of an answer that never ends, or that all of them end.
 
-    ``AFTER`` follows a whole answer on a connection that is kept.
+    ``EVENTS`` are whole events, ``LARGE_EVENTS`` those of 200,000 bytes. ``AFTER``
+    follows a whole answer on a connection that is kept.
     """
 
     NONE = "none"
@@ -46,6 +47,8 @@
     FIELDS = "fields"
     INTERIM = "interim"
     EVENT = "event"
+    EVENTS = "events"
+    LARGE_EVENTS = "large_events"
     LINE = "line"
     CHUNK = "chunk"
     CHUNK_HEAD = "chunk_head"
@@ -68,6 +71,8 @@
 }
 ENDLESS_BODIES: Final = {
     EndlessPart.EVENT: Endless(b"", b"data: xxxxxxxxx\n"),
+    EndlessPart.EVENTS: Endless(b"", b"data: x\n\n"),
+    EndlessPart.LARGE_EVENTS: Endless(b"", b"data: %b\n\n" % (b"x" * 200_000)),
     EndlessPart.LINE: Endless(b"", b"x"),
     EndlessPart.CHUNK: Endless(b"%x\r\n" % ENDLESS_LENGTH, b"data: xxxxxxxxx\n"),
     EndlessPart.CHUNK_HEAD: Endless(b"1;", b"x"),
@@ -77,6 +82,17 @@
 }
 
 
+# Bytes of a body that are framed as such.
+FRAMED_PARTS: Final = frozenset(
+    {
+        EndlessPart.EVENT,
+        EndlessPart.EVENTS,
+        EndlessPart.LARGE_EVENTS,
+        EndlessPart.LINE,
+    }
+)
+
+
 class AnswerShape(NamedTuple):
     """Hold how a server frames its answers, where it breaks them off, and how.
 
@@ -119,6 +135,8 @@
         self.exchange = exchange
         self.shape = shape
         self.transport: Any = exchange.connection.transport
+        # Written to without regard to what the caller has read.
+        self.transport.unregisterProducer()
 
     def start(self, status: int, headers: Headers, length: int) -> None:
         """Write the head; ``length`` is that of the whole body in bytes."""
@@ -209,7 +227,7 @@
         begun = self.written % whole
         piece = (self.repeated * (size // whole + 2))[begun : begun + size]
         self.written += size
-        if self.raw.shape.endless in (EndlessPart.EVENT, EndlessPart.LINE):
+        if self.raw.shape.endless in FRAMED_PARTS:
             self.raw.send(piece)
         else:
             self.raw.transport.write(piece)
--- a/src/bramleyturn/standin/site/server_limits.py
+++ b/src/bramleyturn/standin/site/server_limits.py
@@ -44,6 +44,11 @@
         self.transport: Any = connection.transport
         self.limit = limit
 
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether the caller has not read what is buffered."""
+        return self.connection.is_blocked
+
     def caller_address(self) -> str:
         """Return the address and port of the caller."""
         return self.connection.caller_address()
--- a/tests/gateway/one_entry.py
+++ b/tests/gateway/one_entry.py
@@ -97,6 +97,10 @@
         ]
         self.connection.dataReceived("\r\n".join([*lines, "", ""]).encode())
 
+    def lose(self) -> None:
+        """Close the connection."""
+        self.connection.connectionLost(Failure(ConnectionDone()))
+
     def received(self) -> bytes:
         """Return all bytes received."""
         value: bytes = self.transport.value()
@@ -162,6 +166,7 @@
         self.front = HttpServer(
             self.reactor, self.now_ms, self.serving.limits, self.flow.handle
         )
+        self.front.unread = self.serving.unread
         pools = {each.pool: Pool(each.pool, batch, status_target) for each in servers}
         published = PublishedConfiguration(
             1, tuple(routes), pools, DEFAULT_CALLER_LIMITS, ()
@@ -189,6 +194,13 @@
         """Accept the connection that the instance opens."""
         return CalledServer(self.reactor.tcpClients.pop(0)[2])
 
+    def accept_all(self) -> list[CalledServer]:
+        """Accept every connection that the instance opens."""
+        accepted = []
+        while self.is_connecting():
+            accepted.append(self.accept())
+        return accepted
+
     def refuse(self, error: Exception) -> None:
         """Fail the attempt to connect."""
         factory = self.reactor.tcpClients.pop(0)[2]
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -111,11 +111,18 @@
     def attempt(self) -> list[AttemptEnd]:
         """Start an attempt; return the list that receives its end."""
 
-        def on_event(_headers: Headers, event: StreamEvent) -> None:
-            self.events.append(event)
+        def on_events(_headers: Headers, events: list[StreamEvent]) -> None:
+            self.events += events
 
         request = AttemptRequest(
-            SERVER, b"POST", b"/", [(b"Host", b"a")], b"", "a", on_event, lambda _: None
+            SERVER,
+            b"POST",
+            b"/",
+            [(b"Host", b"a")],
+            b"",
+            "a",
+            on_events,
+            lambda _: None,
         )
         ended: list[AttemptEnd] = []
         work = run_attempt(self.pool, request, False, lambda: True)
