Bound the events that have begun on all streams together

What callers saw: nothing yet. Servers that send much of an event and never its end can fill the memory of an instance: each stream may hold 1 MiB until its deadline, and 200 streams 200 MiB.

Cause: what is held of bodies was bounded over all of them, but not the events that have begun, nor many small bodies.

Change: the rest of an event counts as a body.

test_many_events_that_never_end_are_bounded_together and test_event_that_ends_holds_nothing failed before.

--- a/src/bramleyturn/gateway/answer_bounds.py
+++ b/src/bramleyturn/gateway/answer_bounds.py
@@ -38,6 +38,7 @@
     CHUNK_HEADS = "chunk_heads"
     EVENT = "event"
     BODY = "body"
+    BODIES_TOGETHER = "bodies_together"
 
 
 def declared_length(framing: Framing, headers: Headers) -> int:
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -151,7 +151,8 @@
         self.connection.hold(len(data))
 
     def _forward_events(self, data: bytes) -> None:
-        """Forward the events that ``data`` completes."""
+        """Forward the events that ``data`` completes, and hold the rest."""
+        before = len(self.splitter.rest)
         events = split_events(self.splitter, data)
         sound = events
         if self.request.is_resumed:
@@ -167,6 +168,8 @@
         over_bound_bytes = self.splitter.over_bound_bytes
         if over_bound_bytes:
             self.connection.end_at_bound(Bound.EVENT, over_bound_bytes)
+        elif before or self.splitter.rest:
+            self.connection.hold(len(self.splitter.rest) - before)
 
     def end(self) -> None:
         """End the attempt with the answer, if it is whole."""
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -5,7 +5,9 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionLost
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.event_splitter import StreamEvent
@@ -25,6 +27,8 @@
 ENOUGH_BYTES: Final = 24 * KIB * KIB
 ENOUGH_OF_A_STREAM_BYTES: Final = 4 * KIB * KIB
 LARGEST_BODY_BYTES: Final = 16 * KIB * KIB
+LARGEST_EVENT_BYTES: Final = KIB * KIB
+MANY_STREAMS: Final = 80
 OVER_BOUND = "over_bound"
 INTERIM = b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -282,6 +286,36 @@
         server.receive(b"x")
         assert reasons(ended) == ["whole"]
 
+    def test_many_events_that_never_end_are_bounded_together(self) -> None:
+        server = OneServer()
+        attempts = [server.attempt() for _ in range(MANY_STREAMS)]
+        for connection in server.connections:
+            connection.dataReceived(
+                OK + SIGNED + b"Content-Type: text/event-stream\r\n\r\n"
+            )
+        held, largest = server.pool.held_bodies, 0
+        for _ in range(LARGEST_EVENT_BYTES // PIECE_BYTES - 1):
+            for connection in server.connections:
+                if not connection.transport.is_reset:
+                    connection.dataReceived(b"x" * PIECE_BYTES)
+                largest = max(largest, held.total)
+        assert largest <= 3 * LARGEST_BODY_BYTES + 5 * LARGEST_EVENT_BYTES
+        assert OVER_BOUND in [each for ended in attempts for each in reasons(ended)]
+        for connection in server.connections:
+            connection.connectionLost(Failure(ConnectionLost()))
+        assert (held.total, held.sizes) == (0, {})
+
+    def test_event_that_ends_holds_nothing(self) -> None:
+        server = OneServer()
+        server.attempt()
+        server.receive(OK + SIGNED + b"Content-Type: text/event-stream\r\n\r\n")
+        server.receive(b"data: x")
+        assert server.pool.held_bodies.total == len(b"data: x")
+        server.receive(b"\n\nda")
+        assert server.pool.held_bodies.total == len(b"da")
+        server.receive(b"ta: y\n\n")
+        assert server.pool.held_bodies.total == 0
+
     def test_call_that_ends_early_holds_nothing(self) -> None:
         server = OneServer()
         server.call()
