Tell the answers of stage servers by the results that they name

Cause: a stage server wrote an answer a second time, late, when the next call had arrived on the same connection. Answers to calls of stages were taken by their order on the connection alone; the real answer then went to the call after it.

Change: an answer that names a result which came before on its connection, or that is not of the kind asked for, fails the call, which is made again. A connection is used again only after an answer that is certainly the call's own. One that is being closed is not taken again.

--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
@@ -56,16 +57,41 @@
     reason: FailureReason
 
 
+class AnswerOrigin(StrEnum):
+    """Name which call on its connection an answer belongs to.
+
+    ``UNCERTAIN`` is an answer that may be used, but may belong to an earlier call.
+    """
+
+    OWN = "own"
+    UNCERTAIN = "uncertain"
+    OTHER_CALL = "other_call"
+
+
+JudgeOrigin = Callable[[ServerConnection, WholeAnswer], AnswerOrigin]
+
+
+def always_own(_connection: ServerConnection, _answer: WholeAnswer) -> AnswerOrigin:
+    """Take every answer for the call's own."""
+    return AnswerOrigin.OWN
+
+
 class WholeAnswerListener:
-    """Collect the parts of an answer until it is complete."""
+    """Collect the parts of an answer until it is complete.
+
+    Unless ``judge_origin`` is certain that it is the call's own, the connection is not
+    used again.
+    """
 
     def __init__(
         self,
         ended: "Deferred[WholeAnswer | CallFailed]",
         connection: ServerConnection,
+        judge_origin: JudgeOrigin = always_own,
     ) -> None:
         self.ended = ended
         self.connection = connection
+        self.judge_origin = judge_origin
         self.on_received: Callable[[int], None] = lambda _: None
         self.status = 0
         self.headers: Headers = []
@@ -104,7 +130,14 @@
         if self._is_broken_off(body):
             self.ended.callback(CallFailed(FailureReason.BROKEN_OFF))
             return
-        self.ended.callback(WholeAnswer(self.status, self.headers, body, self.framing))
+        answer = WholeAnswer(self.status, self.headers, body, self.framing)
+        origin = self.judge_origin(self.connection, answer)
+        if origin is not AnswerOrigin.OWN:
+            self.connection.drop()
+        if origin is AnswerOrigin.OTHER_CALL:
+            self.ended.callback(CallFailed(FailureReason.WRONG_ANSWER))
+            return
+        self.ended.callback(answer)
 
     def failed(self, reason: FailureReason) -> None:
         """End the call with a failure, unless it has ended already."""
@@ -141,6 +174,7 @@
     body: bytes,
     timeout_ms: int,
     gap_ms: int | None = None,
+    judge_origin: JudgeOrigin = always_own,
 ) -> WholeAnswer | CallFailed:
     """Send one request and return its complete answer.
 
@@ -152,7 +186,16 @@
     if isinstance(connection, CallFailed):
         return connection
     return await call_on(
-        connection, pool, peer, method, target, headers, body, timeout_ms, gap_ms
+        connection,
+        pool,
+        peer,
+        method,
+        target,
+        headers,
+        body,
+        timeout_ms,
+        gap_ms,
+        judge_origin,
     )
 
 
@@ -166,10 +209,11 @@
     body: bytes,
     timeout_ms: int,
     gap_ms: int | None = None,
+    judge_origin: JudgeOrigin = always_own,
 ) -> WholeAnswer | CallFailed:
     """Send one request on a connection, as ``call`` does."""
     ended: Deferred[WholeAnswer | CallFailed] = Deferred(lambda _: connection.drop())
-    listener = WholeAnswerListener(ended, connection)
+    listener = WholeAnswerListener(ended, connection, judge_origin)
     host = (b"Host", f"{peer.host}:{peer.port}".encode())
     all_headers = [host, *headers]
     if body:
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -80,7 +80,8 @@
     part of an answer exceeded, and its size in bytes. ``head_bytes`` is what was
     received before the end of the head, and ``excess_bytes`` what chunks have besides
     their data and an allowance. A listener sets ``is_stream`` with the head of an
-    answer that is a stream of events.
+    answer that is a stream of events. ``seen_results`` are the names of the results in
+    the answers so far.
     """
 
     def __init__(self, on_idle: Callable[["ServerConnection"], None]) -> None:
@@ -92,6 +93,8 @@
         self.held_bodies = HeldBodies()
         self.pauses = ReadPauses()
         self.requests = 0
+        self.seen_results: set[str] = set()
+        self.is_dropped = False
         self.is_stream = False
         self.method = b""
         self.framing: Framing | None = None
@@ -135,8 +138,8 @@
 
     @property
     def is_lost(self) -> bool:
-        """Return whether the connection has ended."""
-        return self.ended is not ConnectionEnd.OPEN
+        """Return whether the connection has ended, or is being closed."""
+        return self.is_dropped or self.ended is not ConnectionEnd.OPEN
 
     def hold(self, size: int) -> None:
         """Note that the listener keeps bytes of the body until the answer's end.
@@ -161,6 +164,7 @@
         release_body(self.held_bodies, self)
         transport: Any = self.transport
         if transport is not None and not self.is_lost:
+            self.is_dropped = True
             transport.abortConnection()
 
     def end_at_bound(self, bound: Bound, size_bytes: int) -> None:
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -65,6 +65,7 @@
     note_request_accepted,
 )
 from bramleyturn.gateway.serving import Serving
+from bramleyturn.gateway.stage_answers import report_origin, run_origin
 from bramleyturn.gateway.stage_messages import (
     EngineAsk,
     EngineChosen,
@@ -405,6 +406,7 @@
             call_headers(stage_call.server_id),
             encode_run(stage_call.pieces, sent_ms),
             stage_call.timeout_ms,
+            judge_origin=run_origin(len(stage_call.pieces)),
         )
         now_ms = serving.now_ms()
         note_call_answer(serving, state.server, answer)
@@ -496,6 +498,7 @@
             call_headers(state.server.id),
             b"",
             CONTROL_CALL_TIMEOUT_MS,
+            judge_origin=report_origin,
         )
         note_call_answer(self.serving, state.server, answer)
         free = None
--- a/src/bramleyturn/gateway/stage_releases.py
+++ b/src/bramleyturn/gateway/stage_releases.py
@@ -19,6 +19,7 @@
 from bramleyturn.gateway.server_limits import count_request, wait_for
 from bramleyturn.gateway.server_notices import note_call_answer
 from bramleyturn.gateway.serving import Serving
+from bramleyturn.gateway.stage_answers import release_origin
 from bramleyturn.platform.stage_calls import (
     RELEASE_TARGET,
     call_headers,
@@ -73,6 +74,7 @@
             call_headers(release.server_id),
             encode_release(release.handles),
             CONTROL_CALL_TIMEOUT_MS,
+            judge_origin=release_origin,
         )
         note_call_answer(self.serving, server, answer)
         if isinstance(answer, CallFailed) or answer.status != STATUS_OK:
--- a/src/bramleyturn/platform/stage_calls.py
+++ b/src/bramleyturn/platform/stage_calls.py
@@ -88,6 +88,17 @@
     return None if free is None else int((free + 1) * BYTES_PER_MEGABYTE)
 
 
+def is_release_answer(body: bytes) -> bool:
+    """Return whether a body can be that of the answer to a call that releases results.
+
+    Servers answer without one. Those of other calls have fields of their own.
+    """
+    document = read_object("release", body)
+    if isinstance(document, Malformed):
+        return not body
+    return not document.keys() & {"items", "freeMb"}
+
+
 def handle_address(handle: str) -> str:
     """Return the address, IP:PORT, of the server that holds a result."""
     return handle.partition("/")[0]
--- a/src/bramleyturn/standin/site/servers.py
+++ b/src/bramleyturn/standin/site/servers.py
@@ -39,6 +39,8 @@
 # A request with this in its target, body or piece key crashes the server that runs it.
 CRASH_MARKER: Final = b"crash"
 STATUS_MISDIRECTED: Final = 421
+# Bytes of an answer that is written again.
+ANSWER_AGAIN: Final = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
 REPEATING_FAULTS: Final = frozenset({"repeat", "repeat_unnamed"})
 
 
@@ -65,7 +67,8 @@
 
     ``fault`` names the injected fault: ``shed`` refuses requests, ``repeat`` refuses
     the first on each connection and writes that refusal once more when it begins to run
-    a later one (``repeat_unnamed``: the refusal names no attempt), ``reset`` closes the
+    a later one (``repeat_unnamed``: the refusal names no attempt), ``again`` writes its
+    last answer on a connection once more before the next one, ``reset`` closes the
     connection after the run, ``cut`` closes it in the middle of the answer, ``error``
     answers 500, ``fail`` does so without a run, ``hang`` never answers, ``mute`` does
     so at an engine. ``shape`` tells how its answers are framed and broken off, None for
@@ -115,10 +118,14 @@
         self.running = 0
         self.results: dict[str, str] = {}
         self.made = 0
+        # The attempt that each result was made for, also once it is released.
+        self.made_for: dict[str, str] = {}
         self.capacity_bytes = 1_000_000
         self.endless: list[dict[str, int]] = []
         # Written first on each connection, to be repeated.
         self.refusals: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()
+        # The last answer on each connection.
+        self.answers: WeakKeyDictionary[Any, bytes] = WeakKeyDictionary()
 
 
 def plain_handler(server: SiteServer) -> Callable[[Exchange], None]:
@@ -289,6 +296,9 @@
                 server.results.pop(handle, None)
             exchange.answer(200, [], b"")
         elif exchange.target == RUN_TARGET and not _refused(server, exchange):
+            transport = exchange.connection.transport
+            if server.fault == "again" and transport in server.answers:
+                transport.write(server.answers.pop(transport))
             if not server.running:
                 begin(exchange, wall_ms())
             elif len(waiting) < plan["queue"]:
@@ -324,7 +334,10 @@
             if _crashes(server, str(item.get("key")).encode(), str(item["id"])):
                 return
         made = {"items": [_create_result(server, item) for item in items]}
-        _answer(server, exchange, 200, [], orjson.dumps(made))
+        body = orjson.dumps(made)
+        copy = ANSWER_AGAIN % (len(body), body)
+        server.answers[exchange.connection.transport] = copy
+        _answer(server, exchange, 200, [], body)
 
     return handle
 
@@ -393,6 +406,7 @@
 def _create_result(server: SiteServer, item: dict[str, Any]) -> dict[str, str]:
     server.made += 1
     handle = f"{server.address}/{server.made:x}"
+    server.made_for[handle] = str(item["id"])
     server.results[handle] = f"{item['id']}.{item['stage']}.{item['piece']}"
     return {"handle": handle}
 
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -340,6 +340,7 @@
                 "ran": [vars(ran) for ran in server.ran],
                 "running": server.running,
                 "made": server.made,
+                "made_for": server.made_for,
                 "kept": len(server.results),
                 "endless": server.endless,
                 "arrivals_ms": server.limit.arrivals_ms,
--- a/tests/gateway/stage_fleet.py
+++ b/tests/gateway/stage_fleet.py
@@ -261,6 +261,7 @@
         headers: object,
         body: bytes,
         timeout_ms: int,
+        judge_origin: object = None,
     ) -> WholeAnswer | CallFailed:
         """Carry out a call of an instance, in place of ``gateway.calls.call``."""
         caller = self.by_pool[id(pool)]
