--- a/src/bramleyturn/core/waiting/run_times.py
+++ b/src/bramleyturn/core/waiting/run_times.py
@@ -20,7 +20,7 @@
 RECENT_RUNS: Final = 32
 # Run times vary with the length of requests and the load of engines.
 SAFETY_FACTOR: Final = 2
-# Longer than any grace period.
+# Expected of a stream that nothing bounds: longer than any grace period.
 UNKNOWN_MS: Final = 3_600_000
 
 
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -56,7 +56,7 @@
     ``server`` is the server that it was sent to last, and ``heard_ms`` when that server
     was last heard of. ``marks`` are those that it left there. ``engine`` was chosen
     with the stages, empty if none was. ``is_at_server`` is set while a server may run
-    it, and ``may_have_run`` from the end of an attempt that may have run it on.
+    it, and ``may_have_run`` once an attempt has ended that may have run it.
     """
 
     def __init__(
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -143,10 +143,9 @@
     ) -> "Deferred[bool]":
         """Check a server that closed a connection at what may be an answer's end.
 
-        The result is whether the run still runs that had the request, which was sent at
-        ``sent_ms``. One that does not, without having
-        announced that it leaves, has crashed; one that can't be reached may be cut off
-        only.
+        The result is whether its run goes on that had the request, which was sent at
+        ``sent_ms``. A server whose run has ended without having announced that it
+        leaves has crashed; one that can't be reached may be cut off only.
         """
         checked: Deferred[bool] = Deferred()
         on_server = OnServer(frozenset(fingerprints), marks)
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -164,7 +164,7 @@
         )
 
     def _typical_stages_ms(self, request: CallerRequest) -> int:
-        """Return how long a request usually takes until it is sent to a server."""
+        """Return how long the stages of a request usually take before its run."""
         serving = self.serving
         aim_ms = request.route.aim_ms
         request_ms = typical_ms(serving.request_times, request.route.name, aim_ms)
--- a/src/bramleyturn/gateway/unread_answers.py
+++ b/src/bramleyturn/gateway/unread_answers.py
@@ -42,11 +42,12 @@
 
 def hold_unread(unread: UnreadAnswers, reader: Reader, size: int) -> None:
     """Add bytes that a caller has not read; close the largest over the bound."""
-    known = unread.sizes.get(reader)
-    # What was buffered until the transport reported that it is.
-    added = size if known is not None else MAX_BUFFERED_BYTES + size
-    unread.sizes[reader] = (known or 0) + added
-    unread.total += added
+    if reader not in unread.sizes:
+        # The transport only reports what is buffered beyond this.
+        unread.sizes[reader] = MAX_BUFFERED_BYTES
+        unread.total += MAX_BUFFERED_BYTES
+    unread.sizes[reader] += size
+    unread.total += size
     while unread.total > MAX_UNREAD_BYTES:
         largest = max(unread.sizes, key=lambda each: unread.sizes[each])
         size_bytes = unread.sizes[largest]
--- a/tests/gateway/test_stage_answers.py
+++ b/tests/gateway/test_stage_answers.py
@@ -93,7 +93,7 @@
     (end,) = ended
     if isinstance(end, CallFailed):
         return [str(end.reason)]
-    found = decode_run(end.body, orjson.loads(end.body)["items"].__len__()) or []
+    found = decode_run(end.body, len(orjson.loads(end.body)["items"])) or []
     return [piece.handle.partition("/")[2] for piece in found]
 
 
