Leave the producer of another on a connection that is closed

Cause: closing a caller's connection unregistered whatever producer its transport had. The stand-ins register one of their own for answers without end, which is told when its caller has left. Where the caller's close came before its reset, it was not told, and the stage server counted as busy for good. Only stand-ins replace the producer.

test_other_producer_of_a_connection_is_left_to_it failed before.

--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -310,8 +310,9 @@
         self.is_closing = True
         # A caller that reads slowly has as much time as one that is idle.
         self._start_timer(self.server.limits().idle_timeout_ms, self.abort)
-        # With a producer that is paused the transport would never close.
-        transport.unregisterProducer()
+        if transport.producer is self:
+            # With a producer that is paused the transport would never close.
+            transport.unregisterProducer()
         transport.loseWriteConnection()
         if self.server.is_closing:
             # The process may be killed before the reactor gets to send this. An error
--- a/tests/gateway/test_unread_answers.py
+++ b/tests/gateway/test_unread_answers.py
@@ -137,6 +137,15 @@
         assert caller.transport.disconnecting
         assert caller.transport.producer is None
 
+    def test_other_producer_of_a_connection_is_left_to_it(self) -> None:
+        """Guards against stand-ins that were never told that their caller had left."""
+        caller = Caller(stream_entry())
+        other = CallerConnection(caller.connection.server)
+        caller.transport.unregisterProducer()
+        caller.transport.registerProducer(other, True)
+        caller.connection.readConnectionLost()
+        assert caller.transport.producer is other
+
     def test_caller_that_leaves_holds_nothing(self) -> None:
         entry = stream_entry()
         caller, called = begin(entry)
