Learn nothing of a server from a stream that waited for its caller

What callers saw: nothing yet. Since a server is not read while the caller of its stream does not read, such a stream lasts as long as its caller takes. Its time counted as the server's, so that late streams of others would be refused in a stop, and a server whose slow caller left was checked as one that had been silent.

Change: the time of a stream that was held back is not recorded, and a server that is not read counts as heard.

Both cases of TestBeliefs failed before; 46 tests of unread answers, late streams and requests that ran pass.

--- a/src/bramleyturn/gateway/exchange.py
+++ b/src/bramleyturn/gateway/exchange.py
@@ -50,6 +50,7 @@
     """Hold one request, and send its answer.
 
     Header names are in lower case. ``arrived_ms`` is when the first byte was read.
+    ``was_held_back`` is set once the source of the answer had to wait for the caller.
     """
 
     def __init__(
@@ -71,11 +72,13 @@
         self.is_gone = False
         self.on_gone: Callable[[], None] | None = None
         self.source: Source | None = None
+        self.was_held_back = False
 
     def read_from(self, source: Source | None) -> None:
         """Take the parts of the answer from ``source``, as fast as the caller reads."""
         self.source = source
         if source is not None and self.connection.is_blocked:
+            self.was_held_back = True
             source.pause()
 
     def set_blocked(self, is_blocked: bool) -> None:
@@ -83,6 +86,7 @@
         if self.source is None:
             return
         if is_blocked:
+            self.was_held_back = True
             self.source.pause()
         else:
             self.source.resume()
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -339,6 +339,9 @@
         return is_safe_to_retry(request.route) and runs < request.route.max_attempts
 
     def _note_times(self, request: CallerRequest, sent_ms: int) -> None:
+        """Record how long a request took, unless that was up to its caller."""
+        if request.exchange.was_held_back:
+            return
         serving = self.serving
         took_ms = self._elapsed_ms(request)
         note_run(serving.request_times, request.route.name, took_ms)
@@ -416,6 +419,9 @@
         silent_ms = self.serving.now_ms() - request.heard_ms
         if not request.is_at_server or silent_ms < SILENCE_MS:
             return
+        if request.exchange.connection.is_blocked:
+            # The server is not read, which is no silence of its own.
+            return
         if request.server is not None:
             self.crashes.request_abandoned(
                 request.server, request.names.fingerprint, request.marks
--- a/tests/gateway/test_unread_answers.py
+++ b/tests/gateway/test_unread_answers.py
@@ -157,6 +157,35 @@
         assert called.transport.is_reset
 
 
+class TestBeliefs:
+    """A slow caller says nothing about the server of its stream.
+
+    Guards against late streams that were refused, and servers that were checked, since
+    a stream before them had waited for its caller.
+    """
+
+    def test_time_of_a_stream_that_was_held_back_is_not_recorded(self) -> None:
+        entry = stream_entry()
+        caller, called = begin(entry)
+        called.answer(chunk(b"data: x\n\n"))
+        block(caller)
+        entry.run(3_000)
+        read_all(caller)
+        called.answer(b"0\r\n\r\n")
+        assert caller.is_whole()
+        assert entry.serving.run_times.by_name == {}
+
+    def test_server_that_is_not_read_is_not_silent(self) -> None:
+        entry = stream_entry()
+        caller, called = begin(entry)
+        called.answer(chunk(LARGE_EVENT))
+        block(caller)
+        entry.run(2_000)
+        caller.lose()
+        assert called.transport.is_reset
+        assert not entry.is_connecting()
+
+
 class TestManyCallers:
     """Callers that read nothing get large answers."""
 
