Ask of a late stream's run alone to fit twice

What callers saw: a stream that came late in a planned stop, and whose stages and run would have ended in time, was refused: the margin for runs of unknown length was taken of the stages, too, since the size of streams is looked at.

Change: the run is expected to begin when its stages usually end, and only the run must fit twice. After the stages it is judged again, as before.

test_margin_is_for_the_run_and_not_for_its_stages failed before; the 15 other cases of its file pass.

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -183,9 +183,9 @@
         return not ends_in_time(
             serving.shutdown,
             request.arrived_ms,
-            serving.now_ms(),
-            stages_ms + expected.typical_ms,
-            stages_ms + expected.longest_ms,
+            serving.now_ms() + stages_ms,
+            expected.typical_ms,
+            expected.longest_ms,
         )
 
     def _expected_run(self, request: CallerRequest) -> ExpectedRun:
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -6,8 +6,10 @@
 
 from bramleyturn.core.catalog.model import RouteKind, WeightedPool
 from bramleyturn.core.fleet.members import MemberRef
+from bramleyturn.core.waiting.run_times import note_run, typical_ms
 from bramleyturn.core.waiting.shutdown import plan_shutdown
 from tests.gateway.one_entry import (
+    POOL,
     SIGNATURE,
     CalledServer,
     Caller,
@@ -171,6 +173,17 @@
         send(entry, USUAL_EVENTS)
         assert is_begun(entry)
 
+    def test_margin_is_for_the_run_and_not_for_its_stages(self) -> None:
+        """Guards against late streams that end in time and were refused."""
+        entry = entry_of()
+        serve(entry)
+        run_ms = typical_ms(entry.serving.run_times, POOL, 0)
+        for _ in range(2):
+            note_run(entry.serving.request_times, "drafts", run_ms + 1_010)
+        stop(entry, LATE_MS)
+        send(entry, USUAL_EVENTS)
+        assert is_begun(entry)
+
     def test_are_refused_late_where_another_instance_serves_them(self) -> None:
         entry = entry_of()
         serve(entry)
