Send nothing new to the servers of an evacuated zone

The registry now counts the servers of such a zone as not accepting work, so that every choice, the check before a request is written, and the plans of stages leave them out; checks of a server there only open a connection. Every instance learns of it with its copy of the store, from the store or from others, and keeps it while the store is away or has come back from an older copy. Lists of allowed regions of routes and workspaces are read, checked and kept for requests; the settings give the region of each zone.

--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -37,7 +37,8 @@
     ``aim_ms`` is the latency target. ``priority`` 0 is the most urgent.
     ``uses_prefix_affinity`` marks routes whose requests name the parts of their prompt.
     ``pause_aim_ms`` is the longest pause between events of a stream in time, 0 if none
-    is named.
+    is named. ``allowed_regions`` are those whose servers may get its requests, None if
+    all may.
     """
 
     name: str
@@ -54,6 +55,7 @@
     uses_prefix_affinity: bool
     is_resumable: bool
     pause_aim_ms: int = 0
+    allowed_regions: frozenset[str] | None = None
 
 
 class BatchLimits(NamedTuple):
@@ -97,11 +99,13 @@
     """Hold a workspace with the keys of its callers.
 
     ``priority`` overrides that of a route; None stands for no override.
+    ``allowed_regions`` are those whose servers may get its requests, None if all may.
     """
 
     name: str
     keys: frozenset[str]
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 class PublishedConfiguration(NamedTuple):
--- a/src/bramleyturn/core/catalog/server_registry.py
+++ b/src/bramleyturn/core/catalog/server_registry.py
@@ -3,7 +3,8 @@
 A leaving server gets no new work as soon as this is known. An entry that expired while
 the store was unavailable may be registered again soon after the store's return, so its
 server is used a little longer. An entry of a server that has left may be back after the
-store came back from an older copy; it is not used before it is confirmed.
+store came back from an older copy; it is not used before it is confirmed. Servers of an
+evacuated zone get no new work either.
 """
 
 from collections import OrderedDict
@@ -11,6 +12,7 @@
 
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.fleet.store_revision import StoreRevision
+from bramleyturn.core.zones.evacuations import Evacuations, is_evacuated
 
 # Live servers register again within about two seconds of the store's return.
 LAPSE_GRACE_MS: Final = 2_200
@@ -52,6 +54,7 @@
 
     ``announced`` has the start of each run that said itself that it leaves, by id, and
     ``reported`` the runs that servers named before their entries had them.
+    ``evacuations`` has the zones whose servers get no new work.
     """
 
     def __init__(self) -> None:
@@ -59,6 +62,7 @@
         self.removed: dict[str, StoreRevision] = {}
         self.announced: OrderedDict[str, int] = OrderedDict()
         self.reported: dict[str, ReportedRun] = {}
+        self.evacuations = Evacuations()
 
 
 def register(
@@ -245,17 +249,19 @@
     return [
         entry.server
         for entry in registry.entries.values()
-        if entry.server.pool == pool and _accepts_work(entry, now_ms)
+        if entry.server.pool == pool and _accepts_work(registry, entry, now_ms)
     ]
 
 
 def is_ready(registry: ServerRegistry, server_id: str, now_ms: int) -> bool:
     """Return whether a server accepts new work."""
     entry = registry.entries.get(server_id)
-    return entry is not None and _accepts_work(entry, now_ms)
+    return entry is not None and _accepts_work(registry, entry, now_ms)
 
 
-def _accepts_work(entry: RegistryEntry, now_ms: int) -> bool:
+def _accepts_work(registry: ServerRegistry, entry: RegistryEntry, now_ms: int) -> bool:
     if entry.server.is_leaving or entry.usable_from_ms is not None:
         return False
+    if is_evacuated(registry.evacuations, entry.server.zone):
+        return False
     return entry.usable_until_ms is None or entry.usable_until_ms > now_ms
--- /dev/null
+++ b/src/bramleyturn/core/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which availability zones and regions a request may reach."""
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -31,6 +31,7 @@
 from bramleyturn.core.stream_position import accept_event
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.core.waiting.first_events import first_event_ms, note_first_event
+from bramleyturn.core.zones.regions import allowed_regions, servers_in_regions
 from bramleyturn.gateway.attempts import (
     Answered,
     AttemptEnd,
@@ -106,13 +107,24 @@
         """Return the servers that a request may be sent to now."""
         serving = self.serving
         return usable_servers(
-            open_servers(serving, serving.ready(request.pool)),
+            open_servers(serving, self._allowed(request)),
             tried,
             serving.health,
             serving.now_ms(),
             serving.silent_zones,
         )
 
+    def _allowed(self, request: CallerRequest) -> list[BackendServer]:
+        """Return the ready servers in the regions that a request may reach."""
+        serving = self.serving
+        workspace = request.workspace
+        regions = allowed_regions(
+            request.route.allowed_regions,
+            workspace.allowed_regions if workspace is not None else None,
+        )
+        servers = serving.ready(request.pool)
+        return servers_in_regions(servers, regions, serving.settings.region_by_zone)
+
     async def choose_or_wait(
         self, request: CallerRequest, tried: frozenset[str]
     ) -> BackendServer | LimitReached | None:
@@ -125,7 +137,7 @@
         if server is not None:
             count_request(serving, server)
             return server
-        untried = [each for each in serving.ready(request.pool) if each.id not in tried]
+        untried = [each for each in self._allowed(request) if each.id not in tried]
         most_ms = (request.deadline_ms - serving.now_ms()) // 2
         turn = take_turn(serving, untried, most_ms)
         if not isinstance(turn, Turn):
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -34,6 +34,7 @@
 )
 from bramleyturn.core.request_names import RequestNames
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.core.zones.evacuations import is_evacuated
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.caller_request import Quarantine
 from bramleyturn.gateway.calls import WholeAnswer
@@ -237,8 +238,9 @@
         published = serving.published
         pool = published.pools.get(server.pool) if published is not None else None
         target = pool.status_target if pool is not None else None
-        if wait_for(serving, server, is_sole=True):
-            # Only a connection, as the server wants no requests now.
+        is_closed_to_requests = is_evacuated(serving.registry.evacuations, server.zone)
+        if is_closed_to_requests or wait_for(serving, server, is_sole=True):
+            # Only a connection, as the server is to get no requests now.
             target = None
         else:
             count_request(serving, server)
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -23,6 +23,7 @@
 from bramleyturn.core.fleet.store_revision import FIRST_REVISION, StoreRevision
 from bramleyturn.core.placement.choice import forget_loads
 from bramleyturn.core.placement.health import forget_servers
+from bramleyturn.core.zones.evacuations import EvacuationChange, note_evacuation
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.connection_pool import drop_idle
 from bramleyturn.gateway.metrics import count, gauge
@@ -34,6 +35,7 @@
 )
 from bramleyturn.platform.configuration import CONFIGURATION_KEY, decode_in_steps
 from bramleyturn.platform.errors import Malformed
+from bramleyturn.platform.evacuations import EVACUATIONS_PREFIX, evacuated_zone
 from bramleyturn.platform.servers import SERVERS_PREFIX, decode_server
 from bramleyturn.platform.store import StoreItem
 
@@ -147,6 +149,8 @@
             apply_configuration_item(copy, item)
         elif item.key.startswith(SERVERS_PREFIX):
             has_changed = apply_server_item(copy, item, is_older_copy) or has_changed
+        elif item.key.startswith(EVACUATIONS_PREFIX):
+            has_changed = apply_evacuation(copy, item, is_older_copy) or has_changed
     if has_changed:
         apply_server_changes(copy)
 
@@ -234,6 +238,30 @@
     return has_changed
 
 
+def apply_evacuation(copy: StoreCopy, item: StoreItem, is_older_copy: bool) -> bool:
+    """Apply an entry that evacuates a zone; return whether its servers are affected."""
+    serving = copy.serving
+    evacuations = serving.registry.evacuations
+    zone = evacuated_zone(item.key)
+    is_present = item.value is not None
+    change = note_evacuation(
+        evacuations, zone, is_present, is_older_copy, serving.now_ms()
+    )
+    if change is EvacuationChange.NONE:
+        return False
+    gauge(serving.metrics, "evacuated_zones", len(evacuations.started_ms))
+    logger.info(
+        "zone evacuation",
+        extra={
+            "evacuated_zone": zone,
+            "change": str(change),
+            "revision": item.revision.number,
+            "era": item.revision.era,
+        },
+    )
+    return change is not EvacuationChange.KEPT
+
+
 def state_of(registry: ServerRegistry, server_id: str) -> str:
     """Return what is believed of a registered server, for the log."""
     entry = registry.entries[server_id]
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -32,6 +32,7 @@
 CONFIGURATION_KEY: Final = "op/config"
 # Takes a few milliseconds of a fast core, and some ten of half a slow one.
 DECODE_STEP: Final = 200
+ALLOWED_REGIONS: Final = "allowedRegions"
 ROUTE_KINDS: Final = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -108,7 +109,7 @@
     timeout_ms = int_field(document, "timeoutMs")
     if not host or not prefix or kind is None or targets is None or stages is None:
         return None
-    if timeout_ms is None:
+    if timeout_ms is None or not _has_sound_regions(document):
         return None
     return Route(
         name=text_field(document, "name") or f"{host}{prefix}",
@@ -127,9 +128,20 @@
         uses_prefix_affinity=flag_field(document, "sticky"),
         is_resumable=flag_field(document, "resumable"),
         pause_aim_ms=int_field(document, "gapAimMs") or 0,
+        allowed_regions=_regions(document),
     )
 
 
+def _has_sound_regions(document: dict[str, Any]) -> bool:
+    """Return whether the allowed regions are a list of strings, or absent."""
+    return is_text_list(document.get(ALLOWED_REGIONS) or [])
+
+
+def _regions(document: dict[str, Any]) -> frozenset[str] | None:
+    """Return the allowed regions; an empty list allows all, as an absent one does."""
+    return frozenset(document.get(ALLOWED_REGIONS) or ()) or None
+
+
 def _decode_targets(document: dict[str, Any]) -> tuple[WeightedPool, ...] | None:
     pool = text_field(document, "service")
     if pool is not None:
@@ -209,6 +221,7 @@
 def _decode_workspace(document: dict[str, Any]) -> Workspace | None:
     name = text_field(document, "name")
     keys = document.get("apiKeys", [])
-    if name is None or not is_text_list(keys):
+    if name is None or not is_text_list(keys) or not _has_sound_regions(document):
         return None
-    return Workspace(name, frozenset(keys), int_field(document, "priority"))
+    priority = int_field(document, "priority")
+    return Workspace(name, frozenset(keys), priority, _regions(document))
--- a/src/bramleyturn/platform/settings.py
+++ b/src/bramleyturn/platform/settings.py
@@ -1,6 +1,7 @@
 """Parse the settings file that the platform writes for each process."""
 
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final, NamedTuple
 
 from bramleyturn.core.address import MAX_PORT, Address, parse_address
@@ -9,6 +10,7 @@
 
 SETTINGS_VARIABLE: Final = "BRAMLEYTURN_CONFIG"
 PERCENT: Final = 100
+ZONE_PREFIX: Final = "zones."
 
 
 class ServingBounds(NamedTuple):
@@ -29,7 +31,8 @@
     """Hold the settings of one process on the platform.
 
     ``internal_port`` is the same on all instances. ``capacity`` is the CPU capacity of
-    the instance, in hundredths of a core.
+    the instance, in hundredths of a core. ``region_by_zone`` has every zone that the
+    platform names.
     """
 
     name: str
@@ -42,6 +45,7 @@
     internal_port: int
     capacity: int
     bounds: ServingBounds
+    region_by_zone: Mapping[str, str] = MappingProxyType({})
 
 
 class RefusedServingSettings(NamedTuple):
@@ -138,6 +142,11 @@
         internal_port=reader.first_port("internalPortRange"),
         capacity=int(PERCENT * speed),
         bounds=_bounds(reader),
+        region_by_zone={
+            key.removeprefix(ZONE_PREFIX): region
+            for key, (_, region) in values.items()
+            if key.startswith(ZONE_PREFIX)
+        },
     )
     if reader.faults:
         return RefusedServingSettings(tuple(sorted(reader.faults)))
