Read how many requests a cold server can handle

Servers that have just started crash at request rates that warm ones handle. The platform says so per service (coldStartS, coldPerS), in answers (Bramleyturn-Cold-Remaining-Ms) and in the settings (bounds.coldOverage, bounds.coldSlack), and nothing was read but the remaining time of an entry.

The fields are read now; a missing bound leaves the rule out of force. The header is not forwarded to callers. Nothing uses the values yet.

--- a/src/bramleyturn/core/catalog/model.py
+++ b/src/bramleyturn/core/catalog/model.py
@@ -79,11 +79,15 @@
     """Hold a set of identical backend servers; ``batch`` is set for stage pools.
 
     ``status_target`` is the target at which a server tells its status, None if unknown.
+    A server is cold for ``cold_start_ms`` after its start, 0 if it never is, and then
+    handles ``cold_per_s`` requests a second, 0 if they are not bounded.
     """
 
     name: str
     batch: BatchLimits | None
     status_target: str | None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 class CallerLimits(NamedTuple):
--- a/src/bramleyturn/platform/answers.py
+++ b/src/bramleyturn/platform/answers.py
@@ -14,6 +14,7 @@
 INSTANCE_LOAD: Final = b"bramleyturn-instance-load"
 SERVER_LIMIT: Final = b"server-limit"
 SERVER_LEAVING: Final = b"server-leaving"
+COLD_REMAINING: Final = b"bramleyturn-cold-remaining-ms"
 RETRY_AFTER: Final = b"retry-after"
 STATUS_UNAVAILABLE: Final = 503
 STATUS_MISDIRECTED: Final = 421
@@ -32,11 +33,13 @@
         INSTANCE_LOAD,
         SERVER_LIMIT,
         SERVER_LEAVING,
+        COLD_REMAINING,
         b"bramleyturn-instance-id",
     }
 )
 KEEP_ALIVE_PATTERN: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 RATE_PATTERN: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+MILLISECONDS_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 LOAD_PATTERN: Final = re.compile(r"([0-9]{1,6}),([0-9]{1,6}),([0-9]{1,6})")
 
 
@@ -57,7 +60,8 @@
     is how many requests the server accepts from all instances together, None if it
     names no limit. ``is_leaving`` is set if the server is about to end. ``pause_ms`` is
     for how long a server that refuses a request wants no others from this instance,
-    None if it does not say or ``is_pause_malformed``.
+    None if it does not say or ``is_pause_malformed``. ``cold_ms`` is for how long the
+    server stays cold, None if it does not say.
     """
 
     status: int
@@ -71,6 +75,7 @@
     is_leaving: bool = False
     pause_ms: int | None = None
     is_pause_malformed: bool = False
+    cold_ms: int | None = None
 
 
 def read_answer_head(status: int, headers: Iterable[tuple[bytes, bytes]]) -> AnswerHead:
@@ -90,6 +95,7 @@
         is_leaving=by_name.get(SERVER_LEAVING, b"").strip() == b"1",
         pause_ms=pause_ms,
         is_pause_malformed=pause is not None and pause_ms is None,
+        cold_ms=read_cold_ms(by_name.get(COLD_REMAINING, b"")),
     )
 
 
@@ -112,6 +118,12 @@
     return float(text) if RATE_PATTERN.fullmatch(text) else None
 
 
+def read_cold_ms(value: bytes) -> int | None:
+    """Parse how long a server stays cold; return None if absent or malformed."""
+    text = value.decode("latin-1").strip()
+    return int(text) if MILLISECONDS_PATTERN.fullmatch(text) else None
+
+
 def read_pause_ms(value: bytes) -> int | None:
     """Parse the seconds that a refusal names; return None if malformed or a date."""
     text = value.decode("latin-1").strip()
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -189,6 +189,8 @@
         name=name,
         batch=_decode_batch(pieces) if isinstance(pieces, dict) else None,
         status_target=status_target(document),
+        cold_start_ms=int((number_field(document, "coldStartS") or 0.0) * MS_PER_S),
+        cold_per_s=number_field(document, "coldPerS") or 0.0,
     )
 
 
--- a/src/bramleyturn/platform/settings.py
+++ b/src/bramleyturn/platform/settings.py
@@ -18,13 +18,17 @@
 
     A process is killed ``grace_ms`` after it was asked to stop. The retry budget of
     all instances together allows, in any ``budget_window_ms``, ``retry_ratio`` of the
-    requests plus ``retry_slack`` more.
+    requests plus ``retry_slack`` more. In any second, a cold server gets at most
+    ``cold_overage`` times its cold rate plus ``cold_slack`` requests; both are None
+    where this is not in force.
     """
 
     grace_ms: int
     retry_ratio: float
     retry_slack: float
     budget_window_ms: int
+    cold_overage: float | None = None
+    cold_slack: float | None = None
 
 
 class ServingSettings(NamedTuple):
@@ -154,9 +158,12 @@
 
 
 def _bounds(reader: _Reader) -> ServingBounds:
+    has_cold_bound = {"bounds.coldOverage", "bounds.coldSlack"} <= reader.values.keys()
     return ServingBounds(
         grace_ms=int(reader.number("bounds.graceS") * MS_PER_S),
         retry_ratio=reader.number("bounds.retryBudgetRatio"),
         retry_slack=reader.number("bounds.retryBudgetSlack"),
         budget_window_ms=int(reader.number("bounds.budgetWindowS") * MS_PER_S),
+        cold_overage=reader.number("bounds.coldOverage") if has_cold_bound else None,
+        cold_slack=reader.number("bounds.coldSlack") if has_cold_bound else None,
     )
