--- /dev/null
+++ b/src/bramleyturn/core/coldstart/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how many requests a server gets while it is cold."""
