Send no more to cold servers than all instances may together

A server that started again in a burst got the requests of all callers, and crashed again. In a site with real processes, a server that said that it was cold got 37 requests in a second; 13.85 are allowed.

Instances ask the owner of the stages for a turn (cold_ask, cold_turn) before they send a caller's request to a cold server, also a retry or a resumed stream. Without a turn the request goes to a warm server; a pool without one serves at its cold rate and refuses the rest at once with the time of a turn. The owner takes turns for its own stage calls and reports, holds releases back, and checks of cold servers only open a connection. All of them are checked again once the connection is open. Without the bounds in the settings, or without a rate of the pool, nothing changes.

The stand-in site announces cold servers.

--- a/src/bramleyturn/core/coldstart/asking.py
+++ b/src/bramleyturn/core/coldstart/asking.py
@@ -11,8 +11,9 @@
 
 from bramleyturn.core.coldstart.cold_runs import MAX_RUNS
 
-# An owner that did not answer has crashed, is cut off or busy.
-SILENCE_MS: Final = 500
+# An owner that did not answer has crashed, is cut off or busy. This is shorter than the
+# time after which a request asks again (``RETRY_MS``).
+SILENCE_MS: Final = 200
 # While warm servers are left, a request waits for a turn for this part of the time to
 # its latency target, and for a short time only.
 WAITED_PART: Final = 10
--- a/src/bramleyturn/core/coldstart/turns.py
+++ b/src/bramleyturn/core/coldstart/turns.py
@@ -76,14 +76,15 @@
 class TurnGrants:
     """Hold when the next turn of each run is, the latest granted last.
 
-    ``owner_since_ms`` is since when this instance is the owner, None if it is not, and
-    ``checked_ms`` when that was last checked.
+    ``owner_since_ms`` is since when this instance is the owner, None if it is not.
+    ``is_allowed`` is whether it may grant turns as of ``checked_ms``.
     """
 
     def __init__(self, now_ms: int) -> None:
         self.started_ms = now_ms
         self.checked_ms = now_ms
         self.owner_since_ms: int | None = None
+        self.is_allowed = False
         self.next_ms: OrderedDict[str, int] = OrderedDict()
 
 
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -1,6 +1,7 @@
 """Choose servers for a caller's request and send it to one after another."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, TypeGuard
 
 from twisted.internet.task import deferLater
@@ -47,6 +48,9 @@
     engine_urgency,
     log_request,
 )
+from bramleyturn.gateway.cold_choice import take_cold_turn
+from bramleyturn.gateway.cold_servers import is_cold
+from bramleyturn.gateway.cold_turns import ColdTurns
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.http1_client import FailureReason, Headers
 from bramleyturn.gateway.metrics import count, observe
@@ -73,10 +77,12 @@
         serving: Serving,
         crashes: CrashWatch,
         report_late_engine: Callable[[str, int], None],
+        cold_turns: ColdTurns,
     ) -> None:
         self.serving = serving
         self.crashes = crashes
         self.report_late_engine = report_late_engine
+        self.cold_turns = cold_turns
 
     def choose(
         self, request: CallerRequest, tried: frozenset[str]
@@ -99,15 +105,23 @@
         if not request.route.uses_prefix_affinity or not request.head.prompt:
             return None
         servers = self._usable(request, frozenset())
+        servers = servers or self._candidates(request, frozenset())
         return engine_need(servers, request.head.prompt, self.serving.random)
 
     def _usable(
         self, request: CallerRequest, tried: frozenset[str]
     ) -> list[BackendServer]:
-        """Return the servers that a request may be sent to now."""
+        """Return the warm servers that a request may be sent to now."""
+        return self._candidates(request, tried, has_cold=False)
+
+    def _candidates(
+        self, request: CallerRequest, tried: frozenset[str], has_cold: bool = True
+    ) -> list[BackendServer]:
+        """Return the servers that a request may be sent to now, or with a turn."""
         serving = self.serving
+        servers = open_servers(serving, self._allowed(request))
         return usable_servers(
-            open_servers(serving, self._allowed(request)),
+            [each for each in servers if has_cold or not is_cold(serving, each)],
             tried,
             serving.health,
             serving.now_ms(),
@@ -133,11 +147,23 @@
         Return None if none is left.
         """
         serving = self.serving
+        cold = await take_cold_turn(
+            self.cold_turns, request, partial(self._candidates, request, tried)
+        )
+        if isinstance(cold, BackendServer):
+            count_request(serving, cold)
+            return cold
         server = self.choose(request, tried)
         if server is not None:
             count_request(serving, server)
             return server
-        untried = [each for each in self._allowed(request) if each.id not in tried]
+        untried = [
+            each
+            for each in self._allowed(request)
+            if each.id not in tried and not is_cold(serving, each)
+        ]
+        if not untried and cold is not None:
+            return cold
         most_ms = (request.deadline_ms - serving.now_ms()) // 2
         turn = take_turn(serving, untried, most_ms)
         if not isinstance(turn, Turn):
@@ -194,6 +220,11 @@
             request.is_at_server = is_usable and not has_paused_since(
                 serving.server_pauses, run_name(server), sent_ms
             )
+            if request.is_at_server:
+                request.is_at_server = self.cold_turns.may_send(
+                    server, request.cold_turn
+                )
+                request.is_withheld = not request.is_at_server
             if request.is_at_server:
                 nonlocal fetched
                 fetched = self._release_when_fetched(request)
@@ -203,6 +234,7 @@
         request.marks = self.crashes.marks(request.names)
         request.heard_ms = sent_ms
         request.named_limit_per_s = None
+        request.is_withheld = False
         note_sent(serving.loads, server.id)
         try:
             ended = await run_attempt(
@@ -342,7 +374,10 @@
         serving = self.serving
         now_ms = serving.now_ms()
         is_avoided = False
-        if isinstance(ended, AttemptFailed) or (
+        if request.is_withheld:
+            # Nothing is known against a server that has only turned cold.
+            pass
+        elif isinstance(ended, AttemptFailed) or (
             isinstance(ended, NotRun) and not ended.status
         ):
             is_certain = (
--- a/src/bramleyturn/gateway/caller_request.py
+++ b/src/bramleyturn/gateway/caller_request.py
@@ -5,6 +5,7 @@
 
 from bramleyturn.core.catalog.model import BackendServer, Route, Workspace
 from bramleyturn.core.catalog.prompt import shared_prefix
+from bramleyturn.core.coldstart.turns import Turn
 from bramleyturn.core.crashes import PartMark
 from bramleyturn.core.request_names import (
     RequestNames,
@@ -57,6 +58,8 @@
     was last heard of. ``marks`` are those that it left there. ``engine`` was chosen
     with the stages, empty if none was. ``is_at_server`` is set while a server may run
     it, and ``may_have_run`` once an attempt has ended that may have run it.
+    ``cold_turn`` allows the next attempt at a cold server, and ``is_withheld`` is set
+    if the last one was not sent because its server had turned cold.
     """
 
     def __init__(
@@ -96,6 +99,8 @@
         self.stages: StageWork | None = None
         self.inputs: tuple[str, ...] = ()
         self.engine = ""
+        self.cold_turn: Turn | None = None
+        self.is_withheld = False
 
 
 def urgency_of(request: CallerRequest) -> int:
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -175,16 +175,21 @@
     timeout_ms: int,
     gap_ms: int | None = None,
     judge_origin: JudgeOrigin = always_own,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> WholeAnswer | CallFailed:
     """Send one request and return its complete answer.
 
     Cancelling the call, or no answer within ``timeout_ms``, closes its connection. With
     ``gap_ms`` an answer that has begun within ``timeout_ms`` is read for as long as it
-    makes progress, see core/waiting/transfers.py.
+    makes progress, see core/waiting/transfers.py. ``may_send`` is checked once the
+    connection is open.
     """
     connection = await connect(pool, peer)
     if isinstance(connection, CallFailed):
         return connection
+    if not may_send():
+        connection.drop()
+        return CallFailed(FailureReason.NOT_CONNECTED)
     return await call_on(
         connection,
         pool,
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -4,6 +4,7 @@
 from typing import Any, Final
 from urllib.parse import parse_qs
 
+from bramleyturn.gateway.cold_turns import decode_cold_ask, decode_cold_turn
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.peer_links import (
     MESSAGES_TARGET,
@@ -81,6 +82,16 @@
             if late is not None:
                 self.owner.handle_late_engine(late)
                 return
+        elif kind == "cold_ask":
+            cold_ask = decode_cold_ask(message)
+            if cold_ask is not None:
+                self.asks.cold_turns.handle_ask(sender, cold_ask)
+                return
+        elif kind == "cold_turn":
+            cold_turn = decode_cold_turn(message)
+            if cold_turn is not None:
+                self.asks.cold_turns.handle_turn(cold_turn)
+                return
         elif kind == "withdraw":
             self.owner.handle_withdrawal(
                 str(message.get("pool")), str(message.get("ask_id"))
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -38,6 +38,7 @@
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.caller_request import Quarantine
 from bramleyturn.gateway.calls import WholeAnswer
+from bramleyturn.gateway.cold_servers import is_cold, note_crashed
 from bramleyturn.gateway.http1_client import FailureReason, ServerConnection
 from bramleyturn.gateway.metrics import count, gauge, observe
 from bramleyturn.gateway.server_check import (
@@ -174,6 +175,7 @@
         self._note_poison_parts()
         new = [crash for crash in suspects.crashes if crash.server not in before]
         for crash in new:
+            note_crashed(self.serving, crash.server)
             self._log_crash(crash.server, crash.fingerprints, sender, crash.at_ms)
         if new or not linked_suspects(suspects) <= linked:
             self.on_news()
@@ -238,7 +240,9 @@
         published = serving.published
         pool = published.pools.get(server.pool) if published is not None else None
         target = pool.status_target if pool is not None else None
-        is_closed_to_requests = is_evacuated(serving.registry.evacuations, server.zone)
+        is_closed_to_requests = is_evacuated(
+            serving.registry.evacuations, server.zone
+        ) or is_cold(serving, server)
         if is_closed_to_requests or wait_for(serving, server, is_sole=True):
             # Only a connection, as the server is to get no requests now.
             target = None
@@ -289,6 +293,7 @@
         name = run_name(server)
         fingerprints, marks = on_server
         connection_lost(self.serving.suspects, name, fingerprints, at_ms, marks)
+        note_crashed(self.serving, name)
         self._log_crash(name, fingerprints, self.serving.me.name, at_ms)
         self._note_poison_parts()
         self.on_news()
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -186,6 +186,7 @@
         run_in_background(copy_from_peers(self.copy), "store copy from instances")
         self.heartbeats.send_periodically()
         self.heartbeats.log_traffic()
+        self.asks.cold_turns.check_owner()
         self.settings_mtime_ns = read_settings_mtime_ns()
         loop.callLater(HOUSEKEEPING_INTERVAL_S, self.run_housekeeping)
         self.check_loop()
--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -79,7 +79,9 @@
         self.serving = serving
         self.asks = asks
         self.crashes = crashes
-        self.attempts = CallerAttempts(serving, crashes, asks.report_late_engine)
+        self.attempts = CallerAttempts(
+            serving, crashes, asks.report_late_engine, asks.cold_turns
+        )
         self.running: dict[CallerRequest, Deferred[None]] = {}
         crashes.on_quarantine = self.refuse_quarantined
 
--- a/src/bramleyturn/gateway/server_limits.py
+++ b/src/bramleyturn/gateway/server_limits.py
@@ -1,7 +1,7 @@
 """Record the limits that servers name, and wait for a server's turn."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, run_name
@@ -16,6 +16,7 @@
     take_request,
 )
 from bramleyturn.core.placement.server_pauses import pause_wait_ms
+from bramleyturn.gateway.cold_servers import own_turn_wait_ms, take_own_turn
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.serving import Serving
 
@@ -89,16 +90,27 @@
     """Return how long to wait, in milliseconds, before a request to a server.
 
     None means that this instance sends it nothing. ``is_sole`` is set if no other
-    instance sends to this server.
+    instance sends to this server; it has to wait for a turn then if the server is cold.
     """
     limits, pauses = serving.server_limits, serving.server_pauses
+    turn_ms = own_turn_wait_ms(serving, server) if is_sole else 0
     if not limits.by_run and not pauses.by_run:
-        return 0
+        return turn_ms
     run, now_ms = run_name(server), serving.now_ms()
     wait_ms = limit_wait_ms(limits, run, now_ms, is_sole)
     if wait_ms is None:
         return None
-    return max(wait_ms, pause_wait_ms(pauses, run, now_ms))
+    return max(wait_ms, turn_ms, pause_wait_ms(pauses, run, now_ms))
+
+
+def begin_call(serving: Serving, server: BackendServer) -> Callable[[], bool]:
+    """Count a call to a server to which no other instance sends.
+
+    The result is to be called once the connection is open, and returns whether the call
+    may be sent.
+    """
+    count_request(serving, server)
+    return take_own_turn(serving, server)
 
 
 def count_request(serving: Serving, server: BackendServer) -> None:
--- a/src/bramleyturn/gateway/server_notices.py
+++ b/src/bramleyturn/gateway/server_notices.py
@@ -10,6 +10,7 @@
 from bramleyturn.core.catalog.server_registry import note_announced
 from bramleyturn.core.placement.server_pauses import note_accepted, note_pause
 from bramleyturn.gateway.calls import STATUS_OK, CallFailed, WholeAnswer
+from bramleyturn.gateway.cold_servers import note_cold_answer
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.server_limits import longest_wait_ms, note_answer
 from bramleyturn.gateway.serving import Serving, notify_servers_changed
@@ -27,6 +28,7 @@
     if answer.status == STATUS_MISDIRECTED:
         # Of another server, which has the address now.
         return
+    note_cold_answer(serving, server, answer.cold_ms)
     if answer.is_leaving:
         _note_leaving(serving, server, answer.status)
     if answer.pause_ms:
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -17,6 +17,8 @@
 from bramleyturn.core.catalog.routes import RouteIndex, workspaces_by_key
 from bramleyturn.core.catalog.server_registry import ServerRegistry, ready_servers
 from bramleyturn.core.clock import Clock
+from bramleyturn.core.coldstart.cold_runs import ColdRuns
+from bramleyturn.core.coldstart.turns import TurnGrants
 from bramleyturn.core.crashes import CRASH_RETENTION_MS, Suspects
 from bramleyturn.core.fleet.freshness import Freshness
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
@@ -74,6 +76,8 @@
         self.loads = LoadTracker()
         self.server_limits = ServerLimits(me.name, now_ms)
         self.server_pauses = ServerPauses()
+        self.cold_runs = ColdRuns()
+        self.turn_grants = TurnGrants(now_ms)
         # Crashes are recorded by run of a server, and a run crashes only once.
         self.suspects = Suspects(CRASH_RETENTION_MS)
         self.first_events = FirstEventTimes()
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -12,6 +12,7 @@
 from bramleyturn.core.fleet.owners import STAGES, owner_of
 from bramleyturn.core.pieces.model import AskDone, PieceFailure, StageAsk
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.cold_turns import ColdTurns
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
 from bramleyturn.gateway.serving import Serving
@@ -53,6 +54,7 @@
         self.links = links
         self.open: dict[str, OpenAsk] = {}
         self.choosing: dict[str, Deferred[str]] = {}
+        self.cold_turns = ColdTurns(serving, links)
         links.on_failed.append(self.owner_failed)
 
     def ask(self, ask: StageAsk) -> "Deferred[AskDone]":
--- a/src/bramleyturn/gateway/stage_owner.py
+++ b/src/bramleyturn/gateway/stage_owner.py
@@ -59,7 +59,7 @@
 from bramleyturn.gateway.crash_watch import BROKEN_CONNECTION, CrashWatch
 from bramleyturn.gateway.metrics import count, observe
 from bramleyturn.gateway.peer_links import PeerLinks
-from bramleyturn.gateway.server_limits import count_request, wait_for
+from bramleyturn.gateway.server_limits import begin_call, wait_for
 from bramleyturn.gateway.server_notices import (
     note_call_answer,
     note_request_accepted,
@@ -397,7 +397,7 @@
         serving = self.serving
         state = planner.servers[stage_call.server_id]
         sent_ms = serving.now_ms()
-        count_request(serving, state.server)
+        may_send = begin_call(serving, state.server)
         answer = await call(
             serving.servers_pool,
             peer_of(state.server),
@@ -407,6 +407,7 @@
             encode_run(stage_call.pieces, sent_ms),
             stage_call.timeout_ms,
             judge_origin=run_origin(len(stage_call.pieces)),
+            may_send=may_send,
         )
         now_ms = serving.now_ms()
         note_call_answer(serving, state.server, answer)
@@ -482,7 +483,6 @@
         for planner, state in reports_wanted(self.pipeline, now_ms):
             if wait_for(self.serving, state.server, is_sole=True):
                 continue
-            count_request(self.serving, state.server)
             note_report_asked(state, now_ms)
             work = self._read_report(planner, state)
             run_in_background(work, "stage server report")
@@ -490,6 +490,7 @@
     async def _read_report(self, planner: Planner, state: StageServer) -> None:
         """Request a server's free capacity; results of other owners may use it up."""
         count(self.serving.metrics, "stage_reports", planner.pool)
+        may_send = begin_call(self.serving, state.server)
         answer = await call(
             self.serving.servers_pool,
             peer_of(state.server),
@@ -499,6 +500,7 @@
             b"",
             CONTROL_CALL_TIMEOUT_MS,
             judge_origin=report_origin,
+            may_send=may_send,
         )
         note_call_answer(self.serving, state.server, answer)
         free = None
@@ -525,6 +527,4 @@
 
 
 def _failures(made: Any) -> list[str]:
-    if made is None:
-        return []
-    return [str(piece.failure) for piece in made if piece.failure is not None]
+    return [str(piece.failure) for piece in made or () if piece.failure is not None]
--- a/src/bramleyturn/gateway/stage_releases.py
+++ b/src/bramleyturn/gateway/stage_releases.py
@@ -16,6 +16,7 @@
     call,
     peer_of,
 )
+from bramleyturn.gateway.cold_servers import is_cold
 from bramleyturn.gateway.server_limits import count_request, wait_for
 from bramleyturn.gateway.server_notices import note_call_answer
 from bramleyturn.gateway.serving import Serving
@@ -35,6 +36,7 @@
 class StageReleases:
     """Send releases, those for a server with a limit when it allows them.
 
+    A cold server gets none: its turns are for calls, and its results expire anyway.
     ``held`` has the releases that wait, by pool.
     """
 
@@ -49,7 +51,8 @@
             state = planner.servers.get(release.server_id)
             if state is None:
                 continue
-            if wait_for(self.serving, state.server, is_sole=True):
+            is_held = is_cold(self.serving, state.server)
+            if is_held or wait_for(self.serving, state.server, is_sole=True):
                 self.held.setdefault(planner.pool, []).append(release)
                 continue
             count_request(self.serving, state.server)
@@ -75,6 +78,7 @@
             encode_release(release.handles),
             CONTROL_CALL_TIMEOUT_MS,
             judge_origin=release_origin,
+            may_send=lambda: not is_cold(self.serving, server),
         )
         note_call_answer(self.serving, server, answer)
         if isinstance(answer, CallFailed) or answer.status != STATUS_OK:
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -18,6 +18,7 @@
     register_from_copy,
     remove,
 )
+from bramleyturn.core.coldstart.cold_runs import forget_unnamed
 from bramleyturn.core.fleet.freshness import age_ms, note_confirmed
 from bramleyturn.core.fleet.large_values import PackedValues
 from bramleyturn.core.fleet.store_revision import FIRST_REVISION, StoreRevision
@@ -25,6 +26,7 @@
 from bramleyturn.core.placement.health import forget_servers
 from bramleyturn.core.zones.evacuations import EvacuationChange, note_evacuation
 from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.cold_servers import note_cold_entry
 from bramleyturn.gateway.connection_pool import drop_idle
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.server_limits import forget_limits
@@ -215,6 +217,8 @@
             serving.registry, server_id, item.revision, now_ms, may_reregister
         )
         state = "lapsed" if may_reregister else "gone"
+        if not may_reregister:
+            forget_unnamed(serving.cold_runs, server_id)
     elif is_older_copy:
         has_changed = register_from_copy(
             serving.registry, server, item.revision, now_ms
@@ -223,6 +227,11 @@
     else:
         has_changed = register(serving.registry, server, item.revision)
         state = state_of(serving.registry, server_id)
+    if isinstance(server, BackendServer):
+        known = serving.registry.entries.get(server_id)
+        if known is not None and known.revision == item.revision:
+            is_first_read = copy.whole_revision == FIRST_REVISION
+            note_cold_entry(serving, known.server, is_first_read)
     if has_changed:
         logger.info(
             "backend server",
--- a/src/bramleyturn/standin/site/deployment.py
+++ b/src/bramleyturn/standin/site/deployment.py
@@ -19,7 +19,8 @@
     piece, and ``queue`` calls wait for their turn. An engine's first event takes
     ``first_ms``; it sends ``events``, or one per output token if that is 0, each with
     ``event_bytes`` of text at least. Servers of a stage announce ``room_mb`` for
-    results.
+    results. A server that starts again is cold for ``cold_start_s`` and then handles
+    ``cold_per_s`` requests a second; 0 for either is not announced.
     """
 
     name: str
@@ -35,6 +36,8 @@
     events: int
     event_bytes: int
     room_mb: float
+    cold_start_s: float
+    cold_per_s: float
 
 
 class StagePlan(TypedDict):
@@ -88,6 +91,8 @@
         "events": 8,
         "event_bytes": 0,
         "room_mb": 1.0,
+        "cold_start_s": 0.0,
+        "cold_per_s": 0.0,
     }
 
 
@@ -215,6 +220,14 @@
 
 def pool_document(plan: PoolPlan) -> dict[str, Any]:
     """Return a pool in the format that operators publish."""
+    document = _kind_document(plan)
+    if plan["cold_start_s"] and plan["cold_per_s"]:
+        document["coldStartS"] = plan["cold_start_s"]
+        document["coldPerS"] = plan["cold_per_s"]
+    return document
+
+
+def _kind_document(plan: PoolPlan) -> dict[str, Any]:
     if plan["kind"] == "engine":
         engine = {"slots": plan["slots"], "kvCapacityTokens": 500_000}
         return {"name": plan["name"], "engine": engine}
--- a/src/bramleyturn/standin/site/server_limits.py
+++ b/src/bramleyturn/standin/site/server_limits.py
@@ -5,6 +5,7 @@
 
 from bramleyturn.gateway.exchange import AnswerWriter, Exchange, Headers
 from bramleyturn.platform.answers import (
+    COLD_REMAINING,
     RETRY_AFTER,
     SERVER_LEAVING,
     SERVER_LIMIT,
@@ -18,7 +19,7 @@
     ``is_leaving`` is whether its answers say that it leaves, and ``pause`` the seconds
     that its refusals name, "" for none. ``refusals_ms`` has the times of the latter.
     ``arrivals_ms`` has the time of each request of whatever kind, ``named_ms`` when the
-    limit was set.
+    limit was set. The server says that it is cold until ``cold_until_ms``.
     """
 
     def __init__(self) -> None:
@@ -28,6 +29,7 @@
         self.refusals_ms: list[int] = []
         self.named_ms = 0
         self.arrivals_ms: list[int] = []
+        self.cold_until_ms = 0
 
 
 class LimitNamingWriter:
@@ -59,6 +61,9 @@
             headers = [*headers, (SERVER_LIMIT, self.limit.text.encode())]
         if self.limit.is_leaving:
             headers = [*headers, (SERVER_LEAVING, b"1")]
+        cold_ms = self.limit.cold_until_ms - self.wall_ms()
+        if cold_ms > 0:
+            headers = [*headers, (COLD_REMAINING, b"%d" % cold_ms)]
         if self.limit.pause and status == STATUS_UNAVAILABLE:
             self.limit.refusals_ms.append(self.wall_ms())
             headers = [*headers, (RETRY_AFTER, self.limit.pause.encode())]
--- a/src/bramleyturn/standin/site/site.py
+++ b/src/bramleyturn/standin/site/site.py
@@ -4,9 +4,9 @@
 when they begin to write an answer on one of them), `/swap` (two servers crash and start
 again at each other's address), `/limit` (a server names how many requests a second it
 accepts), `/notice` (its answers say that it leaves, its refusals name a time),
-`/restarts`, `/leave`, `/remove`, `/deafen` (a server accepts no more
-connections), `/store`, `/entry` (an item that another writer left in the store) and
-`/configuration`, and answers `GET /ledger`.
+`/cold` (a server says for how long it is cold), `/restarts`, `/leave`, `/remove`,
+`/deafen` (a server accepts no more connections), `/store`, `/entry` (an item that
+another writer left in the store) and `/configuration`, and answers `GET /ledger`.
 """
 
 import base64
@@ -123,6 +123,9 @@
 ) -> None:
     """Listen at the server's address, or at a free one, and register the server."""
     server.starts += 1
+    if server.starts > 1:
+        cold_ms = int(server.plan["cold_start_s"] * MS_PER_S)
+        server.limit.cold_until_ms = wall_ms() + cold_ms
     handle = limited_handler(new_handler(server), server.limit, wall_ms)
     http = HttpServer(site.reactor, site.now_ms, lambda: DEFAULT_CALLER_LIMITS, handle)
     port_number = int(server.address.rpartition(":")[2] or 0)
@@ -178,7 +181,7 @@
         "version": "v1",
         "slots": 6,
         "state": state,
-        "coldRemainingMs": 0,
+        "coldRemainingMs": max(0, server.limit.cold_until_ms - wall_ms()),
         "sequence": 1,
         "born": server.born_ms,
     }
@@ -262,6 +265,9 @@
             limit.is_leaving = body.get("leaving", False)
             limit.pause = body.get("pause_s", "")
             limit.named_ms = wall_ms()
+        elif target == "/cold":
+            limit = site.servers[body["server"]].limit
+            limit.cold_until_ms = wall_ms() + body["left_ms"]
         elif target == "/swap":
             one, other = (site.servers[name] for name in body["servers"])
             one.address, other.address = other.address, one.address
@@ -345,6 +351,7 @@
                 "endless": server.endless,
                 "arrivals_ms": server.limit.arrivals_ms,
                 "limit_named_ms": server.limit.named_ms,
+                "cold_until_ms": server.limit.cold_until_ms,
                 "refusals_ms": server.limit.refusals_ms,
             }
             for server in site.servers.values()
--- a/tests/core/coldstart/test_turns.py
+++ b/tests/core/coldstart/test_turns.py
@@ -200,7 +200,7 @@
         times = AskTimes()
         note_silent_owner(times, 1_000)
         assert runs_to_ask(times, ["a"], 0, 1_100) == []
-        assert runs_to_ask(times, ["a"], 0, 1_500) == ["a"]
+        assert runs_to_ask(times, ["a"], 0, 1_200) == ["a"]
 
     def test_wait_depends_on_whether_a_warm_server_is_left(self) -> None:
         """A request that a warm server can serve at once must not be late."""
--- a/tests/gateway/stage_fleet.py
+++ b/tests/gateway/stage_fleet.py
@@ -262,8 +262,11 @@
         body: bytes,
         timeout_ms: int,
         judge_origin: object = None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> WholeAnswer | CallFailed:
         """Carry out a call of an instance, in place of ``gateway.calls.call``."""
+        if not may_send():
+            return CallFailed(FailureReason.NOT_CONNECTED)
         caller = self.by_pool[id(pool)]
         ended: Deferred[WholeAnswer | CallFailed] = Deferred()
 
--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -63,7 +63,7 @@
     """Hold the processes of a site, and where its entries are.
 
     ``entry_source`` is the folder of the packages that the entries run, if it is not
-    this project's.
+    this project's. ``added_settings`` are further lines of their settings.
     """
 
     def __init__(
@@ -82,6 +82,7 @@
         self.grace_s = grace_s
         self.entry_source = entry_source
         self.seeds: Sequence[str] = hosts[:MIN_SEEDS]
+        self.added_settings: Mapping[str, str] = {}
 
     def call(
         self,
@@ -223,6 +224,7 @@
     deployment: Deployment = SMALL_SITE,
     hosts: Sequence[str] = HOSTS,
     entry_source: str = "",
+    added_settings: Mapping[str, str] | None = None,
 ) -> Iterator[SiteFleet]:
     """Run a site with entries until the block ends."""
     deployment_file = folder / "deployment.json"
@@ -235,6 +237,7 @@
     )
     zones = [zone for zone, size in deployment["zones"].items() for _ in range(size)]
     fleet = SiteFleet(site, hosts, zones, deployment["grace_s"], entry_source)
+    fleet.added_settings = added_settings or {}
     try:
         wait_ready(site)
         fleet.ports = _free_ports(hosts)
@@ -289,6 +292,7 @@
         "bounds.retryBudgetSlack": "108",
         "bounds.budgetWindowS": "10",
         "bounds.passMs": "120",
+        **fleet.added_settings,
     }
     settings = folder / f"local-{place}.conf"
     settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
