Let requests wait for a cold pool that is warm soon

Requests with seconds left were refused while all servers of their pool were cold, though the first one was warm a second later.

An instance does not ask the owner for turns that lie farther ahead than an owner grants.

--- a/src/bramleyturn/gateway/cold_servers.py
+++ b/src/bramleyturn/gateway/cold_servers.py
@@ -53,11 +53,19 @@
 def cold_rule_now(serving: Serving, server: BackendServer) -> ColdRule | None:
     """Return the bound that a server has now, None if it is warm."""
     rule = cold_rule(serving, server.pool)
-    if rule is None:
-        return None
+    return rule if rule is not None and _left_ms(serving, server, rule) > 0 else None
+
+
+def cold_left_ms(serving: Serving, server: BackendServer) -> int:
+    """Return how much longer a server is cold, 0 if it is warm."""
+    rule = cold_rule(serving, server.pool)
+    return 0 if rule is None else max(0, _left_ms(serving, server, rule))
+
+
+def _left_ms(serving: Serving, server: BackendServer, rule: ColdRule) -> int:
     returned_ms = serving.registry.evacuations.ended_ms.get(server.zone)
     until_ms = cold_until_ms(serving.cold_runs, server, rule, returned_ms)
-    return rule if serving.now_ms() < until_ms else None
+    return until_ms - serving.now_ms()
 
 
 def note_cold_entry(
--- a/src/bramleyturn/gateway/cold_turns.py
+++ b/src/bramleyturn/gateway/cold_turns.py
@@ -24,6 +24,7 @@
 from bramleyturn.core.coldstart.cold_runs import ColdRule
 from bramleyturn.core.coldstart.turns import (
     ASK_TIMEOUT_MS,
+    MAX_AHEAD_MS,
     RETRY_MS,
     Grant,
     Turn,
@@ -95,7 +96,8 @@
         serving = self.serving
         asked_ms = serving.now_ms()
         known = [run_name(server) for server in servers]
-        runs = runs_to_ask(self.times, known, most_ms, asked_ms)[:MAX_ASKED]
+        reach_ms = min(most_ms, MAX_AHEAD_MS)
+        runs = runs_to_ask(self.times, known, reach_ms, asked_ms)[:MAX_ASKED]
         if not runs:
             count(serving.metrics, "cold_asks", "not_asked")
             next_ms = min(self.times.next_ms.get(run, 0) for run in known)
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -123,6 +123,18 @@
         assert most_in_a_second(arrivals_ms) <= MOST
         assert {each.status() for each in callers} == {200, 503}
 
+    def test_requests_wait_for_a_pool_that_is_warm_soon(self) -> None:
+        """Requests with much time left were refused though servers were warm soon."""
+        entry = entry_of("i-1")
+        chill(entry, "i-1", left_ms=1_500)
+        end_ms = entry.now_ms() + 1_500
+        callers = send_many(entry, 40, wait_ms=4_000)
+        arrivals_ms = serve(entry, 2_000)
+        cold_ms = [each for each in arrivals_ms if each < end_ms]
+        assert len(cold_ms) >= 6
+        assert most_in_a_second(cold_ms) <= MOST
+        assert {each.status() for each in callers} == {200}
+
     def test_requests_go_to_warm_servers_without_a_turn(self) -> None:
         """Requests in excess of the cold rate must not wait or be refused."""
         entry = entry_of("i-1", "i-2", "i-3")
