Don't take a cold server's next run for the one that had the request

The check of a cold server only opens a connection. If the server had started again, an answer whose only end was a close counted as whole: a part of it was passed on as 200. The check now compares the runs that are registered, for cold servers and for those of evacuated zones, which are not asked for their status either.

Runs that are written again are kept when the memory of runs is full, as they would count as new, and cold.

Tests: tests/gateway/test_cold_servers.py and tests/core/coldstart/test_cold_runs.py; both new checks failed before.

--- a/src/bramleyturn/core/coldstart/cold_runs.py
+++ b/src/bramleyturn/core/coldstart/cold_runs.py
@@ -49,7 +49,7 @@
 
 
 class ColdRuns:
-    """Hold what is known of the runs of servers, the latest ones last.
+    """Hold what is known of the runs of servers, the last ones heard of last.
 
     ``has_traffic`` is set once this instance has had a request.
     """
@@ -115,6 +115,7 @@
 def _state_of(runs: ColdRuns, run: str) -> ColdRun:
     state = runs.by_run.get(run)
     if state is not None:
+        runs.by_run.move_to_end(run)
         return state
     state = runs.by_run[run] = ColdRun()
     if len(runs.by_run) > MAX_RUNS:
--- a/src/bramleyturn/gateway/crash_watch.py
+++ b/src/bramleyturn/gateway/crash_watch.py
@@ -263,6 +263,10 @@
         state = await check_server(
             serving.servers_pool, server, target, is_run_in_question
         )
+        is_same = is_same_run(serving.registry, server, None, sent_ms)
+        if is_closed_to_requests and state is ServerState.RUNNING and not is_same:
+            # The server was not asked, but has registered its next run.
+            state = ServerState.RESTARTED
         took_ms = serving.now_ms() - at_ms
         observe(serving.metrics, "server_check", took_ms, f"{server.pool} {state}")
         logger.info(
--- a/tests/core/coldstart/test_cold_runs.py
+++ b/tests/core/coldstart/test_cold_runs.py
@@ -102,4 +102,6 @@
         runs = busy_runs()
         for started_ms in range(2, 2 * MAX_RUNS):
             note_entry(runs, server(started_ms), False, 0)
+            # One that is written again is kept: it would count as new, and cold.
+            assert not note_entry(runs, server(1), False, 0)
         assert len(runs.by_run) == MAX_RUNS
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -37,6 +37,7 @@
 COLD_MS: Final = 3_000
 RUN: Final = f"i-1@{BORN_MS}"
 ANSWER: Final = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%b%b\r\n\r\nok"
+ANSWER_TO_CLOSE: Final = b"HTTP/1.1 200 OK\r\n%b\r\npart"
 
 
 def entry_of(*names: str, has_bounds: bool = True, **changes: Any) -> OneEntry:
@@ -191,6 +192,23 @@
         used = entry.serving.metrics.counters["cold_turns", "used"]
         assert granted == used == 2
 
+    def test_next_run_does_not_vouch_for_an_answer_of_the_one_before(self) -> None:
+        """A cold server is not asked for its run, and part of an answer was taken."""
+        entry = entry_of("i-1", max_attempts=1)
+        (found,) = entry.serving.ready(POOL)
+        (caller,) = send_many(entry, 1)
+        called = entry.accept()
+        called.answer(ANSWER_TO_CLOSE % SIGNATURE)
+        following = found._replace(started_ms=BORN_MS + 1)
+        register(entry.serving.registry, following, StoreRevision(0, 9))
+        chill(entry, "i-1")
+        called.close()
+        entry.run(5)
+        check = entry.accept()
+        entry.run(400)
+        assert check.received() == b""
+        assert caller.status() in (502, 504)
+
     def test_nothing_is_granted_by_an_instance_that_hears_too_few(self) -> None:
         """It may be cut off from the owner of the others."""
         entry = entry_of("i-1")
