Keep an evacuation and the state of its stage servers

Review of the evacuation of zones. An instance that had read the store after its return from an older copy ended a kept evacuation when it copied later changes from another one, whose list also lacked the key: its missing key was told as a removal. It now counts from the first revision of the era and is told to no one.

A stage server whose zone was evacuated and returned within seconds counted as new: it got a second call while one was in progress, its results were not counted, and pieces made meanwhile had no zone. The planner keeps the state of servers that accept no new work (256 at most). A call of an earlier run no longer changes the next run.

allowedRegions that are null, empty text or an object refuse the document.

Site tests were not run.

--- a/src/bramleyturn/core/pieces/call_results.py
+++ b/src/bramleyturn/core/pieces/call_results.py
@@ -11,6 +11,7 @@
     Outcome,
     Planner,
     RunningCall,
+    server_of_call,
 )
 from bramleyturn.core.pieces.releases import release
 from bramleyturn.core.pieces.short_space import is_short
@@ -165,12 +166,15 @@
 def _close_call(
     planner: Planner, call_id: int
 ) -> tuple[RunningCall, StageServer | None] | None:
-    """Free the server of a call that has ended; return None for an unknown call."""
+    """Free the server of a call that has ended; return None for an unknown call.
+
+    The server is None if another run of it has begun.
+    """
     running = planner.calls.pop(call_id, None)
     if running is None:
         return None
-    server = planner.servers.get(running.call.server_id)
-    if server is not None and server.call_id == call_id:
+    server = server_of_call(planner, call_id, running.call.server_id)
+    if server is not None:
         server.call_id = None
         server.busy_until_ms = 0
         server.reserved_bytes = 0
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -1,7 +1,7 @@
 """Hold the asks, the servers and the calls of one stage pool."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
 from bramleyturn.core.pieces.model import (
@@ -14,6 +14,10 @@
 from bramleyturn.core.pieces.stage_server import StageServer
 from bramleyturn.core.placement.engine_queues import EngineQueues
 
+# Servers of one pool whose state is kept while they get no work, those of an evacuated
+# zone for instance. The oldest ones are forgotten first.
+MAX_LEFT_SERVERS: Final = 256
+
 
 class AskState:
     """Hold the progress of the pieces of one ask.
@@ -63,13 +67,15 @@
     """Hold the asks, the servers and the calls of one pool.
 
     ``freed`` has results that were released before their request was done with them,
-    and when they would have expired.
+    and when they would have expired. ``left`` has the servers that accept no new work:
+    a call may be in progress there, and they may return in the same run.
     """
 
     def __init__(self, pool: str, limits: BatchLimits) -> None:
         self.pool = pool
         self.limits = limits
         self.servers: dict[str, StageServer] = {}
+        self.left: dict[str, StageServer] = {}
         self.asks: dict[str, AskState] = {}
         self.done: dict[str, tuple[AskDone, int]] = {}
         self.calls: dict[int, RunningCall] = {}
@@ -129,16 +135,38 @@
 
 
 def update_servers(planner: Planner, servers: Iterable[BackendServer]) -> None:
-    """Replace the set of servers that accept new work."""
+    """Replace the set of servers that accept new work.
+
+    A server that returns in the same run keeps its call in progress and its results,
+    and reports before it gets another call.
+    """
     by_id = {server.id: server for server in servers}
     for server_id in planner.servers.keys() - by_id.keys():
-        del planner.servers[server_id]
+        planner.left.pop(server_id, None)
+        planner.left[server_id] = planner.servers.pop(server_id)
     for server_id, server in by_id.items():
         known = planner.servers.get(server_id)
+        back = planner.left.pop(server_id, None)
+        if back is not None and back.server.started_ms == server.started_ms:
+            known = planner.servers[server_id] = back
+            known.needs_report = known.is_suspected = True
+            known.silent_from_ms = None
         if known is None or known.server.started_ms != server.started_ms:
             planner.servers[server_id] = StageServer(server)
         else:
             known.server = server
+    while len(planner.left) > MAX_LEFT_SERVERS:
+        del planner.left[next(iter(planner.left))]
+
+
+def server_of_call(
+    planner: Planner, call_id: int, server_id: str
+) -> StageServer | None:
+    """Return the server that a call in progress is on, None if its run is gone."""
+    for known in (planner.servers.get(server_id), planner.left.get(server_id)):
+        if known is not None and known.call_id == call_id:
+            return known
+    return None
 
 
 def submit(planner: Planner, ask: StageAsk, now_ms: int) -> AskDone | None:
--- a/src/bramleyturn/core/pieces/timing.py
+++ b/src/bramleyturn/core/pieces/timing.py
@@ -76,7 +76,8 @@
     if len(sizes) != 1 or limits.item_ms <= 0 or server.pace <= 0:
         return
     size = running.result_bytes[0]
-    fastest = min(each.pace for each in planner.servers.values())
+    paces = [each.pace for each in planner.servers.values()]
+    fastest = min(paces, default=server.pace)
     own_ms = took_ms * fastest / server.pace
     item_ms = (own_ms - limits.call_ms) / len(running.result_bytes)
     seen = min(MAX_WORK, max(MIN_WORK, item_ms / limits.item_ms))
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -101,12 +101,12 @@
 ) -> None:
     """Replace the copy by a list of all items, whose oldest part is at ``revision``."""
     by_key = {item.key: item for item in found}
+    is_older_copy = bool(copy.items) and revision.era > copy.revision.era
     missing = [
-        StoreItem(key, None, revision)
+        StoreItem(key, None, _missing_since(key, revision, is_older_copy))
         for key, item in copy.items.items()
         if item.value is not None and key not in by_key and item.revision <= revision
     ]
-    is_older_copy = bool(copy.items) and revision.era > copy.revision.era
     if is_older_copy:
         copy.returned_ms = copy.serving.now_ms()
     apply_items(copy, [*by_key.values(), *missing], is_older_copy)
@@ -115,6 +115,19 @@
     copy.is_complete = True
 
 
+def _missing_since(
+    key: str, revision: StoreRevision, is_older_copy: bool
+) -> StoreRevision:
+    """Return the revision from which on an item counts as removed.
+
+    An evacuation that an older copy lacks is kept. It gets the first revision of the
+    era, which is told to no other instance: that would take it for a later removal.
+    """
+    if is_older_copy and key.startswith(EVACUATIONS_PREFIX):
+        return StoreRevision(revision.era, 0)
+    return revision
+
+
 def take_changes(
     copy: StoreCopy,
     items: Iterable[StoreItem],
--- a/src/bramleyturn/platform/configuration.py
+++ b/src/bramleyturn/platform/configuration.py
@@ -134,7 +134,7 @@
 
 def _has_sound_regions(document: dict[str, Any]) -> bool:
     """Return whether the allowed regions are a list of strings, or absent."""
-    return is_text_list(document.get(ALLOWED_REGIONS) or [])
+    return is_text_list(document.get(ALLOWED_REGIONS, []))
 
 
 def _regions(document: dict[str, Any]) -> frozenset[str] | None:
--- a/tests/gateway/test_evacuated_zones.py
+++ b/tests/gateway/test_evacuated_zones.py
@@ -4,7 +4,15 @@
 
 import pytest
 
+from bramleyturn.core.fleet.store_revision import StoreRevision
 from bramleyturn.core.zones.evacuations import is_evacuated
+from bramleyturn.gateway.store_copy import take_changes, take_whole
+from bramleyturn.gateway.store_relay import (
+    decode_relayed,
+    relay_document,
+    take_relayed,
+)
+from bramleyturn.platform.store import StoreItem
 from bramleyturn.standin.site.store import delete, put, take_copy
 from tests.gateway.store_fleet import Instance, StoreFleet, register
 
@@ -13,6 +21,7 @@
 # What an operator allows from the acknowledgement on.
 BOUND_S = 5.0
 SETTLE_S = 3.0
+OLD = StoreRevision(1, 5)
 
 
 @pytest.fixture
@@ -105,3 +114,22 @@
             for _ in fleet.advance(SETTLE_S):
                 assert not late.ready()
         assert late.version()
+
+    def test_copy_of_another_instance_does_not_end_it(self) -> None:
+        # Both have read the older copy, one of them at a later revision. What the store
+        # lacks there is no removal by the operator, whoever tells it.
+        first, second = StoreFleet(1, 2).instances
+        for each in (first, second):
+            each.copy.on_new_revision = lambda: None
+            take_whole(each.copy, [StoreItem(KEY, b"", StoreRevision(1, 5))], OLD)
+        take_whole(first.copy, [], StoreRevision(2, 7))
+        take_whole(second.copy, [], StoreRevision(2, 9))
+        relayed = decode_relayed(relay_document(second.copy, 7, 2, ""), {})
+        assert relayed is not None
+        take_relayed(first.copy, relayed, relayed.revision)
+        assert knows(first)
+        assert knows(second)
+        # The operator's own removal ends it.
+        removed = StoreItem(KEY, None, StoreRevision(2, 10))
+        take_changes(first.copy, [removed], removed.revision)
+        assert not knows(first)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -171,6 +171,8 @@
             {"routes": [route(timeoutMs="8")]},
             {"routes": [route(stages=[{"service": "x", "after": [0]}])]},
             {"tenants": [{"name": "n", "apiKeys": [1]}]},
+            {"routes": [route(allowedRegions="")]},
+            {"tenants": [{"name": "n", "apiKeys": [], "allowedRegions": {}}]},
         ],
     )
     def test_one_fault_refuses_the_whole_document(
