Reach instances beyond a partition by way of a third zone

Callers saw stages that took up to 5.6 s, and requests that lost 300 ms at each server that hung, while two zones could not reach each other for 5 s (trials in virtual time).

Heartbeats come round by the third zone, so that an instance that did not acknowledge was live again within 400 ms and got the next messages, which were lost. An instance beyond the partition that was the next owner planned beside the owner all the time.

Each instance now records which others it can't reach directly (core/fleet/ reachability.py), and sends their messages by way of an instance of a third zone, which gives them back if it can't reach the receiver either. Servers of a zone to which two connections hang are chosen only if there are no others.

Site tests were not run.

--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -10,6 +10,7 @@
 from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
 from bramleyturn.core.catalog.server_registry import is_ready
 from bramleyturn.core.event_splitter import StreamEvent
+from bramleyturn.core.fleet.reachability import note_server_tried
 from bramleyturn.core.pieces.short_space import FETCH_MS
 from bramleyturn.core.placement.choice import (
     choose_by_load,
@@ -60,6 +61,7 @@
 )
 from bramleyturn.gateway.server_notices import note_head, note_request_accepted
 from bramleyturn.gateway.serving import Serving
+from bramleyturn.gateway.zone_reach import avoided_zones, note_attempt
 from bramleyturn.platform.answers import AnswerHead, caller_headers
 from bramleyturn.platform.requests import ServerHead, server_headers
 from bramleyturn.runtime.timers import stop_timer
@@ -111,7 +113,7 @@
             tried,
             serving.health,
             serving.now_ms(),
-            serving.silent_zones,
+            avoided_zones(serving),
         )
 
     def _allowed(self, request: CallerRequest) -> list[BackendServer]:
@@ -204,6 +206,7 @@
         request.heard_ms = sent_ms
         request.named_limit_per_s = None
         note_sent(serving.loads, server.id)
+        note_server_tried(serving.reachability, server.zone, sent_ms)
         try:
             ended = await run_attempt(
                 serving.servers_pool,
@@ -342,6 +345,7 @@
         serving = self.serving
         now_ms = serving.now_ms()
         is_avoided = False
+        note_attempt(serving, server, ended, now_ms - sent_ms)
         if isinstance(ended, AttemptFailed) or (
             isinstance(ended, NotRun) and not ended.status
         ):
--- a/src/bramleyturn/gateway/control_api.py
+++ b/src/bramleyturn/gateway/control_api.py
@@ -7,6 +7,8 @@
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.peer_links import (
     MESSAGES_TARGET,
+    RELAY,
+    RELAY_REFUSED,
     Delivery,
     Message,
     decode_messages,
@@ -29,6 +31,8 @@
 STATUS_NO_CONTENT: Final = 204
 STATUS_BAD_REQUEST: Final = 400
 STATUS_NOT_FOUND: Final = 404
+# Messages that any owner of the stages can handle.
+FOR_OWNER: Final = frozenset({"ask", "withdraw", "release", "engine_ask"})
 
 logger = logging.getLogger(__name__)
 
@@ -56,6 +60,8 @@
         """Dispatch one message by its type."""
         now_ms = self.owner.serving.now_ms()
         kind = message.get("type")
+        if kind in (RELAY, RELAY_REFUSED) and self._relay_message(message):
+            return
         if kind == "ask":
             ask = decode_ask(message, now_ms)
             if ask is not None:
@@ -107,6 +113,31 @@
                 return
         logger.warning("message rejected", extra={"peer": sender, "kind": str(kind)})
 
+    def _relay_message(self, message: Message) -> bool:
+        """Take or pass on a message of an instance that can't reach its receiver.
+
+        One for an owner that is gone counts as sent to this instance, which hands it
+        over to the next owner. Return whether it is sound.
+        """
+        receiver, origin = message.get("to"), message.get("from")
+        inner = message.get("message")
+        if not isinstance(receiver, str) or not isinstance(origin, str):
+            return False
+        if not isinstance(inner, dict) or not isinstance(inner.get("type"), str):
+            return False
+        if inner["type"] in (RELAY, RELAY_REFUSED):
+            return False
+        links = self.asks.links
+        if message["type"] == RELAY_REFUSED:
+            if origin == self.owner.serving.me.name:
+                links.refused(message)
+        elif receiver == self.owner.serving.me.name:
+            links.heard_by_relay(origin)
+            self.receive(origin, inner)
+        elif not links.pass_on(receiver, message) and inner["type"] in FOR_OWNER:
+            self.receive(origin, inner)
+        return True
+
     def _handle_messages(self, exchange: Exchange) -> None:
         decoded = decode_messages(exchange.body)
         if decoded is None:
@@ -115,6 +146,7 @@
         exchange.answer(STATUS_NO_CONTENT, [], b"")
         if is_repetition(self.deliveries, decoded):
             return
+        self.asks.links.heard(decoded.sender)
         for message in decoded.messages:
             self.receive(decoded.sender, message)
 
--- a/src/bramleyturn/gateway/peer_links.py
+++ b/src/bramleyturn/gateway/peer_links.py
@@ -5,6 +5,9 @@
 connection, as packets may be lost on one, and the receiver drops the repetition. If
 neither is acknowledged in time, the messages fail and the instance is suspected; the
 sender's ``on_failed`` decides what to do next.
+
+An instance of another zone that did not acknowledge, and whose heartbeats still come by
+way of others, gets its messages by way of a third zone (core/fleet/reachability.py).
 """
 
 import logging
@@ -15,12 +18,21 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from bramleyturn.core.fleet.members import suspect
+from bramleyturn.core.fleet.members import is_live, suspect
+from bramleyturn.core.fleet.reachability import (
+    is_unreached,
+    note_heard_by_relay,
+    note_reached,
+    note_relay_refused,
+    note_unreached,
+    relay_to,
+    was_unreached,
+)
 from bramleyturn.core.units import MS_PER_S
 from bramleyturn.gateway.background import run_in_background
 from bramleyturn.gateway.calls import CallFailed, Peer, WholeAnswer, call
 from bramleyturn.gateway.http1_client import FailureReason
-from bramleyturn.gateway.metrics import count, observe
+from bramleyturn.gateway.metrics import count, gauge, observe
 from bramleyturn.gateway.serving import Serving
 from bramleyturn.runtime.timers import stop_timer
 
@@ -39,6 +51,10 @@
 REPEATED_PART: Final = 0.1
 STATUS_NO_CONTENT: Final = 204
 MAX_QUEUED_MESSAGES: Final = 256
+# The type of a message that is passed on to another instance.
+RELAY: Final = "relay"
+# The type of one that is given back, as it can't be passed on.
+RELAY_REFUSED: Final = "relay_refused"
 
 Message = dict[str, Any]
 
@@ -120,12 +136,104 @@
         self.delivery_number = 0
         self.saved_repeats = MAX_SAVED_REPEATS
 
-    def send(self, name: str, message: Message) -> None:
-        """Send a message; one to this instance itself is received asynchronously."""
+    def send(self, name: str, message: Message) -> str:
+        """Send a message; return the instance that it goes to first.
+
+        One to this instance itself is received asynchronously.
+        """
         serving = self.serving
         if name == serving.me.name:
             serving.reactor.callLater(0, self.receive, name, message)
-            return
+            return name
+        relay = self._relay_to(name)
+        if not relay:
+            self._queue(name, message)
+            return name
+        count(serving.metrics, "peer_messages_relayed", "sent")
+        wrapped = {
+            "type": RELAY,
+            "to": name,
+            "from": serving.me.name,
+            "message": message,
+        }
+        self._queue(relay, wrapped)
+        return relay
+
+    def pass_on(self, name: str, wrapped: Message) -> bool:
+        """Pass a message of another instance on; return False if its receiver is gone.
+
+        A receiver that is live and can't be reached from here either is slow, so that
+        its sender gets the message back.
+        """
+        serving = self.serving
+        now_ms = serving.now_ms()
+        if not is_live(serving.members, name, now_ms):
+            return False
+        if is_unreached(serving.reachability, serving.members, name, now_ms):
+            self._refuse(wrapped)
+            return True
+        count(serving.metrics, "peer_messages_relayed", "passed on")
+        self._queue(name, wrapped)
+        return True
+
+    def _refuse(self, wrapped: Message) -> None:
+        """Give a message back to its sender, unless that is this instance."""
+        origin = str(wrapped["from"])
+        if origin != self.serving.me.name:
+            count(self.serving.metrics, "peer_messages_relayed", "refused")
+            self._queue(origin, wrapped | {"type": RELAY_REFUSED})
+
+    def refused(self, wrapped: Message) -> None:
+        """Send a message directly that a relay gave back."""
+        serving = self.serving
+        name = str(wrapped["to"])
+        is_known = name in serving.reachability.instances
+        note_relay_refused(serving.reachability, name, serving.now_ms())
+        if is_known:
+            self._log_reach(name, "")
+        if name in serving.members.others:
+            self._queue(name, wrapped["message"])
+
+    def heard(self, name: str) -> None:
+        """Note that an instance sent messages directly."""
+        serving = self.serving
+        now_ms = serving.now_ms()
+        if note_reached(serving.reachability, serving.members, name, now_ms):
+            self._log_reach(name, "")
+
+    def heard_by_relay(self, name: str) -> None:
+        """Note that an instance could not send its messages directly."""
+        serving = self.serving
+        is_new = name not in serving.reachability.instances
+        note_heard_by_relay(
+            serving.reachability, serving.members, name, serving.now_ms()
+        )
+        relay = self._relay_to(name)
+        if is_new and relay:
+            self._log_reach(name, relay)
+
+    def _relay_to(self, name: str) -> str:
+        """Return the instance that passes messages on to another one, if one does."""
+        serving = self.serving
+        if not serving.reachability.instances:
+            return ""
+        return relay_to(
+            serving.reachability,
+            serving.members,
+            name,
+            serving.random,
+            serving.now_ms(),
+        )
+
+    def _log_reach(self, name: str, relay: str) -> None:
+        unreached = len(self.serving.reachability.instances)
+        gauge(self.serving.metrics, "unreached_instances", unreached)
+        logger.info(
+            "way to an instance changed", extra={"peer": name, "by_way_of": relay}
+        )
+
+    def _queue(self, name: str, message: Message) -> None:
+        serving = self.serving
         waiting = self.waiting.setdefault(name, [])
         if len(waiting) < MAX_QUEUED_MESSAGES:
             waiting.append(message)
@@ -143,17 +251,52 @@
             while self.waiting.get(name):
                 messages = self.waiting.pop(name)
                 if await self._call(name, messages):
-                    for notify in self.on_taken:
-                        notify(name)
+                    self.heard(name)
+                    self._notify_taken(name, messages)
                     continue
-                self.waiting.pop(name, None)
-                self.give_up(name)
+                messages += self.waiting.pop(name, [])
+                for each in messages:
+                    if each["type"] == RELAY and each["to"] == name:
+                        self._refuse(each)
+                if not self._relay_failed(name, messages):
+                    self.give_up(name)
         finally:
             self.calling.discard(name)
 
+    def _notify_taken(self, name: str, messages: list[Message]) -> None:
+        """Tell who has taken messages; a relay answers for those it passes on."""
+        relayed = {str(each["to"]) for each in messages if each["type"] == RELAY}
+        for taken in (name, *sorted(relayed - {name})):
+            for notify in self.on_taken:
+                notify(taken)
+
+    def _relay_failed(self, name: str, messages: list[Message]) -> bool:
+        """Send messages on by a relay if a direct try has failed once more.
+
+        The instance is live by its heartbeats and stays the receiver, so that no other
+        instance takes its place.
+        """
+        serving = self.serving
+        now_ms = serving.now_ms()
+        is_known = was_unreached(serving.reachability, name, now_ms)
+        if not is_known or not is_live(serving.members, name, now_ms):
+            return False
+        note_unreached(serving.reachability, serving.members, name, now_ms)
+        if not self._relay_to(name):
+            return False
+        for message in messages:
+            if message["type"] != RELAY:
+                self.send(name, message)
+        return True
+
     def give_up(self, name: str) -> None:
         """Suspect an instance until its next heartbeat."""
-        suspect(self.serving.members, name)
+        serving = self.serving
+        is_new = name not in serving.reachability.instances
+        note_unreached(serving.reachability, serving.members, name, serving.now_ms())
+        if is_new and name in serving.reachability.instances:
+            self._log_reach(name, "")
+        suspect(serving.members, name)
         for notify in self.on_failed:
             notify(name)
 
@@ -196,8 +339,10 @@
             )
 
         self.saved_repeats = min(MAX_SAVED_REPEATS, self.saved_repeats + REPEATED_PART)
+        # A call that tries whether an instance can be reached again is not repeated.
+        is_try = was_unreached(serving.reachability, name, sent_ms)
         answer = await RepeatedCall(
-            serving, start, lambda: self._take_repeat(len(body))
+            serving, start, lambda: not is_try and self._take_repeat(len(body))
         ).ended
         is_taken = not isinstance(answer, CallFailed) and (
             answer.status == STATUS_NO_CONTENT
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -20,6 +20,7 @@
 from bramleyturn.core.crashes import CRASH_RETENTION_MS, Suspects
 from bramleyturn.core.fleet.freshness import Freshness
 from bramleyturn.core.fleet.members import MemberRef, Members, live_members
+from bramleyturn.core.fleet.reachability import Reachability
 from bramleyturn.core.fleet.store_revision import StoreRevision
 from bramleyturn.core.placement.choice import LoadTracker
 from bramleyturn.core.placement.health import HealthTracker
@@ -87,6 +88,7 @@
         self.unread.on_over_bound = partial(note_unread, self.metrics)
         self.members = Members(me, seed_addresses(settings), now_ms)
         self.freshness = Freshness(now_ms)
+        self.reachability = Reachability()
         self.silent_zones: frozenset[str] = frozenset()
         self.is_ending = False
         self.shutdown: Shutdown | None = None
--- a/src/bramleyturn/gateway/stage_asks.py
+++ b/src/bramleyturn/gateway/stage_asks.py
@@ -35,13 +35,17 @@
 
 
 class OpenAsk:
-    """Hold an ask that has not ended, and the owner it was last sent to."""
+    """Hold an ask that has not ended, and the owner it was last sent to.
+
+    ``first`` is the instance that it went to first, another one if that passes it on.
+    """
 
     def __init__(self, ask: StageAsk, ended: "Deferred[AskDone]", now_ms: int) -> None:
         self.ask = ask
         self.ended = ended
         self.asked_ms = now_ms
         self.owner = ""
+        self.first = ""
         self.timer: Any = None
 
 
@@ -143,7 +147,7 @@
     def owner_failed(self, name: str) -> None:
         """Send the asks that an instance did not acknowledge to the next owner."""
         for state in list(self.open.values()):
-            if state.owner == name:
+            if name in (state.owner, state.first):
                 self._send(state)
 
     def _send(self, state: OpenAsk) -> None:
@@ -170,7 +174,7 @@
         state.timer = self.serving.reactor.callLater(
             RESEND_INTERVAL_MS / MS_PER_S, self._send, state
         )
-        self.links.send(name, encode_ask(ask, now_ms))
+        state.first = self.links.send(name, encode_ask(ask, now_ms))
 
     def _withdraw(self, ask_id: str) -> None:
         state = self.open.pop(ask_id, None)
--- a/tests/gateway/stage_fleet.py
+++ b/tests/gateway/stage_fleet.py
@@ -165,7 +165,8 @@
     ``calls`` has when and by whom a server was called, ``ended`` how long each ask
     took, ``late_share`` the share of late acknowledgements, and ``slow`` the
     instances whose acknowledgements, sent or received, are all late. Those that are
-    ``quiet`` ask for nothing.
+    ``quiet`` ask for nothing. Calls between the pairs of zones in ``cut`` are lost, and
+    ``lost`` has when, and from whom to whom.
     """
 
     def __init__(self, size: int, servers: int = 8) -> None:
@@ -174,6 +175,8 @@
         self.late_share = 0.0
         self.slow: set[str] = set()
         self.quiet: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.lost: list[tuple[float, str, str]] = []
         self.instances = [Instance(self, place, servers) for place in range(size)]
         self.by_host = {each.host: each for each in self.instances}
         self.by_pool = {
@@ -182,6 +185,8 @@
             for pool in (each.serving.peers_pool, each.serving.servers_pool)
         }
         self.busy_until_s: dict[str, float] = {}
+        stage_servers = [pool_server(POOL, each) for each in range(servers)]
+        self.zone_by_server = {each.id: each.zone for each in stage_servers}
         self.calls: list[tuple[float, str]] = []
         self.made: Counter[str] = Counter()
         self.refused_calls = 0
@@ -276,7 +281,9 @@
         silent = CallFailed(FailureReason.SILENT)
         timer = later(timeout_ms / MS_PER_S, end, silent)
         receiver = self.by_host.get(peer.host)
-        if receiver is not None:
+        if self._is_cut(caller, peer, receiver):
+            self.lost.append((self.reactor.seconds(), caller.name, peer.name))
+        elif receiver is not None:
             arrive = partial(self._deliver, caller, receiver, body, end)
             receiver.serving.reactor.callLater(LATENCY_S, arrive)
         else:
@@ -284,6 +291,11 @@
             later(took_s + 2 * LATENCY_S, end, answer)
         return await ended
 
+    def _is_cut(self, caller: Instance, peer: Peer, receiver: Instance | None) -> bool:
+        """Return whether calls from an instance to another or a server are lost."""
+        zone = receiver.serving.me.zone if receiver else self.zone_by_server[peer.name]
+        return frozenset((caller.serving.me.zone, zone)) in self.cut
+
     def _deliver(
         self,
         caller: Instance,
--- a/tests/gateway/store_fleet.py
+++ b/tests/gateway/store_fleet.py
@@ -91,7 +91,7 @@
 
     def __init__(self, fleet: "StoreFleet", place: int) -> None:
         name = f"front-{place}"
-        zone = ("north", "south")[place % 2]
+        zone = fleet.zones[place % len(fleet.zones)]
         settings = parse_serving_settings(TEXT, "local.conf")
         assert isinstance(settings, ServingSettings)
         seeds = tuple(
@@ -148,10 +148,17 @@
 
 
 class StoreFleet:
-    """Hold the store and the instances."""
+    """Hold the store and the instances.
 
-    def __init__(self, seed: int, size: int) -> None:
+    Datagrams between the pairs of zones in ``cut`` are lost.
+    """
+
+    def __init__(
+        self, seed: int, size: int, zones: tuple[str, ...] = ("north", "south")
+    ) -> None:
         self.random = Random(seed)
+        self.zones = zones
+        self.cut: set[frozenset[str]] = set()
         self.reactor = OrderedReactor()
         self.store = Store(self.reactor)
         self.answer_store = store_handler(self.store)
@@ -185,7 +192,11 @@
             return
         receiver = self.by_host[host]
 
+        zones = frozenset((sender.serving.me.zone, receiver.serving.me.zone))
+
         def deliver() -> None:
+            if zones in self.cut:
+                return
             if sender.reaches_others and receiver.reaches_others:
                 receiver.heartbeats.datagramReceived(data, None)
 
