Let the fake link of the cold server tests return the receiver

PeerLinks.send returns the instance that a message goes to first since messages can go by way of a third zone; the tests record messages in one place.

--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -19,6 +19,7 @@
     encode_cold_ask,
     encode_cold_turn,
 )
+from bramleyturn.gateway.peer_links import Message
 from bramleyturn.gateway.server_limits import begin_call, wait_for
 from bramleyturn.gateway.server_notices import note_head
 from bramleyturn.platform.answers import ATTEMPT_ID, read_answer_head
@@ -107,6 +108,18 @@
     )
 
 
+def record_messages(entry: OneEntry) -> list[tuple[str, Message]]:
+    """Record the messages to other instances, and send none of them."""
+    sent: list[tuple[str, Message]] = []
+
+    def send(name: str, message: Message) -> str:
+        sent.append((name, message))
+        return name
+
+    entry.flow.asks.cold_turns.links.send = send  # type: ignore[method-assign]
+    return sent
+
+
 class TestCallersRequests:
     """Requests of callers to pools with cold servers."""
 
@@ -346,12 +359,11 @@
     def test_unknown_runs_get_no_turn(self) -> None:
         """An owner knows the rate of registered servers only."""
         entry = entry_of("i-1")
-        sent: list[Any] = []
+        sent = record_messages(entry)
         turns = entry.flow.asks.cold_turns
-        turns.links.send = lambda name, message: sent.append(message)  # type: ignore[method-assign]
         turns.handle_ask("front-2", ColdAsk("a1", ("i-9@1", f"i-1@{BORN_MS - 1}"), 0))
         turns.handle_ask("front-2", ColdAsk("a2", (RUN,), 0))
-        assert [each["server"] for each in sent] == ["", RUN]
+        assert [each["server"] for _, each in sent] == ["", RUN]
 
     def test_request_does_not_wait_for_an_owner_that_is_silent(self) -> None:
         """A request that a warm server can serve must not wait for long."""
@@ -360,9 +372,8 @@
         beat = Heartbeat(other, 1, FIRST_REVISION, False)
         merge_heartbeats(entry.serving.members, [beat], entry.now_ms())
         chill(entry, "i-1")
-        sent: list[Any] = []
+        sent = record_messages(entry)
         turns = entry.flow.asks.cold_turns
-        turns.links.send = lambda name, message: sent.append((name, message))  # type: ignore[method-assign]
         send_many(entry, 1)
         entry.run(50)
         assert [(name, each["servers"]) for name, each in sent] == [("front-9", [RUN])]
