Count on the capacity after a burst for late requests

In a burst, requests that could only be late were refused though their callers waited for 6 to 10 s more and the stages were free again after the burst: the forecast took the arrival rate of the burst as lasting, and counted a queue of 1 s as 10 s.

The forecast integrates the capacity that is left free until the caller gives up. A request that was kept is refused only if it would be too late even if the burst ended now. When a late request may start still follows the present load, so that it does not delay one that can be in time.

--- a/src/bramleyturn/core/pieces/forecast.py
+++ b/src/bramleyturn/core/pieces/forecast.py
@@ -2,25 +2,32 @@
 
 The forecast covers all remaining stages of a request, each with the queue of its
 pool, and the work that new requests are expected to add meanwhile.
+core/contention/arrival_rates.py expects how much that is.
 """
 
 import math
 from typing import Final
 
+from bramleyturn.core.contention.arrival_rates import (
+    ArrivalRates,
+    FreeCapacity,
+    after_burst,
+    free_capacity,
+    note_arrival,
+    wait_for_work_ms,
+)
 from bramleyturn.core.pieces.model import LaterStage
 from bramleyturn.core.pieces.planner import AskState, Pipeline
-from bramleyturn.core.pieces.timing import busy_ms, piece_ms, stage_ms
+from bramleyturn.core.pieces.timing import busy_ms, piece_ms, server_count, stage_ms
 
 # Time constant of the exponential decay of arriving work.
 ARRIVAL_DECAY_MS: Final = 3_000.0
-# Late requests are expected to get at least this fraction of the servers' time.
-MIN_SPARE_FRACTION: Final = 0.1
 
 
 class Forecast:
     """Hold the work queued before a request, by pool, in milliseconds.
 
-    ``spare_fraction`` is the part of a pool's time that new requests leave free.
+    ``free`` is the part of a pool's time that new requests leave free, now and later.
     """
 
     def __init__(self, pipeline: Pipeline, now_ms: int) -> None:
@@ -29,12 +36,17 @@
             name: busy_ms(planner, now_ms)
             for name, planner in pipeline.planners.items()
         }
-        self.spare_fraction = {
-            name: max(MIN_SPARE_FRACTION, 1 - pool_load(pipeline, name, now_ms))
-            for name in pipeline.planners
+        self.free = {
+            name: _free_capacity(pipeline, name, now_ms) for name in pipeline.planners
         }
 
 
+def _free_capacity(pipeline: Pipeline, pool: str, now_ms: int) -> FreeCapacity:
+    rates = pipeline.rates.get(pool, ArrivalRates())
+    servers = server_count(pipeline.planners[pool], now_ms)
+    return free_capacity(rates, servers, pool_load(pipeline, pool, now_ms), now_ms)
+
+
 def remaining_stages(state: AskState) -> tuple[LaterStage, ...]:
     """Return the stages that a request still needs, that of this ask first."""
     ask = state.ask
@@ -48,7 +60,9 @@
     """Return when the last stage of a request is expected to be done.
 
     A stage starts when the previous one is done and its pool has worked off the queue
-    before it. A late request only gets the time that new requests leave free.
+    before it. A late request only gets the time that new requests leave free. One that
+    was kept in an earlier plan counts on the capacity after the burst: if it were
+    refused as soon as the burst lasts longer than expected, its wait would be in vain.
     """
     elapsed_ms = 0.0
     for stage in remaining_stages(state):
@@ -57,19 +71,26 @@
             continue
         queue_ms = forecast.backlog_ms.get(stage.pool, 0.0)
         if is_late:
-            queue_ms /= forecast.spare_fraction.get(stage.pool, 1.0)
+            free = forecast.free[stage.pool]
+            if state.is_kept:
+                free = after_burst(free)
+            queue_ms = wait_for_work_ms(free, queue_ms)
         own_ms = stage_ms(planner, stage.piece_count, stage.result_bytes)
         elapsed_ms = max(elapsed_ms, queue_ms) + own_ms
     return forecast.now_ms + elapsed_ms
 
 
 def longest_late_queue_ms(forecast: Forecast, state: AskState) -> float:
-    """Return the longest wait for a stage in the time that new requests leave free."""
+    """Return the longest wait for a stage in the time that new requests leave free.
+
+    The present load is taken as lasting, as a late request that starts too early would
+    delay new ones that can be in time.
+    """
     return max(
         (
-            forecast.backlog_ms.get(stage.pool, 0.0)
-            / forecast.spare_fraction.get(stage.pool, 1.0)
+            forecast.backlog_ms[stage.pool] / forecast.free[stage.pool].now
             for stage in remaining_stages(state)
+            if stage.pool in forecast.free
         ),
         default=0.0,
     )
@@ -83,6 +104,8 @@
             added_ms = piece_ms(planner, stage.result_bytes, now_ms) * stage.piece_count
             before_ms = _arriving_ms(pipeline, stage.pool, now_ms)
             pipeline.arriving[stage.pool] = (before_ms + added_ms, now_ms)
+            rates = pipeline.rates.setdefault(stage.pool, ArrivalRates())
+            note_arrival(rates, added_ms * server_count(planner, now_ms), now_ms)
 
 
 def _arriving_ms(pipeline: Pipeline, pool: str, now_ms: int) -> float:
--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -214,6 +214,7 @@
         if _cannot_meet_deadline(planner, state, now_ms):
             _fail_late(pipeline, state, outcomes, now_ms)
             continue
+        state.is_kept = True
         add_to_backlog(pipeline, forecast, state)
         if queue_ms <= planner.limits.result_ttl_ms * HELD_FRACTION:
             served.append(state)
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bramleyturn.core.catalog.model import BackendServer, BatchLimits
+from bramleyturn.core.contention.arrival_rates import ArrivalRates
 from bramleyturn.core.pieces.model import (
     AskDone,
     Release,
@@ -23,7 +24,8 @@
     that nothing new starts here. ``awaited`` has the pieces that the previous planner
     still has in progress, and until when they are waited for. The pieces of a suspect,
     an ask that was on a server when it crashed, are not batched with those of others.
-    Once ``are_inputs_freed``, a piece that fails can't be made again.
+    Once ``are_inputs_freed``, a piece that fails can't be made again. ``is_kept`` is
+    whether a plan has kept a late request for the time after a burst.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -38,6 +40,7 @@
         self.failed_calls = 0
         self.is_suspect = False
         self.are_inputs_freed = False
+        self.is_kept = False
         self.last_served_ms = now_ms
 
 
@@ -82,13 +85,15 @@
     """Hold the planners of all stage pools by name.
 
     ``arriving`` has, by pool, the recently arrived work in milliseconds of the whole
-    pool, which decays, and when it was last updated. ``engines`` has what was assigned
-    to the engines that the requests go to after their stages.
+    pool, which decays, and when it was last updated, and ``rates`` has that of the last
+    half minute. ``engines`` has what was assigned to the engines that the requests go
+    to after their stages.
     """
 
     def __init__(self) -> None:
         self.planners: dict[str, Planner] = {}
         self.arriving: dict[str, tuple[float, int]] = {}
+        self.rates: dict[str, ArrivalRates] = {}
         self.refused = RefusedAsks()
         self.engines = EngineQueues()
 
--- a/src/bramleyturn/core/pieces/timing.py
+++ b/src/bramleyturn/core/pieces/timing.py
@@ -19,11 +19,20 @@
 def piece_ms(planner: Planner, result_bytes: int, now_ms: int) -> float:
     """Return the time in which the whole pool makes one piece while it is busy."""
     limits = planner.limits
-    speeds = [1 / server.pace for server in _expected_servers(planner, now_ms)]
-    if not speeds:
+    speed = _total_speed(planner, now_ms)
+    if not speed:
         return limits.call_ms + limits.item_ms
     own_ms = limits.item_ms * work_of(planner, result_bytes)
-    return (limits.call_ms / limits.batch_items + own_ms) / sum(speeds)
+    return (limits.call_ms / limits.batch_items + own_ms) / speed
+
+
+def server_count(planner: Planner, now_ms: int) -> float:
+    """Return how many servers at the usual pace could do the work of the pool."""
+    return _total_speed(planner, now_ms) or 1.0
+
+
+def _total_speed(planner: Planner, now_ms: int) -> float:
+    return sum(1 / server.pace for server in _expected_servers(planner, now_ms))
 
 
 def stage_ms(planner: Planner, count: int, result_bytes: int) -> float:
--- /dev/null
+++ b/tests/core/contention/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission of requests under overload."""
