Prefer callers that come back over new late requests

A refused caller that came back as late as it was told found new late requests of other kinds before its own, ordered by when they were due. A late request that was refused before now goes first among those that can only be late.

--- a/src/bramleyturn/core/pieces/pipeline.py
+++ b/src/bramleyturn/core/pieces/pipeline.py
@@ -36,7 +36,11 @@
     Refused,
     submit,
 )
-from bramleyturn.core.pieces.refused_asks import due_as_at_first, note_refusal
+from bramleyturn.core.pieces.refused_asks import (
+    due_as_at_first,
+    has_returned,
+    note_refusal,
+)
 from bramleyturn.core.pieces.releases import withdraw
 from bramleyturn.core.pieces.stage_server import (
     StageServer,
@@ -77,7 +81,9 @@
         ask = _with_engine(pipeline, ask, now_ms)
     done = submit(planner, due_as_at_first(pipeline.refused, ask), now_ms)
     if is_new and not ask.has_started:
-        record_arrival(pipeline, planner.asks[ask.ask_id], now_ms)
+        state = planner.asks[ask.ask_id]
+        state.has_returned = has_returned(pipeline.refused, ask)
+        record_arrival(pipeline, state, now_ms)
     return done
 
 
@@ -198,10 +204,13 @@
     forecast: Forecast,
     late: list[AskState],
 ) -> list[AskState]:
-    """Return the late requests to start now; refuse those that would end too late."""
+    """Return the late requests to start now; refuse those that would end too late.
+
+    Those that come back when they were told to go before new ones.
+    """
     served = []
     now_ms = forecast.now_ms
-    for state in late:
+    for state in sorted(late, key=lambda state: not state.has_returned):
         ask = state.ask
         planner = pipeline.planners[ask.pool]
         queue_ms = longest_late_queue_ms(forecast, state)
--- a/src/bramleyturn/core/pieces/planner.py
+++ b/src/bramleyturn/core/pieces/planner.py
@@ -25,7 +25,8 @@
     still has in progress, and until when they are waited for. The pieces of a suspect,
     an ask that was on a server when it crashed, are not batched with those of others.
     Once ``are_inputs_freed``, a piece that fails can't be made again. ``is_kept`` is
-    whether a plan has kept a late request for the time after a burst.
+    whether a plan has kept a late request for the time after a burst, and
+    ``has_returned`` whether its request was refused before.
     """
 
     def __init__(self, ask: StageAsk, now_ms: int) -> None:
@@ -41,6 +42,7 @@
         self.is_suspect = False
         self.are_inputs_freed = False
         self.is_kept = False
+        self.has_returned = False
         self.last_served_ms = now_ms
 
 
--- a/src/bramleyturn/core/pieces/refused_asks.py
+++ b/src/bramleyturn/core/pieces/refused_asks.py
@@ -65,6 +65,12 @@
     return ask
 
 
+def has_returned(refused: RefusedAsks, ask: StageAsk) -> bool:
+    """Return whether an ask was matched with an earlier refusal."""
+    known = refused.by_fingerprint.get(ask.fingerprint, [])
+    return any(each.repeat_id == ask.attempt_id for each in known)
+
+
 def _forget_overdue(refused: RefusedAsks, now_ms: int) -> None:
     """Forget the requests refused longest ago whose deadlines have passed."""
     by_fingerprint = refused.by_fingerprint
