--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any, Final, NamedTuple
@@ -82,6 +82,7 @@
         self.grace_s = grace_s
         self.entry_source = entry_source
         self.seeds: Sequence[str] = hosts[:MIN_SEEDS]
+        self.limits: dict[str, str] = {}
 
     def call(
         self,
@@ -223,8 +224,12 @@
     deployment: Deployment = SMALL_SITE,
     hosts: Sequence[str] = HOSTS,
     entry_source: str = "",
+    limits: Mapping[str, str] | None = None,
 ) -> Iterator[SiteFleet]:
-    """Run a site with entries until the block ends."""
+    """Run a site with entries until the block ends.
+
+    ``limits`` replace lines of the entries' settings.
+    """
     deployment_file = folder / "deployment.json"
     deployment_file.write_text(json.dumps(deployment))
     site = launch(
@@ -235,6 +240,7 @@
     )
     zones = [zone for zone, size in deployment["zones"].items() for _ in range(size)]
     fleet = SiteFleet(site, hosts, zones, deployment["grace_s"], entry_source)
+    fleet.limits = dict(limits or {})
     try:
         wait_ready(site)
         fleet.ports = _free_ports(hosts)
@@ -289,6 +295,7 @@
         "bounds.retryBudgetSlack": "108",
         "bounds.budgetWindowS": "10",
         "bounds.passMs": "120",
+        **fleet.limits,
     }
     settings = folder / f"local-{place}.conf"
     settings.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
