Bound what callers that do not read make the own interface hold

Callers saw bramleyturn-entry grow and answer no one while others pipelined requests and read nothing. Cause: twisted pauses the reading of such a connection only between requests, and its answers are written within one, so up to 1.2 MB of requests were read ahead for each; the requests read were all answered in one turn of the loop.

Change: a connection is neither read nor parsed while its caller does not read, four requests of a connection are answered in one turn, what callers leave unread is bounded by 16 MiB and bodies by 32 MiB over all connections, bodies are kept in memory and not in temporary files, and the longest idle connection is closed above three quarters of the descriptors less 200 (at most 3,072). The bound of 4,096, above which a new connection is closed, stays.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -1,6 +1,9 @@
 """Limit the time and memory that a connection uses before its request is complete."""
 
+from collections import OrderedDict
 from collections.abc import Callable
+from io import BytesIO
+from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any, Final
 
 import orjson
@@ -12,16 +15,48 @@
 from zope.interface import implementer, provider
 
 from bramleyturn.runtime.timers import stop_timer
-from bramleyturn.runtime.unread_bytes import READ_WAIT_S, has_unread_bytes
+from bramleyturn.runtime.unread_bytes import (
+    READ_WAIT_S,
+    has_unread_bytes,
+    has_unsent_bytes,
+    unsent_bytes,
+)
 
 IDLE_TIMEOUT_S: Final = 30
 REQUEST_TIMEOUT_S: Final = 30
 # A caller that has been silent this long after the last answer has read it.
 LINGER_S: Final = 1
 MAX_CONNECTIONS: Final = 4_096
+# From here on the longest idle connection is closed for each new one.
+MANY_CONNECTIONS: Final = 3_072
 MAX_HEADERS: Final = 64
 IDLE_CONNECTION_CHECKS: Final = 25
 STATUS_TOO_LARGE: Final = 413
+STATUS_UNAVAILABLE: Final = 503
+# Descriptors of a process that are kept for files, and the part of the others that
+# callers may use; servers and other processes need the rest.
+RESERVED_DESCRIPTORS: Final = 200
+CALLERS_SHARE: Final = 0.75
+# Bodies that are read or in progress, all together: the messages of a fleet are at most
+# 8 MiB each, and callers' bodies 64 KiB by default.
+MAX_ALL_BODY_BYTES: Final = 32 * 1024 * 1024
+# What a connection buffers of its answers before it is not read on.
+# It is read in parts of this size too.
+MAX_BUFFERED_BYTES: Final = 16 * 1024
+# What all connections buffer for callers that do not read: two outcomes of the largest
+# size, 8 MiB.
+MAX_UNREAD_BYTES: Final = 16 * 1024 * 1024
+# Requests of one connection that are answered before other connections get their turn.
+REQUESTS_PER_TURN: Final = 4
+BUSY_BODY: Final = orjson.dumps(
+    {
+        "type": "about:blank",
+        "title": "Too much to read",
+        "status": STATUS_UNAVAILABLE,
+        "detail": "this service reads too many bodies at once",
+        "field": "body",
+    }
+)
 TOO_LARGE_BODY: Final = orjson.dumps(
     {
         "type": "about:blank",
@@ -41,6 +76,13 @@
 BodyLimit = Callable[[bytes], int]
 
 
+def max_connections() -> int:
+    """Return above how many connections of callers the longest idle one is closed."""
+    descriptors, _ = getrlimit(RLIMIT_NOFILE)
+    free = max(0, descriptors - RESERVED_DESCRIPTORS)
+    return min(MANY_CONNECTIONS, max(1, int(free * CALLERS_SHARE)))
+
+
 @provider(_request_factory)
 class BoundedRequest(_Request):  # type: ignore[misc]
     """Read a request and refuse a body that exceeds the limit of its path."""
@@ -48,6 +90,7 @@
     received_bytes = 0
     limit_bytes = 0
     is_refused = False
+    is_complete = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose Content-Length exceeds the limit."""
@@ -55,7 +98,8 @@
         if length is not None and length > self.limit_bytes:
             self.refuse()
             return
-        super().gotLength(length)
+        # Twisted would open a temporary file for a large body, or one in chunks.
+        self.content = BytesIO()
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Store a part of the body while it stays within the limit."""
@@ -66,23 +110,43 @@
             self.refuse()
             return
         super().handleContentChunk(data)
+        self.channel.site.hold_body(self, len(data))
 
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
         """Handle a complete request, unless it has been refused."""
+        self.is_complete = True
         if not self.is_refused:
             super().requestReceived(command, path, version)
 
+    def _cleanup(self) -> None:
+        self.channel.site.release_body(self)
+        super()._cleanup()
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Forget the body, as the caller is gone."""
+        self.channel.site.release_body(self)
+        super().connectionLost(reason)
+
     def refuse(self) -> None:
         """Answer that the body is too large and close the connection."""
+        self._refuse(f"{STATUS_TOO_LARGE} Body too large", TOO_LARGE_BODY)
+
+    def refuse_over_bound(self) -> None:
+        """Answer that all bodies together are too large, and close the connection."""
+        self._refuse(f"{STATUS_UNAVAILABLE} Too much to read", BUSY_BODY)
+
+    def _refuse(self, status: str, body: bytes) -> None:
         self.is_refused = True
+        self.channel.site.release_body(self)
+        self.content = BytesIO()
         transport: Any = self.channel.transport
         head = (
-            f"HTTP/1.1 {STATUS_TOO_LARGE} Body too large\r\n"
+            f"HTTP/1.1 {status}\r\n"
             "Content-Type: application/problem+json\r\n"
-            f"Content-Length: {len(TOO_LARGE_BODY)}\r\n"
+            f"Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
-        transport.write(head.encode() + TOO_LARGE_BODY)
+        transport.write(head.encode() + body)
         self.channel.linger()
 
 
@@ -100,6 +164,8 @@
     is_lingering = False
     _linger_timer: Any = None
     _request_timer: Any = None
+    _is_deferred = False
+    _answered = 0
     # While the site closes, an idle connection stays open for this many checks: its
     # next request may be in transit, and the answer says that the connection ends.
     checks_before_close = IDLE_CONNECTION_CHECKS
@@ -107,10 +173,14 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Count a new connection and refuse it where there are too many."""
         super().connectionMade()
+        self.transport.bufferSize = MAX_BUFFERED_BYTES
         self.factory.connections += 1
         self.factory.channels.add(self)
+        self.factory.idle[self] = None
         if self.factory.connections > MAX_CONNECTIONS:
             self.transport.loseConnection()
+        elif self.factory.connections > self.factory.max_connections:
+            self.factory.close_longest_idle()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handle bytes; the first ones of a request start its timer."""
@@ -122,10 +192,51 @@
             self._start_request_timer()
         super().dataReceived(data)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read and parse nothing while the caller does not read its answers.
+
+        Twisted alone would still answer the requests that it has read.
+        """
+        self.paused = True
+        super().pauseProducing()
+        # Twisted does this only between requests, and answers are sent within one.
+        self._networkProducer.pauseProducing()
+        self.factory.hold_unread(self, unsent_bytes(self.transport))
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Parse what was read, and read on."""
+        self.factory.release_unread(self)
+        super().resumeProducing()
+        self._parse_on()
+
+    def _parse_on(self) -> None:
+        if self._waitingForTransport or self._is_deferred or self.is_lingering:
+            return
+        self.paused = False
+        if not self._handlingRequest:
+            self._networkProducer.resumeProducing()
+        if self._buffer:
+            super().dataReceived(b"")
+
+    def _begin_turn(self) -> None:
+        self._is_deferred = False
+        self._answered = 0
+        self._parse_on()
+
+    def close_now(self) -> None:
+        """Close a connection without a request at once, as there are too many."""
+        if has_unsent_bytes(self.transport):
+            self.transport.abortConnection()
+        else:
+            self._networkProducer.unregisterProducer()
+            self.transport.loseConnection()
+
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Count a connection as closed."""
         self.factory.connections -= 1
         self.factory.channels.discard(self)
+        self.factory.idle.pop(self, None)
+        self.factory.release_unread(self)
         self._stop_request_timer()
         stop_timer(self._linger_timer)
         super().connectionLost(reason)
@@ -165,6 +276,7 @@
     def allContentReceived(self) -> None:  # noqa: N802
         """Stop the timer of a request that has arrived completely."""
         self._stop_request_timer()
+        self.factory.idle.pop(self, None)
         super().allContentReceived()
 
     def writeHeaders(  # noqa: N802
@@ -181,7 +293,15 @@
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Close the connection after an answer while the site closes."""
+        self.factory.idle[self] = None
+        self._answered += 1
+        if self._answered >= REQUESTS_PER_TURN and not self._is_deferred:
+            self._is_deferred = True
+            self.paused = True
+            self.callLater(0, self._begin_turn)
         super().requestDone(request)
+        if self._is_deferred and not self.is_lingering:
+            self._networkProducer.pauseProducing()
         if self.factory.is_closing:
             self.close_if_idle()
 
@@ -234,6 +354,13 @@
         super().__init__(resource, timeout=IDLE_TIMEOUT_S)
         self.connections = 0
         self.channels: set[Any] = set()
+        self.max_connections = max_connections()
+        # Connections without a complete request, the longest idle first.
+        self.idle: OrderedDict[Any, None] = OrderedDict()
+        self.bodies: dict[Any, int] = {}
+        self.body_bytes = 0
+        self.unread: dict[Any, int] = {}
+        self.unread_bytes = 0
         self.is_closing = False
         self.body_limit = body_limit
         self.displayTracebacks = False
@@ -247,5 +374,39 @@
         for channel in tuple(self.channels):
             channel.close_if_idle()
 
+    def close_longest_idle(self) -> None:
+        """Close a connection, as there are too many."""
+        longest, _ = self.idle.popitem(last=False)
+        longest.close_now()
+
+    def hold_unread(self, channel: Any, size: int) -> None:
+        """Set what a caller has not read; close the largest over the bound."""
+        self.release_unread(channel)
+        self.unread[channel] = size
+        self.unread_bytes += size
+        while self.unread_bytes > MAX_UNREAD_BYTES:
+            largest = max(self.unread, key=lambda each: self.unread[each])
+            self.release_unread(largest)
+            largest.transport.abortConnection()
+
+    def release_unread(self, channel: Any) -> None:
+        """Forget what a caller has read, or will never read."""
+        self.unread_bytes -= self.unread.pop(channel, 0)
+
+    def hold_body(self, request: Any, size: int) -> None:
+        """Count bytes of a body; refuse the largest unfinished one over the bound."""
+        self.bodies[request] = self.bodies.get(request, 0) + size
+        self.body_bytes += size
+        while self.body_bytes > MAX_ALL_BODY_BYTES:
+            unfinished = [each for each in self.bodies if not each.is_complete]
+            if not unfinished:
+                return
+            largest = max(unfinished, key=lambda each: self.bodies[each])
+            largest.refuse_over_bound()
+
+    def release_body(self, request: Any) -> None:
+        """Forget a body that is no longer held."""
+        self.body_bytes -= self.bodies.pop(request, 0)
+
     def log(self, request: Any) -> None:
         """Write no access log: requests are recorded in the timeline."""
--- a/src/bramleyturn/runtime/unread_bytes.py
+++ b/src/bramleyturn/runtime/unread_bytes.py
@@ -18,12 +18,15 @@
         return False
 
 
-def has_unsent_bytes(transport: Any) -> bool:
-    """Tell whether bytes that were written wait until the socket takes them.
+def unsent_bytes(transport: Any) -> int:
+    """Return how many bytes a transport holds until the socket has taken all of them.
 
     Twisted does not publish this; its own transports keep it in these attributes.
     """
-    return bool(
-        getattr(transport, "dataBuffer", b"")
-        or getattr(transport, "_tempDataBuffer", ())
-    )
+    begun = len(getattr(transport, "dataBuffer", b""))
+    return begun + int(getattr(transport, "_tempDataLen", 0))
+
+
+def has_unsent_bytes(transport: Any) -> bool:
+    """Tell whether bytes that were written wait until the socket takes them."""
+    return unsent_bytes(transport) > 0
