Reject answers without a valid status, and those that end too early

Callers saw an answer with the status 000 or 700, and the begun body of an answer without a length as a complete one, whose server had closed while the upload was being written.

Cause: h11 takes any status of three digits from 200 on, twisted any number; neither interface looked at whether the request had been written when the connection ended.

Change: a last answer whose status is not 200 to 599 has failed and may have run, on both interfaces, and a connection that ends with bytes of the request unsent ends no answer without a length.

--- a/src/bramleyturn/core/answer_end.py
+++ b/src/bramleyturn/core/answer_end.py
@@ -101,3 +101,8 @@
         return EndVerdict.BROKEN_OFF
     is_number = body[-1:].isdigit()
     return EndVerdict.UNCONFIRMED if is_number else EndVerdict.COMPLETE
+
+
+def is_valid_status(status: int) -> bool:
+    """Return whether the last answer to a request may have a status (RFC 9110, 15)."""
+    return 200 <= status <= 599
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -15,7 +15,12 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from bramleyturn.core.answer_end import ConnectionEnd, Framing, framing_of
+from bramleyturn.core.answer_end import (
+    ConnectionEnd,
+    Framing,
+    framing_of,
+    is_valid_status,
+)
 from bramleyturn.gateway.answer_bounds import (
     CHUNK_ALLOWANCE_BYTES,
     CHUNK_ALLOWANCE_PER_BYTE,
@@ -32,6 +37,7 @@
     pause_reading,
     resume_reading,
 )
+from bramleyturn.runtime.unread_bytes import has_unsent_bytes
 
 # What is read of a connection in one turn of the loop. Events of a stream take longer
 # than other bytes, and the loop serves all streams in one turn.
@@ -205,7 +211,9 @@
             notify(self)
         if self.listener is None:
             return
-        if not is_clean:
+        # An answer without a length that ends before its request was written is cut.
+        is_cut = self.framing is Framing.CLOSE and has_unsent_bytes(self.transport)
+        if not is_clean or is_cut:
             self._fail(FailureReason.RESET)
             return
         try:
@@ -227,6 +235,9 @@
                 if self.interim_answers > MAX_INTERIM_ANSWERS:
                     self.end_at_bound(Bound.INTERIM, self.head_bytes)
             elif isinstance(event, h11.Response):
+                if not is_valid_status(event.status_code):
+                    self._fail(FailureReason.MALFORMED)
+                    return
                 headers = list(event.headers)
                 framing = framing_of(self.method, event.status_code, headers)
                 self.framing = framing
--- a/src/bramleyturn/runtime/backend_client.py
+++ b/src/bramleyturn/runtime/backend_client.py
@@ -13,7 +13,11 @@
 from twisted.web.http_headers import Headers
 
 from bramleyturn.core.actions import CancelAttempt, StartAttempt
-from bramleyturn.core.answer_end import EndVerdict, judge_json_end
+from bramleyturn.core.answer_end import (
+    EndVerdict,
+    is_valid_status,
+    judge_json_end,
+)
 from bramleyturn.core.events import (
     AttemptFailed,
     ConnectionReady,
@@ -137,7 +141,10 @@
     except Exception as error:
         report_failure(client, action, failure_of(error))
         return
-    if response.code != STATUS_OK:
+    if not is_valid_status(response.code):
+        failed = CallFailed(CallFailure.LOST, f"status {response.code}")
+        report_failure(client, action, failed)
+    elif response.code != STATUS_OK:
         report_refusal(client, action, response, body)
     elif action.kind is not PoolKind.ENGINE:
         report_output(client, action, body)
--- a/src/bramleyturn/runtime/http_client.py
+++ b/src/bramleyturn/runtime/http_client.py
@@ -30,6 +30,7 @@
 
 from bramleyturn.core.answer_end import EndVerdict, judge_json_end
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.runtime.answer_checks import checked_status, judge_answers
 from bramleyturn.runtime.errors import CallFailed, CallFailure
 from bramleyturn.runtime.transfer_timer import TransferTimer
 from bramleyturn.runtime.twisted_types import Reactor
@@ -112,25 +113,6 @@
     return connection
 
 
-def judge_answers(connection: Any) -> Any:
-    """Let an HTTP connection tell whether it may be kept after its last answer.
-
-    Twisted drops bytes that it reads together with the end of an answer.
-    """
-    finish = connection._finishResponse
-    connection.may_be_kept = True
-
-    def finish_judged(rest: bytes) -> None:
-        parser = connection._parser
-        if parser is not None:
-            is_success = parser.response.code == STATUS_OK
-            connection.may_be_kept = is_success and not rest
-        finish(rest)
-
-    connection._finishResponse = finish_judged
-    return connection
-
-
 @implementer(IStreamClientEndpoint)
 class BoundedEndpoint:
     """Connect to an address; heads are bounded, and answers judged."""
@@ -333,9 +315,10 @@
     response = await client.request(
         method, url, data=body, headers=all_headers, allow_redirects=False
     )
+    content = await read_body(url, response, on_received)
     return BytesAnswer(
-        status=response.code,
-        content=await read_body(url, response, on_received),
+        status=checked_status(response.code),
+        content=content,
         headers={
             name.decode().lower(): values[-1].decode("latin-1")
             for name, values in response.headers.getAllRawHeaders()
