--- a/tests/site/site_fleet.py
+++ b/tests/site/site_fleet.py
@@ -226,7 +226,10 @@
     entry_source: str = "",
     added_settings: Mapping[str, str] | None = None,
 ) -> Iterator[SiteFleet]:
-    """Run a site with entries until the block ends."""
+    """Run a site with entries until the block ends.
+
+    ``added_settings`` replace lines of the entries' settings, or are added to them.
+    """
     deployment_file = folder / "deployment.json"
     deployment_file.write_text(json.dumps(deployment))
     site = launch(
