Read the fourth figure of the load header

Servers of the two new deployments add to their load how long work takes now. The whole header was discarded for it, so that nothing was known of the load of such a server. A malformed fourth figure is now dropped alone.

Test: tests/platform/test_answers.py, TestLoad; 11 cases failed before.

--- a/src/bramleyturn/platform/answers.py
+++ b/src/bramleyturn/platform/answers.py
@@ -37,15 +37,24 @@
 )
 KEEP_ALIVE_PATTERN: Final = re.compile(r"timeout\s*=\s*([0-9]{1,6})")
 RATE_PATTERN: Final = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
-LOAD_PATTERN: Final = re.compile(r"([0-9]{1,6}),([0-9]{1,6}),([0-9]{1,6})")
+LOAD_PATTERN: Final = re.compile(r"([0-9]{1,6}),([0-9]{1,6}),([0-9]{1,6})(?:,(.*))?")
+SLOWNESS_PATTERN: Final = re.compile(r"[0-9]{1,5}")
+# A greater figure is a fault of the server: a hundred times the usual time is longer
+# than any deadline.
+MAX_SLOWNESS_PERCENT: Final = 10_000
 
 
 class ServerLoad(NamedTuple):
-    """Hold how many requests a server runs and queues, and how many slots it has."""
+    """Hold how many requests a server runs and queues, and how many slots it has.
+
+    ``slowness_percent`` is how long work takes there now, 100 being usual, None if the
+    server does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness_percent: int | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -103,7 +112,18 @@
     matched = LOAD_PATTERN.fullmatch(value.decode("latin-1").strip())
     if matched is None:
         return None
-    return ServerLoad(int(matched[1]), int(matched[2]), int(matched[3]))
+    slowness_percent = read_slowness(matched[4] or "")
+    return ServerLoad(
+        int(matched[1]), int(matched[2]), int(matched[3]), slowness_percent
+    )
+
+
+def read_slowness(text: str) -> int | None:
+    """Parse the fourth figure of a load header; return None if absent or malformed."""
+    if SLOWNESS_PATTERN.fullmatch(text.strip()) is None:
+        return None
+    slowness_percent = int(text)
+    return slowness_percent if 0 < slowness_percent <= MAX_SLOWNESS_PERCENT else None
 
 
 def read_limit(value: bytes) -> float | None:
--- a/tests/platform/test_answers.py
+++ b/tests/platform/test_answers.py
@@ -6,6 +6,7 @@
     caller_headers,
     read_answer_head,
     read_limit,
+    read_load,
 )
 
 
@@ -34,6 +35,28 @@
         assert caller_headers(headers) == [(b"x-other", b"2")]
 
 
+class TestLoad:
+    """Servers tell their load; a load that is not read leaves them to chance."""
+
+    def test_three_figures_are_read_as_before(self) -> None:
+        assert read_load(b" 3,1,6 ") == (3, 1, 6, None)
+
+    def test_fourth_figure_is_read(self) -> None:
+        """The whole header was dropped if it had a fourth figure."""
+        assert read_load(b"3,1,6,160") == (3, 1, 6, 160)
+
+    @pytest.mark.parametrize(
+        "figure",
+        [b"", b"0", b"-5", b"1.5", b"10001", b"9" * 400, b"nan", b"1,2", b"\xb2"],
+    )
+    def test_malformed_fourth_figure_drops_nothing_else(self, figure: bytes) -> None:
+        assert read_load(b"3,1,6," + figure) == (3, 1, 6, None)
+
+    @pytest.mark.parametrize("value", [b"", b"3,1", b"3,,6,100", b"a,1,6,100"])
+    def test_malformed_load_is_none(self, value: bytes) -> None:
+        assert read_load(value) is None
+
+
 class TestNotices:
     """Servers say of themselves that they leave, or want no requests for a time."""
 
