Choose the servers of uneven pools by expected load and learned speed

Callers saw servers overloaded in turns while others idled: every instance took the server with the least load in reports that are up to a second old, and slow servers counted as much as fast ones. A pool whose servers send the fourth figure of the load header is now served by core/balance: a report fades to the pool's mean, own requests since count, speeds are long-run means per run, and the better one of two servers, drawn by their free capacity, gets the request. A server that answers with 5xx gets little. Other pools are served as before.

--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -6,10 +6,11 @@
 again), and servers that differ in speed or report load caused by other instances.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from random import Random
 from typing import Final, NamedTuple
 
+from bramleyturn.core.balance.choice import ExpectedLoad
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart, own_tokens, shared_prefix
 from bramleyturn.core.placement.engine_queues import (
@@ -132,23 +133,26 @@
     tracker: LoadTracker,
     random: Random,
     now_ms: int,
+    expected: Mapping[str, ExpectedLoad] | None = None,
 ) -> BackendServer | None:
     """Return the server that is expected to finish reading the prompt first.
 
     All instances expect a prefix to be cached on the same server, by rendezvous
     hashing. Only the last shared part counts, since earlier parts are shared by so many
-    requests that every engine has them in its cache.
+    requests that every engine has them in its cache. ``expected`` has the load of the
+    servers of an uneven pool by id, None for other pools.
     """
     shared = shared_prefix(prompt)
     if not shared or not servers:
         return choose_by_load(servers, tracker, random, now_ms)
     ranked = sorted(servers, key=lambda server: _rank(shared[-1].id, server.id))
     read_ms = shared[-1].tokens * READ_TOKEN_MS
-    costs = [
-        load_of(tracker, server.id, now_ms) * REQUEST_DELAY_MS
-        + (read_ms if place else 0.0)
-        for place, server in enumerate(ranked)
-    ]
+    costs = []
+    for place, server in enumerate(ranked):
+        load = expected.get(server.id) if expected else None
+        requests = load.requests if load else load_of(tracker, server.id, now_ms)
+        cost_ms = requests * REQUEST_DELAY_MS + (read_ms if place else 0.0)
+        costs.append(cost_ms * load.pace / load.trust if load else cost_ms)
     return ranked[costs.index(min(costs))]
 
 
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -41,6 +41,14 @@
     Streamed,
     run_attempt,
 )
+from bramleyturn.gateway.balance import (
+    choose_in_uneven,
+    is_uneven,
+    note_answer_load,
+    note_attempt_end,
+    note_request_ended,
+    note_request_sent,
+)
 from bramleyturn.gateway.caller_request import (
     CallerRequest,
     describe_end,
@@ -88,7 +96,11 @@
         for server in servers:
             if server.id == request.engine:
                 return server
-        if request.route.uses_prefix_affinity:
+        uses_prefix = request.route.uses_prefix_affinity
+        if is_uneven(serving, request.pool):
+            prompt = request.head.prompt if uses_prefix else ()
+            return choose_in_uneven(serving, request.pool, servers, prompt)
+        if uses_prefix:
             return choose_by_prefix(
                 servers, request.head.prompt, serving.loads, serving.random, now_ms
             )
@@ -204,6 +216,7 @@
         request.heard_ms = sent_ms
         request.named_limit_per_s = None
         note_sent(serving.loads, server.id)
+        note_request_sent(serving, server, sent_ms)
         try:
             ended = await run_attempt(
                 serving.servers_pool,
@@ -216,6 +229,7 @@
             stop_timer(fetched)
             stop_timer(late)
             note_ended(serving.loads, server.id)
+            note_request_ended(serving, server, sent_ms)
         if is_unconfirmed(ended):
             ended = await self._confirm(request, server, ended, sent_ms)
         # The deadline may pass while the server is being checked below.
@@ -292,6 +306,7 @@
             note_answer(self.serving, server, answer.limit_per_s)
         if answer.limit_per_s is not None:
             count(self.serving.metrics, "server_limits_named", request.pool)
+        note_answer_load(self.serving, server, answer)
         load = answer.load
         if load is not None:
             now_ms = self.serving.now_ms()
@@ -353,6 +368,7 @@
             is_avoided = note_failed(serving.health, server.id, now_ms)
         else:
             note_answered(serving.health, server.id)
+        note_attempt_end(serving, request, server, ended, sent_ms)
         kind, detail = describe_end(ended)
         body_end = None if isinstance(ended, NotRun) else ended.body_end
         count(serving.metrics, "attempts", f"{request.pool} {kind}")
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any
 
+from bramleyturn.core.balance.state import Balance
 from bramleyturn.core.catalog.limits import DEFAULT_CALLER_LIMITS
 from bramleyturn.core.catalog.model import (
     BackendServer,
@@ -72,6 +73,7 @@
         self.registry = ServerRegistry()
         self.health = HealthTracker()
         self.loads = LoadTracker()
+        self.balance = Balance()
         self.server_limits = ServerLimits(me.name, now_ms)
         self.server_pauses = ServerPauses()
         # Crashes are recorded by run of a server, and a run crashes only once.
--- a/src/bramleyturn/gateway/store_copy.py
+++ b/src/bramleyturn/gateway/store_copy.py
@@ -25,6 +25,7 @@
 from bramleyturn.core.placement.health import forget_servers
 from bramleyturn.core.zones.evacuations import EvacuationChange, note_evacuation
 from bramleyturn.gateway.background import run_in_background
+from bramleyturn.gateway.balance import forget_balance
 from bramleyturn.gateway.connection_pool import drop_idle
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.server_limits import forget_limits
@@ -279,6 +280,7 @@
     forget_servers(serving.health, known)
     forget_loads(serving.loads, known)
     forget_limits(serving)
+    forget_balance(serving)
     for name in set(serving.servers_pool.idle) - known:
         drop_idle(serving.servers_pool, name)
     notify_servers_changed(serving)
