Tell other instances the loads and errors of servers

An instance sends a server less than a request in some seconds, so that its own reports say nothing of the present load, and 55 orders failed in 7 s at one of four servers while each of 82 instances learned of it alone. Heartbeats now carry rows of loads (field server_loads), with the newest answers of servers that answered with errors.

What heartbeats tell of crashes is encoded in a module of its own (gateway/crash_hints.py); two tests import it from there.

--- a/src/bramleyturn/core/balance/state.py
+++ b/src/bramleyturn/core/balance/state.py
@@ -19,12 +19,17 @@
 
 
 class ServerReport(NamedTuple):
-    """Hold what a run of a server had in progress and waiting at ``at_ms``."""
+    """Hold what a run of a server had in progress and waiting at ``at_ms``.
+
+    ``told_percent`` is the run's pace that another instance told with it, 0 if it has
+    learned none, and None if the report came to this instance.
+    """
 
     running: int
     waiting: int
     slots: int
     at_ms: int
+    told_percent: int | None = None
 
 
 class RunState:
--- a/src/bramleyturn/gateway/heartbeats.py
+++ b/src/bramleyturn/gateway/heartbeats.py
@@ -12,7 +12,7 @@
 import orjson
 from twisted.internet.protocol import DatagramProtocol
 
-from bramleyturn.core.crashes import MAX_HINTS, CrashHint, PartMark
+from bramleyturn.core.crashes import CrashHint
 from bramleyturn.core.fleet.digest import (
     MAX_ASKED_KEYS,
     DigestEntry,
@@ -60,7 +60,13 @@
     update_instances,
 )
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.crash_hints import (
+    decode_hints,
+    decode_part_hints,
+    encode_report,
+)
 from bramleyturn.gateway.crash_watch import CrashWatch
+from bramleyturn.gateway.load_reports import LoadReports, merge_loads, tell_loads
 from bramleyturn.gateway.metrics import count, gauge
 from bramleyturn.gateway.server_limits import (
     MAX_SENT_LIMITS,
@@ -94,6 +100,7 @@
         self.serving = serving
         self.crashes = crashes
         self.reports = ReportSchedule(serving.now_ms())
+        self.loads = LoadReports(serving.now_ms())
         self.are_limits_new = False
         self.limits_ms = serving.now_ms() - ANNOUNCEMENT_INTERVAL_MS
         self.is_sending_soon = False
@@ -183,9 +190,9 @@
                 [each for each in addresses if each in earlier],
                 "heartbeats",
             )
-        self._send_in_turns(
-            document, [each for each in addresses if each not in earlier], "heartbeats"
-        )
+        recent = [each for each in addresses if each not in earlier]
+        for group, loads in tell_loads(serving, self.loads, recent):
+            self._send_in_turns(document | loads, group, "heartbeats")
         self._send_limits(addresses)
 
     def _send_limits(self, addresses: Sequence[str]) -> None:
@@ -326,6 +333,7 @@
         if message.crashes:
             self.crashes.merge(sender.member.name, message.crashes)
         merge_limits(self.serving, sender.member.name, message.server_limits)
+        merge_loads(self.serving, sender.member.name, message.server_loads)
         note_peer_confirmation(freshness, sender.revision, message.store_age_ms, now_ms)
 
     def _exchange_unknown(
@@ -378,10 +386,11 @@
 
     ``store_age_ms`` is how long ago the store had nothing newer than the sender knows.
     ``crashes`` are crashes of backend servers that the sender knows of, and
-    ``server_limits`` the limits that servers named. ``digest`` has the entries of other
-    instances, and ``asked_keys`` the keys of those whose heartbeats the sender lacks.
-    Instances of earlier builds send neither these nor eras nor the version of their
-    configuration.
+    ``server_limits`` the limits that servers named. ``server_loads`` are rows of their
+    loads, still encoded, as a malformed one is dropped alone. ``digest`` has the
+    entries of other instances, and ``asked_keys`` the keys of those whose heartbeats
+    the sender lacks. Instances of earlier builds send neither these nor eras nor the
+    version of their configuration.
     """
 
     store_age_ms: int
@@ -391,6 +400,7 @@
     server_limits: tuple[LimitHint, ...] = ()
     digest: tuple[DigestEntry, ...] | None = None
     asked_keys: tuple[int, ...] = ()
+    server_loads: Any = ()
 
 
 def decode_heartbeats(datagram: bytes) -> HeartbeatMessage | None:
@@ -418,93 +428,17 @@
     if not isinstance(version, int):
         return None
     return HeartbeatMessage(
-        store_age_ms, heartbeats, crashes, version, limits, digest, asked_keys
+        store_age_ms,
+        heartbeats,
+        crashes,
+        version,
+        limits,
+        digest,
+        asked_keys,
+        document.get("server_loads", ()),
     )
 
 
-def encode_report(report: Report) -> dict[str, Any]:
-    """Encode what a datagram tells of crashes."""
-    return {
-        "crashes": encode_hints(report.hints),
-        "part_crashes": encode_part_hints(report.part_hints),
-    }
-
-
-def encode_hints(hints: Iterable[CrashHint]) -> list[Any]:
-    """Encode reports of crashes."""
-    return [[hint.server, hint.age_ms, list(hint.fingerprints)] for hint in hints]
-
-
-def decode_hints(rows: Any) -> tuple[CrashHint, ...]:
-    """Decode reports of crashes; raise ValueError or TypeError if malformed."""
-    hints = []
-    for server, crashed_ago_ms, fingerprints in rows[:MAX_HINTS]:
-        if not isinstance(server, str) or not isinstance(crashed_ago_ms, int):
-            raise TypeError("a report of a crash is malformed")
-        texts = tuple(str(fingerprint) for fingerprint in fingerprints)
-        hints.append(CrashHint(server, texts, crashed_ago_ms))
-    return tuple(hints)
-
-
-def encode_part_hints(hints: Iterable[CrashHint]) -> list[Any]:
-    """Encode reports of crashes with the marks of parts."""
-    return [
-        [
-            hint.server,
-            hint.age_ms,
-            [
-                [*mark, int(mark.part in hint.finished), int(mark.part in hint.sound)]
-                for mark in hint.parts
-            ],
-        ]
-        for hint in hints
-    ]
-
-
-def decode_part_hints(rows: Any) -> tuple[CrashHint, ...]:
-    """Decode reports of crashes with parts; raise as ``decode_hints`` does."""
-    hints = []
-    for server, crashed_ago_ms, marks in rows[:MAX_HINTS]:
-        if not isinstance(server, str) or not isinstance(crashed_ago_ms, int):
-            raise TypeError("a report of a crash is malformed")
-        decoded = [_decode_mark(*mark) for mark in marks]
-        hints.append(
-            CrashHint(
-                server,
-                (),
-                crashed_ago_ms,
-                tuple(each.mark.part for each in decoded if each.has_finished),
-                tuple(each.mark for each in decoded),
-                tuple(each.mark.part for each in decoded if each.is_sound),
-            )
-        )
-    return tuple(hints)
-
-
-class ToldMark(NamedTuple):
-    """Hold a mark that a peer tells, and whether its part finished after or before."""
-
-    mark: PartMark
-    has_finished: bool
-    is_sound: bool
-
-
-def _decode_mark(
-    part: Any,
-    workspace: Any,
-    depth: Any,
-    request: Any,
-    has_finished: Any,
-    is_sound: Any,
-) -> ToldMark:
-    if not all(isinstance(text, str) for text in (part, workspace, request)):
-        raise TypeError("a name of a mark is no text")
-    if type(depth) is not int or depth < 1:
-        raise ValueError("the depth of a mark is no positive number")
-    mark = PartMark(part, workspace, depth, request)
-    return ToldMark(mark, bool(has_finished), bool(is_sound))
-
-
 def earlier_addresses(members: Members, now_ms: int) -> set[str]:
     """Return the addresses of live instances whose build reads no digests."""
     return {
--- a/tests/core/test_crash_spread.py
+++ b/tests/core/test_crash_spread.py
@@ -38,10 +38,8 @@
     quarantined_part,
 )
 from bramleyturn.core.request_names import RequestNames
-from bramleyturn.gateway.heartbeats import (
-    NEWS_DELAY_MS,
-    encode_report,
-)
+from bramleyturn.gateway.crash_hints import encode_report
+from bramleyturn.gateway.heartbeats import NEWS_DELAY_MS
 
 BEAT_MS = 400
 OWN_HEARTBEAT_BYTES = 250
--- a/tests/gateway/test_peer_input.py
+++ b/tests/gateway/test_peer_input.py
@@ -23,11 +23,8 @@
 from bramleyturn.core.poison import choose_hints
 from bramleyturn.core.poison_parts import choose_part_hints
 from bramleyturn.core.request_names import caller_fingerprint, part_name
-from bramleyturn.gateway.heartbeats import (
-    decode_heartbeats,
-    encode_hints,
-    encode_part_hints,
-)
+from bramleyturn.gateway.crash_hints import encode_hints, encode_part_hints
+from bramleyturn.gateway.heartbeats import decode_heartbeats
 from bramleyturn.gateway.server_limits import MAX_SENT_LIMITS, encode_limits
 from bramleyturn.gateway.stage_messages import (
     EngineAsk,
