Count the learned paces of engines of uneven pools

Every engine counted as equally fast, so that slow ones got as many prompts as fast ones and their queues grew.

The test of the queue failed before.

--- a/src/bramleyturn/core/placement/engine_queues.py
+++ b/src/bramleyturn/core/placement/engine_queues.py
@@ -6,10 +6,12 @@
 idle. The owner of the stages hears of the requests of all instances before they reach
 their engines. It counts what it has assigned to each engine, and knows by which one a
 part was read lately. Engines that turn slow are found by the instances whose requests
-wait there: what they report counts as work that the engine still has to do.
+wait there: what they report counts as work that the engine still has to do. Engines of
+uneven pools take as long as was learned of them.
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 # What a request takes of an engine's time beside reading its prompt.
@@ -61,12 +63,15 @@
 
     ``busy_until_ms`` is when an engine has done its work, ``read_ms`` when it was last
     assigned a prompt with a part, and ``assigned`` has the latest requests by attempt.
+    ``paces`` has the learned paces of engines of uneven pools by id, relative to their
+    pool; 2 is half as fast. Other engines take the usual time.
     """
 
     def __init__(self) -> None:
         self.busy_until_ms: dict[str, int] = {}
         self.read_ms: OrderedDict[tuple[str, str], int] = OrderedDict()
         self.assigned: OrderedDict[str, Assigned] = OrderedDict()
+        self.paces: Mapping[str, float] = {}
 
 
 def assign_engine(
@@ -143,4 +148,6 @@
 ) -> int:
     read_ms = queues.read_ms.get((need.part, option.server_id))
     is_kept = read_ms is not None and now_ms - read_ms <= PART_KEPT_MS
-    return REQUEST_MS + need.own_ms + (0 if is_kept else need.shared_ms)
+    work_ms = REQUEST_MS + need.own_ms + (0 if is_kept else need.shared_ms)
+    pace = queues.paces.get(option.server_id)
+    return work_ms if pace is None else round(work_ms * pace)
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -88,6 +88,7 @@
         self.links = PeerLinks(serving, self.receive)
         self.crashes = CrashWatch(serving)
         self.owner = StageOwner(serving, self.links, self.crashes)
+        self.owner.pipeline.engines.paces = serving.balance.paces
         self.asks = StageAsks(serving, self.links)
         self.copy = StoreCopy(serving)
         self.reader = StoreReader(self.copy)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+from bramleyturn.core.balance.choice import ExpectedLoad
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart
 from bramleyturn.core.placement.choice import (
@@ -49,6 +50,18 @@
         }
         assert len(chosen) == 1
 
+    def test_slow_engine_loses_its_part_at_fewer_requests(self) -> None:
+        """A slow engine took as many prompts in progress as a fast one."""
+        first = choose_by_prefix(SERVERS, prompt("a"), LoadTracker(), Random(1), 0)
+        assert first is not None
+        for pace, keeps in ((1.0, True), (4.0, False)):
+            loads = {each.id: ExpectedLoad(3, 64, 1.0, 1.0) for each in SERVERS}
+            loads[first.id] = ExpectedLoad(3, 64, pace, 1.0)
+            chosen = choose_by_prefix(
+                SERVERS, prompt("a"), LoadTracker(), Random(1), 0, loads
+            )
+            assert (chosen == first) == keeps
+
     def test_parts_spread_over_the_engines(self) -> None:
         tracker = LoadTracker()
         counts = Counter(
--- a/tests/core/placement/test_engine_load.py
+++ b/tests/core/placement/test_engine_load.py
@@ -105,3 +105,20 @@
                 )
                 late.append(sum(took_ms > ENGINE_AIM_MS for took_ms in times))
             assert late[1] < late[0] / 2, (seed, late)
+
+
+class TestUnequalEngines:
+    """Engines with speeds 0.6, 1.0 and 1.6, whose paces were learned."""
+
+    @pytest.mark.parametrize("per_s", [20, 26, 30])
+    def test_first_events_come_sooner_with_learned_paces(self, per_s: int) -> None:
+        """Slow engines were expected to read a prompt as fast as others."""
+        slow = {place: (1 / 0.6, 1.0, 1 / 1.6)[place % 3] for place in range(9)}
+        sent = requests(1, per_s, 40, entries=ENTRIES_OF_LARGE_FLEET)
+        longest = []
+        for paces in ({}, {f"e{place}": pace for place, pace in slow.items()}):
+            queues = EngineQueues()
+            queues.paces = paces
+            times = first_event_times_ms(sent, by_common_queues(queues), 9, slow)
+            longest.append(sorted(times)[int(0.99 * len(times))])
+        assert longest[1] < longest[0]
--- a/tests/core/placement/test_engine_queues.py
+++ b/tests/core/placement/test_engine_queues.py
@@ -9,6 +9,7 @@
     MAX_LATE_MS,
     MAX_READ_MS,
     PART_KEPT_MS,
+    REQUEST_MS,
     EngineNeed,
     EngineOption,
     EngineQueues,
@@ -81,6 +82,23 @@
         assert assign_engine(EngineQueues(), "r0", need, 0) is None
 
 
+class TestPaces:
+    """Engines whose machines differ in speed."""
+
+    def test_faster_engine_gets_more_of_the_requests(self) -> None:
+        """All engines counted as equally fast, so that slow ones had long queues."""
+        queues = EngineQueues()
+        queues.paces = {"e0": 2.0, "e1": 0.5}
+        chosen = [assign_engine(queues, f"r{number}", NEED, 0) for number in range(20)]
+        assert chosen.count(SECOND) >= 3 * chosen.count(FIRST)
+
+    def test_engine_of_which_nothing_was_learned_takes_the_usual_time(self) -> None:
+        queues = EngineQueues()
+        queues.paces = {"e1": 0.5}
+        assert assign_engine(queues, "r0", NEED._replace(options=(FIRST,)), 0) == FIRST
+        assert queues.busy_until_ms == {"e0": REQUEST_MS + 280}
+
+
 class TestLateEngines:
     """Reports that first events of an engine were late."""
 
