Don't let a faulty load or an idle failing engine draw requests

A report that named very many slots would have drawn the requests of all instances, and an idle engine that answers with errors kept the prompts of its parts, as an idle engine cost nothing. Reported slots count only if they are fewer than the registered ones, and the cost of an engine includes the request itself. Both tests failed before.

--- a/src/bramleyturn/core/balance/choice.py
+++ b/src/bramleyturn/core/balance/choice.py
@@ -111,8 +111,14 @@
 
 
 def _slots(server: BackendServer, state: RunState | None) -> int:
+    """Return the registered slots, or those reported if they are fewer.
+
+    A faulty report must not draw the requests of all.
+    """
     report = state.report if state else None
-    return max(1, report.slots if report and report.slots else server.slots)
+    if report is None or not report.slots:
+        return max(1, server.slots)
+    return min(report.slots, max(1, server.slots))
 
 
 def _fresh_requests(state: RunState | None, now_ms: int) -> int | None:
--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -149,10 +149,15 @@
     read_ms = shared[-1].tokens * READ_TOKEN_MS
     costs = []
     for place, server in enumerate(ranked):
+        prefix_ms = read_ms if place else 0.0
         load = expected.get(server.id) if expected else None
-        requests = load.requests if load else load_of(tracker, server.id, now_ms)
-        cost_ms = requests * REQUEST_DELAY_MS + (read_ms if place else 0.0)
-        costs.append(cost_ms * load.pace / load.trust if load else cost_ms)
+        if load is None:
+            requests = load_of(tracker, server.id, now_ms)
+            costs.append(requests * REQUEST_DELAY_MS + prefix_ms)
+            continue
+        # With the request itself, so that an idle engine that fails has a cost too.
+        busy_ms = (load.requests + 1) * REQUEST_DELAY_MS + prefix_ms
+        costs.append(busy_ms * load.pace / load.trust)
     return ranked[costs.index(min(costs))]
 
 
--- a/tests/core/balance/test_choice.py
+++ b/tests/core/balance/test_choice.py
@@ -79,6 +79,11 @@
         state.note_ended(balance, RUNS[0], 120)
         assert requests_expected(balance, 120)[0] == 2
 
+    def test_report_of_too_many_slots_does_not_draw_all_requests(self) -> None:
+        balance = balance_of(2, 2, 2, 2)
+        note_report(balance, RUNS[0], ServerReport(2, 0, 999_999, 1))
+        assert expected_loads(balance, SERVERS, 1)[0].capacity == 6
+
     def test_older_report_does_not_replace_a_newer_one(self) -> None:
         balance = balance_of(1, at_ms=100)
         assert not note_report(balance, RUNS[0], ServerReport(6, 9, 6, 100))
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -51,12 +51,16 @@
         assert len(chosen) == 1
 
     def test_slow_engine_loses_its_part_at_fewer_requests(self) -> None:
-        """A slow engine took as many prompts in progress as a fast one."""
+        """A slow engine took as many prompts in progress as a fast one.
+
+        An idle one that answers with errors kept its parts.
+        """
         first = choose_by_prefix(SERVERS, prompt("a"), LoadTracker(), Random(1), 0)
         assert first is not None
-        for pace, keeps in ((1.0, True), (4.0, False)):
-            loads = {each.id: ExpectedLoad(3, 64, 1.0, 1.0) for each in SERVERS}
-            loads[first.id] = ExpectedLoad(3, 64, pace, 1.0)
+        cases = ((3, 1.0, 1.0, True), (3, 4.0, 1.0, False), (0, 1.0, 0.02, False))
+        for count, pace, trust, keeps in cases:
+            loads = {each.id: ExpectedLoad(count, 64, 1.0, 1.0) for each in SERVERS}
+            loads[first.id] = ExpectedLoad(count, 64, pace, trust)
             chosen = choose_by_prefix(
                 SERVERS, prompt("a"), LoadTracker(), Random(1), 0, loads
             )
