--- a/src/bramleyturn/core/placement/choice.py
+++ b/src/bramleyturn/core/placement/choice.py
@@ -6,10 +6,11 @@
 again), and servers that differ in speed or report load caused by other instances.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from random import Random
 from typing import Final, NamedTuple
 
+from bramleyturn.core.balance.choice import ExpectedLoad
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart, own_tokens, shared_prefix
 from bramleyturn.core.placement.engine_queues import (
@@ -132,23 +133,31 @@
     tracker: LoadTracker,
     random: Random,
     now_ms: int,
+    expected: Mapping[str, ExpectedLoad] | None = None,
 ) -> BackendServer | None:
     """Return the server that is expected to finish reading the prompt first.
 
     All instances expect a prefix to be cached on the same server, by rendezvous
     hashing. Only the last shared part counts, since earlier parts are shared by so many
-    requests that every engine has them in its cache.
+    requests that every engine has them in its cache. ``expected`` has the load of the
+    servers of an uneven pool by id, None for other pools.
     """
     shared = shared_prefix(prompt)
     if not shared or not servers:
         return choose_by_load(servers, tracker, random, now_ms)
     ranked = sorted(servers, key=lambda server: _rank(shared[-1].id, server.id))
     read_ms = shared[-1].tokens * READ_TOKEN_MS
-    costs = [
-        load_of(tracker, server.id, now_ms) * REQUEST_DELAY_MS
-        + (read_ms if place else 0.0)
-        for place, server in enumerate(ranked)
-    ]
+    costs = []
+    for place, server in enumerate(ranked):
+        prefix_ms = read_ms if place else 0.0
+        load = expected.get(server.id) if expected else None
+        if load is None:
+            requests = load_of(tracker, server.id, now_ms)
+            costs.append(requests * REQUEST_DELAY_MS + prefix_ms)
+            continue
+        # With the request itself, so that an idle engine that fails has a cost too.
+        busy_ms = (load.requests + 1) * REQUEST_DELAY_MS + prefix_ms
+        costs.append(busy_ms * load.pace / load.trust)
     return ranked[costs.index(min(costs))]
 
 
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+from bramleyturn.core.balance.choice import ExpectedLoad
 from bramleyturn.core.catalog.model import BackendServer
 from bramleyturn.core.catalog.prompt import PromptPart
 from bramleyturn.core.placement.choice import (
@@ -49,6 +50,22 @@
         }
         assert len(chosen) == 1
 
+    def test_slow_engine_loses_its_part_at_fewer_requests(self) -> None:
+        """A slow engine took as many prompts in progress as a fast one.
+
+        An idle one that answers with errors kept its parts.
+        """
+        first = choose_by_prefix(SERVERS, prompt("a"), LoadTracker(), Random(1), 0)
+        assert first is not None
+        cases = ((3, 1.0, 1.0, True), (3, 4.0, 1.0, False), (0, 1.0, 0.02, False))
+        for count, pace, trust, keeps in cases:
+            loads = {each.id: ExpectedLoad(count, 64, 1.0, 1.0) for each in SERVERS}
+            loads[first.id] = ExpectedLoad(count, 64, pace, trust)
+            chosen = choose_by_prefix(
+                SERVERS, prompt("a"), LoadTracker(), Random(1), 0, loads
+            )
+            assert (chosen == first) == keeps
+
     def test_parts_spread_over_the_engines(self) -> None:
         tracker = LoadTracker()
         counts = Counter(
