--- a/tests/core/contention/test_bursts.py
+++ b/tests/core/contention/test_bursts.py
@@ -8,6 +8,7 @@
     END_MS,
     Callers,
     all_kinds,
+    one_kind,
     overload,
 )
 from tests.core.pieces.stage_simulation import Arrival
@@ -30,6 +31,13 @@
         not_in_time = len(simulation.jobs) - simulation.in_time()
         assert simulation.unserved() < not_in_time / 2
 
+    def test_trough_serves_most_of_those_late_for_one_kind_at_three_times(
+        self,
+    ) -> None:
+        simulation = replay(one_kind(0))
+        not_in_time = len(simulation.jobs) - simulation.in_time()
+        assert simulation.unserved() < not_in_time / 2
+
 
 class TestUsualLoad:
     """The load stays below the capacity."""
