Ask for turns at cold engines only with prompts that they are to keep

While there are warm engines, a cold one gets the requests whose first choice it is; if all are cold, all four count as before.

--- a/src/bramleyturn/gateway/cold_choice.py
+++ b/src/bramleyturn/gateway/cold_choice.py
@@ -80,13 +80,20 @@
 def _preferred(
     serving: Serving, request: CallerRequest, servers: list[BackendServer]
 ) -> list[BackendServer]:
-    """Return the servers that a request would choose from if all were warm."""
+    """Return the servers that a request would choose from if all were warm.
+
+    A cold engine has nothing in its cache. While there are warm ones, it gets only
+    the requests whose prompts it is to keep, or others would read their prompt parts
+    again there.
+    """
     if not request.route.uses_prefix_affinity:
         return servers
-    if not any(is_cold(serving, each) for each in servers):
+    cold = [each for each in servers if is_cold(serving, each)]
+    if not cold:
         return servers
     need = engine_need(servers, request.head.prompt, serving.random)
-    named = {option.server_id for option in need.options}
+    count = 1 if len(cold) < len(servers) else len(need.options)
+    named = {option.server_id for option in need.options[:count]}
     return [each for each in servers if each.id in named]
 
 
