--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -26,6 +26,7 @@
 HEARTBEAT_MS = 1200
 KEY = "key-of-north-0001"
 READY_S = 20.0
+MEMORY_MB = 222
 
 
 class CannotRun(Exception):
@@ -126,7 +127,7 @@
             "bootstrap": "true",
             "limits.cpuShare": "0.731",
             "limits.cores": "1",
-            "limits.memoryMb": "222",
+            "limits.memoryMb": str(MEMORY_MB),
             "limits.fileDescriptors": "1535",
             "limits.linkMbps": "350.0",
             "heartbeatMs": str(HEARTBEAT_MS),
@@ -255,9 +256,12 @@
 
     async def call(
         self, number, method, path, wait_ms, work=None, attempt_id=None, headers=(),
-        body=b"", kept=None,
-    ):
-        """Send one client attempt and return its id and answer."""
+        body=b"", kept=None, leave_s=None,
+    ):  # fmt: skip
+        """Send one client attempt and return its id and answer.
+
+        With ``leave_s`` the client closes its connection if there is no answer by then.
+        """
         attempt_id = attempt_id or f"{random.getrandbits(64):016x}"
         reader, writer = kept or await self.connect(number)
         fields = [
@@ -273,10 +277,14 @@
         writer.write(request_bytes(method, path, fields, body))
         try:
             answer = await asyncio.wait_for(
-                read_answer(reader), wait_ms / 1000 + 4
+                read_answer(reader), leave_s or wait_ms / 1000 + 4
             )
         except TimeoutError:
             answer = None
+            if leave_s is not None:
+                self.record("left", id=attempt_id)
+                writer.close()
+                return attempt_id, None
         self.record(
             "answered",
             id=attempt_id,
@@ -288,6 +296,15 @@
             writer.close()
         return attempt_id, answer
 
+    def memory_mb(self, name):
+        """Return the resident memory of a process, 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.processes[name].pid}/status").read_text()
+        except OSError:
+            return 0.0
+        sizes = [line.split()[1] for line in status.splitlines() if "VmRSS" in line]
+        return int(sizes[0]) / 1024 if sizes else 0.0
+
     def log_of(self, process):
         """Return the JSON lines that a process, or its earlier starts, wrote."""
         found = []
@@ -295,6 +312,8 @@
             if name != process:
                 continue
             for line in path.read_text(errors="replace").splitlines():
+                if not line:
+                    continue
                 try:
                     found.append(json.loads(line))
                 except ValueError:
--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -130,7 +130,7 @@
     """Run until killed."""
     server = Server(json.loads(sys.argv[1]))
     host, _, port = server.settings["address"].rpartition(":")
-    listening = await asyncio.start_server(server.serve, host, int(port))
+    listening = await asyncio.start_server(server.serve, host, int(port), limit=2**22)
     server.record("starts", born=server.born)
     async with listening:
         await server.beat()
