--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -3,11 +3,13 @@
 Started like server.py, whose entry and health it shares. ``X-Work`` of a request has
 ``events``, ``gap_ms`` between them and ``frame`` (chunked or close). After SIGUSR1 the
 engine is in need: it refuses new requests with 503 and ``Retry-After``, and goes on
-with those that it runs.
+with those that it runs. From SIGUSR2 on, until the next one, it answers a share of the
+requests with bytes that are no answer, without end.
 """
 
 import asyncio
 import json
+import random
 import signal
 import sys
 
@@ -15,6 +17,10 @@
 from web import answer_bytes, head_bytes
 
 RETRY_AFTER_S = 8
+# The share of their requests that servers in trouble fail, in both site files.
+ENDLESS_SHARE = 0.45
+# Chunks of one byte, as many as are written at once.
+TINY_CHUNKS = b"1\r\nx\r\n" * 4096
 
 
 def event(number):
@@ -28,6 +34,12 @@
     def __init__(self, settings):
         super().__init__(settings)
         self.is_in_need = False
+        self.is_endless = False
+
+    def toggle_endless(self):
+        """Begin or end to answer without end."""
+        self.is_endless = not self.is_endless
+        self.record("answers without end" if self.is_endless else "answers as usual")
 
     def need(self):
         """Refuse new requests from now on."""
@@ -80,6 +92,9 @@
         self.running += 1
         is_chunked = work.get("frame", "chunked") == "chunked"
         framing = ("Transfer-Encoding", "chunked")
+        if self.is_endless and random.random() < ENDLESS_SHARE:
+            await self._answer_without_end(attempt_id, writer)
+            return False
         headers = [
             *self.identity(),
             ("Bramleyturn-Attempt-Id", attempt_id),
@@ -100,13 +115,33 @@
         self.record("ends", id=attempt_id)
         return is_chunked
 
+    async def _answer_without_end(self, attempt_id, writer):
+        headers = [
+            ("Bramleyturn-Attempt-Id", attempt_id),
+            ("Bramleyturn-Response-Signature", f"s.{attempt_id}"),
+            ("Content-Type", "application/octet-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        writer.write(head_bytes(200, headers))
+        sent = 0
+        try:
+            while True:
+                writer.write(TINY_CHUNKS)
+                await writer.drain()
+                sent += len(TINY_CHUNKS)
+        finally:
+            self.running -= 1
+            self.record("closed", id=attempt_id, bytes=sent)
+
 
 async def main():
     """Run until killed."""
     engine = Engine(json.loads(sys.argv[1]))
     host, _, port = engine.settings["address"].rpartition(":")
     listening = await asyncio.start_server(engine.serve, host, int(port))
-    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, engine.need)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGUSR1, engine.need)
+    loop.add_signal_handler(signal.SIGUSR2, engine.toggle_endless)
     engine.record("starts", born=engine.born)
     async with listening:
         await engine.beat()
