Parse what takes long in turns of the event loop

Cause: all bytes of a read, up to 64 KiB, were parsed in one turn of the event loop, and h11 takes some 10 us for a chunk of one byte as for a large one, 1.8 us a byte on this machine. Header lines cost 0.65 us a byte, and a caller's trailers and chunk extensions had no bound.

Change: connections have a share of each turn, counted in lines, and wait for a later turn once it is used up; they are not read meanwhile. Requests, readiness checks and metrics pages count as so many lines. Callers and servers have turns of their own. Bodies are collected in one buffer, not in a list of pieces. An answer whose connection ends while it waits is parsed to its end. Tests with crowds run one at a time, apart from the others (marker "crowd").

The tests that deliver bytes to a connection let its event loop run; their checks are unchanged.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 	$(BIN)/python -m tests.site.soak --calm
 	PATH="$(CURDIR)/$(BIN):$$PATH" scripts/run-local
 
-test: setup  ## Run every test.
-	$(BIN)/python -m pytest -n 6 $(PYTEST_ARGS)
+test: setup  ## Run every test, and those with crowds of callers one at a time.
+	$(BIN)/python -m pytest -n 6 -m "not crowd" $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -m crowd $(PYTEST_ARGS) || test $$? -eq 5
 
 bench: setup  ## Replay the comparison of policies; more with BENCH_ARGS="--seeds 5".
 	$(BIN)/python scripts/bench.py $(BENCH_ARGS)
--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -113,8 +113,7 @@
         self.framing = Framing.CLOSE
         self.is_stream = False
         self.splitter = EventSplitter()
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
         self.max_bytes = MAX_BODY_BYTES
         self.events = 0
 
@@ -143,11 +142,11 @@
         if self.is_stream:
             self._forward_events(data)
             return
-        self.size += len(data)
-        if self.size > self.max_bytes:
-            self.connection.end_at_bound(Bound.BODY, self.size)
+        size = len(self.body) + len(data)
+        if size > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, size)
             return
-        self.parts.append(data)
+        self.body += data
         self.connection.hold(len(data))
 
     def _forward_events(self, data: bytes) -> None:
@@ -183,7 +182,7 @@
                 return
             self.ended.callback(Streamed(self.answer, self.headers, body_end, end))
             return
-        body = b"".join(self.parts)
+        body = bytes(self.body)
         content_type = dict(self.headers).get(b"content-type", b"")
         end = judge_body_end(body_end, content_type, body)
         verdict = self._verdict(self.answer)
@@ -201,7 +200,7 @@
 
     def failed(self, reason: FailureReason) -> None:
         """End the attempt without a complete answer."""
-        self.parts.clear()
+        self.body.clear()
         if not self.ended.called:
             body_end = None if self.answer is None else self._body_end()
             self.ended.callback(AttemptFailed(reason, body_end))
--- a/src/bramleyturn/gateway/caller_connection.py
+++ b/src/bramleyturn/gateway/caller_connection.py
@@ -1,7 +1,7 @@
 """Read the requests of one caller's connection and write their answers.
 
 A connection whose caller does not read its answers is neither read nor parsed, and
-requests that were sent ahead are parsed in turns of the event loop.
+what takes long to parse is parsed in turns of the event loop.
 """
 
 import logging
@@ -13,7 +13,16 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from bramleyturn.core.contention.loop_turns import (
+    Usage,
+    begin_visit,
+    has_units,
+    leave,
+    use_units,
+    wait_for_turn,
+)
 from bramleyturn.core.units import MS_PER_S
+from bramleyturn.gateway.bounded_reader import BoundedReader
 from bramleyturn.gateway.caller_bounds import (
     add_connection,
     buffered_bytes,
@@ -25,6 +34,7 @@
 from bramleyturn.gateway.caller_heads import (
     STATUS_TOO_LARGE,
     ConnectionState,
+    body_length,
     head_fault,
 )
 from bramleyturn.gateway.caller_transport import CallerTransport
@@ -48,8 +58,6 @@
 # Beyond this a connection is not read on before its current request is answered, so
 # that an ordinary caller never gets to the bound above.
 READ_AHEAD_BYTES: Final = 16 * 1024
-# Requests of one connection that are answered before other connections get their turn.
-REQUESTS_PER_TURN: Final = 8
 
 logger = logging.getLogger(__name__)
 
@@ -60,8 +68,8 @@
 
     ``is_blocked`` is set while the caller has not read what is buffered. The transport
     reports it, to which the connection is the producer of what is written. Nothing is
-    read or parsed then. ``is_deferred`` is set while requests that were sent ahead wait
-    for the next turn of the event loop.
+    read or parsed then. Nor is it read while it waits for a turn of the event loop to
+    parse what it has received.
     """
 
     def __init__(self, server: "HttpServer") -> None:
@@ -76,15 +84,12 @@
         self.requests = 0
         self.is_closing = False
         self.is_blocked = False
-        self.is_deferred = False
         self.is_parsing = False
         self.has_sent_all = False
         self.has_read_all = False
-        self.http = self._new_parser()
-
-    def _new_parser(self) -> h11.Connection:
-        limit = self.server.limits().max_header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self.usage = Usage(self._parse_on)
+        self.reader = BoundedReader(h11.SERVER, server.limits().max_header_bytes)
+        self.http = self.reader.http
 
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request, until the idle timeout."""
@@ -105,6 +110,10 @@
         self.server.connections.discard(self)
         drop_connection(self.server.bounds, self)
         release_unread(self.server.unread, self)
+        leave(self.usage)
+        # The connection may stay in a cycle of references for some time.
+        self.reader.drop_bytes()
+        self.body.clear()
         self._stop_timer()
         self.server.on_connection_ended(self)
         self._notify_gone()
@@ -175,11 +184,8 @@
                 return
         elif self.first_byte_ms is None:
             self._begin_request()
-        try:
-            self.http.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self.refuse(error.error_status_hint)
-            return
+        self.reader.receive(data)
+        begin_visit(self.usage)
         self._read_events()
 
     def _begin_request(self) -> None:
@@ -196,10 +202,9 @@
         if self.is_closed or self.is_closing:
             return
         has_sent_ahead = (
-            self.exchange is not None
-            and len(self.http.trailing_data[0]) > READ_AHEAD_BYTES
+            self.exchange is not None and self.reader.waiting_bytes() > READ_AHEAD_BYTES
         )
-        is_paused = self.is_blocked or self.is_deferred or has_sent_ahead
+        is_paused = self.is_blocked or self.usage.is_waiting or has_sent_ahead
         self._set_paused(is_paused)
 
     def close_idle_now(self) -> None:
@@ -248,7 +253,7 @@
 
         A request that was sent ahead is still answered.
         """
-        if self.server.is_closing and not self.http.trailing_data[0]:
+        if self.server.is_closing and not self.reader.waiting_bytes():
             headers = [*headers, (b"Connection", b"close")]
         self._write(h11.Response(status_code=status, headers=headers))
 
@@ -267,11 +272,14 @@
             self.close()
             return
         self.http.start_next_cycle()
+        self.reader.begin_message()
         self.first_byte_ms = None
         self.idle_since_ms = self.server.now_ms()
         note_idle(self.server.bounds, self)
-        if self.http.trailing_data[0]:
+        if self.reader.waiting_bytes():
             self._begin_request()
+            if not self.is_parsing:
+                begin_visit(self.usage)
             self._read_events()
         else:
             self._start_timer(self.server.limits().idle_timeout_ms, self.close_if_idle)
@@ -335,28 +343,28 @@
 
         An answer that is sent meanwhile ends here again, and not in a recursion.
         """
-        if self.is_parsing or self.is_deferred:
+        if self.is_parsing or self.usage.is_waiting:
             return
         self.is_parsing = True
         try:
             self._parse()
+        except h11.RemoteProtocolError as error:
+            self.refuse(error.error_status_hint)
         finally:
             self.is_parsing = False
         self._note_read()
         self._pause_or_resume()
 
     def _parse(self) -> None:
-        last = self.requests + REQUESTS_PER_TURN
+        turns = self.server.turns
         while self._may_parse():
-            if self.requests >= last and self.http.trailing_data[0]:
-                self.is_deferred = True
-                self.server.reactor.callLater(0, self._parse_on)
-                return
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                self.refuse(error.error_status_hint)
+            if self.reader.waiting_bytes() and not has_units(turns, self.usage):
+                wait_for_turn(turns, self.usage)
                 return
+            event = self.reader.next_event()
+            use_units(turns, self.usage, self.reader.take_units())
+            if event is h11.NEED_DATA and self.reader.has_bytes():
+                continue
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
             if isinstance(event, h11.ConnectionClosed):
@@ -368,15 +376,15 @@
         return is_open and not self.is_blocked and self.exchange is None
 
     def _parse_on(self) -> None:
-        self.is_deferred = False
-        if self.exchange is None and not self.is_closed and not self.is_closing:
-            self._begin_request()
+        if self._may_parse():
             self._read_events()
+        else:
+            self._pause_or_resume()
 
     def _note_read(self) -> None:
         """Count what this connection holds of requests that are not answered yet."""
         if not self.is_closed and not self.is_closing:
-            size = len(self.http.trailing_data[0]) + len(self.body)
+            size = self.reader.waiting_bytes() + len(self.body)
             if self.exchange is not None:
                 size += len(self.exchange.body)
             hold_read(self.server.bounds, self, size)
@@ -396,6 +404,8 @@
             return
         self.request = request
         self.body = bytearray()
+        length = body_length(request)
+        self.reader.end_head(length or 0, is_chunked=length is None)
         if self.http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
@@ -415,11 +425,12 @@
         self.requests += 1
         self.request = None
         self.body = bytearray()
+        use_units(self.server.turns, self.usage, self.server.request_units)
         note_busy(self.server.bounds, self)
         self.server.handle(exchange)
 
     def _request_is_late(self) -> None:
-        if has_unread_bytes(self.transport):
+        if self.usage.is_waiting or has_unread_bytes(self.transport):
             self._start_timer(int(READ_WAIT_S * MS_PER_S), self._request_is_late)
             return
         self.refuse(STATUS_TIMEOUT)
--- a/src/bramleyturn/gateway/caller_heads.py
+++ b/src/bramleyturn/gateway/caller_heads.py
@@ -35,3 +35,11 @@
         return STATUS_BAD_REQUEST
     length = dict(request.headers).get(b"content-length", b"0")
     return STATUS_TOO_LARGE if int(length) > max_body_bytes else None
+
+
+def body_length(request: h11.Request) -> int | None:
+    """Return the length of a request's body, None if it comes in chunks."""
+    headers = dict(request.headers)
+    if b"transfer-encoding" in headers:
+        return None
+    return int(headers.get(b"content-length", b"0"))
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -96,8 +96,7 @@
         self.status = 0
         self.headers: Headers = []
         self.framing = Framing.CLOSE
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
         self.max_bytes = MAX_BODY_BYTES
 
     def head(self, status: int, headers: Headers, framing: Framing) -> None:
@@ -115,18 +114,18 @@
     def data(self, data: bytes) -> None:
         """Buffer a part of the body, or end the call if it is too large."""
         self.on_received(len(data))
-        self.size += len(data)
-        if self.size > self.max_bytes:
-            self.connection.end_at_bound(Bound.BODY, self.size)
+        size = len(self.body) + len(data)
+        if size > self.max_bytes:
+            self.connection.end_at_bound(Bound.BODY, size)
             return
-        self.parts.append(data)
+        self.body += data
         self.connection.hold(len(data))
 
     def end(self) -> None:
         """End the call with the answer, if it is whole."""
         if self.ended.called:
             return
-        body = b"".join(self.parts)
+        body = bytes(self.body)
         if self._is_broken_off(body):
             self.ended.callback(CallFailed(FailureReason.BROKEN_OFF))
             return
--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -11,6 +11,7 @@
 from bramleyturn.gateway.answer_bounds import Bound
 from bramleyturn.gateway.held_bodies import HeldBodies
 from bramleyturn.gateway.http1_client import ServerConnection
+from bramleyturn.runtime.loop_turns import loop_turns
 from bramleyturn.runtime.unread_bytes import has_unread_bytes
 
 # A connection attempt that takes longer counts as refused: instances and servers are
@@ -40,6 +41,7 @@
         self.idle: dict[str, list[ServerConnection]] = {}
         self.opened = 0
         self.held_bodies = HeldBodies()
+        self.turns = loop_turns(reactor, now_ms)
         self.on_over_bound: Callable[[str, Bound, int], None] = lambda *_: None
 
 
@@ -85,7 +87,7 @@
             idle.remove(connection)
 
     endpoint = TCP4ClientEndpoint(pool.reactor, host, port, CONNECT_TIMEOUT_S)
-    factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle))
+    factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle, pool.turns))
     connection: ServerConnection = await endpoint.connect(factory)
     connection.on_lost.append(remove_idle)
     connection.held_bodies = pool.held_bodies
--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -71,6 +71,9 @@
 # From the end of the time on, everything that arrives is answered at once.
 END_CHECK_INTERVAL_S: Final = 0.01
 LISTEN_BACKLOG: Final = 512
+# What these answers cost, in units of core/contention/loop_turns.py.
+READINESS_UNITS: Final = 40
+METRICS_UNITS: Final = 2_000
 STATUS_UNAVAILABLE: Final = 503
 # Longer delays of the event loop are logged: events of a stream have to be passed on
 # within about this time.
@@ -103,7 +106,9 @@
         self.front.on_connection_ended = self.connection_ended
         self.ready = self._server(self.answer_readiness)
         self.control = self._server(self.api.handle)
+        self.ready.request_units = READINESS_UNITS
         self.metrics = self._server(self.answer_metrics)
+        self.metrics.request_units = METRICS_UNITS
         self.front_port: Any = None
         self.stopping_ms: int | None = None
         self.settings_mtime_ns = 0
@@ -111,6 +116,7 @@
     def _server(self, handle: Any) -> HttpServer:
         serving = self.serving
         server = HttpServer(serving.reactor, serving.now_ms, serving.limits, handle)
+        server.turns = serving.caller_turns
         server.unread = serving.unread
         server.bounds = serving.caller_bounds
         return server
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -1,8 +1,9 @@
 """Send requests over one HTTP/1.1 connection to a server, one at a time.
 
-The h11 library does the framing. After a reset an answer without a length has failed;
-after a clean close the listener decides whether it is whole. Unexpected bytes close
-the connection, and so does a part of an answer that exceeds its bound.
+The h11 library does the framing, in turns of the event loop. After a reset an answer
+without a length has failed; after a clean close the listener decides whether it is
+whole. Unexpected bytes close the connection, and so does a part of an answer that
+exceeds its bound.
 """
 
 from collections.abc import Callable
@@ -21,14 +22,22 @@
     framing_of,
     is_valid_status,
 )
+from bramleyturn.core.contention.loop_turns import (
+    LoopTurns,
+    Usage,
+    begin_visit,
+    has_units,
+    leave,
+    use_units,
+    wait_for_turn,
+)
 from bramleyturn.gateway.answer_bounds import (
-    CHUNK_ALLOWANCE_BYTES,
-    CHUNK_ALLOWANCE_PER_BYTE,
-    MAX_CHUNK_EXCESS_BYTES,
     MAX_HEAD_BYTES,
     MAX_INTERIM_ANSWERS,
     Bound,
+    declared_length,
 )
+from bramleyturn.gateway.bounded_reader import STATUS_HEAD_TOO_LARGE, BoundedReader
 from bramleyturn.gateway.held_bodies import HeldBodies, hold_body, release_body
 from bramleyturn.gateway.read_pauses import (
     PauseReason,
@@ -43,8 +52,9 @@
 # than other bytes, and the loop serves all streams in one turn.
 READ_BYTES: Final = 64 * 1024
 STREAM_READ_BYTES: Final = 2 * 1024
-# The hint with which h11 rejects an event that exceeds its limit.
-STATUS_HEAD_TOO_LARGE: Final = 431
+# What passing on a part of a stream costs besides its parsing, in units of
+# core/contention/loop_turns.py.
+STREAM_PART_UNITS: Final = 10
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -83,18 +93,22 @@
     """Send requests and read answers over one connection to a server.
 
     ``requests`` counts those sent. ``on_over_bound`` is called with the bound that a
-    part of an answer exceeded, and its size in bytes. ``head_bytes`` is what was
-    received before the end of the head, and ``excess_bytes`` what chunks have besides
-    their data and an allowance. A listener sets ``is_stream`` with the head of an
-    answer that is a stream of events. ``seen_results`` are the names of the results in
-    the answers so far.
+    part of an answer exceeded, and its size in bytes. ``is_cut`` is set if the
+    connection was lost before its request was written. A listener sets ``is_stream``
+    with the head of an answer that is a stream of events. ``seen_results`` are the
+    names of the results in the answers so far.
     """
 
-    def __init__(self, on_idle: Callable[["ServerConnection"], None]) -> None:
+    def __init__(
+        self, on_idle: Callable[["ServerConnection"], None], turns: LoopTurns
+    ) -> None:
         self.on_idle = on_idle
+        self.turns = turns
+        self.usage = Usage(self._parse_on)
         self.on_lost: list[Callable[[ServerConnection], None]] = []
         self.on_over_bound: Callable[[Bound, int], None] = lambda _bound, _size: None
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.reader = BoundedReader(h11.CLIENT, MAX_HEAD_BYTES)
+        self.http = self.reader.http
         self.listener: AnswerListener | None = None
         self.held_bodies = HeldBodies()
         self.pauses = ReadPauses()
@@ -104,10 +118,9 @@
         self.is_stream = False
         self.method = b""
         self.framing: Framing | None = None
-        self.head_bytes = 0
         self.interim_answers = 0
-        self.excess_bytes = 0
         self.ended = ConnectionEnd.OPEN
+        self.is_cut = False
         self.idle_since_ms = 0
         self.idle_limit_ms: int | None = None
 
@@ -132,9 +145,8 @@
         self.requests += 1
         self.method = method
         self.framing = None
-        self.head_bytes = 0
         self.interim_answers = 0
-        self.excess_bytes = 0
+        self.reader.begin_message()
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.http.send(request)
         if body:
@@ -168,6 +180,8 @@
         """Close the connection at once, without a call to the listener."""
         self.listener = None
         release_body(self.held_bodies, self)
+        leave(self.usage)
+        self.reader.drop_bytes()
         transport: Any = self.transport
         if transport is not None and not self.is_lost:
             self.is_dropped = True
@@ -184,24 +198,9 @@
         if self.listener is None:
             self.drop()
             return
-        if self.framing is None:
-            self.head_bytes += len(data)
-        elif self.framing is Framing.CHUNKED:
-            self.excess_bytes += len(data)
-        try:
-            self.http.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
-                self._end_at_head_bound()
-            else:
-                self._fail(FailureReason.MALFORMED)
-            return
-        self.excess_bytes = max(0, self.excess_bytes)
-        if (
-            self.framing is None and self.head_bytes > MAX_HEAD_BYTES
-        ) or self.excess_bytes > MAX_CHUNK_EXCESS_BYTES:
-            self._end_at_head_bound()
+        self.reader.receive(data)
+        begin_visit(self.usage)
+        self._read_events()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """End an answer without a length, or report that the answer failed."""
@@ -212,13 +211,18 @@
         if self.listener is None:
             return
         # An answer without a length that ends before its request was written is cut.
-        is_cut = self.framing is Framing.CLOSE and has_unsent_bytes(self.transport)
-        if not is_clean or is_cut:
+        self.is_cut = self.framing is Framing.CLOSE and has_unsent_bytes(self.transport)
+        if not self.usage.is_waiting:
+            self._end_lost()
+
+    def _end_lost(self) -> None:
+        """End the answer, as its connection has ended and all of it is parsed."""
+        if self.ended is not ConnectionEnd.CLOSED or self.is_cut:
             self._fail(FailureReason.RESET)
             return
         try:
-            self.http.receive_data(b"")
-            self._read_events()
+            self.reader.receive_end()
+            self._parse()
         except h11.RemoteProtocolError:
             self._fail(FailureReason.CLOSED)
             return
@@ -226,14 +230,44 @@
             self._fail(FailureReason.CLOSED)
 
     def _read_events(self) -> None:
+        """Parse what was received, until its share of the turn is used up."""
+        if self.usage.is_waiting:
+            return
+        try:
+            self._parse()
+        except h11.RemoteProtocolError as error:
+            if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
+                self._end_at_head_bound()
+            else:
+                self._fail(FailureReason.MALFORMED)
+        if self.usage.is_waiting and not self.is_lost:
+            pause_reading(self.pauses, self.transport, PauseReason.WAITS_FOR_TURN)
+
+    def _parse_on(self) -> None:
+        if not self.is_lost:
+            resume_reading(self.pauses, self.transport, PauseReason.WAITS_FOR_TURN)
+        self._read_events()
+        is_lost = self.ended is not ConnectionEnd.OPEN
+        if is_lost and self.listener is not None and not self.usage.is_waiting:
+            self._end_lost()
+
+    def _parse(self) -> None:
         while self.listener is not None:
-            event = self.http.next_event()
+            if self.reader.has_bytes() and not has_units(self.turns, self.usage):
+                wait_for_turn(self.turns, self.usage)
+                return
+            event = self.reader.next_event()
+            use_units(self.turns, self.usage, self.reader.take_units())
+            if event is h11.NEED_DATA and self.reader.has_bytes():
+                continue
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                if self.framing is None and self.reader.head_bytes > MAX_HEAD_BYTES:
+                    self._end_at_head_bound()
                 return
             if isinstance(event, h11.InformationalResponse):
                 self.interim_answers += 1
                 if self.interim_answers > MAX_INTERIM_ANSWERS:
-                    self.end_at_bound(Bound.INTERIM, self.head_bytes)
+                    self.end_at_bound(Bound.INTERIM, self.reader.head_bytes)
             elif isinstance(event, h11.Response):
                 if not is_valid_status(event.status_code):
                     self._fail(FailureReason.MALFORMED)
@@ -241,31 +275,28 @@
                 headers = list(event.headers)
                 framing = framing_of(self.method, event.status_code, headers)
                 self.framing = framing
-                if framing is Framing.CHUNKED:
-                    self.excess_bytes = len(self.http.trailing_data[0])
+                is_chunked = framing is Framing.CHUNKED
+                length = declared_length(framing, headers)
+                is_endless = framing is Framing.CLOSE
+                self.reader.end_head(None if is_endless else length, is_chunked)
                 self.listener.head(event.status_code, headers, framing)
                 if not self.is_stream:
                     transport: Any = self.transport
                     transport.bufferSize = READ_BYTES
             elif isinstance(event, h11.Data):
-                self._allow_for_chunk(event)
+                if self.is_stream:
+                    use_units(self.turns, self.usage, STREAM_PART_UNITS)
                 self.listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._end()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(FailureReason.CLOSED)
 
-    def _allow_for_chunk(self, event: h11.Data) -> None:
-        size = len(event.data)
-        self.excess_bytes -= size + CHUNK_ALLOWANCE_PER_BYTE * size
-        if event.chunk_start:
-            self.excess_bytes -= CHUNK_ALLOWANCE_BYTES
-
     def _end_at_head_bound(self) -> None:
         if self.framing is None:
-            self.end_at_bound(Bound.HEAD, self.head_bytes)
+            self.end_at_bound(Bound.HEAD, self.reader.head_bytes)
         else:
-            self.end_at_bound(Bound.CHUNK_HEADS, self.excess_bytes)
+            self.end_at_bound(Bound.CHUNK_HEADS, self.reader.excess_bytes)
 
     def _end(self) -> None:
         listener = self.listener
@@ -275,7 +306,7 @@
             not self.is_lost
             and self.http.our_state is h11.DONE
             and self.http.their_state is h11.DONE
-            and not self.http.trailing_data[0]
+            and not self.reader.waiting_bytes()
         )
         if is_reusable:
             end_pauses(self.pauses, self.transport)
--- a/src/bramleyturn/gateway/http1_server.py
+++ b/src/bramleyturn/gateway/http1_server.py
@@ -6,21 +6,27 @@
 """
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 from twisted.internet.protocol import Factory
 
 from bramleyturn.core.catalog.model import CallerLimits
+from bramleyturn.core.contention.loop_turns import LoopTurns
 from bramleyturn.gateway.caller_bounds import CallerBounds, unbounded
 from bramleyturn.gateway.caller_connection import CallerConnection
 from bramleyturn.gateway.caller_heads import ConnectionState
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.unread_answers import UnreadAnswers
+from bramleyturn.runtime.loop_turns import loop_turns
 from bramleyturn.runtime.unread_bytes import has_unread_bytes
 
 __all__ = ["CallerConnection", "ConnectionState", "HttpServer"]
 
 
+# What a request costs besides its parsing, in units of core/contention/loop_turns.py.
+REQUEST_UNITS: Final = 200
+
+
 class HttpServer:
     """Hold the state shared by the connections of one listening address."""
 
@@ -40,6 +46,8 @@
         self.is_closing = False
         self.unread = UnreadAnswers()
         self.bounds: CallerBounds = unbounded()
+        self.turns: LoopTurns = loop_turns(reactor, now_ms)
+        self.request_units = REQUEST_UNITS
         self.on_connection_ended: Callable[[CallerConnection], None] = lambda _: None
 
     def factory(self) -> Factory:
--- a/src/bramleyturn/gateway/read_pauses.py
+++ b/src/bramleyturn/gateway/read_pauses.py
@@ -9,6 +9,7 @@
 
     BODIES_TOGETHER = "bodies_together"
     CALLER_IS_SLOW = "caller_is_slow"
+    WAITS_FOR_TURN = "waits_for_turn"
 
 
 class ReadPauses:
--- a/src/bramleyturn/gateway/serving.py
+++ b/src/bramleyturn/gateway/serving.py
@@ -43,6 +43,7 @@
 from bramleyturn.gateway.metrics import Metrics, count
 from bramleyturn.gateway.unread_answers import UnreadAnswers
 from bramleyturn.platform.settings import ServingSettings
+from bramleyturn.runtime.loop_turns import loop_turns
 
 logger = logging.getLogger(__name__)
 
@@ -91,6 +92,7 @@
         self.peers_pool = ConnectionPool(reactor, clock.monotonic_ms)
         for pool in (self.servers_pool, self.peers_pool):
             pool.on_over_bound = partial(note_over_bound, self.metrics)
+        self.caller_turns = loop_turns(reactor, clock.monotonic_ms)
         self.unread = UnreadAnswers()
         self.unread.on_over_bound = partial(note_unread, self.metrics)
         self.caller_bounds = caller_bounds(
--- /dev/null
+++ b/src/bramleyturn/runtime/parse_steps.py
@@ -0,0 +1,29 @@
+"""Divide received bytes into steps that take about equally long to parse.
+
+Parsers take as long for a short line, or a chunk of one byte, as for a long one.
+"""
+
+from typing import Final
+
+STEP_BYTES: Final = 64 * 1024
+# Steps of fewer lines need not be short.
+MAX_STEP_LINES: Final = 512
+SHORT_STEP_BYTES: Final = 2 * 1024
+
+
+def take_step(unparsed: bytearray) -> tuple[bytes, int]:
+    """Take the bytes to parse next; return them and how many lines they may have."""
+    data = bytes(unparsed[:STEP_BYTES])
+    lines = data.count(b"\n")
+    if lines > MAX_STEP_LINES:
+        data = data[:SHORT_STEP_BYTES]
+        lines = data.count(b"\n")
+    del unparsed[: len(data)]
+    return data, lines
+
+
+def take_body(unparsed: bytearray, body_bytes: int) -> bytes:
+    """Take bytes of a body of which so many are due; they are not parsed."""
+    data = bytes(unparsed[: min(STEP_BYTES, body_bytes)])
+    del unparsed[: len(data)]
+    return data
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -100,8 +100,13 @@
         self.connections.append(self.connection)
 
     def receive(self, data: bytes) -> None:
-        """Deliver bytes of the server."""
-        self.connection.dataReceived(data)
+        """Deliver bytes of the server that was connected last."""
+        self.deliver(self.connection, data)
+
+    def deliver(self, connection: Any, data: bytes) -> None:
+        """Deliver bytes of a server, and let the event loop parse them."""
+        connection.dataReceived(data)
+        self.reactor.advance(0)
 
     def call(self) -> list[WholeAnswer | CallFailed]:
         """Start a call; return the list that receives its end."""
@@ -247,12 +252,12 @@
         calls = [server.call() for _ in range(BODIES)]
         connections = list(server.connections)
         for connection in connections:
-            connection.dataReceived(OK + b"\r\n")
+            server.deliver(connection, OK + b"\r\n")
         held, largest = server.pool.held_bodies, 0
         for _ in range(LARGEST_BODY_BYTES // PIECE_BYTES * BODIES):
             reading = [each for each in connections if is_read(each)]
             for each in reading:
-                each.dataReceived(b"x" * PIECE_BYTES)
+                server.deliver(each, b"x" * PIECE_BYTES)
             largest = max(largest, held.total)
         assert largest <= 3 * LARGEST_BODY_BYTES + BODIES * PIECE_BYTES
         assert [reasons(ended) for ended in calls] == [[OVER_BOUND]] * BODIES
@@ -263,15 +268,15 @@
         calls = [server.call() for _ in range(BODIES)]
         left = dict.fromkeys(server.connections, LARGEST_BODY_BYTES)
         for connection in left:
-            connection.dataReceived(
-                OK + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY_BYTES
+            server.deliver(
+                connection, OK + b"Content-Length: %d\r\n\r\n" % LARGEST_BODY_BYTES
             )
         while any(left.values()):
             reading = [each for each in left if left[each] and is_read(each)]
             assert reading
             for each in reading:
                 left[each] -= PIECE_BYTES
-                each.dataReceived(b"x" * PIECE_BYTES)
+                server.deliver(each, b"x" * PIECE_BYTES)
         assert [reasons(ended) for ended in calls] == [["whole"]] * BODIES
 
     def test_small_body_waits_for_no_large_ones(self) -> None:
@@ -290,14 +295,14 @@
         server = OneServer()
         attempts = [server.attempt() for _ in range(MANY_STREAMS)]
         for connection in server.connections:
-            connection.dataReceived(
-                OK + SIGNED + b"Content-Type: text/event-stream\r\n\r\n"
+            server.deliver(
+                connection, OK + SIGNED + b"Content-Type: text/event-stream\r\n\r\n"
             )
         held, largest = server.pool.held_bodies, 0
         for _ in range(LARGEST_EVENT_BYTES // PIECE_BYTES - 1):
             for connection in server.connections:
                 if not connection.transport.is_reset:
-                    connection.dataReceived(b"x" * PIECE_BYTES)
+                    server.deliver(connection, b"x" * PIECE_BYTES)
                 largest = max(largest, held.total)
         assert largest <= 3 * LARGEST_BODY_BYTES + 5 * LARGEST_EVENT_BYTES
         assert OVER_BOUND in [each for ended in attempts for each in reasons(ended)]
--- a/tests/gateway/wire.py
+++ b/tests/gateway/wire.py
@@ -12,6 +12,7 @@
 from bramleyturn.gateway.exchange import Exchange
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
 from bramleyturn.gateway.http1_server import CallerConnection, HttpServer
+from bramleyturn.runtime.loop_turns import loop_turns
 
 LIMITS = CallerLimits(2_000, 100, 3_000, 15_000)
 
@@ -107,8 +108,10 @@
 
     def __init__(self) -> None:
         self.idle: list[ServerConnection] = []
+        self.clock = Clock()
         self.transport = WireTransport()  # type: ignore[no-untyped-call]
-        self.connection = ServerConnection(self.idle.append)
+        turns = loop_turns(self.clock, lambda: int(self.clock.seconds() * 1_000))
+        self.connection = ServerConnection(self.idle.append, turns)
         self.connection.makeConnection(self.transport)  # type: ignore[no-untyped-call]
         self.answer = Collected()
 
@@ -118,8 +121,9 @@
         self.connection.send(b"GET", b"/", headers, b"", self.answer)
 
     def receive(self, data: bytes) -> None:
-        """Deliver bytes of the server."""
+        """Deliver bytes of the server, and let them be parsed."""
         self.connection.dataReceived(data)
+        self.clock.advance(0)
 
     def close(self) -> None:
         """Close the connection cleanly, as the server."""
--- a/tests/site/test_callers_that_do_not_read.py
+++ b/tests/site/test_callers_that_do_not_read.py
@@ -47,6 +47,7 @@
 watch = 127.0.0.1:9
 """
 _numbers = itertools.count(1)
+pytestmark = pytest.mark.crowd
 
 
 def with_new_key() -> bytes:
