Parse in turns of the event loop at the own interface too

Callers of bramleyturn-entry waited while others sent tiny chunks or many requests ahead: the reader parsed all that it had read in one turn, and answered four requests of each connection.

Change: the reader takes steps of few lines and shares turns as an entry on the users' platform does (core/contention/loop_turns.py). Bytes sent ahead are kept apart from twisted's buffers, which it would parse at once, and a connection with more than 16 KiB of them is not read. BoundedRequest has a module of its own.

--- a/src/bramleyturn/runtime/bounded_http.py
+++ b/src/bramleyturn/runtime/bounded_http.py
@@ -2,18 +2,28 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from io import BytesIO
 from resource import RLIMIT_NOFILE, getrlimit
 from typing import Any, Final
 
-import orjson
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
 from twisted.web import http, server
 from twisted.web.resource import Resource
-from zope.interface import implementer, provider
-
+from zope.interface import implementer
+
+from bramleyturn.core.contention.loop_turns import (
+    LoopTurns,
+    Usage,
+    begin_visit,
+    has_units,
+    leave,
+    use_units,
+    wait_for_turn,
+)
+from bramleyturn.core.units import MS_PER_S
+from bramleyturn.runtime.bounded_request import BoundedRequest
+from bramleyturn.runtime.parse_steps import take_step
 from bramleyturn.runtime.timers import stop_timer
 from bramleyturn.runtime.unread_bytes import (
     READ_WAIT_S,
@@ -31,8 +41,6 @@
 MANY_CONNECTIONS: Final = 3_072
 MAX_HEADERS: Final = 64
 IDLE_CONNECTION_CHECKS: Final = 25
-STATUS_TOO_LARGE: Final = 413
-STATUS_UNAVAILABLE: Final = 503
 # Descriptors of a process that are kept for files, and the part of the others that
 # callers may use; servers and other processes need the rest.
 RESERVED_DESCRIPTORS: Final = 200
@@ -46,32 +54,14 @@
 # What all connections buffer for callers that do not read: two outcomes of the largest
 # size, 8 MiB.
 MAX_UNREAD_BYTES: Final = 16 * 1024 * 1024
-# Requests of one connection that are answered before other connections get their turn.
-REQUESTS_PER_TURN: Final = 4
-BUSY_BODY: Final = orjson.dumps(
-    {
-        "type": "about:blank",
-        "title": "Too much to read",
-        "status": STATUS_UNAVAILABLE,
-        "detail": "this service reads too many bodies at once",
-        "field": "body",
-    }
-)
-TOO_LARGE_BODY: Final = orjson.dumps(
-    {
-        "type": "about:blank",
-        "title": "Body too large",
-        "status": STATUS_TOO_LARGE,
-        "detail": "the body is larger than this service takes",
-        "field": "body",
-    }
-)
-
+# What a connection holds of the requests after its current one before it is not read
+# on.
+READ_AHEAD_BYTES: Final = 16 * 1024
+# What a request costs besides its parsing, in units of core/contention/loop_turns.py.
+REQUEST_UNITS: Final = 200
 # Twisted's classes have no type annotations.
-_Request: Any = server.Request
 _Channel: Any = http.HTTPChannel
 _Site: Any = server.Site
-_request_factory: Any = vars(http)["INonQueuedRequestFactory"]
 
 BodyLimit = Callable[[bytes], int]
 
@@ -83,73 +73,6 @@
     return min(MANY_CONNECTIONS, max(1, int(free * CALLERS_SHARE)))
 
 
-@provider(_request_factory)
-class BoundedRequest(_Request):  # type: ignore[misc]
-    """Read a request and refuse a body that exceeds the limit of its path."""
-
-    received_bytes = 0
-    limit_bytes = 0
-    is_refused = False
-    is_complete = False
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Refuse a body whose Content-Length exceeds the limit."""
-        self.limit_bytes = self.channel.site.body_limit(self.channel._path)
-        if length is not None and length > self.limit_bytes:
-            self.refuse()
-            return
-        # Twisted would open a temporary file for a large body, or one in chunks.
-        self.content = BytesIO()
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Store a part of the body while it stays within the limit."""
-        if self.is_refused:
-            return
-        self.received_bytes += len(data)
-        if self.received_bytes > self.limit_bytes:
-            self.refuse()
-            return
-        super().handleContentChunk(data)
-        self.channel.site.hold_body(self, len(data))
-
-    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:  # noqa: N802
-        """Handle a complete request, unless it has been refused."""
-        self.is_complete = True
-        if not self.is_refused:
-            super().requestReceived(command, path, version)
-
-    def _cleanup(self) -> None:
-        self.channel.site.release_body(self)
-        super()._cleanup()
-
-    def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Forget the body, as the caller is gone."""
-        self.channel.site.release_body(self)
-        super().connectionLost(reason)
-
-    def refuse(self) -> None:
-        """Answer that the body is too large and close the connection."""
-        self._refuse(f"{STATUS_TOO_LARGE} Body too large", TOO_LARGE_BODY)
-
-    def refuse_over_bound(self) -> None:
-        """Answer that all bodies together are too large, and close the connection."""
-        self._refuse(f"{STATUS_UNAVAILABLE} Too much to read", BUSY_BODY)
-
-    def _refuse(self, status: str, body: bytes) -> None:
-        self.is_refused = True
-        self.channel.site.release_body(self)
-        self.content = BytesIO()
-        transport: Any = self.channel.transport
-        head = (
-            f"HTTP/1.1 {status}\r\n"
-            "Content-Type: application/problem+json\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        transport.write(head.encode() + body)
-        self.channel.linger()
-
-
 @implementer(IHalfCloseableProtocol)
 class BoundedChannel(_Channel):  # type: ignore[misc]
     """Read requests and close a connection that takes too long to send one.
@@ -164,8 +87,7 @@
     is_lingering = False
     _linger_timer: Any = None
     _request_timer: Any = None
-    _is_deferred = False
-    _answered = 0
+    _is_parsing = False
     # While the site closes, an idle connection stays open for this many checks: its
     # next request may be in transit, and the answer says that the connection ends.
     checks_before_close = IDLE_CONNECTION_CHECKS
@@ -173,6 +95,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Count a new connection and refuse it where there are too many."""
         super().connectionMade()
+        self._unparsed = bytearray()
+        self._usage = Usage(self._parse_on)
         self.transport.bufferSize = MAX_BUFFERED_BYTES
         self.factory.connections += 1
         self.factory.channels.add(self)
@@ -190,7 +114,43 @@
             return
         if not self._handlingRequest:
             self._start_request_timer()
-        super().dataReceived(data)
+        self._unparsed += data
+        begin_visit(self._usage)
+        self._parse()
+
+    def setLineMode(self, extra: bytes = b"") -> None:  # noqa: N802
+        """Parse the bytes that were received ahead in steps too."""
+        self._unparsed[:0] = extra
+        super().setLineMode()
+
+    def _may_parse(self) -> bool:
+        return not (
+            self.paused
+            or self.is_lingering
+            or self._handlingRequest
+            or self._usage.is_waiting
+        )
+
+    def _parse(self) -> None:
+        """Parse what was received, until its share of the turn is used up."""
+        if self._is_parsing:
+            return
+        turns = self.factory.turns
+        self._is_parsing = True
+        try:
+            while self._unparsed and self._may_parse():
+                if not has_units(turns, self._usage):
+                    wait_for_turn(turns, self._usage)
+                    break
+                self._start_request_timer()
+                data, lines = take_step(self._unparsed)
+                use_units(turns, self._usage, 1 + lines)
+                super().dataReceived(data)
+        finally:
+            self._is_parsing = False
+        is_ahead = len(self._unparsed) > READ_AHEAD_BYTES
+        if self._usage.is_waiting or (self._handlingRequest and is_ahead):
+            self._networkProducer.pauseProducing()
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Read and parse nothing while the caller does not read its answers.
@@ -210,18 +170,14 @@
         self._parse_on()
 
     def _parse_on(self) -> None:
-        if self._waitingForTransport or self._is_deferred or self.is_lingering:
+        if self._waitingForTransport or self._usage.is_waiting or self.is_lingering:
             return
         self.paused = False
         if not self._handlingRequest:
             self._networkProducer.resumeProducing()
         if self._buffer:
             super().dataReceived(b"")
-
-    def _begin_turn(self) -> None:
-        self._is_deferred = False
-        self._answered = 0
-        self._parse_on()
+        self._parse()
 
     def close_now(self) -> None:
         """Close a connection without a request at once, as there are too many."""
@@ -237,6 +193,8 @@
         self.factory.channels.discard(self)
         self.factory.idle.pop(self, None)
         self.factory.release_unread(self)
+        leave(self._usage)
+        self._unparsed.clear()
         self._stop_request_timer()
         stop_timer(self._linger_timer)
         super().connectionLost(reason)
@@ -254,6 +212,8 @@
         if self.is_lingering:
             return
         self.is_lingering = True
+        leave(self._usage)
+        self._unparsed.clear()
         self.clearLineBuffer()
         self._dataBuffer: list[bytes] = []
         self._networkProducer.unregisterProducer()
@@ -286,7 +246,8 @@
 
         A further request that has been read is still answered.
         """
-        if self.factory.is_closing and self.persistent and not any(self._dataBuffer):
+        is_last = not self._unparsed and not any(self._dataBuffer)
+        if self.factory.is_closing and self.persistent and is_last:
             self.persistent = False
             headers.setRawHeaders(b"Connection", [b"close"])
         super().writeHeaders(version, code, reason, headers)
@@ -294,14 +255,11 @@
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Close the connection after an answer while the site closes."""
         self.factory.idle[self] = None
-        self._answered += 1
-        if self._answered >= REQUESTS_PER_TURN and not self._is_deferred:
-            self._is_deferred = True
-            self.paused = True
-            self.callLater(0, self._begin_turn)
+        if not self._is_parsing:
+            begin_visit(self._usage)
+        use_units(self.factory.turns, self._usage, REQUEST_UNITS)
         super().requestDone(request)
-        if self._is_deferred and not self.is_lingering:
-            self._networkProducer.pauseProducing()
+        self._parse()
         if self.factory.is_closing:
             self.close_if_idle()
 
@@ -322,6 +280,7 @@
     def _is_idle(self) -> bool:
         return not (
             self.requests
+            or self._unparsed
             or self._request_timer is not None
             or has_unread_bytes(self.transport)
         )
@@ -338,7 +297,8 @@
 
     def _abort_slow_request(self) -> None:
         self._request_timer = None
-        if not self.is_lingering and has_unread_bytes(self.transport):
+        is_late = self._usage.is_waiting or has_unread_bytes(self.transport)
+        if not self.is_lingering and is_late:
             self._request_timer = self.callLater(READ_WAIT_S, self._abort_slow_request)
             return
         self.forceAbortClient()
@@ -362,12 +322,19 @@
         self.unread: dict[Any, int] = {}
         self.unread_bytes = 0
         self.is_closing = False
+        self.turns = LoopTurns(self._now_ms, self._schedule)
         self.body_limit = body_limit
         self.displayTracebacks = False
         self.noisy = False
         self.requestFactory = BoundedRequest
         self.protocol = BoundedChannel
 
+    def _now_ms(self) -> int:
+        return int(self.reactor.seconds() * MS_PER_S)
+
+    def _schedule(self, begin: Callable[[], None]) -> None:
+        self.reactor.callLater(0, begin)
+
     def close_idle(self) -> None:
         """Close idle connections now, and every other one after its answer."""
         self.is_closing = True
--- a/tests/site/test_costly_callers.py
+++ b/tests/site/test_costly_callers.py
@@ -7,11 +7,14 @@
 
 import time
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from pathlib import Path
 from typing import Final
 
 import pytest
 
+from tests.http_calls import call
+from tests.processes import RunningProcess, running
 from tests.site.crowds import (
     LIMITS,
     Visit,
@@ -22,7 +25,7 @@
     send_and_read,
     visiting,
 )
-from tests.site.site_fleet import HOSTS, SiteFleet, running_fleet
+from tests.site.site_fleet import HOSTS, SiteFleet, running_fleet, wait_until
 
 CALLERS: Final = 24
 MANY_CALLERS: Final = 60
@@ -69,6 +72,15 @@
 ]
 
 
+ENTRY_SETTINGS: Final = """
+[process]
+name = entry-duluth-1
+zone = duluth
+listen = 127.0.0.1:0
+watch = 127.0.0.1:9
+"""
+
+
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[SiteFleet]:
     """Run a site whose entry has little memory and few descriptors."""
@@ -76,6 +88,13 @@
         yield fleet
 
 
+@pytest.fixture
+def entry(tmp_path: Path) -> Iterator[RunningProcess]:
+    """Run an entry of the project's own interface, without a configuration."""
+    with running("bramleyturn.programs.entry", ENTRY_SETTINGS, tmp_path) as started:
+        yield started
+
+
 def check_beside(site: SiteFleet, port: str, callers: int, visit: Visit) -> None:
     """Check the bounds, and that an order is served, while callers visit a port."""
     with (
@@ -105,3 +124,31 @@
         self, site: SiteFleet
     ) -> None:
         check_beside(site, "metrics", CALLERS, send_and_read(metrics))
+
+
+class TestOwnInterface:
+    """Callers of ``bramleyturn-entry`` send what takes long to parse.
+
+    Guards against the same in the reader of the project's own interface.
+    """
+
+    @pytest.mark.parametrize(
+        "data",
+        [tiny_chunks, many_lines, new_keys],
+        ids=lambda data: str(data.__name__),
+    )
+    def test_a_check_is_answered_beside_them(
+        self, entry: RunningProcess, data: Callable[[], bytes]
+    ) -> None:
+        host, _, port = entry.address.partition(":")
+        visit = send_and_read(data)
+        with bounded(entry), visiting(host, int(port), CALLERS, visit):
+            time.sleep(CROWD_S)
+            wait_until(lambda: is_healthy(entry), "check answered")
+
+
+def is_healthy(entry: RunningProcess) -> bool:
+    """Return whether an entry answers its health check."""
+    with suppress(OSError):
+        return call(entry.address, "GET", "/healthz").status == 200
+    return False
