Refuse names that callers make too long

Attempt ids and piece keys could have as many bytes as a head, 16 KiB. They are keys of tables of up to 8,192 rows (core/placement/engine_queues.py), go to other instances with each ask, and stand in up to 400 log lines a second.

Names of more than 256 bytes are refused with 400 now, and a refused one is cut in the log. The test failed before: such names were taken.

--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -58,6 +58,7 @@
 from bramleyturn.platform.answers import caller_headers
 from bramleyturn.platform.requests import (
     ATTEMPT_ID,
+    MAX_NAME_BYTES,
     PIECES,
     BadHeader,
     read_caller_head,
@@ -398,7 +399,7 @@
         logger.info(
             "request refused",
             extra={
-                "request_id": exchange.header(ATTEMPT_ID),
+                "request_id": exchange.header(ATTEMPT_ID)[:MAX_NAME_BYTES],
                 "status": refusal.status,
                 "reason": refusal.reason,
                 "retry_after_ms": wait_ms,
--- a/src/bramleyturn/platform/requests.py
+++ b/src/bramleyturn/platform/requests.py
@@ -20,6 +20,8 @@
 BEARER: Final = "bearer "
 MAX_PIECES: Final = 1_000
 MAX_PROMPT_PARTS: Final = 64
+# Names that callers give are kept, logged and told to other instances.
+MAX_NAME_BYTES: Final = 256
 MAX_WAIT_MS: Final = 3_600_000
 INTEGER_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 PROMPT_PART_PATTERN: Final = re.compile(r"([0-9a-fA-F]{1,64}):([0-9]{1,9})")
@@ -88,8 +90,11 @@
     """Parse the headers, or return the first one that is missing or malformed."""
     by_name = dict(headers)
     attempt_id = by_name.get(ATTEMPT_ID, b"").decode("latin-1")
-    if not attempt_id:
+    if not 0 < len(attempt_id) <= MAX_NAME_BYTES:
         return BadHeader("Bramleyturn-Attempt-Id")
+    piece_key = by_name.get(PIECE_KEY, b"").decode("latin-1")
+    if len(piece_key) > MAX_NAME_BYTES:
+        return BadHeader("Bramleyturn-Piece-Key")
     wait_text = by_name.get(DEADLINE)
     wait_ms = None if wait_text is None else _parse_int(wait_text)
     if wait_text is not None and wait_ms is None:
@@ -103,7 +108,7 @@
         wait_ms=None if wait_ms is None else min(wait_ms, MAX_WAIT_MS),
         key=_bearer_key(by_name.get(AUTHORIZATION, b"")),
         piece_counts=counts,
-        piece_key=by_name.get(PIECE_KEY, b"").decode("latin-1"),
+        piece_key=piece_key,
         prompt=_prompt(by_name.get(PROMPT_PREFIX, b"")),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,6 +5,7 @@
 
 from bramleyturn.core.catalog.prompt import PromptPart
 from bramleyturn.platform.requests import (
+    MAX_NAME_BYTES,
     BadHeader,
     CallerHead,
     ServerHead,
@@ -44,6 +45,13 @@
     def test_missing_attempt_id_is_refused(self) -> None:
         assert read_caller_head([]) == BadHeader("Bramleyturn-Attempt-Id")
 
+    def test_long_names_which_tables_would_keep_are_refused(self) -> None:
+        long = b"a" * (MAX_NAME_BYTES + 1)
+        bad = read_caller_head([(ID[0], long)])
+        assert bad == BadHeader("Bramleyturn-Attempt-Id")
+        bad = read_caller_head([ID, (b"bramleyturn-piece-key", long)])
+        assert bad == BadHeader("Bramleyturn-Piece-Key")
+
     def test_negative_deadline_is_refused(self) -> None:
         bad = read_caller_head([ID, (b"bramleyturn-deadline-ms", b"-5")])
         assert bad == BadHeader("Bramleyturn-Deadline-Ms")
