Bound the log by its bytes

The log's buffer was bounded by 2,000 lines, which had no bound of their own, and lines that a slow reader had not taken were no longer counted once a flush had joined them.

Found by reading. The buffer, with what is being written, is bounded by 2 MiB now; further lines are dropped and counted as before.

--- a/src/bramleyturn/gateway/event_log.py
+++ b/src/bramleyturn/gateway/event_log.py
@@ -15,7 +15,7 @@
 from bramleyturn.core.clock import Clock
 from bramleyturn.core.units import MS_PER_S
 
-MAX_BUFFERED_LINES: Final = 2_000
+MAX_BUFFERED_BYTES: Final = 2 * 1024 * 1024
 # Lines above this rate are dropped, except warnings and errors.
 MAX_LINES_PER_S: Final = 400
 FLUSH_INTERVAL_S: Final = 0.1
@@ -37,6 +37,7 @@
         self.common_fields = {"instance": instance, "zone": zone}
         self.lines: deque[bytes] = deque()
         self.unwritten = b""
+        self.buffered_bytes = 0
         self.dropped = 0
         self.second = 0
         self.lines_this_second = 0
@@ -64,9 +65,9 @@
         if self.dropped:
             line["dropped_lines"] = self.dropped
             self.dropped = 0
-        self.lines.append(
-            orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
-        )
+        data = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        self.lines.append(data)
+        self.buffered_bytes += len(data)
         if not self.is_flush_due:
             self.is_flush_due = True
             self.reactor.callLater(FLUSH_INTERVAL_S, self.flush_lines)
@@ -76,7 +77,7 @@
             self.second = second
             self.lines_this_second = 0
         self.lines_this_second += 1
-        if len(self.lines) >= MAX_BUFFERED_LINES:
+        if self.buffered_bytes >= MAX_BUFFERED_BYTES:
             return False
         return self.lines_this_second <= MAX_LINES_PER_S or level >= logging.WARNING
 
@@ -91,9 +92,9 @@
             written = 0
         except OSError:
             # The reader has closed the pipe; the process runs on without a log.
-            self.unwritten = b""
-            return
+            written = len(data)
         self.unwritten = data[written:]
+        self.buffered_bytes = len(self.unwritten)
         if self.unwritten and not self.is_flush_due:
             self.is_flush_due = True
             self.reactor.callLater(FLUSH_INTERVAL_S, self.flush_lines)
