Read a bounded number of datagrams in one turn

Twisted reads up to 256 KiB of datagrams in one turn of the event loop, thousands of small ones, and each is decoded. An entry reads 16 KiB a turn now, several times what instances send in one; the others wait in the socket's buffer.

Found by reading; there is no test of it, and no crowd has been run.

--- a/src/bramleyturn/gateway/entry_process.py
+++ b/src/bramleyturn/gateway/entry_process.py
@@ -70,6 +70,8 @@
 STOP_CHECK_INTERVAL_S: Final = 0.05
 # From the end of the time on, everything that arrives is answered at once.
 END_CHECK_INTERVAL_S: Final = 0.01
+# Read in one turn of the event loop; Twisted alone reads 256 KiB, in any number.
+DATAGRAM_BYTES_PER_TURN: Final = 16 * 1024
 # What these answers cost, in units of core/contention/loop_turns.py.
 READINESS_UNITS: Final = 40
 METRICS_UNITS: Final = 2_000
@@ -181,9 +183,10 @@
             (self.metrics, settings.ready.host, metrics_port()),
         ):
             open_port(loop, port, server.factory(), address)
-        loop.listenUDP(
+        heartbeats_port = loop.listenUDP(
             settings.internal_port, self.heartbeats, interface=settings.control.host
         )
+        heartbeats_port.maxThroughput = DATAGRAM_BYTES_PER_TURN
         run_in_background(follow_store(self.reader), "store watch")
         run_in_background(copy_from_peers(self.copy), "store copy from instances")
         self.heartbeats.send_periodically()
