--- a/src/bramleyturn/gateway/request_flow.py
+++ b/src/bramleyturn/gateway/request_flow.py
@@ -7,7 +7,6 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
-from bramleyturn.core.catalog.model import RouteKind
 from bramleyturn.core.catalog.prompt import logged_parts, own_tokens
 from bramleyturn.core.catalog.routes import choose_pool, find_route
 from bramleyturn.core.contention.in_progress import (
@@ -22,16 +21,7 @@
 from bramleyturn.core.waiting.first_events import first_event_ms
 from bramleyturn.core.waiting.patience import patience_ms
 from bramleyturn.core.waiting.retry_after import retry_after_ms
-from bramleyturn.core.waiting.run_times import (
-    ExpectedRun,
-    ends_in_time,
-    expect_run,
-    expect_stream,
-    is_better_elsewhere,
-    note_run,
-    note_stream,
-    typical_ms,
-)
+from bramleyturn.core.waiting.run_times import note_run, note_stream
 from bramleyturn.gateway.attempts import (
     Answered,
     NotRun,
@@ -55,6 +45,11 @@
 from bramleyturn.gateway.stage_asks import StageAsks
 from bramleyturn.gateway.stage_messages import EngineAsk
 from bramleyturn.gateway.stage_work import StageResults, StageSpec, StageWork
+from bramleyturn.gateway.stopping_requests import (
+    ends_too_late,
+    should_be_elsewhere,
+    typical_stages_ms,
+)
 from bramleyturn.platform.answers import caller_headers
 from bramleyturn.platform.requests import (
     ATTEMPT_ID,
@@ -154,59 +149,12 @@
         quarantine = self.crashes.quarantine_of(request.names)
         if quarantine is not None:
             return Refusal(503, quarantine.reason, quarantine.left_ms)
-        if self._is_better_elsewhere(request) or self._ends_too_late(
-            request, self._typical_stages_ms(request)
+        if should_be_elsewhere(serving, request) or ends_too_late(
+            serving, request, typical_stages_ms(serving, request)
         ):
             return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
         return request
 
-    def _is_better_elsewhere(self, request: CallerRequest) -> bool:
-        """Return whether the process stops and another one should take a request."""
-        serving = self.serving
-        if serving.shutdown is None:
-            return False
-        is_stream = request.route.kind is RouteKind.STREAM
-        has_alternative = any(
-            member.zone == serving.me.zone and member.name != serving.me.name
-            for member in serving.live()
-        )
-        return is_better_elsewhere(
-            serving.shutdown, request.arrived_ms, is_stream, has_alternative
-        )
-
-    def _typical_stages_ms(self, request: CallerRequest) -> int:
-        """Return how long the stages of a request usually take before its run."""
-        serving = self.serving
-        aim_ms = request.route.aim_ms
-        request_ms = typical_ms(serving.request_times, request.route.name, aim_ms)
-        return max(0, request_ms - typical_ms(serving.run_times, request.pool, aim_ms))
-
-    def _ends_too_late(self, request: CallerRequest, stages_ms: int) -> bool:
-        """Return whether the process stops before a request that begins now can end.
-
-        ``stages_ms`` is how long the stages before its run usually take. A request
-        whose deadline comes first ends in time.
-        """
-        serving = self.serving
-        if serving.shutdown is None or request.deadline_ms <= serving.shutdown.ends_ms:
-            return False
-        expected = self._expected_run(request)
-        return not ends_in_time(
-            serving.shutdown,
-            request.arrived_ms,
-            serving.now_ms() + stages_ms,
-            expected.typical_ms,
-            expected.longest_ms,
-        )
-
-    def _expected_run(self, request: CallerRequest) -> ExpectedRun:
-        """Return how long the server of a request is expected to work on it."""
-        times, route = self.serving.run_times, request.route
-        if route.kind is not RouteKind.STREAM:
-            return expect_run(times, request.pool, route.aim_ms)
-        tokens = request.head.output_tokens
-        return expect_stream(times, request.pool, tokens, route.aim_ms)
-
     async def _serve(self, request: CallerRequest) -> None:
         refusal = await self._run_input_stages(request)
         if refusal is None:
@@ -288,7 +236,7 @@
                 log_request(request, "no retry left", {"pool": request.pool})
                 break
             is_first = not request.may_have_run and not request.exchange.is_started
-            if is_first and self._ends_too_late(request, 0):
+            if is_first and ends_too_late(serving, request, 0):
                 return Refusal(503, "stopping", STOPPING_RETRY_AFTER_MS)
             request.tried.append(server.id)
             sent_ms = serving.now_ms()
