Collect bodies without copies, and parse large chunks in few steps

Cause: a chunk whose data has many line feeds was read in steps of 2 KB, each counted by its line feeds; and one buffer of a large body is copied whole each time that it grows.

Change: chunks are counted by their number, as they are parsed, and read in steps of 16 KB; a connection may have to wait between two chunks of a step. The lines of trailers are counted once parsed.

--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -26,6 +26,7 @@
     Bound,
     declared_length,
 )
+from bramleyturn.gateway.body_buffer import BodyBuffer, add_piece, drop_body, whole_body
 from bramleyturn.gateway.calls import CallFailed, connect, peer_of
 from bramleyturn.gateway.connection_pool import ConnectionPool
 from bramleyturn.gateway.http1_client import FailureReason, Headers, ServerConnection
@@ -113,7 +114,7 @@
         self.framing = Framing.CLOSE
         self.is_stream = False
         self.splitter = EventSplitter()
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.max_bytes = MAX_BODY_BYTES
         self.events = 0
 
@@ -142,11 +143,11 @@
         if self.is_stream:
             self._forward_events(data)
             return
-        size = len(self.body) + len(data)
+        size = self.body.size + len(data)
         if size > self.max_bytes:
             self.connection.end_at_bound(Bound.BODY, size)
             return
-        self.body += data
+        add_piece(self.body, data)
         self.connection.hold(len(data))
 
     def _forward_events(self, data: bytes) -> None:
@@ -182,7 +183,7 @@
                 return
             self.ended.callback(Streamed(self.answer, self.headers, body_end, end))
             return
-        body = bytes(self.body)
+        body = whole_body(self.body)
         content_type = dict(self.headers).get(b"content-type", b"")
         end = judge_body_end(body_end, content_type, body)
         verdict = self._verdict(self.answer)
@@ -200,7 +201,7 @@
 
     def failed(self, reason: FailureReason) -> None:
         """End the attempt without a complete answer."""
-        self.body.clear()
+        drop_body(self.body)
         if not self.ended.called:
             body_end = None if self.answer is None else self._body_end()
             self.ended.callback(AttemptFailed(reason, body_end))
--- a/src/bramleyturn/gateway/bounded_reader.py
+++ b/src/bramleyturn/gateway/bounded_reader.py
@@ -13,10 +13,15 @@
     CHUNK_ALLOWANCE_PER_BYTE,
     MAX_CHUNK_EXCESS_BYTES,
 )
-from bramleyturn.runtime.parse_steps import take_body, take_step
+from bramleyturn.runtime.parse_steps import STEP_BYTES, take_bytes, take_step
 
-# In one head, and as many in its trailer: more than twice those of Apache's httpd.
+# In one head: more than twice those of Apache's httpd.
 MAX_HEADER_LINES: Final = 256
+# Given to the library at a time: it parses one chunk after the other, but the lines of
+# a trailer at once.
+CHUNKS_STEP_BYTES: Final = 16 * 1024
+# What a chunk costs, its two lines.
+CHUNK_UNITS: Final = 2
 BODY_BYTES_PER_UNIT: Final = 16 * 1024
 ENDLESS_BYTES: Final = 2**62
 STATUS_HEAD_TOO_LARGE: Final = 431
@@ -34,6 +39,7 @@
         self.http = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
         self.unparsed = bytearray()
         self.units = 0
+        self.is_drained = True
         self.begin_message()
 
     def begin_message(self) -> None:
@@ -44,10 +50,12 @@
         self.head_bytes = 0
         self.lines = 0
         self.excess_bytes = 0
+        self.is_drained = not self.waiting_bytes()
 
     def receive(self, data: bytes) -> None:
         """Take bytes that are parsed later."""
         self.unparsed += data
+        self.is_drained = False
 
     def receive_end(self) -> None:
         """Take the end of the connection, once all bytes are parsed."""
@@ -57,9 +65,9 @@
         """Forget what the parser has not been given, as no one needs it."""
         self.unparsed.clear()
 
-    def has_bytes(self) -> bool:
-        """Return whether there are bytes that the parser has not been given."""
-        return bool(self.unparsed)
+    def is_pending(self) -> bool:
+        """Return whether bytes that were received may hold a further event."""
+        return not self.is_drained
 
     def waiting_bytes(self) -> int:
         """Return how many bytes wait, most of them for the next message."""
@@ -74,7 +82,7 @@
     def next_event(self) -> Any:
         """Return the next event, after one step at most.
 
-        ``h11.NEED_DATA`` means that more may follow while ``has_bytes``. Raise
+        ``h11.NEED_DATA`` means that more may follow while ``is_pending``. Raise
         ``h11.RemoteProtocolError`` if the bytes are malformed or exceed a bound.
         """
         event = self.http.next_event()
@@ -82,10 +90,13 @@
             self._check_bounds()
             self._step()
             event = self.http.next_event()
-        if isinstance(event, h11.Data):
-            self._allow_for_data(event)
-        elif event is h11.NEED_DATA:
+        if event is h11.NEED_DATA:
             self._check_bounds()
+            self.is_drained = not self.unparsed
+        elif self.is_chunked and isinstance(event, h11.Data):
+            self._note_chunk(event)
+        elif isinstance(event, h11.EndOfMessage):
+            self.units += len(event.headers)
         return event
 
     def end_head(self, body_bytes: int | None, is_chunked: bool) -> None:
@@ -104,26 +115,26 @@
         self.excess_bytes = rest_bytes if is_chunked else 0
 
     def _step(self) -> None:
-        if self.body_left:
-            data, lines = take_body(self.unparsed, self.body_left), 0
+        lines = 0
+        if self.is_chunked:
+            data = take_bytes(self.unparsed, CHUNKS_STEP_BYTES)
+            self.excess_bytes += len(data)
+        elif self.body_left:
+            data = take_bytes(self.unparsed, min(STEP_BYTES, self.body_left))
             self.body_left -= len(data)
         else:
             data, lines = take_step(self.unparsed)
-        self.units += 1 + lines + len(data) // BODY_BYTES_PER_UNIT
-        if self.is_in_head:
             self.lines += lines
             self.head_bytes += len(data)
-        elif self.is_chunked:
-            self.excess_bytes += len(data)
+        self.units += 1 + lines + len(data) // BODY_BYTES_PER_UNIT
         self.http.receive_data(data)
 
-    def _allow_for_data(self, event: h11.Data) -> None:
-        if not self.is_chunked:
-            return
+    def _note_chunk(self, event: h11.Data) -> None:
         size = len(event.data)
         self.excess_bytes -= size + CHUNK_ALLOWANCE_PER_BYTE * size
         if event.chunk_start:
             self.excess_bytes -= CHUNK_ALLOWANCE_BYTES
+            self.units += CHUNK_UNITS
 
     def _check_bounds(self) -> None:
         if self.is_in_head and self.lines > MAX_HEADER_LINES:
--- a/src/bramleyturn/gateway/caller_connection.py
+++ b/src/bramleyturn/gateway/caller_connection.py
@@ -358,12 +358,12 @@
     def _parse(self) -> None:
         turns = self.server.turns
         while self._may_parse():
-            if self.reader.waiting_bytes() and not has_units(turns, self.usage):
+            if self.reader.is_pending() and not has_units(turns, self.usage):
                 wait_for_turn(turns, self.usage)
                 return
             event = self.reader.next_event()
             use_units(turns, self.usage, self.reader.take_units())
-            if event is h11.NEED_DATA and self.reader.has_bytes():
+            if event is h11.NEED_DATA and self.reader.is_pending():
                 continue
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -18,6 +18,7 @@
     Bound,
     declared_length,
 )
+from bramleyturn.gateway.body_buffer import BodyBuffer, add_piece, whole_body
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
     open_connection,
@@ -96,7 +97,7 @@
         self.status = 0
         self.headers: Headers = []
         self.framing = Framing.CLOSE
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.max_bytes = MAX_BODY_BYTES
 
     def head(self, status: int, headers: Headers, framing: Framing) -> None:
@@ -114,18 +115,18 @@
     def data(self, data: bytes) -> None:
         """Buffer a part of the body, or end the call if it is too large."""
         self.on_received(len(data))
-        size = len(self.body) + len(data)
+        size = self.body.size + len(data)
         if size > self.max_bytes:
             self.connection.end_at_bound(Bound.BODY, size)
             return
-        self.body += data
+        add_piece(self.body, data)
         self.connection.hold(len(data))
 
     def end(self) -> None:
         """End the call with the answer, if it is whole."""
         if self.ended.called:
             return
-        body = bytes(self.body)
+        body = whole_body(self.body)
         if self._is_broken_off(body):
             self.ended.callback(CallFailed(FailureReason.BROKEN_OFF))
             return
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -253,12 +253,12 @@
 
     def _parse(self) -> None:
         while self.listener is not None:
-            if self.reader.has_bytes() and not has_units(self.turns, self.usage):
+            if self.reader.is_pending() and not has_units(self.turns, self.usage):
                 wait_for_turn(self.turns, self.usage)
                 return
             event = self.reader.next_event()
             use_units(self.turns, self.usage, self.reader.take_units())
-            if event is h11.NEED_DATA and self.reader.has_bytes():
+            if event is h11.NEED_DATA and self.reader.is_pending():
                 continue
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 if self.framing is None and self.reader.head_bytes > MAX_HEAD_BYTES:
--- a/src/bramleyturn/runtime/parse_steps.py
+++ b/src/bramleyturn/runtime/parse_steps.py
@@ -13,7 +13,7 @@
 
 def take_step(unparsed: bytearray) -> tuple[bytes, int]:
     """Take the bytes to parse next; return them and how many lines they may have."""
-    data = bytes(unparsed[:STEP_BYTES])
+    data = bytes(memoryview(unparsed)[:STEP_BYTES])
     lines = data.count(b"\n")
     if lines > MAX_STEP_LINES:
         data = data[:SHORT_STEP_BYTES]
@@ -22,8 +22,8 @@
     return data, lines
 
 
-def take_body(unparsed: bytearray, body_bytes: int) -> bytes:
-    """Take bytes of a body of which so many are due; they are not parsed."""
-    data = bytes(unparsed[: min(STEP_BYTES, body_bytes)])
+def take_bytes(unparsed: bytearray, most: int) -> bytes:
+    """Take so many bytes, or all if there are fewer."""
+    data = bytes(memoryview(unparsed)[:most])
     del unparsed[: len(data)]
     return data
