Blame no server for a connection that the process may not open

Found when the change was read again: once all connections to servers were in use, an attempt that could open none counted as a failure of its server, which was then avoided, by ordinary requests too.

Change: the pool fails with an error of its own, and such an attempt says nothing about its server. The test failed before: the server was recorded as failing after one request at a pool without room.

--- a/src/bramleyturn/gateway/attempts.py
+++ b/src/bramleyturn/gateway/attempts.py
@@ -57,10 +57,12 @@
 class NotRun(NamedTuple):
     """Report that the server certainly did not run the request.
 
-    ``status`` is 0 if no connection was made.
+    ``status`` is 0 if no connection was made. ``is_blamed`` is not set if the reason
+    lies with this process and not with the server.
     """
 
     status: int
+    is_blamed: bool = True
 
 
 class AttemptFailed(NamedTuple):
@@ -246,7 +248,7 @@
     peer = peer_of(request.server)
     connection = await connect(pool, peer, None if may_reuse else 0)
     if isinstance(connection, CallFailed):
-        return NotRun(0)
+        return NotRun(0, connection.reason is not FailureReason.NO_FREE_CONNECTION)
     if not may_send():
         connection.drop()
         return NotRun(0)
--- a/src/bramleyturn/gateway/caller_attempts.py
+++ b/src/bramleyturn/gateway/caller_attempts.py
@@ -393,8 +393,9 @@
         now_ms = serving.now_ms()
         is_avoided = False
         note_attempt(serving, server, ended, now_ms - sent_ms)
-        if request.is_withheld:
-            # Nothing is known against a server that has only turned cold.
+        if request.is_withheld or (isinstance(ended, NotRun) and not ended.is_blamed):
+            # Nothing is known against a server that has only turned cold, or that
+            # there was no connection left for.
             pass
         elif isinstance(ended, AttemptFailed) or (
             isinstance(ended, NotRun) and not ended.status
--- a/src/bramleyturn/gateway/calls.py
+++ b/src/bramleyturn/gateway/calls.py
@@ -21,6 +21,7 @@
 from bramleyturn.gateway.body_buffer import BodyBuffer, add_piece, whole_body
 from bramleyturn.gateway.connection_pool import (
     ConnectionPool,
+    TooManyConnectionsError,
     open_connection,
     take_idle,
 )
@@ -159,6 +160,8 @@
         return idle
     try:
         return await open_connection(pool, peer.name, peer.host, peer.port)
+    except TooManyConnectionsError:
+        return CallFailed(FailureReason.NO_FREE_CONNECTION)
     except ConnectError:
         return CallFailed(FailureReason.NOT_CONNECTED)
     except ConnectingCancelledError:
--- a/src/bramleyturn/gateway/connection_pool.py
+++ b/src/bramleyturn/gateway/connection_pool.py
@@ -30,6 +30,10 @@
 logger = logging.getLogger(__name__)
 
 
+class TooManyConnectionsError(ConnectError):
+    """Raised when a pool may open no more connections, whatever its servers do."""
+
+
 class ConnectionPool:
     """Hold the idle connections by server name.
 
@@ -100,7 +104,7 @@
         remove_idle(connection)
 
     if pool.in_use >= pool.max_in_use and not _drop_longest_idle(pool):
-        raise ConnectError(string="too many connections")
+        raise TooManyConnectionsError
     endpoint = TCP4ClientEndpoint(pool.reactor, host, port, CONNECT_TIMEOUT_S)
     factory: Any = Factory.forProtocol(lambda: ServerConnection(add_idle, pool.turns))
     pool.in_use += 1
--- a/src/bramleyturn/gateway/http1_client.py
+++ b/src/bramleyturn/gateway/http1_client.py
@@ -63,6 +63,7 @@
     """Name why a call to a server ended without a complete answer."""
 
     NOT_CONNECTED = "not_connected"
+    NO_FREE_CONNECTION = "no_free_connection"
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -6,7 +6,10 @@
 from twisted.internet.error import ConnectError, ConnectionLost
 from twisted.python.failure import Failure
 
+from bramleyturn.core.catalog.model import RouteKind
 from bramleyturn.gateway.connection_pool import open_connection
+from tests.gateway.one_entry import Caller, OneEntry, plain_route
+from tests.gateway.one_entry import server as backend
 from tests.gateway.test_endless_answers import OneServer
 
 MOST: Final = 3
@@ -63,6 +66,14 @@
         connection.connectionLost(Failure(ConnectionLost()))
         assert server.pool.in_use == 0
 
+    def test_server_is_not_avoided_for_it(self) -> None:
+        entry = OneEntry([plain_route(RouteKind.NON_IDEMPOTENT)], [backend("i-1")])
+        entry.serving.servers_pool.max_in_use = 0
+        caller = Caller(entry)
+        caller.send()
+        assert caller.status() == 503
+        assert not entry.serving.health.by_id
+
     @staticmethod
     def _connected(server: OneServer, name: str) -> list[Any]:
         opened = connect(server, name)
