--- a/src/bramleyturn/core/settings_reference.py
+++ b/src/bramleyturn/core/settings_reference.py
@@ -55,6 +55,9 @@
 (`answers_unread_total`) |
 | bytes sent ahead on one connection | 16 KiB | it is not read on |
 | lines in one head | 256 | 431 |
+| attempt id, piece key | 256 bytes | 400 |
+| log lines that were not written yet | 2 MiB | further ones are dropped and counted |
+| datagrams read in one turn of the event loop | 16 KiB | the others wait |
 | chunks of one body besides their data, 16 bytes each and twice their data | 16 KiB | \
 431 |
 | parsed in one turn of the event loop | some 2,000 lines or ten requests, a tenth of \
@@ -69,6 +72,7 @@
 | bodies being read or in progress | 32 MiB | the largest is refused, 503 |
 | answers that callers leave unread | 16 MiB, and up to 16 KiB for each connection | \
 the connection that holds the most is closed |
+| connections accepted in one turn of the event loop | as above | as above |
 | lines in one head | 64 | 400 |
 | parsed in one turn of the event loop | as above | as above |
 """
